Serve a request from caller to endpoint through separate processes

Cause: an empty repository; a request has to go from a caller through an entry to an endpoint and back, driven only by published configuration.

Change: one package with the daemon, the tool and the stand-ins. The kernel holds the decisions (configuration fold with leases, tickets, token order, membership, group ledger with residual lengths, policies, placement); the daemon feeds it and carries them out.

--- /dev/null
+++ b/src/caller/mod.rs
@@ -0,0 +1,195 @@
+//! What callers see: entries, completions, chat completions and plain services, over rocket.
+
+mod headers;
+mod openai;
+mod render;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use rocket::data::{Data, ToByteUnit};
+use rocket::http::Status;
+use rocket::request::Request;
+use rocket::serde::json::Json;
+use rocket::{Build, Rocket, State, catch, catchers, get, post, routes};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use uuid::Uuid;
+
+use crate::daemon::answer::single;
+use crate::daemon::drain::Entry;
+use crate::daemon::node::Node;
+use crate::daemon::request::{CallerRequest, RequestedWork};
+use crate::daemon::serve;
+use crate::error::{Error, ErrorKind, Result};
+use headers::CallerHeaders;
+use openai::{ChatBody, CompletionBody, Shape};
+use render::{CallerAnswer, error_answer, render_generation, render_service};
+
+type Shared = State<Arc<Node>>;
+
+/// Adds the callers' routes.
+pub(crate) fn mount(rocket: Rocket<Build>) -> Rocket<Build> {
+    let routes = routes![entries, completions, chat_completions, service, health];
+    rocket
+        .mount("/", routes)
+        .register("/", catchers![catch_all])
+}
+
+/// Answer of `/v1/entries`.
+#[derive(Serialize)]
+struct EntriesAnswer {
+    /// In order of preference.
+    entries: Vec<Entry>,
+    /// How long the answer may be kept.
+    valid_for_ms: u64,
+}
+
+#[get("/v1/entries")]
+fn entries(node: &Shared) -> Json<EntriesAnswer> {
+    Json(EntriesAnswer {
+        entries: node.entries(),
+        valid_for_ms: node.settings.times.entries_valid_ms,
+    })
+}
+
+#[get("/healthz")]
+fn health() -> &'static str {
+    "ok\n"
+}
+
+/// Reads a body within the limit.
+async fn read_body(node: &Node, data: Data<'_>) -> Result<Vec<u8>> {
+    let limit = node.settings.limits.body_max_bytes;
+    let read = data.open(limit.bytes()).into_bytes().await;
+    let body = read.map_err(|error| Error::new(ErrorKind::BadRequest, error.to_string()))?;
+    if !body.is_complete() {
+        return Err(Error::new(
+            ErrorKind::TooLarge,
+            format!("the body exceeds {limit} bytes"),
+        ));
+    }
+    Ok(body.into_inner())
+}
+
+fn parse_body<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body)
+        .map_err(|error| Error::new(ErrorKind::BadRequest, format!("body: {error}")))
+}
+
+async fn generation<T: DeserializeOwned + openai::Asks>(
+    node: &Arc<Node>,
+    headers: Result<CallerHeaders>,
+    data: Data<'_>,
+    shape: Shape,
+) -> CallerAnswer {
+    let request_id = Uuid::new_v4();
+    let prepared = prepare::<T>(node, headers, data, request_id).await;
+    match prepared {
+        Err(error) => error_answer(request_id, &error),
+        Ok(request) => {
+            let reply = openai::Reply::new(shape, &request);
+            render_generation(request_id, serve::start(node, request), reply).await
+        }
+    }
+}
+
+async fn prepare<T: DeserializeOwned + openai::Asks>(
+    node: &Node,
+    headers: Result<CallerHeaders>,
+    data: Data<'_>,
+    request_id: Uuid,
+) -> Result<CallerRequest> {
+    let headers = headers?;
+    // The key is checked before the body is read.
+    node.catalog().account(&headers.bearer_key)?;
+    let body = read_body(node, data).await?;
+    let work = match headers.last_event_id {
+        Some(last_event_id) => RequestedWork::Resume { last_event_id },
+        None => RequestedWork::Generation(parse_body::<T>(&body)?.asked()?),
+    };
+    Ok(CallerRequest {
+        request_id,
+        bearer_key: headers.bearer_key,
+        options: headers.options,
+        work,
+    })
+}
+
+#[post("/v1/completions", data = "<data>")]
+async fn completions(node: &Shared, headers: CallerHeadersGuard, data: Data<'_>) -> CallerAnswer {
+    generation::<CompletionBody>(node, headers.0, data, Shape::Completion).await
+}
+
+#[post("/v1/chat/completions", data = "<data>")]
+async fn chat_completions(
+    node: &Shared,
+    headers: CallerHeadersGuard,
+    data: Data<'_>,
+) -> CallerAnswer {
+    generation::<ChatBody>(node, headers.0, data, Shape::Chat).await
+}
+
+#[post("/v1/services/<name>/<path..>", data = "<data>")]
+async fn service(
+    node: &Shared,
+    name: &str,
+    path: PathBuf,
+    headers: CallerHeadersGuard,
+    data: Data<'_>,
+) -> CallerAnswer {
+    let request_id = Uuid::new_v4();
+    let prepared = prepare_service(node, name, &path, headers.0, data, request_id).await;
+    let answer = match prepared {
+        Ok(request) => serve::start(node, request),
+        Err(error) => single(error),
+    };
+    render_service(request_id, answer).await
+}
+
+async fn prepare_service(
+    node: &Node,
+    name: &str,
+    path: &std::path::Path,
+    headers: Result<CallerHeaders>,
+    data: Data<'_>,
+    request_id: Uuid,
+) -> Result<CallerRequest> {
+    let headers = headers?;
+    node.catalog().account(&headers.bearer_key)?;
+    let body = read_body(node, data).await?;
+    Ok(CallerRequest {
+        request_id,
+        bearer_key: headers.bearer_key,
+        options: headers.options,
+        work: RequestedWork::Service {
+            service: name.to_owned(),
+            path: path.display().to_string(),
+            content_type: headers.content_type,
+            body,
+        },
+    })
+}
+
+/// The headers of a request, or what is wrong with them.
+struct CallerHeadersGuard(Result<CallerHeaders>);
+
+#[rocket::async_trait]
+impl<'r> rocket::request::FromRequest<'r> for CallerHeadersGuard {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> rocket::request::Outcome<Self, Self::Error> {
+        rocket::request::Outcome::Success(Self(CallerHeaders::read(request.headers())))
+    }
+}
+
+#[catch(default)]
+fn catch_all(status: Status, _: &Request<'_>) -> CallerAnswer {
+    let error = match status.code {
+        404 | 405 => Error::new(ErrorKind::NotFound, "no such path; see docs/CALLERS.md"),
+        413 => Error::new(ErrorKind::TooLarge, "the body is too large"),
+        400..=499 => Error::new(ErrorKind::BadRequest, status.to_string()),
+        _ => Error::new(ErrorKind::Internal, "larkwick failed; report this"),
+    };
+    error_answer(Uuid::new_v4(), &error)
+}
--- /dev/null
+++ b/src/kernel/group.rs
@@ -0,0 +1,583 @@
+//! The ledger of an endpoint group's owner: reservations, predicted memory, and a bounded fair queue.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use super::estimate::Estimates;
+use super::policy::{Candidate, Demand, InFlight, LoadReport, RoutingPolicy, approximate};
+use crate::error::{Error, ErrorKind};
+
+/// Limits of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct GroupLimits {
+    /// Requests that may wait.
+    pub queue_length: usize,
+    /// Longest wait.
+    pub queue_wait: Duration,
+    /// A reservation whose entry reports nothing for this long lapses.
+    pub reservation_ttl: Duration,
+}
+
+impl Default for GroupLimits {
+    fn default() -> Self {
+        Self {
+            queue_length: 256,
+            queue_wait: Duration::from_secs(5),
+            reservation_ttl: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A request for a place on one of the group's endpoints.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReserveRequest {
+    /// Chosen by the entry; a second copy gets the first one's answer.
+    pub reservation_id: Uuid,
+    /// Instance that will stream.
+    pub entry: String,
+    /// Client account.
+    pub account: String,
+    /// The account's share.
+    pub share: u32,
+    /// Model.
+    pub model: String,
+    /// Prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// Declared maximum of the output, in tokens.
+    pub max_tokens: u32,
+    /// Higher goes first.
+    pub priority: i32,
+    /// Time left until the request is worthless; zero for a request that must not wait.
+    pub deadline: Duration,
+    /// Hash of the prompt's beginning, for cache affinity.
+    pub prefix: u64,
+    /// Names of endpoints that rules allow.
+    pub candidates: Vec<String>,
+}
+
+/// A granted place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The reservation.
+    pub reservation_id: Uuid,
+    /// Where to stream from.
+    pub endpoint: String,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+pub enum Decision {
+    /// A place is reserved.
+    Granted(Grant),
+    /// It waits; [`GroupLedger::settle`] will decide.
+    Queued,
+    /// Final.
+    Refused(Error),
+}
+
+/// A decision on a request that waited.
+#[derive(Debug, Clone)]
+pub struct Settled {
+    /// The reservation.
+    pub reservation_id: Uuid,
+    /// Place or error.
+    pub result: Result<Grant, Error>,
+}
+
+/// A reservation that lapsed because its entry went silent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lapsed {
+    /// Endpoint.
+    pub endpoint: String,
+    /// The generation there, where the entry had named it.
+    pub generation: Option<String>,
+}
+
+#[derive(Debug, Clone)]
+struct Stream {
+    request: ReserveRequest,
+    endpoint: String,
+    made_tokens: u32,
+    generation: Option<String>,
+    last_report: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    request: ReserveRequest,
+    /// Absolute, on this owner's clock.
+    deadline: Duration,
+    arrived: Duration,
+}
+
+/// An endpoint of the group.
+#[derive(Debug, Clone)]
+struct Place {
+    capacity_tokens: f64,
+    report: Option<LoadReport>,
+    in_flight: InFlight,
+    fill_limit: f64,
+    prefixes: VecDeque<u64>,
+}
+
+const FILL_LIMIT_START: f64 = 1.0;
+const FILL_LIMIT_MIN: f64 = 0.5;
+const FILL_LIMIT_MAX: f64 = 2.5;
+/// Factor on the fill limit at a report that shows preemptions.
+const FILL_LIMIT_DECREASE: f64 = 0.9;
+/// Added to the fill limit per report without preemptions while requests wait.
+const FILL_LIMIT_INCREASE: f64 = 0.02;
+/// Reported memory use above which the fill limit does not grow.
+const FULL_ENOUGH: f64 = 0.85;
+const PREFIXES_KEPT: usize = 512;
+const USAGE_HALF_LIFE: Duration = Duration::from_secs(30);
+const GRANT_RATE_WEIGHT: f64 = 0.05;
+
+/// The ledger of one group.
+pub struct GroupLedger {
+    policy: Box<dyn RoutingPolicy>,
+    limits: GroupLimits,
+    /// Output lengths seen in this group.
+    estimates: Estimates,
+    places: BTreeMap<String, Place>,
+    streams: HashMap<Uuid, Stream>,
+    waiting: Vec<Waiting>,
+    /// Tokens used per account, divided by its share, halved every [`USAGE_HALF_LIFE`].
+    usage: HashMap<String, f64>,
+    usage_decayed_at: Duration,
+    /// Smoothed time between grants to waiting requests.
+    grant_interval: Duration,
+    last_grant: Duration,
+}
+
+/// Counts for the dump and metrics.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct GroupSummary {
+    /// Streams in flight.
+    pub streams: usize,
+    /// Requests waiting.
+    pub waiting: usize,
+    /// Per endpoint.
+    pub places: Vec<PlaceSummary>,
+}
+
+/// One endpoint in [`GroupSummary`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PlaceSummary {
+    /// Name.
+    pub endpoint: String,
+    /// Streams granted.
+    pub streams: u32,
+    /// Tokens held.
+    pub held_tokens: f64,
+    /// Tokens predicted at one standard deviation.
+    pub predicted_tokens: f64,
+    /// Share of memory that predicted tokens may fill.
+    pub fill_limit: f64,
+}
+
+impl GroupLedger {
+    /// An empty ledger.
+    #[must_use]
+    pub fn new(policy: Box<dyn RoutingPolicy>, limits: GroupLimits) -> Self {
+        Self {
+            policy,
+            limits,
+            estimates: Estimates::default(),
+            places: BTreeMap::new(),
+            streams: HashMap::new(),
+            waiting: Vec::new(),
+            usage: HashMap::new(),
+            usage_decayed_at: Duration::ZERO,
+            grant_interval: Duration::from_millis(50),
+            last_grant: Duration::ZERO,
+        }
+    }
+
+    /// Adds an endpoint or changes its memory.
+    pub fn set_endpoint(&mut self, name: &str, capacity_tokens: u64) {
+        let capacity_tokens = approximate(capacity_tokens);
+        self.places
+            .entry(name.to_owned())
+            .or_insert_with(|| Place {
+                capacity_tokens,
+                report: None,
+                in_flight: InFlight::default(),
+                fill_limit: FILL_LIMIT_START,
+                prefixes: VecDeque::new(),
+            })
+            .capacity_tokens = capacity_tokens;
+    }
+
+    /// Takes an endpoint's lagging report. Preemptions seen lower its fill limit; waiting requests raise it.
+    pub fn report(&mut self, endpoint: &str, report: &LoadReport) {
+        let crowded = !self.waiting.is_empty();
+        let Some(place) = self.places.get_mut(endpoint) else {
+            return;
+        };
+        let same = place
+            .report
+            .as_ref()
+            .filter(|last| last.incarnation == report.incarnation);
+        let preempted = same.is_some_and(|last| report.preemptions_total > last.preemptions_total);
+        let used = approximate(report.kv_used_tokens) / place.capacity_tokens;
+        if preempted {
+            place.fill_limit = (place.fill_limit * FILL_LIMIT_DECREASE).max(FILL_LIMIT_MIN);
+        } else if crowded && used < FULL_ENOUGH {
+            place.fill_limit = (place.fill_limit + FILL_LIMIT_INCREASE).min(FILL_LIMIT_MAX);
+        }
+        place.report = Some(report.clone());
+    }
+
+    /// Takes an endpoint's cache event: it holds this prefix.
+    pub fn cached(&mut self, endpoint: &str, prefix: u64) {
+        let Some(place) = self.places.get_mut(endpoint) else {
+            return;
+        };
+        if place.prefixes.contains(&prefix) {
+            return;
+        }
+        if place.prefixes.len() == PREFIXES_KEPT {
+            place.prefixes.pop_front();
+        }
+        place.prefixes.push_back(prefix);
+    }
+
+    /// Decides on a request.
+    pub fn reserve(
+        &mut self,
+        request: &ReserveRequest,
+        now: Duration,
+        random: &mut dyn Rng,
+    ) -> Decision {
+        let id = request.reservation_id;
+        if let Some(stream) = self.streams.get(&id) {
+            return Decision::Granted(grant(id, &stream.endpoint));
+        }
+        if self
+            .waiting
+            .iter()
+            .any(|waiting| waiting.request.reservation_id == id)
+        {
+            return Decision::Queued;
+        }
+        if !request
+            .candidates
+            .iter()
+            .any(|name| self.places.contains_key(name))
+        {
+            return Decision::Refused(Error::new(
+                ErrorKind::NoEndpoint,
+                "no allowed endpoint is live in this group",
+            ));
+        }
+        let blocked = self.blocked_for(request);
+        if let Some(grant) = self.place(request, now, random, &blocked) {
+            return Decision::Granted(grant);
+        }
+        self.enqueue(request, now)
+    }
+
+    /// Endpoints that requests ranked before this one wait for.
+    fn blocked_for(&self, request: &ReserveRequest) -> HashSet<String> {
+        self.waiting
+            .iter()
+            .filter(|waiting| waiting.request.priority >= request.priority)
+            .flat_map(|waiting| waiting.request.candidates.iter().cloned())
+            .collect()
+    }
+
+    fn place(
+        &mut self,
+        request: &ReserveRequest,
+        now: Duration,
+        random: &mut dyn Rng,
+        blocked: &HashSet<String>,
+    ) -> Option<Grant> {
+        let residual =
+            self.estimates
+                .residual(&request.model, &request.account, 0, request.max_tokens);
+        let demand = Demand {
+            prompt_tokens: request.prompt_tokens,
+            max_tokens: request.max_tokens,
+            residual,
+        };
+        let candidates: Vec<Candidate<'_>> = request
+            .candidates
+            .iter()
+            .filter(|name| !blocked.contains(*name))
+            .filter_map(|name| self.candidate(name, request))
+            .collect();
+        let chosen = self.policy.choose(&candidates, &demand, random)?;
+        let endpoint = candidates[chosen].name.to_owned();
+        let place = self.places.get_mut(&endpoint)?;
+        place
+            .in_flight
+            .add(request.prompt_tokens, 0, request.max_tokens, residual);
+        self.cached(&endpoint, request.prefix);
+        self.charge(request, request.prompt_tokens);
+        let granted = grant(request.reservation_id, &endpoint);
+        let stream = Stream {
+            request: request.clone(),
+            endpoint,
+            made_tokens: 0,
+            generation: None,
+            last_report: now,
+        };
+        self.streams.insert(request.reservation_id, stream);
+        Some(granted)
+    }
+
+    fn candidate<'a>(&'a self, name: &str, request: &ReserveRequest) -> Option<Candidate<'a>> {
+        let (name, place) = self.places.get_key_value(name)?;
+        let cached = place.prefixes.contains(&request.prefix);
+        Some(Candidate {
+            name,
+            capacity_tokens: place.capacity_tokens,
+            report: place.report.as_ref(),
+            in_flight: place.in_flight,
+            fill_limit: place.fill_limit,
+            cached_prefix_tokens: if cached { request.prompt_tokens } else { 0 },
+        })
+    }
+
+    fn enqueue(&mut self, request: &ReserveRequest, now: Duration) -> Decision {
+        let ahead = self.count_ahead(request);
+        let wait = self.expected_wait(ahead);
+        if request.deadline.is_zero() {
+            return Decision::Refused(crowded(wait));
+        }
+        if wait > request.deadline || wait > self.limits.queue_wait {
+            return Decision::Refused(crowded(wait));
+        }
+        if ahead >= self.limits.queue_length {
+            return Decision::Refused(crowded(wait));
+        }
+        self.waiting.push(Waiting {
+            request: request.clone(),
+            deadline: now + request.deadline.min(self.limits.queue_wait),
+            arrived: now,
+        });
+        Decision::Queued
+    }
+
+    fn count_ahead(&self, request: &ReserveRequest) -> usize {
+        let own_usage = self.usage_of(&request.account);
+        self.waiting
+            .iter()
+            .filter(|waiting| {
+                let other = &waiting.request;
+                other.priority > request.priority
+                    || (other.priority == request.priority
+                        && self.usage_of(&other.account) <= own_usage)
+            })
+            .count()
+    }
+
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.grant_interval.saturating_mul(ahead)
+    }
+
+    fn usage_of(&self, account: &str) -> f64 {
+        self.usage.get(account).copied().unwrap_or_default()
+    }
+
+    fn charge(&mut self, request: &ReserveRequest, tokens: u32) {
+        let used = f64::from(tokens) / f64::from(request.share.max(1));
+        *self.usage.entry(request.account.clone()).or_default() += used;
+    }
+
+    /// Takes a stream's progress from its entry.
+    pub fn progress(
+        &mut self,
+        reservation_id: Uuid,
+        made_tokens: u32,
+        generation: Option<&str>,
+        now: Duration,
+    ) {
+        let Some(stream) = self.streams.get_mut(&reservation_id) else {
+            return;
+        };
+        let grown = made_tokens.saturating_sub(stream.made_tokens);
+        stream.made_tokens = stream.made_tokens.max(made_tokens);
+        stream.last_report = now;
+        if stream.generation.is_none() {
+            stream.generation = generation.map(str::to_owned);
+        }
+        let request = stream.request.clone();
+        self.charge(&request, grown);
+    }
+
+    /// Counts the length of a generation that reached its end.
+    pub fn finished(&mut self, reservation_id: Uuid, length_tokens: u32) {
+        if let Some(stream) = self.streams.get(&reservation_id) {
+            let request = &stream.request;
+            self.estimates
+                .observe(&request.model, &request.account, length_tokens);
+        }
+    }
+
+    /// Ends a reservation.
+    pub fn release(&mut self, reservation_id: Uuid) {
+        self.streams.remove(&reservation_id);
+        self.waiting
+            .retain(|waiting| waiting.request.reservation_id != reservation_id);
+    }
+
+    /// Re-estimates every stream. To be called after progress and release, before [`Self::settle`].
+    pub fn recount(&mut self) {
+        for place in self.places.values_mut() {
+            place.in_flight = InFlight::default();
+        }
+        for stream in self.streams.values() {
+            let Some(place) = self.places.get_mut(&stream.endpoint) else {
+                continue;
+            };
+            let request = &stream.request;
+            let residual = self.estimates.residual(
+                &request.model,
+                &request.account,
+                stream.made_tokens,
+                request.max_tokens,
+            );
+            place.in_flight.add(
+                request.prompt_tokens,
+                stream.made_tokens,
+                request.max_tokens,
+                residual,
+            );
+        }
+    }
+
+    /// Decides on waiting requests: by priority, then the account that used least for its share, then deadline.
+    pub fn settle(&mut self, now: Duration, random: &mut dyn Rng) -> Vec<Settled> {
+        self.decay_usage(now);
+        let mut settled = Vec::new();
+        let mut blocked = HashSet::new();
+        let mut still_waiting = Vec::new();
+        for waiting in self.take_ranked() {
+            if let Some(grant) = self.place(&waiting.request, now, random, &blocked) {
+                self.count_grant(now);
+                settled.push(Settled {
+                    reservation_id: waiting.request.reservation_id,
+                    result: Ok(grant),
+                });
+                continue;
+            }
+            if now >= waiting.deadline || still_waiting.len() >= self.limits.queue_length {
+                let wait = self.expected_wait(still_waiting.len());
+                settled.push(Settled {
+                    reservation_id: waiting.request.reservation_id,
+                    result: Err(crowded(wait)),
+                });
+                continue;
+            }
+            blocked.extend(waiting.request.candidates.iter().cloned());
+            still_waiting.push(waiting);
+        }
+        self.waiting = still_waiting;
+        settled
+    }
+
+    fn take_ranked(&mut self) -> Vec<Waiting> {
+        let mut ranked = std::mem::take(&mut self.waiting);
+        ranked.sort_by(|left, right| {
+            let usage = |waiting: &Waiting| self.usage_of(&waiting.request.account);
+            right
+                .request
+                .priority
+                .cmp(&left.request.priority)
+                .then(usage(left).total_cmp(&usage(right)))
+                .then(left.deadline.cmp(&right.deadline))
+                .then(left.arrived.cmp(&right.arrived))
+        });
+        ranked
+    }
+
+    fn count_grant(&mut self, now: Duration) {
+        let since = now
+            .saturating_sub(self.last_grant)
+            .min(self.limits.queue_wait);
+        self.last_grant = now;
+        let smoothed = self.grant_interval.as_secs_f64() * (1.0 - GRANT_RATE_WEIGHT)
+            + since.as_secs_f64() * GRANT_RATE_WEIGHT;
+        self.grant_interval = Duration::from_secs_f64(smoothed);
+    }
+
+    fn decay_usage(&mut self, now: Duration) {
+        let since = now.saturating_sub(self.usage_decayed_at);
+        if since < Duration::from_secs(1) {
+            return;
+        }
+        self.usage_decayed_at = now;
+        let halvings = since.as_secs_f64() / USAGE_HALF_LIFE.as_secs_f64();
+        let factor = 0.5_f64.powf(halvings);
+        self.usage.retain(|_, used| {
+            *used *= factor;
+            *used >= 1.0
+        });
+    }
+
+    /// Drops reservations whose entry went silent, and endpoints that are not in the group any more.
+    pub fn expire(&mut self, now: Duration) -> Vec<Lapsed> {
+        let ttl = self.limits.reservation_ttl;
+        let silent: Vec<Uuid> = self
+            .streams
+            .iter()
+            .filter(|(_, stream)| now.saturating_sub(stream.last_report) > ttl)
+            .map(|(id, _)| *id)
+            .collect();
+        silent
+            .iter()
+            .filter_map(|id| self.streams.remove(id))
+            .map(|stream| Lapsed {
+                endpoint: stream.endpoint,
+                generation: stream.generation,
+            })
+            .collect()
+    }
+
+    /// Takes an endpoint out of the group: it gets no new work. Streams on it go on.
+    pub fn remove_endpoint(&mut self, name: &str) {
+        self.places.remove(name);
+    }
+
+    /// Names of the endpoints in the group.
+    pub fn endpoints(&self) -> impl Iterator<Item = &str> {
+        self.places.keys().map(String::as_str)
+    }
+
+    /// Counts for the dump.
+    #[must_use]
+    pub fn summary(&self) -> GroupSummary {
+        let places = self.places.iter().map(|(name, place)| PlaceSummary {
+            endpoint: name.clone(),
+            streams: place.in_flight.streams,
+            held_tokens: place.in_flight.held_tokens,
+            predicted_tokens: place.in_flight.predicted_tokens(1.0),
+            fill_limit: place.fill_limit,
+        });
+        GroupSummary {
+            streams: self.streams.len(),
+            waiting: self.waiting.len(),
+            places: places.collect(),
+        }
+    }
+}
+
+fn grant(reservation_id: Uuid, endpoint: &str) -> Grant {
+    Grant {
+        reservation_id,
+        endpoint: endpoint.to_owned(),
+    }
+}
+
+fn crowded(wait: Duration) -> Error {
+    let wait = wait.max(Duration::from_millis(200));
+    Error::new(ErrorKind::Crowded, "all allowed endpoints are full").with_retry_after(wait)
+}
--- /dev/null
+++ b/src/kernel/mod.rs
@@ -0,0 +1,19 @@
+//! Decisions only: no sockets, no threads, no clock reads. Time and randomness are passed in.
+//!
+//! The same functions run under the daemon, in unit tests with a manual clock and in the model checker.
+
+pub mod attempt;
+pub mod clock;
+pub mod config;
+pub mod estimate;
+pub mod group;
+pub mod label;
+pub mod lease;
+pub mod membership;
+pub mod object;
+pub mod placement;
+pub mod policy;
+pub mod retry;
+pub mod rules;
+pub mod stream;
+pub mod ticket;
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,141 @@
+//! What operators see on an address of its own: the state dump, metrics, the configuration and the planned stop.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{Build, Rocket, State, get, post, routes};
+use serde::Serialize;
+
+use crate::daemon::config_loop::ConfigDump;
+use crate::daemon::drain;
+use crate::daemon::endpoints::EndpointDump;
+use crate::daemon::node::{Addresses, Node, Phase};
+use crate::daemon::owner::GroupDump;
+use crate::daemon::placement_loop::LeaseDump;
+use crate::kernel::clock::millis;
+use crate::kernel::config::ConfigState;
+use crate::kernel::membership::{Incarnation, PeerStatus};
+use crate::settings::PluginNames;
+
+type Shared = State<Arc<Node>>;
+
+/// Adds the operators' routes.
+pub(crate) fn mount(rocket: Rocket<Build>) -> Rocket<Build> {
+    rocket.mount("/", routes![state, status, metrics, config, begin_drain])
+}
+
+/// The state of a process.
+#[derive(Serialize)]
+struct Dump {
+    status: StatusDump,
+    addresses: Addresses,
+    plugins: PluginNames,
+    policy: String,
+    config: ConfigDump,
+    members: Vec<MemberDump>,
+    departures: Vec<Incarnation>,
+    endpoints: BTreeMap<String, EndpointDump>,
+    groups: BTreeMap<String, GroupDump>,
+    lease: LeaseDump,
+    once: OnceDump,
+    reservations_held: usize,
+}
+
+#[derive(Serialize)]
+struct StatusDump {
+    instance: String,
+    incarnation: String,
+    hall: String,
+    phase: Phase,
+    requests_active: usize,
+    stands_down: bool,
+    config_next_offset: u64,
+    ticket_epoch: u64,
+    members_live: usize,
+}
+
+#[derive(Serialize)]
+struct MemberDump {
+    status: PeerStatus,
+    last_heard_ms_ago: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct OnceDump {
+    requests: usize,
+    bytes: usize,
+}
+
+fn status_of(node: &Node) -> StatusDump {
+    let members_live = {
+        let members = node.members.lock();
+        members.live(node.now()).count()
+    };
+    StatusDump {
+        instance: node.incarnation.name.clone(),
+        incarnation: node.incarnation.id.to_string(),
+        hall: node.settings.hall.clone(),
+        phase: node.work.phase(),
+        requests_active: node.work.active(),
+        stands_down: node.stands_down(),
+        config_next_offset: node.config.next_offset(),
+        ticket_epoch: node.once.epoch(),
+        members_live,
+    }
+}
+
+#[get("/status")]
+fn status(node: &Shared) -> Json<StatusDump> {
+    Json(status_of(node))
+}
+
+#[get("/debug/state")]
+fn state(node: &Shared) -> Json<Dump> {
+    let now = node.now();
+    let (members, departures) = {
+        let members = node.members.lock();
+        let peers = members.all().map(|peer| MemberDump {
+            status: peer.status.clone(),
+            last_heard_ms_ago: peer.last_heard.map(|at| millis(now.saturating_sub(at))),
+        });
+        let departures = members.departures.iter().cloned().collect();
+        (peers.collect(), departures)
+    };
+    Json(Dump {
+        status: status_of(node),
+        addresses: node.addresses(),
+        plugins: crate::settings::plugin_names(),
+        policy: node.settings.policy.clone(),
+        config: node.config.dump(now),
+        members,
+        departures,
+        endpoints: node.endpoints.dump(node),
+        groups: node.dump_groups(),
+        lease: node.dump_lease(),
+        once: OnceDump {
+            requests: node.once.len(),
+            bytes: node.once.bytes(),
+        },
+        reservations_held: node.reservations.len(),
+    })
+}
+
+#[get("/metrics")]
+fn metrics(handle: &State<PrometheusHandle>) -> String {
+    handle.run_upkeep();
+    handle.render()
+}
+
+#[get("/config")]
+fn config(node: &Shared) -> Json<ConfigState> {
+    Json(node.config.state())
+}
+
+#[post("/drain")]
+fn begin_drain(node: &Shared) -> Status {
+    tokio::spawn(drain::run(node.inner().clone()));
+    Status::Accepted
+}
--- /dev/null
+++ b/src/peer/convert.rs
@@ -0,0 +1,114 @@
+//! Conversion between the kernel's types and the messages between instances.
+
+use std::time::Duration;
+
+use uuid::Uuid;
+
+use super::generated as wire;
+use crate::kernel::clock::millis;
+use crate::kernel::group::ReserveRequest;
+use crate::kernel::membership::{Incarnation, PeerStatus};
+
+/// A field of a message that cannot be read.
+#[derive(Debug, Clone, Copy, thiserror::Error)]
+#[error("field {0} of a peer's message cannot be read")]
+pub struct BadField(pub(crate) &'static str);
+
+impl From<BadField> for tonic::Status {
+    fn from(bad: BadField) -> Self {
+        Self::invalid_argument(bad.to_string())
+    }
+}
+
+/// Reads an id.
+pub(crate) fn id(text: &str, field: &'static str) -> Result<Uuid, BadField> {
+    text.parse().map_err(|_| BadField(field))
+}
+
+impl From<&Incarnation> for wire::Incarnation {
+    fn from(incarnation: &Incarnation) -> Self {
+        Self {
+            name: incarnation.name.clone(),
+            id: incarnation.id.to_string(),
+        }
+    }
+}
+
+impl TryFrom<wire::Incarnation> for Incarnation {
+    type Error = BadField;
+
+    fn try_from(message: wire::Incarnation) -> Result<Self, BadField> {
+        Ok(Self {
+            id: id(&message.id, "incarnation")?,
+            name: message.name,
+        })
+    }
+}
+
+impl From<&PeerStatus> for wire::Status {
+    fn from(status: &PeerStatus) -> Self {
+        Self {
+            incarnation: Some((&status.incarnation).into()),
+            hall: status.hall.clone(),
+            caller_address: status.caller_address.clone(),
+            peer_address: status.peer_address.clone(),
+            operator_address: status.operator_address.clone(),
+            leaving: status.leaving,
+            ticket_epoch: status.ticket_epoch,
+            config_next_offset: status.config_next_offset,
+        }
+    }
+}
+
+impl TryFrom<wire::Status> for PeerStatus {
+    type Error = BadField;
+
+    fn try_from(message: wire::Status) -> Result<Self, BadField> {
+        let incarnation = message.incarnation.ok_or(BadField("incarnation"))?;
+        Ok(Self {
+            incarnation: incarnation.try_into()?,
+            hall: message.hall,
+            caller_address: message.caller_address,
+            peer_address: message.peer_address,
+            operator_address: message.operator_address,
+            leaving: message.leaving,
+            ticket_epoch: message.ticket_epoch,
+            config_next_offset: message.config_next_offset,
+        })
+    }
+}
+
+/// A request for a place, for the owner of a group.
+pub(crate) fn reserve_to_wire(group: &str, request: &ReserveRequest) -> wire::ReserveRequest {
+    wire::ReserveRequest {
+        group: group.to_owned(),
+        reservation_id: request.reservation_id.to_string(),
+        entry: request.entry.clone(),
+        account: request.account.clone(),
+        share: request.share,
+        model: request.model.clone(),
+        prompt_tokens: request.prompt_tokens,
+        max_tokens: request.max_tokens,
+        priority: request.priority,
+        deadline_ms: millis(request.deadline),
+        prefix: request.prefix,
+        candidates: request.candidates.clone(),
+    }
+}
+
+/// The same, read by the owner.
+pub(crate) fn reserve_from_wire(message: wire::ReserveRequest) -> Result<ReserveRequest, BadField> {
+    Ok(ReserveRequest {
+        reservation_id: id(&message.reservation_id, "reservation_id")?,
+        entry: message.entry,
+        account: message.account,
+        share: message.share,
+        model: message.model,
+        prompt_tokens: message.prompt_tokens,
+        max_tokens: message.max_tokens,
+        priority: message.priority,
+        deadline: Duration::from_millis(message.deadline_ms),
+        prefix: message.prefix,
+        candidates: message.candidates,
+    })
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,8 @@
+//! Calls between instances, over tonic.
+
+pub(crate) mod client;
+pub(crate) mod convert;
+#[allow(missing_docs, clippy::pedantic)]
+#[rustfmt::skip]
+pub(crate) mod generated;
+pub(crate) mod server;
--- /dev/null
+++ b/src/platform/embedded.rs
@@ -0,0 +1,63 @@
+//! Platform plug-in `embedded`: the stand-in platform inside this process, for the demo and examples.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use serde_json::Value;
+
+use super::{
+    AppendLog, InstanceList, ListedInstance, LogPage, Platform, PlatformError, PlatformPlugin,
+    PlatformResult,
+};
+use crate::kernel::clock::SystemClock;
+use crate::standin::platform::{PlatformCore, Refusal};
+
+inventory::submit! {
+    PlatformPlugin {
+        name: "embedded",
+        connect: |_| Ok(connect(Arc::new(PlatformCore::new(Arc::new(SystemClock::default()))))),
+    }
+}
+
+struct Embedded(Arc<PlatformCore>);
+
+/// Connects to a platform inside this process.
+#[must_use]
+pub fn connect(core: Arc<PlatformCore>) -> Platform {
+    let embedded = Arc::new(Embedded(core));
+    Platform {
+        log: embedded.clone(),
+        instances: embedded,
+    }
+}
+
+impl From<Refusal> for PlatformError {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::ReplyLost => Self::NoAnswer(refusal.to_string()),
+            Refusal::Outage | Refusal::TooFast => Self::Refused(refusal.to_string()),
+        }
+    }
+}
+
+#[async_trait]
+impl AppendLog for Embedded {
+    async fn append(&self, stream: &str, record: Value) -> PlatformResult<u64> {
+        Ok(self.0.append(stream, record)?)
+    }
+
+    async fn read(&self, stream: &str, from_offset: u64) -> PlatformResult<LogPage> {
+        Ok(self.0.read(stream, from_offset)?)
+    }
+}
+
+#[async_trait]
+impl InstanceList for Embedded {
+    async fn list(&self) -> PlatformResult<Vec<ListedInstance>> {
+        Ok(self.0.list()?)
+    }
+
+    async fn announce(&self, instance: &ListedInstance) -> PlatformResult<()> {
+        Ok(self.0.announce(instance)?)
+    }
+}
--- /dev/null
+++ b/src/tool/mod.rs
@@ -0,0 +1,6 @@
+//! What the command-line tool does, one subject a file.
+
+pub mod check;
+pub mod config;
+pub mod instance;
+pub mod publish;
