--- a/src/kernel/placement.rs
+++ b/src/kernel/placement.rs
@@ -35,7 +35,12 @@
         .filter(|endpoint| held.contains_key(&endpoint.name))
         .collect();
     let mut models: Vec<&Model> = catalog.models().collect();
-    models.sort_by(|left, right| left.name.cmp(&right.name));
+    // Where slots are too few for all declared replicas, the models in demand come first.
+    let wanted = |model: &Model| demand.get(&model.name).copied().unwrap_or_default();
+    models.sort_by(|left, right| {
+        let by_demand = wanted(right).total_cmp(&wanted(left));
+        by_demand.then_with(|| left.name.cmp(&right.name))
+    });
     let mut plan = Plan::new(catalog, &engines, held);
     for round in 0..most_replicas(&models) {
         for model in models
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -229,7 +229,7 @@
         let per_s = inner.faults.weight_bytes_per_s.max(1);
         let takes = Duration::from_millis(bytes.saturating_mul(1000) / per_s);
         inner.weights_free_at = inner.weights_free_at.max(now) + takes;
-        inner.weights_free_at.checked_sub(now).unwrap()
+        inner.weights_free_at.saturating_sub(now)
     }
 }
 
