--- a/src/daemon/placement_loop.rs
+++ b/src/daemon/placement_loop.rs
@@ -1,6 +1,6 @@
 //! The hall's lease and, for its holder, the orders that bring the hall's engines to their planned models.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
 pub(crate) struct LeaseShard {
     keeper: Mutex<LeaseKeeper>,
     orders: Mutex<BTreeMap<String, OrderGiven>>,
+    /// Endpoints with an order on its way. The next one waits for its end: two orders of one holder must not pass each other.
+    on_the_way: Mutex<BTreeSet<String>>,
     demand: Mutex<DemandByModel>,
 }
 
@@ -73,6 +75,7 @@
         Self {
             keeper: Mutex::new(keeper),
             orders: Mutex::default(),
+            on_the_way: Mutex::default(),
             demand: Mutex::default(),
         }
     }
@@ -199,7 +202,7 @@
         .collect();
     let demand = node.lease.demand.lock().clone();
     for assignment in plan(&catalog, hall, &demand, &held) {
-        if needs_order(node, &assignment, proof) {
+        if needs_order(node, &assignment, proof) && begin_order(node, &assignment.endpoint) {
             tokio::spawn(give_order(node.clone(), assignment, proof));
         }
     }
@@ -214,9 +217,20 @@
     due || given.order_models != assignment.models || given.fence > proof.fence
 }
 
+/// Marks an order as on its way; false where one is already.
+fn begin_order(node: &Node, endpoint: &str) -> bool {
+    node.lease.on_the_way.lock().insert(endpoint.to_owned())
+}
+
 async fn give_order(node: Arc<Node>, assignment: Assignment, proof: LeaseProof) {
+    let endpoint = assignment.endpoint.clone();
+    send_order(&node, assignment, proof).await;
+    node.lease.on_the_way.lock().remove(&endpoint);
+}
+
+async fn send_order(node: &Node, assignment: Assignment, proof: LeaseProof) {
     let catalog = node.catalog();
-    let Some(client) = order_client(&node, &catalog, &assignment.endpoint) else {
+    let Some(client) = order_client(node, &catalog, &assignment.endpoint) else {
         return;
     };
     let order = Order {
@@ -235,7 +249,7 @@
         return;
     }
     let result = client.order(&order, timeout).await;
-    note_order(&node, &assignment.endpoint, order, result);
+    note_order(node, &assignment.endpoint, order, result);
 }
 
 fn order_client(node: &Node, catalog: &Catalog, endpoint: &str) -> Option<Arc<dyn Endpoint>> {
--- a/src/kernel/config.rs
+++ b/src/kernel/config.rs
@@ -166,9 +166,11 @@
 }
 
 /// The fold as an instance runs it.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ConfigFold {
     state: ConfigState,
+    /// The same on every instance; [`BASE_WINDOW_OFFSETS`] but in the model.
+    window_offsets: u64,
     /// Digests of the states before recent offsets, oldest first.
     digests: VecDeque<OffsetDigest>,
 }
@@ -203,8 +205,8 @@
         self.objects.get(key).map_or(0, |held| held.revision)
     }
 
-    fn decide(&self, offset: u64, publish: &Publish) -> Verdict {
-        let too_old = publish.base_offset + BASE_WINDOW_OFFSETS < offset;
+    fn decide(&self, offset: u64, publish: &Publish, window_offsets: u64) -> Verdict {
+        let too_old = publish.base_offset + window_offsets < offset;
         if too_old || publish.base_offset > offset {
             return Verdict::StaleBase;
         }
@@ -280,19 +282,33 @@
         Ok(())
     }
 
-    fn forget_old(&mut self) {
-        let oldest = self.next_offset.saturating_sub(BASE_WINDOW_OFFSETS + 1);
+    fn forget_old(&mut self, window_offsets: u64) {
+        let oldest = self.next_offset.saturating_sub(window_offsets + 1);
         self.decided.retain(|_, decided| decided.offset >= oldest);
         self.tombstones.retain(|_, revision| *revision > oldest);
     }
 }
 
+impl Default for ConfigFold {
+    fn default() -> Self {
+        Self::from_state(ConfigState::default())
+    }
+}
+
 impl ConfigFold {
+    /// The same fold with another window, for the model.
+    #[must_use]
+    pub fn with_window(mut self, window_offsets: u64) -> Self {
+        self.window_offsets = window_offsets;
+        self
+    }
+
     /// A fold that starts from a state taken from a peer or a snapshot.
     #[must_use]
     pub fn from_state(state: ConfigState) -> Self {
         Self {
             state,
+            window_offsets: BASE_WINDOW_OFFSETS,
             digests: VecDeque::new(),
         }
     }
@@ -315,7 +331,7 @@
             },
         };
         self.state.next_offset = offset + 1;
-        self.state.forget_old();
+        self.state.forget_old(self.window_offsets);
         applied
     }
 
@@ -323,7 +339,7 @@
         if self.state.decided.contains_key(&publish.publish_id) {
             return Applied::Copy;
         }
-        let verdict = self.state.decide(offset, publish);
+        let verdict = self.state.decide(offset, publish, self.window_offsets);
         if verdict == Verdict::Accepted {
             self.state.commit(offset, publish);
         }
@@ -356,7 +372,8 @@
         if state.next_offset <= self.state.next_offset {
             return false;
         }
-        *self = Self::from_state(state);
+        self.state = state;
+        self.digests.clear();
         true
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -452,3 +452,80 @@
     fields["stream"] = json!(true);
     completion(entry, &fields)
 }
+
+/// A link between processes that a test can stall or cut.
+pub struct Link {
+    /// Where to connect instead of the target.
+    pub address: String,
+    stalled: tokio::sync::watch::Sender<bool>,
+    cut: tokio::sync::watch::Sender<u32>,
+}
+
+impl Link {
+    /// Opens a link to an address.
+    pub async fn to(target: String) -> Self {
+        let listener = tokio::net::TcpListener::bind(ANY).await.expect("port");
+        let address = listener.local_addr().expect("address").to_string();
+        let stalled = tokio::sync::watch::Sender::new(false);
+        let cut = tokio::sync::watch::Sender::new(0);
+        let (stalls, cuts) = (stalled.subscribe(), cut.subscribe());
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let Ok(far) = tokio::net::TcpStream::connect(&target).await else {
+                    continue;
+                };
+                tokio::spawn(carry(near, far, stalls.clone(), cuts.clone()));
+            }
+        });
+        Self {
+            address,
+            stalled,
+            cut,
+        }
+    }
+
+    /// Holds everything back, or lets it go on.
+    pub fn stall(&self, stalled: bool) {
+        let _ = self.stalled.send(stalled);
+    }
+
+    /// Breaks every connection that is open.
+    pub fn cut(&self) {
+        self.cut.send_modify(|cuts| *cuts += 1);
+    }
+}
+
+async fn carry(
+    near: tokio::net::TcpStream,
+    far: tokio::net::TcpStream,
+    stalls: tokio::sync::watch::Receiver<bool>,
+    mut cuts: tokio::sync::watch::Receiver<u32>,
+) {
+    cuts.mark_unchanged();
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    tokio::select! {
+        () = pump(near_read, far_write, stalls.clone()) => {}
+        () = pump(far_read, near_write, stalls) => {}
+        _ = cuts.changed() => {}
+    }
+}
+
+async fn pump(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mut stalls: tokio::sync::watch::Receiver<bool>,
+) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let Ok(read @ 1..) = from.read(&mut buffer).await else {
+            return;
+        };
+        if stalls.wait_for(|stalled| !stalled).await.is_err()
+            || to.write_all(&buffer[..read]).await.is_err()
+        {
+            return;
+        }
+    }
+}
