--- /dev/null
+++ b/tests/promise_leaving.rs
@@ -0,0 +1,263 @@
+//! An endpoint that is leaving gets no new work; a planned stop cuts no request.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::{
+    Process, Site, Streamed, call, call_once, complete, dump, get, objects, read_stream, runs,
+    send, set_faults, streaming, ticket, tool, until, until_peers, until_serving,
+};
+
+const ALL: usize = usize::MAX;
+
+async fn started(engine: &Process) -> u64 {
+    let counters = get(format!("http://{}/counters", engine.address("control"))).await;
+    counters["started_total"].as_u64().expect("counter")
+}
+
+/// Whether an instance knows that an endpoint is leaving.
+async fn knows_departure(instance: &Process, name: &str) -> bool {
+    let state = dump(instance).await;
+    let departures = state["departures"].as_array().expect("list").clone();
+    departures.iter().any(|departed| departed["name"] == name)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_leaving_no_new_work_list_lagging_and_flapping() {
+    let site = Site::new();
+    let engines = [
+        site.engine("e1", &json!({"step_us": 1000})),
+        site.engine("e2", &json!({"step_us": 1000})),
+    ];
+    let service = [site.service("s1"), site.service("s2")];
+    let published = objects(
+        "h",
+        &[("e1", &engines[0]), ("e2", &engines[1])],
+        &[("s1", &service[0]), ("s2", &service[1])],
+    );
+    assert!(site.publish(&published).status.success());
+    let entries = [
+        site.instance("i1", "h"),
+        site.instance("i2", "h"),
+        site.instance("i3", "h"),
+    ];
+    for entry in &entries {
+        until_peers(entry, 2).await;
+        until_serving(entry).await;
+    }
+    // The list shows the leaving ones as live for good.
+    site.platform_faults(&json!({"list_as_live": ["e1", "s1"]}))
+        .await;
+    set_faults(&engines[0], &json!({"leaving": true})).await;
+    set_faults(&service[0], &json!({"leaving": true})).await;
+    for entry in &entries {
+        until("every entry knows", || async {
+            knows_departure(entry, "e1").await && knows_departure(entry, "s1").await
+        })
+        .await;
+    }
+    // Now the endpoints say that they are live again, in the same incarnation: it must not count.
+    set_faults(&engines[0], &json!({"leaving": false})).await;
+    set_faults(&service[0], &json!({"leaving": false})).await;
+    let before = started(&engines[0]).await;
+    let other_before = started(&engines[1]).await;
+    for index in 0..30 {
+        let entry = entries[index % 3].address("caller");
+        let text = format!("call {index}");
+        assert_eq!(
+            complete(&entry, &json!({"max_tokens": 2})).await.status,
+            200
+        );
+        assert_eq!(send(call(&entry, &text)).await.status, 200);
+        assert_eq!(runs(&service[0], &text).await, 0);
+    }
+    assert_eq!(
+        started(&engines[0]).await,
+        before,
+        "new work went to a leaving endpoint"
+    );
+    assert_eq!(started(&engines[1]).await, other_before + 30);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_replaced_new_incarnation_gets_work() {
+    let site = Site::new();
+    let mut engine = site.engine("e1", &json!({"step_us": 1000}));
+    let address = engine.address("address");
+    assert!(
+        site.publish(&objects("h", &[("e1", &engine)], &[]))
+            .status
+            .success()
+    );
+    let instance = site.instance("i1", "h");
+    until_serving(&instance).await;
+    set_faults(&engine, &json!({"leaving": true})).await;
+    until("the departure is known", || {
+        knows_departure(&instance, "e1")
+    })
+    .await;
+    let refused = complete(&instance.address("caller"), &json!({"max_tokens": 2})).await;
+    assert_eq!(
+        (refused.kind(), refused.outcome()),
+        ("no_endpoint", "not_run")
+    );
+    engine.kill();
+    let platform = site.platform.address("address");
+    let _again = Process::start(
+        support::STANDIN,
+        &[
+            "engine",
+            "--name",
+            "e1",
+            "--address",
+            &address,
+            "--control",
+            "127.0.0.1:0",
+            "--platform",
+            &platform,
+            "--model",
+            "m@1",
+        ],
+    );
+    until_serving(&instance).await;
+}
+
+/// A caller as docs/CALLERS.md tells it to be: it keeps an answer of entries, follows `moved`, and takes a new answer when the old
+/// one has run out.
+async fn caller(first_entry: String, stop: Arc<AtomicBool>) -> Vec<String> {
+    let mut cut = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let answer = get(format!("http://{first_entry}/v1/entries")).await;
+        let entry = answer["entries"][0]["address"]
+            .as_str()
+            .expect("an entry is named")
+            .to_owned();
+        let valid = Duration::from_millis(answer["valid_for_ms"].as_u64().expect("time"));
+        let until = tokio::time::Instant::now() + valid;
+        while tokio::time::Instant::now() < until {
+            let whole =
+                complete(&entry, &json!({"prompt": "#length=10 x", "max_tokens": 10})).await;
+            if whole.status != 200 {
+                cut.push(format!("whole at {entry}: {whole:?}"));
+            }
+            let streamed = follow(&entry).await;
+            if streamed.end != "done" || streamed.indices() != (0..150).collect::<Vec<_>>() {
+                cut.push(format!(
+                    "stream at {entry}: {} {:?}",
+                    streamed.end, streamed.last
+                ));
+            }
+        }
+    }
+    cut
+}
+
+/// Reads a stream to its end, at other entries where it is moved.
+async fn follow(entry: &str) -> Streamed {
+    let fields = json!({"prompt": "#length=150 x", "max_tokens": 150});
+    let mut streamed = read_stream(streaming(entry, &fields), ALL).await;
+    while streamed.end == "moved" {
+        let next = streamed.last["entries"][0]
+            .as_str()
+            .unwrap_or("")
+            .to_owned();
+        let last = streamed.ids.last().cloned().unwrap_or_default();
+        let rest = read_stream(streaming(&next, &fields).header("Last-Event-ID", last), ALL).await;
+        streamed.ids.extend(rest.ids);
+        streamed.text += &rest.text;
+        streamed.end = rest.end;
+        streamed.last = rest.last;
+    }
+    streamed
+}
+
+async fn until_ended(instance: &mut Process) {
+    until("the instance has stopped", || {
+        let ended = instance.ended_well();
+        async move { ended == Some(true) }
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_of_all_entries_one_by_one_cuts_nothing() {
+    let mut site = Site::new();
+    // Streams of the test take longer than a draining entry lets them run, so that some must be moved.
+    site.times["drain_streams_ms"] = json!(100);
+    let engines = [
+        site.engine("e1", &json!({"step_us": 10_000})),
+        site.engine("e2", &json!({"step_us": 10_000})),
+    ];
+    let published = objects("h", &[("e1", &engines[0]), ("e2", &engines[1])], &[]);
+    assert!(site.publish(&published).status.success());
+    let mut entries = vec![
+        site.instance("i1", "h"),
+        site.instance("i2", "h"),
+        site.instance("i3", "h"),
+    ];
+    // This one is asked for entries throughout and is not replaced.
+    let asked = site.instance("asked", "h");
+    until_peers(&asked, 3).await;
+    until_serving(&asked).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..6)
+        .map(|_| tokio::spawn(caller(asked.address("caller"), stop.clone())))
+        .collect();
+    for index in 0..3 {
+        let name = format!("j{index}");
+        let replacement = site.instance(&name, "h");
+        until_peers(&replacement, 3).await;
+        let mut leaving = std::mem::replace(&mut entries[index], replacement);
+        let operator = leaving.address("operator");
+        assert!(tool(&["drain", "--operator", &operator]).status.success());
+        until_ended(&mut leaving).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        assert_eq!(caller.await.expect("caller"), Vec::<String>::new());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_old_answers_still_served() {
+    let mut site = Site::new();
+    site.times["entries_valid_ms"] = json!(3000);
+    let service = site.service("s1");
+    assert!(
+        site.publish(&objects("h", &[], &[("s1", &service)]))
+            .status
+            .success()
+    );
+    let mut leaving = site.instance("i1", "h");
+    let staying = site.instance("i2", "h");
+    until_peers(&staying, 1).await;
+    let old = ticket(&staying.address("caller"), "i1").await;
+    let address = leaving.address("caller");
+    until("the service answers", || async {
+        send(call(&address, "warm")).await.status == 200
+    })
+    .await;
+    assert!(
+        tool(&["drain", "--operator", &leaving.address("operator")])
+            .status
+            .success()
+    );
+    until("peers name it no more", || async {
+        let answer: Value = get(format!("http://{}/v1/entries", staying.address("caller"))).await;
+        answer["entries"]
+            .as_array()
+            .expect("list")
+            .iter()
+            .all(|entry| entry["instance"] != "i1")
+    })
+    .await;
+    // Its peers name it no more; whoever holds the old answer is served, a once-only request included.
+    let served = send(call_once(&address, &old, "k1", "old answer")).await;
+    assert_eq!(served.status, 200, "{served:?}");
+    assert_eq!(runs(&service, "old answer").await, 1);
+    until_ended(&mut leaving).await;
+}
