--- a/src/bin/larkwick/flags.rs
+++ b/src/bin/larkwick/flags.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use larkwick::tool::load::arrivals::Mix;
 use uuid::Uuid;
 
 xflags::xflags! {
@@ -77,6 +78,45 @@
             /// Print JSON.
             optional --json
         }
+        /// Drive load and measure it.
+        cmd load {
+            /// Drive an engine directly and through an entry, turn by turn.
+            cmd overhead {
+                /// Address of the engine.
+                required --engine engine: String
+                /// Callers' address of the entry.
+                required --entry entry: String
+                /// Operators' address of the entry.
+                required --operator operator: String
+                /// Bearer key.
+                required --key key: String
+                /// Streams open at once.
+                optional --streams streams: usize
+                /// Tokens of each stream.
+                optional --tokens tokens: u32
+                /// Print JSON.
+                optional --json
+            }
+            /// Compare routing policies on the same seeded arrivals, everything in this process.
+            cmd compare {
+                /// Policies, separated by commas; all where absent.
+                optional --policies policies: String
+                /// Loads in percent of what the engines carry, separated by commas.
+                optional --loads loads: String
+                /// Number of seeds.
+                optional --seeds seeds: u64
+                /// Length of each run in seconds.
+                optional --seconds seconds: u64
+                /// Requests: general, planning, fuel or greedy.
+                optional --mix mix: Mix
+                /// Engines.
+                optional --engines engines: usize
+                /// Lag of the engines' load reports in milliseconds.
+                optional --report-lag-ms report_lag_ms: u64
+                /// Folder for the figures, the table and the plots.
+                optional --out out: PathBuf
+            }
+        }
         /// Print the hash of a bearer key, to publish with a client account.
         cmd key {
             /// The key.
--- a/src/bin/larkwick/main.rs
+++ b/src/bin/larkwick/main.rs
@@ -2,6 +2,7 @@
 
 mod controller;
 mod flags;
+mod load;
 mod printer;
 
 use std::process::ExitCode;
--- a/src/daemon/app.rs
+++ b/src/daemon/app.rs
@@ -17,7 +17,7 @@
 use crate::peer::server::PeerService;
 use crate::platform::{self, Platform};
 use crate::settings::Settings;
-use crate::standin::server::{Server, rocket_at, start};
+use crate::standin::server::{Server, rocket_at, start, stop_all};
 use crate::{caller, operator};
 
 const MESSAGE_MAX_BYTES: usize = 64 << 20;
@@ -176,10 +176,7 @@
         for one in &self.loops {
             one.abort();
         }
-        for server in self.servers {
-            server.shutdown.notify();
-            let _ = server.task.await;
-        }
+        stop_all(self.servers).await;
     }
 }
 
--- a/src/daemon/place.rs
+++ b/src/daemon/place.rs
@@ -12,6 +12,7 @@
 use super::owner::{PlacedOn, capacity, groups_of_hall, reserve_timeout};
 use super::reservations::Reservation;
 use crate::error::{Error, ErrorDetail, ErrorKind, Result};
+use crate::kernel::estimate::{Spread, Survival};
 use crate::kernel::group::ReserveRequest;
 use crate::kernel::object::{ClientAccount, Endpoint as EndpointObject, Model};
 use crate::kernel::policy::{self, Candidate, Demand, InFlight, Scope, approximate};
@@ -131,7 +132,8 @@
             let demand = Demand {
                 prompt_tokens: wanted.prompt_tokens,
                 max_tokens: wanted.max_tokens,
-                residual: crate::kernel::estimate::Spread::default(),
+                residual: Spread::default(),
+                survival: Survival::default(),
             };
             if let Some(index) = policy.choose(&candidates, &demand, &mut rand::rng()) {
                 return Ok(self.unreserved_place(catalog, wanted, here[index]));
--- a/src/kernel/estimate.rs
+++ b/src/kernel/estimate.rs
@@ -11,6 +11,16 @@
 /// Halves all counts at this total, so that the table follows a changing mix.
 const HALVE_AT: f64 = 20_000.0;
 
+/// Numbers of further tokens at which the memory of the streams in flight is predicted.
+pub const HORIZONS_TOKENS: [u32; HORIZONS] = [
+    0, 8, 32, 64, 128, 256, 512, 1_024, 2_048, 4_096, 8_192, 16_384,
+];
+/// How many horizons there are.
+pub const HORIZONS: usize = 12;
+
+/// Probability that a generation still runs after each number of further tokens of [`HORIZONS_TOKENS`].
+pub type Survival = [f64; HORIZONS];
+
 /// Mean and variance of a number of tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Spread {
@@ -90,6 +100,43 @@
         }
     }
 
+    /// How many generations were longer than this, about.
+    fn longer_than(&self, length_tokens: u32) -> f64 {
+        let index = bucket(length_tokens);
+        let above = self
+            .above
+            .get(index + 1)
+            .map_or(0.0, |moments| moments.count);
+        let exponent = |index: usize| {
+            let index = f64::from(u32::try_from(index).unwrap_or(u32::MAX));
+            (index / BUCKETS_PER_OCTAVE).exp2()
+        };
+        let (lower, upper) = (exponent(index), exponent(index + 1));
+        let left = ((upper - f64::from(length_tokens)) / (upper - lower)).clamp(0.0, 1.0);
+        above + self.buckets[index].count * left
+    }
+
+    /// Probability that a generation that has made `made_tokens` still runs after each horizon; `None` where nothing that long
+    /// was ever seen.
+    #[must_use]
+    pub fn survival(&self, made_tokens: u32) -> Option<Survival> {
+        let so_far = if made_tokens == 0 {
+            self.count()
+        } else {
+            self.longer_than(made_tokens)
+        };
+        if so_far < 1.0 {
+            return None;
+        }
+        let after = |horizon: u32| {
+            if horizon == 0 {
+                return 1.0;
+            }
+            (self.longer_than(made_tokens.saturating_add(horizon)) / so_far).min(1.0)
+        };
+        Some(HORIZONS_TOKENS.map(after))
+    }
+
     /// Observations counted.
     #[must_use]
     pub fn count(&self) -> f64 {
@@ -154,6 +201,41 @@
             .observe(length_tokens);
     }
 
+    /// The table to use for an account: its own, once it has seen enough.
+    fn own_table(&self, model: &str, account: &str) -> Option<&LengthTable> {
+        let key = AccountModel {
+            account: account.to_owned(),
+            model: model.to_owned(),
+        };
+        let own = self.by_account.get(&key);
+        own.filter(|table| table.count() >= OWN_TABLE_AFTER)
+    }
+
+    /// Probability that a generation still runs after each horizon, never beyond its declared maximum.
+    #[must_use]
+    pub fn survival(
+        &self,
+        model: &str,
+        account: &str,
+        made_tokens: u32,
+        max_tokens: u32,
+    ) -> Survival {
+        let own = self.own_table(model, account);
+        let found = own
+            .and_then(|table| table.survival(made_tokens))
+            .or_else(|| self.by_model.get(model)?.survival(made_tokens));
+        let mean = UNKNOWN_RESIDUAL.mean_tokens.max(f64::from(made_tokens));
+        let unknown = || HORIZONS_TOKENS.map(|horizon| (-f64::from(horizon) / mean).exp());
+        let mut survival = found.unwrap_or_else(unknown);
+        let left = max_tokens.saturating_sub(made_tokens);
+        for (probability, horizon) in survival.iter_mut().zip(HORIZONS_TOKENS) {
+            if horizon > left {
+                *probability = 0.0;
+            }
+        }
+        survival
+    }
+
     /// What is still to come of a generation, never more than its declared maximum allows.
     #[must_use]
     pub fn residual(
@@ -163,14 +245,7 @@
         made_tokens: u32,
         max_tokens: u32,
     ) -> Spread {
-        let key = AccountModel {
-            account: account.to_owned(),
-            model: model.to_owned(),
-        };
-        let own = self
-            .by_account
-            .get(&key)
-            .filter(|table| table.count() >= OWN_TABLE_AFTER);
+        let own = self.own_table(model, account);
         let found = own
             .and_then(|table| table.residual(made_tokens))
             .or_else(|| self.by_model.get(model)?.residual(made_tokens));
--- a/src/kernel/group.rs
+++ b/src/kernel/group.rs
@@ -8,7 +8,9 @@
 use uuid::Uuid;
 
 use super::estimate::Estimates;
-use super::policy::{Candidate, Demand, InFlight, LoadReport, RoutingPolicy, approximate};
+use super::policy::{
+    Candidate, Demand, InFlight, LoadReport, RoutingPolicy, StreamSize, approximate,
+};
 use crate::error::{Error, ErrorKind};
 
 /// Limits of a group.
@@ -174,8 +176,8 @@
     pub streams: u32,
     /// Tokens held.
     pub held_tokens: f64,
-    /// Tokens predicted at one standard deviation.
-    pub predicted_tokens: f64,
+    /// Highest memory predicted, at one standard deviation.
+    pub predicted_peak_tokens: f64,
     /// Share of memory that predicted tokens may fill.
     pub fill_limit: f64,
 }
@@ -298,13 +300,12 @@
         random: &mut dyn Rng,
         blocked: &HashSet<String>,
     ) -> Option<Grant> {
-        let residual =
-            self.estimates
-                .residual(&request.model, &request.account, 0, request.max_tokens);
+        let size = self.size_of(request, 0);
         let demand = Demand {
-            prompt_tokens: request.prompt_tokens,
-            max_tokens: request.max_tokens,
-            residual,
+            prompt_tokens: size.prompt_tokens,
+            max_tokens: size.max_tokens,
+            residual: size.residual,
+            survival: size.survival,
         };
         let candidates: Vec<Candidate<'_>> = request
             .candidates
@@ -315,9 +316,7 @@
         let chosen = self.policy.choose(&candidates, &demand, random)?;
         let endpoint = candidates[chosen].name.to_owned();
         let place = self.places.get_mut(&endpoint)?;
-        place
-            .in_flight
-            .add(request.prompt_tokens, 0, request.max_tokens, residual);
+        place.in_flight.add(&size);
         self.cached(&endpoint, request.prefix);
         self.charge(request, request.prompt_tokens);
         let granted = grant(request.reservation_id, &endpoint);
@@ -435,22 +434,26 @@
             place.in_flight = InFlight::default();
         }
         for stream in self.streams.values() {
-            let Some(place) = self.places.get_mut(&stream.endpoint) else {
-                continue;
-            };
-            let request = &stream.request;
-            let residual = self.estimates.residual(
-                &request.model,
-                &request.account,
-                stream.made_tokens,
-                request.max_tokens,
-            );
-            place.in_flight.add(
-                request.prompt_tokens,
-                stream.made_tokens,
-                request.max_tokens,
-                residual,
-            );
+            let size = self.size_of(&stream.request, stream.made_tokens);
+            if let Some(place) = self.places.get_mut(&stream.endpoint) {
+                place.in_flight.add(&size);
+            }
+        }
+    }
+
+    fn size_of(&self, request: &ReserveRequest, made_tokens: u32) -> StreamSize {
+        let (model, account) = (&request.model, &request.account);
+        let max_tokens = request.max_tokens;
+        StreamSize {
+            prompt_tokens: request.prompt_tokens,
+            made_tokens,
+            max_tokens,
+            residual: self
+                .estimates
+                .residual(model, account, made_tokens, max_tokens),
+            survival: self
+                .estimates
+                .survival(model, account, made_tokens, max_tokens),
         }
     }
 
@@ -559,7 +562,7 @@
             endpoint: name.clone(),
             streams: place.in_flight.streams,
             held_tokens: place.in_flight.held_tokens,
-            predicted_tokens: place.in_flight.predicted_tokens(1.0),
+            predicted_peak_tokens: place.in_flight.predicted_peak_tokens(1.0),
             fill_limit: place.fill_limit,
         });
         GroupSummary {
--- a/src/kernel/policy.rs
+++ b/src/kernel/policy.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
-use super::estimate::Spread;
+use super::estimate::{HORIZONS, HORIZONS_TOKENS, Spread, Survival};
 
 /// A model version that an engine holds.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -51,16 +51,51 @@
     pub residual_mean_tokens: f64,
     /// Variance of the tokens still to come.
     pub residual_variance: f64,
+    /// Expected tokens held once each stream that still runs has made so many more, by horizon.
+    pub profile_mean_tokens: [f64; HORIZONS],
+    /// Variance of the same.
+    pub profile_variance: [f64; HORIZONS],
+}
+
+/// What is known of one stream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StreamSize {
+    /// Prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// Tokens made.
+    pub made_tokens: u32,
+    /// Declared maximum, in tokens.
+    pub max_tokens: u32,
+    /// What is expected to come.
+    pub residual: Spread,
+    /// Probability that it still runs, by horizon.
+    pub survival: Survival,
 }
 
 impl InFlight {
     /// Adds one stream.
-    pub fn add(&mut self, prompt_tokens: u32, made_tokens: u32, max_tokens: u32, residual: Spread) {
+    pub fn add(&mut self, stream: &StreamSize) {
+        let held = f64::from(stream.prompt_tokens) + f64::from(stream.made_tokens);
         self.streams += 1;
-        self.held_tokens += f64::from(prompt_tokens) + f64::from(made_tokens);
-        self.declared_tokens += f64::from(prompt_tokens) + f64::from(max_tokens);
-        self.residual_mean_tokens += residual.mean_tokens;
-        self.residual_variance += residual.variance;
+        self.held_tokens += held;
+        self.declared_tokens += f64::from(stream.prompt_tokens) + f64::from(stream.max_tokens);
+        self.residual_mean_tokens += stream.residual.mean_tokens;
+        self.residual_variance += stream.residual.variance;
+        for (index, runs) in stream.survival.iter().enumerate() {
+            let then = held + f64::from(HORIZONS_TOKENS[index]);
+            self.profile_mean_tokens[index] += runs * then;
+            self.profile_variance[index] += runs * (1.0 - runs) * then * then;
+        }
+    }
+
+    /// Highest memory over the horizons: streams that end give theirs back while others grow.
+    #[must_use]
+    pub fn predicted_peak_tokens(&self, sigmas: f64) -> f64 {
+        let variances = self.profile_variance.iter();
+        let at_horizons = self.profile_mean_tokens.iter().zip(variances);
+        at_horizons
+            .map(|(mean, variance)| mean + sigmas * variance.sqrt())
+            .fold(0.0, f64::max)
     }
 
     /// Tokens held once the streams have grown by what is expected, plus a number of standard deviations.
@@ -96,6 +131,21 @@
     pub max_tokens: u32,
     /// What the output is expected to be.
     pub residual: Spread,
+    /// Probability that it still runs, by horizon.
+    pub survival: Survival,
+}
+
+impl Demand {
+    /// The stream that it would start.
+    fn stream(&self) -> StreamSize {
+        StreamSize {
+            prompt_tokens: self.prompt_tokens,
+            made_tokens: 0,
+            max_tokens: self.max_tokens,
+            residual: self.residual,
+            survival: self.survival,
+        }
+    }
 }
 
 /// Who applies the policy.
@@ -265,14 +315,39 @@
     }
 }
 
-/// Admits by predicted residual length, within a fill limit that follows the preemptions seen.
-struct Residual;
-
-/// Standard deviations of the summed residual lengths that are kept free.
-const RESIDUAL_SIGMAS: f64 = 1.0;
+/// Standard deviations of the predicted memory that are kept free.
+const SIGMAS: f64 = 1.0;
 /// Fill that a cached prefix of the whole memory would be worth.
 const PREFIX_WEIGHT: f64 = 0.5;
 
+/// Chooses the least predicted fill among the candidates that stay within their fill limit.
+fn choose_by_fill(
+    candidates: &[Candidate<'_>],
+    demand: &Demand,
+    predicted_tokens: fn(&InFlight) -> f64,
+) -> Option<usize> {
+    let filled = |candidate: &Candidate<'_>| {
+        let mut after = candidate.in_flight;
+        after.add(&demand.stream());
+        predicted_tokens(&after) / candidate.capacity_tokens
+    };
+    let fits = |candidate: &Candidate<'_>| {
+        candidate.in_flight.streams == 0 || filled(candidate) <= candidate.fill_limit
+    };
+    let score = |candidate: &Candidate<'_>| {
+        if !fits(candidate) {
+            return f64::INFINITY;
+        }
+        let saved = f64::from(candidate.cached_prefix_tokens) / candidate.capacity_tokens;
+        filled(candidate) - PREFIX_WEIGHT * saved
+    };
+    let least = lowest(candidates, score)?;
+    fits(&candidates[least]).then_some(least)
+}
+
+/// Admits by the sum of predicted residual lengths, as though all streams reached their end at once.
+struct Residual;
+
 impl RoutingPolicy for Residual {
     fn name(&self) -> &'static str {
         "residual"
@@ -288,26 +363,37 @@
         demand: &Demand,
         _: &mut dyn Rng,
     ) -> Option<usize> {
-        let filled = |candidate: &Candidate<'_>| {
-            let mut after = candidate.in_flight;
-            after.add(demand.prompt_tokens, 0, demand.max_tokens, demand.residual);
-            after.predicted_tokens(RESIDUAL_SIGMAS) / candidate.capacity_tokens
-        };
-        let fits = |candidate: &Candidate<'_>| {
-            candidate.in_flight.streams == 0 || filled(candidate) <= candidate.fill_limit
-        };
-        let score = |candidate: &Candidate<'_>| {
-            if !fits(candidate) {
-                return f64::INFINITY;
-            }
-            let saved = f64::from(candidate.cached_prefix_tokens) / candidate.capacity_tokens;
-            filled(candidate) - PREFIX_WEIGHT * saved
-        };
-        let least = lowest(candidates, score)?;
-        fits(&candidates[least]).then_some(least)
+        choose_by_fill(candidates, demand, |in_flight| {
+            in_flight.predicted_tokens(SIGMAS)
+        })
+    }
+}
+
+/// Admits by the predicted course of memory: streams that end give theirs back while others grow.
+struct Profile;
+
+impl RoutingPolicy for Profile {
+    fn name(&self) -> &'static str {
+        "profile"
+    }
+
+    fn scope(&self) -> Scope {
+        Scope::Group
+    }
+
+    fn choose(
+        &self,
+        candidates: &[Candidate<'_>],
+        demand: &Demand,
+        _: &mut dyn Rng,
+    ) -> Option<usize> {
+        choose_by_fill(candidates, demand, |in_flight| {
+            in_flight.predicted_peak_tokens(SIGMAS)
+        })
     }
 }
 
+inventory::submit! { PolicyPlugin { name: "profile", build: || Box::new(Profile) } }
 inventory::submit! { PolicyPlugin { name: "random", build: || Box::new(Random) } }
 inventory::submit! { PolicyPlugin { name: "least_loaded", build: || Box::new(LeastLoaded) } }
 inventory::submit! { PolicyPlugin { name: "least_in_flight", build: || Box::new(LeastInFlight) } }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -42,6 +42,8 @@
     lease: LeaseDump,
     once: OnceDump,
     reservations_held: usize,
+    /// Memory of the process; absent where the system does not tell.
+    memory_resident_bytes: Option<u64>,
 }
 
 #[derive(Serialize)]
@@ -87,6 +89,14 @@
     }
 }
 
+/// Resident memory, as Linux tells it.
+fn memory_resident_bytes() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib * 1024)
+}
+
 #[get("/status")]
 fn status(node: &Shared) -> Json<StatusDump> {
     Json(status_of(node))
@@ -120,6 +130,7 @@
             bytes: node.once.bytes(),
         },
         reservations_held: node.reservations.len(),
+        memory_resident_bytes: memory_resident_bytes(),
     })
 }
 
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -17,7 +17,7 @@
 use uuid::Uuid;
 
 use super::engine_core::{Ended, EngineCore, EngineSpec, Progress, token_text};
-use super::server::{Server, rocket_at, start};
+use super::server::{Server, rocket_at, start, stop_all};
 use crate::endpoint::protocol::{
     ATTEMPT_ID_HEADER, CacheEvent, EngineEvent, GenerationRequest, NOT_ADMITTED_HEADER, Order,
     OrderStatus, Started,
@@ -468,6 +468,15 @@
     pub control: Server,
     /// The engine behind both.
     pub engine: Arc<Engine>,
+    steps: tokio::task::JoinHandle<()>,
+}
+
+impl RunningEngine {
+    /// Ends the engine; streams are cut.
+    pub async fn stop(self) {
+        self.steps.abort();
+        stop_all(vec![self.server, self.control]).await;
+    }
 }
 
 /// Starts a stand-in engine.
@@ -497,7 +506,7 @@
     let server = start(rocket.mount("/", protocol)).await?;
     let rocket = rocket_at(settings.control).manage(engine.clone());
     let control = start(rocket.mount("/", routes![set_faults, counters])).await?;
-    tokio::spawn(engine.clone().run_steps());
+    let steps = tokio::spawn(engine.clone().run_steps());
     if let Some(platform) = settings.platform.clone() {
         tokio::spawn(engine.clone().run_announcements(platform));
     }
@@ -505,5 +514,6 @@
         server,
         control,
         engine,
+        steps,
     })
 }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -38,6 +38,8 @@
     pub list_as_live: Vec<String>,
     /// Appends a second.
     pub appends_per_s: u32,
+    /// Records before this offset have expired, whatever their age.
+    pub expire_before: u64,
     /// Records are kept this long.
     pub retention_ms: u64,
     /// Bytes a second that the weight store gives out.
@@ -53,6 +55,7 @@
             list_lag_ms: 0,
             list_as_live: Vec::new(),
             appends_per_s: 100,
+            expire_before: 0,
             retention_ms: 24 * 3600 * 1000,
             weight_bytes_per_s: 1 << 30,
         }
@@ -162,12 +165,11 @@
             return Err(Refusal::Outage);
         }
         let retention = Duration::from_millis(inner.faults.retention_ms);
+        let expire_before = inner.faults.expire_before;
         let stream = inner.streams.entry(stream.to_owned()).or_default();
-        while stream
-            .records
-            .front()
-            .is_some_and(|kept| now.saturating_sub(kept.at) > retention)
-        {
+        while stream.records.front().is_some_and(|kept| {
+            now.saturating_sub(kept.at) > retention || stream.first < expire_before
+        }) {
             stream.records.pop_front();
             stream.first += 1;
         }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -86,3 +86,14 @@
         anyhow::bail!("cannot listen on {wanted:?}: {}", why.unwrap_or_default())
     }
 }
+
+/// Stops servers side by side.
+pub async fn stop_all(servers: Vec<Server>) {
+    for server in &servers {
+        server.shutdown.clone().notify();
+    }
+    for server in servers {
+        // A server that failed has stopped too.
+        let _ = server.task.await;
+    }
+}
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -3,4 +3,5 @@
 pub mod check;
 pub mod config;
 pub mod instance;
+pub mod load;
 pub mod publish;
--- a/tests/model/config_fold.rs
+++ b/tests/model/config_fold.rs
@@ -73,6 +73,10 @@
     }
 }
 
+fn index_of(offset: u64) -> usize {
+    usize::try_from(offset).expect("a short log")
+}
+
 fn fold_of(state: &ConfigState) -> ConfigFold {
     ConfigFold::from_state(state.clone()).with_window(WINDOW)
 }
@@ -161,7 +165,7 @@
     }
 
     fn read(&self, reader: usize) -> Self {
-        let kept: Vec<Option<Record>> = self.log[self.first_kept as usize..]
+        let kept: Vec<Option<Record>> = self.log[index_of(self.first_kept)..]
             .iter()
             .map(|record| Some(Record::clone(record)))
             .collect();
@@ -256,7 +260,7 @@
             return Some("an instance went back to an older configuration");
         }
         for state in &self.states {
-            if **state != self.reference(state.next_offset as usize).0 {
+            if **state != self.reference(index_of(state.next_offset)).0 {
                 return Some("an instance differs from the whole log");
             }
         }
--- a/tests/promise_config.rs
+++ b/tests/promise_config.rs
@@ -127,12 +127,12 @@
     }
     // Newcomers find their peers by the list, or by what the peers were told of it before.
     site.platform_faults(&json!({"log_outage": true})).await;
-    for index in 0..2 {
+    for (index, replaced) in instances.iter_mut().enumerate() {
         let newcomer = site.instance(&format!("j{index}"), "h");
         until_region(&newcomer, "h", "test").await;
         until_serving(&newcomer).await;
-        instances[index].kill();
-        instances[index] = newcomer;
+        replaced.kill();
+        *replaced = newcomer;
     }
     site.platform_faults(&json!({})).await;
     assert!(
@@ -203,3 +203,36 @@
     );
     until_region(&instance, "later", "two").await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn retention_last_instance_dead_newcomer_starts_from_snapshot() {
+    let mut site = Site::new();
+    // Snapshots are due every quarter of this; what expires, the test says.
+    site.times["log_retention_ms"] = json!(1000);
+    let mut last = site.instance("i1", "h");
+    assert!(site.publish(&json!([hall("kept", "one")])).status.success());
+    until_region(&last, "kept", "one").await;
+    let published = dump(&last).await["config"]["next_offset"]
+        .as_u64()
+        .expect("offset");
+    until("a snapshot covers it", || async {
+        let snapshot = dump(&last).await["config"]["snapshot_next_offset"].as_u64();
+        snapshot >= Some(published)
+    })
+    .await;
+    last.kill();
+    site.platform_faults(&json!({"expire_before": published}))
+        .await;
+    let newcomer = site.instance("j1", "h");
+    until_region(&newcomer, "kept", "one").await;
+    let shown = tool(&[
+        "config",
+        "show",
+        "--platform",
+        &site.platform.address("address"),
+    ]);
+    assert!(
+        String::from_utf8_lossy(&shown.stdout).contains("hall/kept"),
+        "{shown:?}"
+    );
+}
--- a/tests/promise_leaving.rs
+++ b/tests/promise_leaving.rs
@@ -194,7 +194,7 @@
     ];
     let published = objects("h", &[("e1", &engines[0]), ("e2", &engines[1])], &[]);
     assert!(site.publish(&published).status.success());
-    let mut entries = vec![
+    let mut entries = [
         site.instance("i1", "h"),
         site.instance("i2", "h"),
         site.instance("i3", "h"),
@@ -207,11 +207,11 @@
     let callers: Vec<_> = (0..6)
         .map(|_| tokio::spawn(caller(asked.address("caller"), stop.clone())))
         .collect();
-    for index in 0..3 {
+    for (index, entry) in entries.iter_mut().enumerate() {
         let name = format!("j{index}");
         let replacement = site.instance(&name, "h");
         until_peers(&replacement, 3).await;
-        let mut leaving = std::mem::replace(&mut entries[index], replacement);
+        let mut leaving = std::mem::replace(entry, replacement);
         let operator = leaving.address("operator");
         assert!(tool(&["drain", "--operator", &operator]).status.success());
         until_ended(&mut leaving).await;
@@ -261,3 +261,41 @@
     assert_eq!(runs(&service, "old answer").await, 1);
     until_ended(&mut leaving).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_long_stream_moved_not_waited_for() {
+    let mut site = Site::new();
+    site.times["drain_streams_ms"] = json!(100);
+    let engine = site.engine("e1", &json!({"step_us": 10_000}));
+    assert!(
+        site.publish(&objects("h", &[("e1", &engine)], &[]))
+            .status
+            .success()
+    );
+    let mut leaving = site.instance("i1", "h");
+    let staying = site.instance("i2", "h");
+    until_peers(&leaving, 1).await;
+    until_serving(&leaving).await;
+    let address = leaving.address("caller");
+    // It would take half an hour.
+    let fields = json!({"prompt": "#length=90000 x", "max_tokens": 90_000});
+    let reading = tokio::spawn(read_stream(streaming(&address, &fields), ALL));
+    until("the stream runs", || async {
+        dump(&leaving).await["status"]["requests_active"].as_u64() > Some(0)
+    })
+    .await;
+    assert!(
+        tool(&["drain", "--operator", &leaving.address("operator")])
+            .status
+            .success()
+    );
+    let begun = reading.await.expect("reader");
+    assert_eq!(begun.end, "moved", "{:?}", begun.last);
+    assert_eq!(begun.last["entries"], json!([staying.address("caller")]));
+    let last = begun.ids.last().expect("tokens").clone();
+    let resumed = streaming(&staying.address("caller"), &fields).header("Last-Event-ID", last);
+    let rest = read_stream(resumed, 50).await;
+    let expected: Vec<u32> = (0..).skip(begun.ids.len()).take(50).collect();
+    assert_eq!(rest.indices(), expected);
+    until_ended(&mut leaving).await;
+}
--- a/tests/promise_once.rs
+++ b/tests/promise_once.rs
@@ -254,3 +254,27 @@
     let other = complete(&entry, &json!({"max_tokens": 3})).await;
     assert_eq!(other.status, 200);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_repeatable_lost_never_sent_to_a_second_endpoint() {
+    let site = Site::new();
+    let services = [site.service("s1"), site.service("s2")];
+    let published = objects("h", &[], &[("s1", &services[0]), ("s2", &services[1])]);
+    assert!(site.publish(&published).status.success());
+    let instance = site.instance("i1", "h");
+    let entry = instance.address("caller");
+    until("the services answer", || async {
+        send(call(&entry, "warm")).await.status == 200
+    })
+    .await;
+    for service in &services {
+        set_faults(service, &json!({"lose_replies": 1000})).await;
+    }
+    for attempt in 0..5 {
+        let text = format!("fee {attempt}");
+        let answered = send(call(&entry, &text).header("Larkwick-Repeatable", "false")).await;
+        assert_eq!(answered.outcome(), "unknown", "{answered:?}");
+        let ran = runs(&services[0], &text).await + runs(&services[1], &text).await;
+        assert_eq!(ran, 1);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use tempfile::TempDir;
 
 /// Longest wait for anything. Far above what is usual, so that a busy machine does not change a verdict.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// A process that is killed when it is dropped.
@@ -47,8 +47,8 @@
         });
         Self {
             child,
-            addresses,
             log,
+            addresses,
         }
     }
 
@@ -407,13 +407,15 @@
 
 /// Reads one stream, at most `tokens_max` tokens of it.
 pub async fn read_stream(request: reqwest::RequestBuilder, tokens_max: usize) -> Streamed {
-    let mut streamed = Streamed::default();
-    streamed.end = "cut".to_owned();
+    let mut streamed = Streamed {
+        end: "cut".to_owned(),
+        ..Streamed::default()
+    };
     let Ok(mut response) = request.send().await else {
         return streamed;
     };
     if !response.status().is_success() {
-        streamed.end = "error".to_owned();
+        "error".clone_into(&mut streamed.end);
         streamed.last = response.json().await.unwrap_or_default();
         return streamed;
     }
@@ -438,7 +440,7 @@
     };
     let Some(data) = field("data:") else { return };
     if data == "[DONE]" {
-        streamed.end = "done".to_owned();
+        "done".clone_into(&mut streamed.end);
         return;
     }
     let value: Value = serde_json::from_str(&data).expect("event data is JSON");
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -113,6 +113,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
+#[expect(clippy::too_many_lines, reason = "a table of cases")]
 async fn bad_input_typed_error_not_run() {
     let site = Site::new();
     let engine = site.engine("e1", &spec());
@@ -240,6 +241,7 @@
         "fixed_reservation",
         "least_in_flight",
         "least_loaded",
+        "profile",
         "random",
         "residual"
     ]);
