--- a/src/daemon/endpoints.rs
+++ b/src/daemon/endpoints.rs
@@ -256,10 +256,11 @@
         matches!(endpoint.role, EndpointRole::Service { .. })
             && node.endpoints.has_client(&endpoint.name)
     };
+    let used = node.used_endpoints();
     let whole_hall = round.is_multiple_of(HALL_EVERY) && node.holds_lease();
     let ordered = |endpoint: &EndpointObject| whole_hall && endpoint.hall == node.settings.hall;
     let polled = all.filter(|endpoint| {
-        alone || node.groups_use(endpoint) || used_service(endpoint) || ordered(endpoint)
+        alone || used.contains(&endpoint.name) || used_service(endpoint) || ordered(endpoint)
     });
     polled.cloned().collect()
 }
--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -1,6 +1,6 @@
 //! Groups of endpoints and their soft owner: reservations by the kernel's ledger, with requests that wait.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::kernel::membership::rendezvous;
 use crate::kernel::object::{Endpoint as EndpointObject, EndpointRole};
 use crate::kernel::policy::{self, LoadReport, Scope};
+use crate::kernel::rules::Catalog;
 use crate::peer::generated as wire;
 use crate::settings::ms;
 
@@ -158,29 +159,59 @@
         self.owner_of(group).as_deref() == Some(self.incarnation.name.as_str())
     }
 
-    /// Whether a group here uses the endpoint. Plain services are read by the owner of their hall's first group.
-    pub(crate) fn groups_use(&self, endpoint: &EndpointObject) -> bool {
-        if matches!(endpoint.role, EndpointRole::Service { .. }) {
-            return self.owns(&format!("{}/0", endpoint.hall));
-        }
+    /// Halls with endpoints whose groups this instance may own: its own, and those without a live instance.
+    fn ownable_halls(&self, catalog: &Catalog) -> BTreeSet<String> {
+        let served: BTreeSet<String> = {
+            let members = self.members.lock();
+            let live = members.live(&self.settings.hall, self.now());
+            live.map(|peer| peer.status.hall.clone()).collect()
+        };
+        let halls = catalog.endpoints.iter().map(|endpoint| &endpoint.hall);
+        halls
+            .filter(|hall| **hall == self.settings.hall || !served.contains(*hall))
+            .cloned()
+            .collect()
+    }
+
+    /// Names of the endpoints whose load this instance needs: those of the groups here, and the plain services of halls whose
+    /// first group it owns.
+    pub(crate) fn used_endpoints(&self) -> BTreeSet<String> {
         let catalog = self.catalog();
-        let groups = groups_of_hall(&endpoint.hall, catalog.endpoints.iter());
-        let holds = |members: &[&EndpointObject]| members.iter().any(|e| e.name == endpoint.name);
-        groups
-            .iter()
-            .filter(|(_, members)| holds(members))
-            .any(|(name, _)| self.groups.get(name).is_some() || self.owns(name))
+        let mut halls = self.ownable_halls(&catalog);
+        halls.extend(
+            self.groups
+                .all()
+                .iter()
+                .map(|(name, _)| hall_of(name).to_owned()),
+        );
+        let mut used = BTreeSet::new();
+        for hall in &halls {
+            for (name, members) in groups_of_hall(hall, catalog.endpoints.iter()) {
+                if self.groups.get(&name).is_some() || self.owns(&name) {
+                    used.extend(members.iter().map(|endpoint| endpoint.name.clone()));
+                }
+            }
+            if self.owns(&format!("{hall}/0")) {
+                let services = catalog.endpoints.iter().filter(|endpoint| {
+                    endpoint.hall == *hall && matches!(endpoint.role, EndpointRole::Service { .. })
+                });
+                used.extend(services.map(|endpoint| endpoint.name.clone()));
+            }
+        }
+        used
     }
 
     /// Brings the groups in step with the configuration, the departures and the silences.
     pub(crate) fn refresh_groups(&self) {
         let catalog = self.catalog();
-        let halls: std::collections::BTreeSet<&str> = catalog
-            .endpoints
-            .iter()
-            .map(|endpoint| endpoint.hall.as_str())
-            .collect();
-        for hall in halls {
+        let mut halls = self.ownable_halls(&catalog);
+        halls.extend(
+            self.groups
+                .all()
+                .iter()
+                .map(|(name, _)| hall_of(name).to_owned()),
+        );
+        for hall in &halls {
             for (name, members) in groups_of_hall(hall, catalog.endpoints.iter()) {
                 self.refresh_group(&name, &members);
             }
--- a/src/daemon/placement_loop.rs
+++ b/src/daemon/placement_loop.rs
@@ -201,20 +201,40 @@
         })
         .collect();
     let demand = node.lease.demand.lock().clone();
-    for assignment in plan(&catalog, hall, &demand, &held) {
+    for planned in plan(&catalog, hall, &demand, &held) {
+        let assignment = keep_until_replaced(planned, &held);
         if needs_order(node, &assignment, proof) && begin_order(node, &assignment.endpoint) {
             tokio::spawn(give_order(node.clone(), assignment, proof));
         }
     }
 }
 
+/// Adds the versions that an engine holds of models whose planned version it does not hold yet: they serve until it does.
+fn keep_until_replaced(
+    mut planned: Assignment,
+    held: &BTreeMap<String, Vec<HeldModel>>,
+) -> Assignment {
+    let Some(held) = held.get(&planned.endpoint) else {
+        return planned;
+    };
+    let not_yet = planned.models.iter().filter(|model| !held.contains(model));
+    let not_yet: BTreeSet<String> = not_yet.map(|model| model.name.clone()).collect();
+    let kept = held.iter().filter(|model| not_yet.contains(&model.name));
+    planned.models.extend(kept.cloned());
+    planned
+}
+
+/// An order is due where a planned model was not ordered yet. One that only drops models waits for the next repetition, so that
+/// every owner has seen by a report what replaced them.
 fn needs_order(node: &Node, assignment: &Assignment, proof: LeaseProof) -> bool {
     let orders = node.lease.orders.lock();
     let Some(given) = orders.get(&assignment.endpoint) else {
         return true;
     };
     let due = node.now().saturating_sub(given.at) >= REASSERT_EVERY;
-    due || given.order_models != assignment.models || given.fence > proof.fence
+    let mut planned = assignment.models.iter();
+    let missing = planned.any(|model| !given.order_models.contains(model));
+    due || missing || given.fence > proof.fence
 }
 
 /// Marks an order as on its way; false where one is already.
