--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -159,31 +159,25 @@
         self.owner_of(group).as_deref() == Some(self.incarnation.name.as_str())
     }
 
-    /// Halls with endpoints whose groups this instance may own: its own, and those without a live instance.
-    fn ownable_halls(&self, catalog: &Catalog) -> BTreeSet<String> {
+    /// Halls whose groups this instance may own (its own, and those without a live instance) or was asked for.
+    fn halls_here(&self, catalog: &Catalog) -> BTreeSet<String> {
         let served: BTreeSet<String> = {
             let members = self.members.lock();
             let live = members.live(&self.settings.hall, self.now());
             live.map(|peer| peer.status.hall.clone()).collect()
         };
         let halls = catalog.endpoints.iter().map(|endpoint| &endpoint.hall);
-        halls
-            .filter(|hall| **hall == self.settings.hall || !served.contains(*hall))
-            .cloned()
-            .collect()
+        let ownable = halls.filter(|hall| **hall == self.settings.hall || !served.contains(*hall));
+        let open = self.groups.all();
+        let asked_for = open.iter().map(|(name, _)| hall_of(name).to_owned());
+        ownable.cloned().chain(asked_for).collect()
     }
 
     /// Names of the endpoints whose load this instance needs: those of the groups here, and the plain services of halls whose
     /// first group it owns.
     pub(crate) fn used_endpoints(&self) -> BTreeSet<String> {
         let catalog = self.catalog();
-        let mut halls = self.ownable_halls(&catalog);
-        halls.extend(
-            self.groups
-                .all()
-                .iter()
-                .map(|(name, _)| hall_of(name).to_owned()),
-        );
+        let halls = self.halls_here(&catalog);
         let mut used = BTreeSet::new();
         for hall in &halls {
             for (name, members) in groups_of_hall(hall, catalog.endpoints.iter()) {
@@ -204,13 +198,7 @@
     /// Brings the groups in step with the configuration, the departures and the silences.
     pub(crate) fn refresh_groups(&self) {
         let catalog = self.catalog();
-        let mut halls = self.ownable_halls(&catalog);
-        halls.extend(
-            self.groups
-                .all()
-                .iter()
-                .map(|(name, _)| hall_of(name).to_owned()),
-        );
+        let halls = self.halls_here(&catalog);
         for hall in &halls {
             for (name, members) in groups_of_hall(hall, catalog.endpoints.iter()) {
                 self.refresh_group(&name, &members);
--- a/src/tool/load/arrivals.rs
+++ b/src/tool/load/arrivals.rs
@@ -6,7 +6,6 @@
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-use crate::kernel::estimate::Spread;
 use crate::standin::engine_core::{EngineCore, EngineSpec};
 
 /// Which kind of requests arrive.
@@ -186,23 +185,3 @@
     }
     f64::from(submitted) / took.as_secs_f64()
 }
-
-/// Mean and variance of the lengths drawn, for the tables' heading.
-#[must_use]
-pub fn spread(arrivals: &[ArrivalPlan]) -> Spread {
-    let count = f64::from(u32::try_from(arrivals.len()).unwrap_or(u32::MAX)).max(1.0);
-    let lengths = || {
-        arrivals
-            .iter()
-            .map(|arrival| f64::from(arrival.length_tokens))
-    };
-    let mean_tokens = lengths().sum::<f64>() / count;
-    let variance = lengths()
-        .map(|length| (length - mean_tokens).powi(2))
-        .sum::<f64>()
-        / count;
-    Spread {
-        mean_tokens,
-        variance,
-    }
-}
