Take no lock while a group's ledger is held

Read again: settling a group took the lock of its last recount while it held the ledger's, which docs/DESIGN.md rules out. The time is looked at before. A recount that a release asked for no longer puts off the regular one, so there are slightly more of them; not measured.

--- a/src/daemon/owner.rs
+++ b/src/daemon/owner.rs
@@ -376,13 +376,15 @@
         let dirty = group
             .dirty
             .swap(false, std::sync::atomic::Ordering::Relaxed);
+        let due = now.saturating_sub(*group.recounted_at.lock()) >= RECOUNT_EVERY;
+        if due {
+            *group.recounted_at.lock() = now;
+        }
         let (settled, lapsed) = {
             let mut ledger = group.ledger.lock();
             let lapsed = ledger.expire(now);
-            let due = now.saturating_sub(*group.recounted_at.lock()) >= RECOUNT_EVERY;
             if due || (dirty && ledger.has_waiting()) {
                 ledger.recount(now);
-                *group.recounted_at.lock() = now;
             }
             let settled = ledger.settle(now, &mut rand::rng());
             (settled, lapsed)
