--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -263,7 +263,7 @@
     for instances in [3_u32, 9, 24, 48] {
         let before = resident_kib();
         let core = Arc::new(PlatformCore::new(Arc::new(SystemClock::default())));
-        let platform = platform::embedded(core);
+        let platform = log_service::embedded(core);
         let mut apps = Vec::new();
         for index in 0..instances {
             let app = App::start_with(settings(index), platform.clone()).await;
--- a/src/bin/larkwick/controller.rs
+++ b/src/bin/larkwick/controller.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use larkwick::kernel::object::ObjectKey;
-use larkwick::platform::{self, Platform};
+use larkwick::log_service::{self, Platform};
 use larkwick::tool::publish::{PublishWanted, Published};
 use larkwick::tool::{check, config, instance, publish};
 
@@ -51,7 +51,7 @@
 }
 
 fn connect(address: &str) -> anyhow::Result<Platform> {
-    platform::connect("http", &[address.to_owned()])
+    log_service::connect("http", &[address.to_owned()])
 }
 
 async fn publish_files(flags: &flags::Publish) -> anyhow::Result<ExitCode> {
--- a/src/bin/larkwickd/demo.rs
+++ b/src/bin/larkwickd/demo.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use larkwick::kernel::clock::SystemClock;
 use larkwick::kernel::policy::HeldModel;
-use larkwick::platform;
+use larkwick::log_service;
 use larkwick::settings::parse_jsonc;
 use larkwick::standin::engine::{EngineSettings, run as run_engine};
 use larkwick::standin::engine_core::EngineSpec;
@@ -22,7 +22,7 @@
 /// Runs the demo until it is stopped.
 pub async fn run() -> anyhow::Result<()> {
     let core = Arc::new(PlatformCore::new(Arc::new(SystemClock::default())));
-    let platform = platform::embedded(core);
+    let platform = log_service::embedded(core);
     let engine = run_engine(EngineSettings {
         name: "engine-1".to_owned(),
         address: any_loopback_port(),
--- a/src/bin/larkwickd/main.rs
+++ b/src/bin/larkwickd/main.rs
@@ -3,9 +3,13 @@
 mod demo;
 mod flags;
 
+use std::path::Path;
 use std::process::ExitCode;
 
+use larkwick::gateway::app::GatewayApp;
+use larkwick::log::LogOutput;
 use larkwick::{App, Settings};
+use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
     let flags = flags::Larkwickd::from_env_or_exit();
@@ -19,27 +23,52 @@
 }
 
 fn run(flags: &flags::Larkwickd) -> anyhow::Result<()> {
-    larkwick::log::init("larkwickd", flags.verbose)?;
     if flags.demo {
+        larkwick::log::init("larkwickd", flags.verbose, LogOutput::Stderr)?;
         return runtime(None)?.block_on(demo::run());
     }
     let Some(path) = &flags.settings else {
         anyhow::bail!("no settings file; use 'larkwickd --settings FILE' or 'larkwickd --demo'");
     };
     let settings = Settings::read(path)?;
-    runtime(settings.worker_threads)?.block_on(serve(settings))
+    let runtime = runtime(settings.worker_threads)?;
+    if settings.routing.is_some() {
+        larkwick::log::init("larkwickd", flags.verbose, LogOutput::Stdout)?;
+        return runtime.block_on(serve_routes(settings, path));
+    }
+    larkwick::log::init("larkwickd", flags.verbose, LogOutput::Stderr)?;
+    runtime.block_on(serve(settings))
 }
 
+/// One thread needs no scheduler between threads, which costs wake-ups.
 fn runtime(worker_threads: Option<usize>) -> anyhow::Result<tokio::runtime::Runtime> {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    if let Some(worker_threads) = worker_threads {
+    let mut builder = match worker_threads {
+        Some(1) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    if let Some(worker_threads) = worker_threads.filter(|threads| *threads > 1) {
         builder.worker_threads(worker_threads);
     }
     Ok(builder.enable_all().build()?)
 }
 
+async fn serve_routes(settings: Settings, path: &Path) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let app = GatewayApp::start(settings, Some(path)).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => app.reload(),
+        }
+    }
+    app.stop().await;
+    Ok(())
+}
+
 async fn serve(settings: Settings) -> anyhow::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
     let app = App::start(settings).await?;
     println!("{}", serde_json::to_string(&app.addresses())?);
     let mut terminate = signal(SignalKind::terminate())?;
--- a/src/daemon/app.rs
+++ b/src/daemon/app.rs
@@ -13,9 +13,9 @@
 use super::node::{Addresses, Node, Phase};
 use super::{config_loop, drain, endpoints, member_loop, owner, placement_loop, reservations};
 use crate::kernel::clock::SystemClock;
+use crate::log_service::{self, Platform};
 use crate::peer::generated::peer_server::PeerServer;
 use crate::peer::server::PeerService;
-use crate::platform::{self, Platform};
 use crate::settings::Settings;
 use crate::standin::server::{Server, rocket_at, start, stop_all};
 use crate::{caller, operator};
@@ -42,7 +42,7 @@
 }
 
 /// The process's metrics; instances in one process share them.
-fn metrics_handle() -> anyhow::Result<PrometheusHandle> {
+pub(crate) fn metrics_handle() -> anyhow::Result<PrometheusHandle> {
     static HANDLE: Mutex<Option<PrometheusHandle>> = Mutex::new(None);
     let mut handle = HANDLE.lock();
     if let Some(installed) = handle.as_ref() {
@@ -62,7 +62,8 @@
     /// The settings are wrong or an address cannot be bound.
     pub async fn start(settings: Settings) -> anyhow::Result<Self> {
         settings.check()?;
-        let platform = platform::connect(&settings.platform.plugin, &settings.platform.addresses)?;
+        let platform =
+            log_service::connect(&settings.platform.plugin, &settings.platform.addresses)?;
         Self::start_with(settings, platform).await
     }
 
--- a/src/daemon/config_loop.rs
+++ b/src/daemon/config_loop.rs
@@ -14,9 +14,9 @@
 use crate::kernel::lease::Held;
 use crate::kernel::membership::rendezvous_weight;
 use crate::kernel::rules::Catalog;
+use crate::log_service::{CONFIG_STREAM, PlatformError};
 use crate::peer::client::within;
 use crate::peer::generated as wire;
-use crate::platform::{CONFIG_STREAM, PlatformError};
 use crate::settings::ms;
 
 /// Records kept for peers.
--- a/src/daemon/member_loop.rs
+++ b/src/daemon/member_loop.rs
@@ -11,10 +11,10 @@
 use super::config_loop;
 use super::node::Node;
 use crate::kernel::membership::{Incarnation, Listed, Peer, PeerStatus, Suspicion};
+use crate::log_service::ListedInstance;
 use crate::peer::client::within;
 use crate::peer::convert::BadField;
 use crate::peer::generated as wire;
-use crate::platform::ListedInstance;
 use crate::settings::ms;
 
 const BEAT_TIMEOUT: Duration = Duration::from_millis(800);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -21,8 +21,8 @@
 use crate::kernel::membership::{Incarnation, Members, PeerStatus};
 use crate::kernel::retry::RetryBudget;
 use crate::kernel::rules::Catalog;
+use crate::log_service::Platform;
 use crate::peer::client::PeerClients;
-use crate::platform::Platform;
 use crate::settings::{Settings, ms};
 
 /// Where the instance listens.
--- a/src/daemon/placement_loop.rs
+++ b/src/daemon/placement_loop.rs
@@ -20,7 +20,7 @@
 use crate::kernel::placement::{Assignment, DemandByModel, plan};
 use crate::kernel::policy::HeldModel;
 use crate::kernel::rules::Catalog;
-use crate::platform::CONFIG_STREAM;
+use crate::log_service::CONFIG_STREAM;
 use crate::settings::{Settings, ms};
 
 /// Reports of the last so many reads of the whole hall count for the plan.
--- a/src/error.rs
+++ b/src/error.rs
@@ -34,6 +34,8 @@
     NotFound,
     /// The body exceeds the limit.
     TooLarge,
+    /// The body stopped coming before its end.
+    BodyTimeout,
     /// An idempotency key came without a ticket.
     TicketRequired,
     /// The ticket is too old to be accepted and young enough to know that the request never ran.
@@ -56,6 +58,10 @@
     EndpointRefused,
     /// The connection to the endpoint broke after bytes were sent.
     EndpointLost,
+    /// The endpoint did not answer within the deadline; the request may have run.
+    AnswerTimeout,
+    /// The engines have no memory for the generation now.
+    NoRoom,
     /// The generation no longer exists and cannot be continued.
     GenerationLost,
     /// A fault of larkwick itself.
@@ -77,7 +83,7 @@
 
 impl ErrorKind {
     /// All kinds, for tables and tests.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::NotAllowed,
@@ -85,6 +91,7 @@
         Self::UnknownService,
         Self::NotFound,
         Self::TooLarge,
+        Self::BodyTimeout,
         Self::TicketRequired,
         Self::TicketStale,
         Self::TicketForgotten,
@@ -96,6 +103,8 @@
         Self::StandingDown,
         Self::EndpointRefused,
         Self::EndpointLost,
+        Self::AnswerTimeout,
+        Self::NoRoom,
         Self::GenerationLost,
         Self::Internal,
     ];
@@ -112,6 +121,7 @@
                 row(404, NotRun, None, false)
             }
             Self::TooLarge => row(413, NotRun, None, false),
+            Self::BodyTimeout => row(408, NotRun, None, false),
             Self::TicketStale => row(409, NotRun, Some(0), false),
             Self::TicketForgotten => row(409, Unknown, None, false),
             Self::OnceMemoryFull => row(429, NotRun, Some(30_000), false),
@@ -120,6 +130,8 @@
             Self::NoEndpoint | Self::StandingDown => row(503, NotRun, Some(2_000), false),
             Self::EndpointRefused => row(503, NotRun, Some(1_000), true),
             Self::InstanceGone | Self::EndpointLost => row(502, Unknown, None, false),
+            Self::AnswerTimeout => row(504, Unknown, None, false),
+            Self::NoRoom => row(503, NotRun, Some(1_000), false),
             Self::GenerationLost => row(502, RanPartly, None, false),
             Self::Internal => row(500, Unknown, None, false),
         }
--- /dev/null
+++ b/src/gateway/app.rs
@@ -0,0 +1,211 @@
+//! Starts an instance that serves routes, and stops it as planned.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use rand::RngExt;
+use spdlog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use super::listener::{self, Surface};
+use super::node::Gateway;
+use super::peers::SiteService;
+use super::settings::RoutingSettings;
+use super::site_store::{self, Subject};
+use super::{follow, heartbeat, operators};
+use crate::daemon::app::metrics_handle;
+use crate::kernel::clock::{SystemClock, millis};
+use crate::peer::generated::site_server::SiteServer;
+use crate::settings::Settings;
+use crate::standin::server::{Server, rocket_at, start, stop_all};
+
+/// How often old state is looked through.
+const TIDY_EVERY: Duration = Duration::from_millis(200);
+/// First pause before this instance's own entry is written again.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(300);
+/// Longest such pause.
+const ANNOUNCE_PAUSE_MAX: Duration = Duration::from_secs(2);
+/// After a request to stop, callers that still hold the address are answered for this many times its validity.
+const ADDRESS_HELD_TIMES: f64 = 1.5;
+/// Left of the time to stop when what is still in flight is cut.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// How often a stop looks whether everything has ended.
+const STOP_CHECK_EVERY: Duration = Duration::from_millis(50);
+
+/// A running instance that serves routes.
+pub struct GatewayApp {
+    gateway: Arc<Gateway>,
+    servers: Vec<Server>,
+    tasks: Vec<JoinHandle<()>>,
+    settings_file: Option<PathBuf>,
+}
+
+impl GatewayApp {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    /// The settings are wrong or an address cannot be bound.
+    pub async fn start(settings: Settings, settings_file: Option<&Path>) -> anyhow::Result<Self> {
+        settings.check()?;
+        let routing = settings
+            .routing
+            .clone()
+            .context("the settings have no \"routing\"")?;
+        let store = site_store::connect(&routing.store_plugin, routing.store_address)?;
+        let metrics = metrics_handle()?;
+        let clock = Arc::new(SystemClock::default());
+        let gateway = Arc::new(Gateway::new(settings, routing.clone(), store, clock));
+        let mut app = Self {
+            gateway: gateway.clone(),
+            servers: Vec::new(),
+            tasks: Vec::new(),
+            settings_file: settings_file.map(Path::to_owned),
+        };
+        let rocket = rocket_at(gateway.settings.operator_address)
+            .manage(gateway.clone())
+            .manage(metrics);
+        let operators = start(operators::mount(rocket)).await;
+        app.servers.push(operators.context("operator_address")?);
+        app.listen(&routing).await?;
+        app.spawn_loops();
+        info!("instance started", kv: {
+            instance = gateway.incarnation.name.as_str(),
+            incarnation: = gateway.incarnation.id,
+            hall = gateway.settings.hall.as_str(),
+        });
+        Ok(app)
+    }
+
+    async fn listen(&mut self, routing: &RoutingSettings) -> anyhow::Result<()> {
+        let gateway = &self.gateway;
+        let settings = &gateway.settings;
+        let peers = bind("peer_address", settings.peer_address).await?;
+        let service = SiteServer::new(SiteService::new(gateway.clone()));
+        let incoming = tokio_stream::wrappers::TcpListenerStream::new(peers);
+        self.tasks.push(tokio::spawn(async move {
+            let served = tonic::transport::Server::builder()
+                .tcp_nodelay(true)
+                .add_service(service)
+                .serve_with_incoming(incoming);
+            if let Err(error) = served.await {
+                spdlog::error!("peer server ended: {}", error);
+            }
+        }));
+        let surfaces = [
+            ("ready_address", routing.ready_address, Surface::Ready),
+            (
+                "directory_address",
+                routing.directory_address,
+                Surface::Directory,
+            ),
+            ("caller_address", settings.caller_address, Surface::Callers),
+        ];
+        for (field, address, surface) in surfaces {
+            let listener = bind(field, address).await?;
+            let run = listener::run(gateway.clone(), listener, surface);
+            self.tasks.push(tokio::spawn(run));
+        }
+        Ok(())
+    }
+
+    fn spawn_loops(&mut self) {
+        let gateway = &self.gateway;
+        let subjects = [Subject::Configuration, Subject::Endpoints, Subject::Members];
+        for subject in subjects {
+            let run = follow::run(gateway.clone(), subject);
+            self.tasks.push(tokio::spawn(run));
+        }
+        self.tasks
+            .push(tokio::spawn(heartbeat::run(gateway.clone())));
+        self.tasks.push(tokio::spawn(announce(gateway.clone())));
+        self.tasks.push(tokio::spawn(tidy(gateway.clone())));
+    }
+
+    /// Reads the settings file again and puts in force what can change in a running instance.
+    pub fn reload(&self) {
+        let Some(path) = &self.settings_file else {
+            return;
+        };
+        let read = Settings::read(path).map(|settings| settings.routing);
+        match read {
+            Ok(Some(routing)) => {
+                let changed = *self.gateway.routing.read() != routing;
+                *self.gateway.routing.write() = routing;
+                info!("settings read again", kv: { changed: });
+            }
+            Ok(None) => warn!("settings kept: the file has no \"routing\" any more"),
+            Err(error) => warn!("settings kept: {}", error),
+        }
+    }
+
+    /// Asked to stop: leaves the directory, answers what is in flight and what still comes, and ends within the time allowed.
+    pub async fn stop(self) {
+        let gateway = &self.gateway;
+        let begun = gateway.now();
+        info!("instance stopping", kv: { calls: = gateway.in_flight.calls() });
+        gateway.in_flight.leave();
+        heartbeat::beat_round(gateway);
+        let (held, within) = {
+            let routing = gateway.routing.read();
+            let held = routing.directory_valid().mul_f64(ADDRESS_HELD_TIMES);
+            (held, routing.stop_within().saturating_sub(STOP_MARGIN))
+        };
+        loop {
+            let age = gateway.now().saturating_sub(begun);
+            let idle = gateway.in_flight.calls() == 0;
+            if age >= within || (idle && age >= held.min(within)) {
+                break;
+            }
+            tokio::time::sleep(STOP_CHECK_EVERY).await;
+        }
+        let took_ms = millis(gateway.now().saturating_sub(begun));
+        info!("instance stopped", kv: { calls_cut: = gateway.in_flight.calls(), took_ms: });
+        self.abort().await;
+    }
+
+    /// Ends at once.
+    pub async fn abort(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        stop_all(self.servers).await;
+    }
+}
+
+async fn bind(field: &'static str, address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("{field} {address} cannot be bound"))
+}
+
+/// Writes this instance's own entry, until the store has taken it.
+async fn announce(gateway: Arc<Gateway>) {
+    let entry = gateway.member_entry();
+    let mut pause = ANNOUNCE_PAUSE;
+    while let Err(error) = gateway.store.announce(&entry).await {
+        warn!("own entry not written", kv: { why: = error });
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        pause = (pause * 2).min(ANNOUNCE_PAUSE_MAX);
+    }
+}
+
+async fn tidy(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(TIDY_EVERY).await;
+        let changes = gateway.fleet.lock().settle(gateway.now());
+        follow::tell_changes(&changes);
+        let known: std::collections::HashSet<String> = {
+            let fleet = gateway.fleet.lock();
+            fleet.all().map(|(entry, _)| entry.id.clone()).collect()
+        };
+        gateway.upstream.tidy(|endpoint| known.contains(endpoint));
+        gateway
+            .health
+            .lock()
+            .retain(|endpoint| known.contains(endpoint));
+    }
+}
--- /dev/null
+++ b/src/gateway/caller.rs
@@ -0,0 +1,208 @@
+//! From a caller's request to its answer: head, route, key, body, then the way that fits the route.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use rand::RngExt;
+use spdlog::info;
+
+use super::call::CallHead;
+use super::listener::{AnswerBody, whole};
+use super::node::{Counted, Gateway, Stage};
+use super::{plain_call, relay};
+use crate::error::{Error, ErrorKind, Result};
+use crate::kernel::clock::millis;
+use crate::kernel::route::{CallKind, Route, RouteTable};
+use crate::platform::ingress;
+
+/// Longest wait for the next part of a body.
+const BODY_PAUSE_MAX: Duration = Duration::from_secs(5);
+
+/// A call on its way.
+pub(crate) struct Call {
+    pub(crate) gateway: Arc<Gateway>,
+    /// The configuration at its arrival, for its whole life.
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) head: CallHead,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    /// Service chosen for it.
+    pub(crate) service: String,
+    /// Name of the client account.
+    pub(crate) account: Option<String>,
+    /// 0 is served first.
+    pub(crate) priority: u8,
+    pub(crate) arrived: Duration,
+    /// When the caller, or the route, stops waiting.
+    pub(crate) deadline: Duration,
+    /// Keeps the instance from stopping.
+    pub(crate) counted: Counted,
+}
+
+impl Call {
+    /// What is left of the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_sub(self.gateway.now())
+    }
+
+    /// Time since its arrival.
+    pub(crate) fn age(&self) -> Duration {
+        self.gateway.now().saturating_sub(self.arrived)
+    }
+}
+
+impl Gateway {
+    /// The error for a call that comes before the configuration is known.
+    pub(crate) fn not_ready() -> Error {
+        Error::new(
+            ErrorKind::StandingDown,
+            "this instance knows no configuration yet; use another address or come back",
+        )
+        .with_retry_after(NOT_READY_RETRY_AFTER)
+    }
+}
+
+/// A start takes about this long once the store answers.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Answers a caller's request.
+pub(crate) async fn answer(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrived = gateway.now();
+    let stage = gateway.in_flight.stage();
+    let answered = match take(&gateway, request, arrived).await {
+        Ok(call) => match call.route.kind {
+            CallKind::Generation => relay::answer(call).await,
+            CallKind::Once | CallKind::Repeatable => plain_call::answer(call).await,
+        },
+        Err(refused) => {
+            tell_refused(&gateway, &refused, arrived);
+            ingress::refusal(&refused.error).map(whole)
+        }
+    };
+    let mut answered = answered;
+    if stage == Stage::Leaving {
+        let close = http::HeaderValue::from_static("close");
+        answered
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    answered
+}
+
+/// A call that was refused before it had a route.
+struct Refused {
+    request_id: String,
+    error: Error,
+}
+
+fn tell_refused(gateway: &Gateway, refused: &Refused, arrived: Duration) {
+    metrics::counter!("larkwick_calls_total", "outcome" => format!("{:?}", refused.error.kind))
+        .increment(1);
+    if crate::log::admits("call refused") {
+        info!("call refused", kv: {
+            request_id = refused.request_id.as_str(),
+            kind:? = refused.error.kind,
+            why = refused.error.message.as_str(),
+            config_version: = gateway.config_version(),
+            took_ms: = millis(gateway.now().saturating_sub(arrived)),
+        });
+    }
+}
+
+async fn take(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    arrived: Duration,
+) -> std::result::Result<Call, Refused> {
+    let (parts, body) = request.into_parts();
+    let counted = gateway.begin_call();
+    let head = ingress::decode_head(&parts).map_err(|error| Refused {
+        request_id: String::new(),
+        error,
+    })?;
+    let refused = |error| Refused {
+        request_id: head.request_id.clone(),
+        error,
+    };
+    let table = gateway
+        .table()
+        .ok_or_else(|| refused(Gateway::not_ready()))?;
+    let routed = route(&table, &head).map_err(refused)?;
+    let deadline = head.deadline.unwrap_or(routed.route.timeout);
+    let deadline = arrived + deadline.min(routed.route.timeout);
+    let body = read_body(body, table.config().limits.body_max_bytes)
+        .await
+        .map_err(refused)?;
+    Ok(Call {
+        gateway: gateway.clone(),
+        table,
+        head,
+        parts,
+        body,
+        service: routed.service,
+        account: routed.account,
+        priority: routed.priority,
+        route: routed.route,
+        arrived,
+        deadline,
+        counted,
+    })
+}
+
+/// Where a call goes and for whom.
+struct Routed {
+    route: Route,
+    service: String,
+    account: Option<String>,
+    priority: u8,
+}
+
+fn route(table: &RouteTable, head: &CallHead) -> Result<Routed> {
+    let route = table.find(&head.host, &head.path)?;
+    let account = table.authorize(route, head.key.as_deref())?;
+    let drawn = rand::rng().random_range(0.0..1.0);
+    Ok(Routed {
+        service: route.choose_service(drawn).to_owned(),
+        account: account.name().map(str::to_owned),
+        priority: account.priority(route),
+        route: route.clone(),
+    })
+}
+
+/// Reads a body whole: it may have to be sent again, and an endpoint never waits for a slow caller.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes> {
+    let too_large = || {
+        Error::new(
+            ErrorKind::TooLarge,
+            format!("the body exceeds {max_bytes} bytes"),
+        )
+    };
+    let told = body.size_hint().lower();
+    if told > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
+        return Err(too_large());
+    }
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(BODY_PAUSE_MAX, body.frame()).await;
+        let frame = frame.map_err(|_| Error::new(ErrorKind::BodyTimeout, "the body stopped"))?;
+        let Some(frame) = frame else { break };
+        let frame =
+            frame.map_err(|error| Error::new(ErrorKind::BadRequest, format!("body: {error}")))?;
+        if let Some(data) = frame.data_ref() {
+            whole.extend_from_slice(data);
+            if whole.len() > max_bytes {
+                return Err(too_large());
+            }
+        }
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,219 @@
+//! Keeps configuration, endpoints and members in step with the store: the newest records first, then whatever is added.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::RngExt;
+use spdlog::{info, warn};
+
+use super::node::Gateway;
+use super::site_store::{MemberEntry, SitePage, SiteRecord, StoreError, Subject};
+use crate::kernel::fleet::{EndpointEntry, FleetChange};
+use crate::kernel::membership::{Incarnation, Listed, PeerStatus};
+use crate::kernel::route::{RouteConfig, RouteTable};
+
+/// First pause after a failed call; doubles with each further one.
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+/// Longest pause between calls to a store that fails; well inside the two seconds in which entries come back.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// How long a read waits for news. A store that says nothing at all is noticed after this and the time-out of a call.
+const fn wait(subject: Subject) -> Duration {
+    match subject {
+        // Changes are rare, and must be in force within two seconds of the store's return.
+        Subject::Configuration => Duration::from_secs(4),
+        // Endpoints change every second anyway.
+        Subject::Endpoints => Duration::from_secs(3),
+        // Heartbeats tell of members sooner.
+        Subject::Members => Duration::from_secs(15),
+    }
+}
+
+/// Whether the store answers for a subject, and since when it does not.
+struct Contact {
+    subject: Subject,
+    lost_since: Option<Duration>,
+    pause: Duration,
+}
+
+impl Contact {
+    fn new(subject: Subject) -> Self {
+        Self {
+            subject,
+            lost_since: None,
+            pause: PAUSE_MIN,
+        }
+    }
+
+    fn answered(&mut self, gateway: &Gateway) {
+        self.pause = PAUSE_MIN;
+        let Some(since) = self.lost_since.take() else {
+            return;
+        };
+        let now = gateway.now();
+        let away_ms = now.saturating_sub(since).as_millis();
+        info!("store regained", kv: { subject = self.subject.name(), away_ms: });
+        if self.subject == Subject::Endpoints {
+            gateway.fleet.lock().regained(now);
+        }
+    }
+
+    async fn failed(&mut self, gateway: &Gateway, error: &StoreError) {
+        metrics::counter!("larkwick_store_failures_total").increment(1);
+        if self.lost_since.is_none() {
+            self.lost_since = Some(gateway.now());
+            warn!("store lost", kv: { subject = self.subject.name(), why: = error });
+        }
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.pause.mul_f64(jitter)).await;
+        self.pause = (self.pause * 2).min(PAUSE_MAX);
+    }
+}
+
+/// Follows a subject for the life of the instance.
+pub(crate) async fn run(gateway: Arc<Gateway>, subject: Subject) {
+    let mut contact = Contact::new(subject);
+    loop {
+        match gateway.store.newest(subject).await {
+            Ok(page) => {
+                contact.answered(&gateway);
+                let next_offset = page.next_offset;
+                take_newest(&gateway, subject, page);
+                follow_from(&gateway, &mut contact, next_offset).await;
+            }
+            Err(error) => contact.failed(&gateway, &error).await,
+        }
+    }
+}
+
+/// Reads on until records have expired or an answer cannot be read.
+async fn follow_from(gateway: &Gateway, contact: &mut Contact, mut from: u64) {
+    let subject = contact.subject;
+    loop {
+        // After a failure, an answer that waits for news would not show that the store is back.
+        let wait = if contact.lost_since.is_some() {
+            Duration::ZERO
+        } else {
+            wait(subject)
+        };
+        match gateway.store.read(subject, from, wait).await {
+            Ok(page) => {
+                contact.answered(gateway);
+                from = page.next_offset;
+                take_records(gateway, subject, page.records);
+            }
+            Err(error @ (StoreError::Expired { .. } | StoreError::Malformed(_))) => {
+                warn!("records cannot be followed; reading the newest", kv: {
+                    subject = subject.name(), from:, why: = error,
+                });
+                contact.failed(gateway, &error).await;
+                return;
+            }
+            Err(error) => contact.failed(gateway, &error).await,
+        }
+    }
+}
+
+fn take_newest(gateway: &Gateway, subject: Subject, page: SitePage) {
+    if subject != Subject::Endpoints {
+        take_records(gateway, subject, page.records);
+        return;
+    }
+    let mut entries = Vec::new();
+    for record in page.records {
+        match record {
+            SiteRecord::Endpoint(entry) => entries.push(entry),
+            other => take_other(gateway, other),
+        }
+    }
+    let changes = gateway.fleet.lock().take_whole(entries, gateway.now());
+    gateway.fleet_known.store(true, Ordering::Relaxed);
+    tell_changes(&changes);
+}
+
+fn take_records(gateway: &Gateway, subject: Subject, records: Vec<SiteRecord>) {
+    let mut entries: Vec<EndpointEntry> = Vec::new();
+    let mut vanished = Vec::new();
+    for record in records {
+        match record {
+            SiteRecord::Endpoint(entry) => {
+                vanished.retain(|id| *id != entry.id);
+                entries.push(entry);
+            }
+            SiteRecord::EndpointGone(id) => {
+                entries.retain(|entry| entry.id != id);
+                vanished.push(id);
+            }
+            other => take_other(gateway, other),
+        }
+    }
+    if subject == Subject::Endpoints {
+        let mut fleet = gateway.fleet.lock();
+        let changes = fleet.take(entries, &vanished, gateway.now());
+        drop(fleet);
+        tell_changes(&changes);
+    }
+}
+
+fn take_other(gateway: &Gateway, record: SiteRecord) {
+    match record {
+        SiteRecord::Configuration(config) => take_config(gateway, config, "store"),
+        SiteRecord::Member(entry) => take_member(gateway, entry),
+        SiteRecord::Unreadable { key, why } => {
+            warn!("record not read; what was known stays", kv: { key = key.as_str(), why = why.as_str() });
+        }
+        SiteRecord::Endpoint(_) | SiteRecord::EndpointGone(_) => {}
+    }
+}
+
+/// Puts a configuration in force, unless it is older.
+pub(crate) fn take_config(gateway: &Gateway, config: RouteConfig, source: &str) {
+    let version = config.version;
+    let before = gateway.config_version();
+    if gateway.put_in_force(RouteTable::new(config)) {
+        info!("configuration in force", kv: { version:, before:, source });
+    }
+}
+
+fn take_member(gateway: &Gateway, entry: MemberEntry) {
+    if entry.name == gateway.incarnation.name {
+        return;
+    }
+    let status = PeerStatus {
+        incarnation: Incarnation {
+            name: entry.name.clone(),
+            id: entry.incarnation,
+        },
+        hall: entry.hall.clone(),
+        caller_address: entry.caller_address.to_string(),
+        peer_address: entry.peer_address.to_string(),
+        operator_address: String::new(),
+        leaving: false,
+        ticket_epoch: 0,
+        config_next_offset: 0,
+    };
+    let now = gateway.now();
+    let own_name = &gateway.incarnation.name;
+    gateway
+        .members
+        .lock()
+        .listed(&[Listed { status }], own_name, now);
+    gateway
+        .member_entries
+        .lock()
+        .insert(entry.name.clone(), entry);
+}
+
+/// Logs what changed in the fleet.
+pub(crate) fn tell_changes(changes: &[FleetChange]) {
+    for change in changes {
+        let (what, entry) = match change {
+            FleetChange::Joined(entry) => ("endpoint joined", entry),
+            FleetChange::Left(entry) => ("endpoint leaving", entry),
+        };
+        info!("{}", what, kv: {
+            endpoint = entry.id.as_str(), service = entry.service.as_str(), address: = entry.address,
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/heartbeat.rs
@@ -0,0 +1,149 @@
+//! Heartbeats between instances: who lives, and who has a newer configuration.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use spdlog::{info, warn};
+
+use super::follow::take_config;
+use super::node::Gateway;
+use crate::kernel::membership::{Peer, PeerStatus, Suspicion};
+use crate::kernel::route::RouteConfig;
+use crate::peer::client::within;
+use crate::peer::convert::BadField;
+use crate::peer::generated as wire;
+use crate::settings::ms;
+
+/// Peers stand within milliseconds; a slow one gets this long.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Peers told in each round besides those watched; at a small site all are told.
+const FANOUT: usize = 2;
+
+/// What this instance tells its peers.
+pub(crate) fn own_beat(gateway: &Gateway) -> wire::Beat {
+    let suspicions = {
+        let mut members = gateway.members.lock();
+        members.suspicions(&gateway.incarnation, &gateway.settings.hall, gateway.now())
+    };
+    wire::Beat {
+        status: Some((&gateway.status()).into()),
+        departures: Vec::new(),
+        suspicions: suspicions.into_iter().map(wire::Suspicion::from).collect(),
+    }
+}
+
+/// Takes what a peer tells.
+pub(crate) fn take_beat(gateway: &Arc<Gateway>, beat: wire::Beat) -> Result<(), BadField> {
+    let status: PeerStatus = beat.status.ok_or(BadField("status"))?.try_into()?;
+    let suspicions: Vec<Suspicion> = beat.suspicions.into_iter().map(Suspicion::from).collect();
+    let newer = status.config_next_offset > gateway.config_version();
+    let address = status.peer_address.clone();
+    let name = status.incarnation.name.clone();
+    let now = gateway.now();
+    let was_live = is_live(gateway, &name);
+    {
+        let mut members = gateway.members.lock();
+        members.heard(status, now);
+        members.take_suspicions(&suspicions, now);
+    }
+    if !was_live && is_live(gateway, &name) {
+        info!("member lives", kv: { member = name.as_str() });
+    }
+    if newer {
+        let gateway = gateway.clone();
+        tokio::spawn(async move { fetch_config(&gateway, &address).await });
+    }
+    Ok(())
+}
+
+fn is_live(gateway: &Gateway, name: &str) -> bool {
+    let members = gateway.members.lock();
+    let mut live = members.live(&gateway.settings.hall, gateway.now());
+    live.any(|peer| peer.status.incarnation.name == name)
+}
+
+/// Takes a newer configuration from a peer: this instance may be cut off from the store.
+async fn fetch_config(gateway: &Gateway, address: &str) {
+    let Ok(mut client) = gateway.peers.site_at(address) else {
+        return;
+    };
+    let request = wire::FetchSiteRequest {
+        config_version: gateway.config_version(),
+        endpoints: false,
+    };
+    match within(CALL_TIMEOUT, client.fetch_site(request)).await {
+        Ok(reply) if reply.config.is_empty() => {}
+        Ok(reply) => match serde_json::from_str::<RouteConfig>(&reply.config) {
+            Ok(config) => take_config(gateway, config, "peer"),
+            Err(error) => warn!("configuration of a peer not read", kv: { why: = error }),
+        },
+        Err(status) => {
+            warn!("configuration not taken from peer", kv: { why = status.message() });
+        }
+    }
+}
+
+/// Answers a peer that asks for the configuration.
+pub(crate) fn give_site(
+    gateway: &Gateway,
+    request: &wire::FetchSiteRequest,
+) -> wire::FetchSiteReply {
+    let table = gateway.table();
+    let newer = table.filter(|table| table.version() > request.config_version);
+    let config = newer.and_then(|table| serde_json::to_string(table.config()).ok());
+    wire::FetchSiteReply {
+        config: config.unwrap_or_default(),
+        endpoints: String::new(),
+    }
+}
+
+async fn beat(gateway: Arc<Gateway>, address: String) {
+    let Ok(mut client) = gateway.peers.site_at(&address) else {
+        return;
+    };
+    // A peer that does not answer shows by its silence.
+    if let Ok(reply) = within(CALL_TIMEOUT, client.heartbeat(own_beat(&gateway))).await
+        && let Err(bad) = take_beat(&gateway, reply)
+    {
+        warn!("heartbeat not read: {}", bad);
+    }
+}
+
+/// Peer addresses to tell in one round: all of a small site; else the watched ones and a random few of the hall.
+fn told(gateway: &Gateway) -> Vec<String> {
+    let members = gateway.members.lock();
+    let address = |peer: &Peer| peer.status.peer_address.clone();
+    if members.is_small_site() {
+        return members.all().map(address).collect();
+    }
+    let hall = &gateway.settings.hall;
+    let watched = members.watched(&gateway.incarnation.name, hall);
+    let watched = watched.iter().filter_map(|name| members.get(name));
+    let in_hall = members.all().filter(|peer| peer.status.hall == *hall);
+    let others = in_hall.sample(&mut rand::rng(), FANOUT);
+    watched.chain(others).map(address).collect()
+}
+
+/// Sends heartbeats now.
+pub(crate) fn beat_round(gateway: &Arc<Gateway>) {
+    for address in told(gateway) {
+        tokio::spawn(beat(gateway.clone(), address));
+    }
+    let known: BTreeSet<String> = {
+        let members = gateway.members.lock();
+        let all = members.all();
+        all.map(|peer| peer.status.peer_address.clone()).collect()
+    };
+    gateway.peers.retain(|address| known.contains(address));
+}
+
+/// Sends heartbeats for the life of the instance.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let every = ms(gateway.settings.times.heartbeat_ms);
+    loop {
+        beat_round(&gateway);
+        tokio::time::sleep(every).await;
+    }
+}
--- /dev/null
+++ b/src/gateway/listener.rs
@@ -0,0 +1,157 @@
+//! Connections of callers and of the platform's questions: hyper, since rocket hides the connection.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use spdlog::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::caller;
+use super::node::{Gateway, Stage};
+use super::upstream::notice_dead_peers;
+use crate::kernel::route::CallLimits;
+use crate::platform::{directory, ingress, names};
+
+/// Body of an answer; an error closes the connection, so that the answer does not look complete.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, BodyBroken>;
+
+/// Open connections of callers; most of an instance's descriptors, the rest is for endpoints and peers.
+const CONNECTIONS_MAX: usize = 2_600;
+/// After a failure to accept, most likely for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Read buffer of a connection; larger than any head that the limits allow.
+const BUFFER_MAX_BYTES: usize = 64 << 10;
+
+/// The rest of an answer will not come.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("the answer broke off: {0}")]
+pub(crate) struct BodyBroken(pub(crate) String);
+
+/// What a listener serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Surface {
+    /// Calls.
+    Callers,
+    /// Whether this instance takes callers.
+    Ready,
+    /// Where to connect.
+    Directory,
+}
+
+/// Accepts connections for the life of the instance.
+pub(crate) async fn run(gateway: Arc<Gateway>, listener: TcpListener, surface: Surface) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if gateway.in_flight.connections() >= CONNECTIONS_MAX => {
+                warn!("connection refused: {} are open", CONNECTIONS_MAX);
+                drop(stream);
+            }
+            Ok((stream, _)) => {
+                tokio::spawn(serve(gateway.clone(), stream, surface));
+            }
+            Err(error) => {
+                warn!("connection not accepted", kv: { why: = error });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, surface: Surface) {
+    let _open = gateway.begin_connection();
+    if let Err(error) = notice_dead_peers(&stream) {
+        debug!("connection closed before its first request", kv: { why: = error });
+        return;
+    }
+    let limits = gateway
+        .table()
+        .map_or_else(CallLimits::default, |table| table.config().limits);
+    let mut stage = gateway.in_flight.watch_stage();
+    let service = service_fn(|request| answer(gateway.clone(), request, surface));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // Also ends connections at rest, so it is the longer of the two times.
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        .max_buf_size(BUFFER_MAX_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = left(&mut stage) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!("caller's connection ended", kv: { why: = error });
+    }
+}
+
+/// Ends when the instance was asked to stop.
+async fn left(stage: &mut tokio::sync::watch::Receiver<Stage>) {
+    // The sender lives as long as the instance.
+    let _ = stage.wait_for(|stage| *stage == Stage::Leaving).await;
+}
+
+async fn answer(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    surface: Surface,
+) -> Result<Response<AnswerBody>, Infallible> {
+    Ok(match surface {
+        Surface::Callers => caller::answer(gateway, request).await,
+        Surface::Ready => ready(&gateway, &request),
+        Surface::Directory => addresses(&gateway, &request),
+    })
+}
+
+/// A body that is at hand.
+pub(crate) fn whole(body: Bytes) -> AnswerBody {
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn status_only(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn ready(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.method() != Method::GET || request.uri().path() != names::READY_PATH {
+        return status_only(StatusCode::NOT_FOUND);
+    }
+    status_only(if gateway.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+fn addresses(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.method() != Method::GET || request.uri().path() != names::RESOLVE_PATH {
+        return status_only(StatusCode::NOT_FOUND);
+    }
+    let mut addresses = gateway.caller_addresses();
+    if addresses.is_empty() {
+        return ingress::refusal(&Gateway::not_ready()).map(whole);
+    }
+    addresses.truncate(directory::ADDRESSES_MAX);
+    let valid = gateway.routing.read().directory_valid();
+    let mut response = Response::new(whole(directory::encode(&addresses, valid)));
+    response.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    response
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,31 @@
+//! Serves the routes of a site: calls are passed to the endpoints of their service, unchanged but for what larkwick sets.
+//!
+//! | file | subject |
+//! |---|---|
+//! | `app` | starts an instance and stops it as planned |
+//! | `node` | the state of an instance, in shards |
+//! | `settings` | what the settings file says of routing |
+//! | `site_store` | the platform's store, as a trait with plug-ins |
+//! | `follow` | keeps configuration, endpoints and members in step with the store |
+//! | `heartbeat` | which members live |
+//! | `listener` | connections of callers |
+//! | `caller` | from a caller's request to its answer |
+//! | `plain_call` | calls with one answer |
+//! | `generation`, `relay` | generations: placed, then passed on event by event, also when they move |
+//! | `upstream` | connections to endpoints |
+//! | `coordinator` | the owner of a service's engines and how entries reach it |
+
+pub mod app;
+pub mod call;
+pub(crate) mod caller;
+pub(crate) mod follow;
+pub(crate) mod heartbeat;
+pub(crate) mod listener;
+pub(crate) mod node;
+pub(crate) mod operators;
+pub(crate) mod peers;
+pub(crate) mod plain_call;
+pub(crate) mod relay;
+pub mod settings;
+pub mod site_store;
+pub(crate) mod upstream;
--- /dev/null
+++ b/src/gateway/node.rs
@@ -0,0 +1,280 @@
+//! The state of an instance that serves routes, in shards each under its own lock.
+//!
+//! No lock is held across an await or while another is taken.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use serde::Serialize;
+use tokio::sync::watch;
+use uuid::Uuid;
+
+use super::settings::RoutingSettings;
+use super::site_store::{MemberEntry, SiteStore};
+use super::upstream::{Upstream, open_max};
+use crate::error::{Error, ErrorKind};
+use crate::kernel::clock::Clock;
+use crate::kernel::fleet::Fleet;
+use crate::kernel::health::EndpointHealth;
+use crate::kernel::membership::{Incarnation, Members, PeerStatus};
+use crate::kernel::retry::{RetryAllowance, RetryBudget};
+use crate::kernel::route::RouteTable;
+use crate::peer::client::PeerClients;
+use crate::settings::Settings;
+
+/// How far an instance is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Stage {
+    /// Takes callers once it knows configuration and endpoints.
+    Serving,
+    /// Asked to stop: not named to callers any more, answers whoever still comes.
+    Leaving,
+}
+
+/// Calls and connections in flight.
+pub(crate) struct InFlight {
+    calls: AtomicUsize,
+    connections: AtomicUsize,
+    stage: watch::Sender<Stage>,
+}
+
+/// Counts something in flight for as long as it lives.
+pub(crate) struct Counted {
+    gateway: Arc<Gateway>,
+    what: fn(&InFlight) -> &AtomicUsize,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let counter = (self.what)(&self.gateway.in_flight);
+        counter.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl InFlight {
+    fn new() -> Self {
+        Self {
+            calls: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+            stage: watch::Sender::new(Stage::Serving),
+        }
+    }
+
+    /// Calls in flight.
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Open connections of callers.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// The stage.
+    pub(crate) fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Follows the stage.
+    pub(crate) fn watch_stage(&self) -> watch::Receiver<Stage> {
+        self.stage.subscribe()
+    }
+
+    /// The instance was asked to stop; there is no way back.
+    pub(crate) fn leave(&self) {
+        self.stage.send_replace(Stage::Leaving);
+    }
+}
+
+/// An instance that serves routes.
+pub(crate) struct Gateway {
+    pub(crate) settings: Settings,
+    pub(crate) routing: RwLock<RoutingSettings>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) store: Arc<dyn SiteStore>,
+    table: RwLock<Option<Arc<RouteTable>>>,
+    pub(crate) fleet: Mutex<Fleet>,
+    /// Whether the list of endpoints was read once.
+    pub(crate) fleet_known: std::sync::atomic::AtomicBool,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) member_entries: Mutex<HashMap<String, MemberEntry>>,
+    pub(crate) health: Mutex<EndpointHealth>,
+    retries: Mutex<HashMap<String, RetryBudget>>,
+    pub(crate) upstream: Upstream,
+    pub(crate) peers: PeerClients,
+    pub(crate) in_flight: InFlight,
+}
+
+impl Gateway {
+    /// An instance that has heard of nothing yet.
+    pub(crate) fn new(
+        settings: Settings,
+        routing: RoutingSettings,
+        store: Arc<dyn SiteStore>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let incarnation = Incarnation {
+            name: settings.instance.clone(),
+            id: Uuid::new_v4(),
+        };
+        Self {
+            upstream: Upstream::new(clock.clone()),
+            routing: RwLock::new(routing),
+            settings,
+            clock,
+            incarnation,
+            store,
+            table: RwLock::default(),
+            fleet: Mutex::default(),
+            fleet_known: std::sync::atomic::AtomicBool::new(false),
+            members: Mutex::default(),
+            member_entries: Mutex::default(),
+            health: Mutex::default(),
+            retries: Mutex::default(),
+            peers: PeerClients::default(),
+            in_flight: InFlight::new(),
+        }
+    }
+
+    /// Time on this instance's clock.
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The configuration in force here, once one is known.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().clone()
+    }
+
+    /// Puts a configuration in force, unless one as new is in force already.
+    pub(crate) fn put_in_force(&self, newer: RouteTable) -> bool {
+        let mut table = self.table.write();
+        let known = table.as_ref().map(|table| table.version());
+        if known.is_some_and(|known| known >= newer.version()) {
+            return false;
+        }
+        *table = Some(Arc::new(newer));
+        true
+    }
+
+    /// Version of the configuration in force; 0 where none is known.
+    pub(crate) fn config_version(&self) -> u64 {
+        let table = self.table.read();
+        table.as_ref().map_or(0, |table| table.version())
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.in_flight.stage() == Stage::Serving
+            && self.table.read().is_some()
+            && self.fleet_known.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call as in flight.
+    pub(crate) fn begin_call(self: &Arc<Self>) -> Counted {
+        self.count(|in_flight| &in_flight.calls)
+    }
+
+    /// Counts a caller's connection as open.
+    pub(crate) fn begin_connection(self: &Arc<Self>) -> Counted {
+        self.count(|in_flight| &in_flight.connections)
+    }
+
+    fn count(self: &Arc<Self>, what: fn(&InFlight) -> &AtomicUsize) -> Counted {
+        what(&self.in_flight).fetch_add(1, Ordering::Relaxed);
+        Counted {
+            gateway: self.clone(),
+            what,
+        }
+    }
+
+    /// Instances that share the site's allowances, this one included.
+    pub(crate) fn instances(&self) -> usize {
+        1 + self.members.lock().all().count()
+    }
+
+    /// Connections that this instance may hold to an endpoint of a service.
+    pub(crate) fn connections_max(&self, table: &RouteTable, service: &str) -> usize {
+        let allowed = table
+            .service(service)
+            .map_or(u32::MAX, |service| service.connections_max);
+        open_max(allowed, self.instances())
+    }
+
+    /// Counts a first send to a service.
+    pub(crate) fn count_first_send(&self, service: &str) {
+        self.with_budget(service, RetryBudget::first_try);
+    }
+
+    /// Takes a repeat from the budget of a service.
+    pub(crate) fn take_retry(&self, service: &str) -> bool {
+        let taken = self.with_budget(service, RetryBudget::take_retry);
+        metrics::counter!("larkwick_retries_total", "allowed" => taken.to_string()).increment(1);
+        taken
+    }
+
+    fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let instances = self.instances();
+        let allowance = {
+            let routing = self.routing.read();
+            RetryAllowance {
+                share: routing.retry_share,
+                slack: routing.retry_slack,
+            }
+        };
+        let mut retries = self.retries.lock();
+        let budget = retries
+            .entry(service.to_owned())
+            .or_insert_with(|| allowance.budget_of_one(instances));
+        change(budget)
+    }
+
+    /// What this instance says about itself.
+    pub(crate) fn status(&self) -> PeerStatus {
+        PeerStatus {
+            incarnation: self.incarnation.clone(),
+            hall: self.settings.hall.clone(),
+            caller_address: self.settings.caller_address.to_string(),
+            peer_address: self.settings.peer_address.to_string(),
+            operator_address: self.settings.operator_address.to_string(),
+            leaving: self.in_flight.stage() == Stage::Leaving,
+            ticket_epoch: 0,
+            config_next_offset: self.config_version(),
+        }
+    }
+
+    /// What this instance writes to the store about itself.
+    pub(crate) fn member_entry(&self) -> MemberEntry {
+        MemberEntry {
+            name: self.incarnation.name.clone(),
+            incarnation: self.incarnation.id,
+            hall: self.settings.hall.clone(),
+            caller_address: self.settings.caller_address,
+            peer_address: self.settings.peer_address,
+            processor_cores: self.routing.read().processor_cores,
+        }
+    }
+
+    /// Addresses for callers: those of the members that live, this one first while it takes callers.
+    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let own = self.is_ready().then_some(self.settings.caller_address);
+        let members = self.members.lock();
+        let live = members.live(&self.settings.hall, self.now());
+        let others = live.filter_map(|peer| peer.status.caller_address.parse().ok());
+        own.into_iter().chain(others).collect()
+    }
+
+    /// The error for a call that no endpoint can take now.
+    pub(crate) fn no_endpoint(service: &str) -> Error {
+        Error::new(
+            ErrorKind::NoEndpoint,
+            format!("no endpoint of service {service} takes work; come back later"),
+        )
+    }
+}
--- /dev/null
+++ b/src/gateway/operators.rs
@@ -0,0 +1,99 @@
+//! What operators see of an instance that serves routes: its state and its metrics.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use rocket::serde::json::Json;
+use rocket::{Build, Rocket, State, get, routes};
+use serde::Serialize;
+
+use super::node::{Gateway, Stage};
+use crate::kernel::clock::millis;
+use crate::kernel::fleet::{EndpointEntry, Standing};
+use crate::kernel::membership::PeerStatus;
+
+/// Adds the operators' routes.
+pub(crate) fn mount(rocket: Rocket<Build>) -> Rocket<Build> {
+    rocket.mount("/", routes![state, metrics])
+}
+
+#[derive(Serialize)]
+struct Dump {
+    instance: String,
+    incarnation: String,
+    hall: String,
+    stage: Stage,
+    ready: bool,
+    config_version: u64,
+    calls: usize,
+    connections: usize,
+    addresses_given: Vec<SocketAddr>,
+    members: Vec<MemberDump>,
+    endpoints: BTreeMap<String, EndpointDump>,
+}
+
+#[derive(Serialize)]
+struct MemberDump {
+    status: PeerStatus,
+    last_heard_ms_ago: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct EndpointDump {
+    entry: EndpointEntry,
+    standing: Standing,
+    failures_share: f64,
+}
+
+#[get("/debug/state")]
+fn state(gateway: &State<Arc<Gateway>>) -> Json<Dump> {
+    let now = gateway.now();
+    let members = {
+        let members = gateway.members.lock();
+        let dumped = members.all().map(|peer| MemberDump {
+            status: peer.status.clone(),
+            last_heard_ms_ago: peer.last_heard.map(|at| millis(now.saturating_sub(at))),
+        });
+        dumped.collect()
+    };
+    let fleet: Vec<(EndpointEntry, Standing)> = {
+        let fleet = gateway.fleet.lock();
+        let all = fleet.all();
+        all.map(|(entry, standing)| (entry.clone(), standing))
+            .collect()
+    };
+    let endpoints = {
+        let health = gateway.health.lock();
+        let dumped = fleet.into_iter().map(|(entry, standing)| {
+            let failures_share = health.failures(&entry.id, now);
+            let id = entry.id.clone();
+            let dump = EndpointDump {
+                entry,
+                standing,
+                failures_share,
+            };
+            (id, dump)
+        });
+        dumped.collect()
+    };
+    Json(Dump {
+        instance: gateway.incarnation.name.clone(),
+        incarnation: gateway.incarnation.id.to_string(),
+        hall: gateway.settings.hall.clone(),
+        stage: gateway.in_flight.stage(),
+        ready: gateway.is_ready(),
+        config_version: gateway.config_version(),
+        calls: gateway.in_flight.calls(),
+        connections: gateway.in_flight.connections(),
+        addresses_given: gateway.caller_addresses(),
+        members,
+        endpoints,
+    })
+}
+
+#[get("/metrics")]
+fn metrics(handle: &State<PrometheusHandle>) -> String {
+    handle.render()
+}
--- /dev/null
+++ b/src/gateway/plain_call.rs
@@ -0,0 +1,320 @@
+//! Calls with one answer: sent to an endpoint that fares well, and sent again only where nothing can run twice by it.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::response::Parts;
+use http_body_util::{BodyExt, Limited};
+use rand::RngExt;
+use spdlog::info;
+
+use super::call::SendHead;
+use super::caller::Call;
+use super::listener::{AnswerBody, whole};
+use super::node::Gateway;
+use super::upstream::{Answer, SendFailure};
+use crate::error::{Error, ErrorKind};
+use crate::kernel::clock::millis;
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::route::CallKind;
+use crate::platform::{engine, ingress};
+
+/// Largest answer that is held whole before it is passed on.
+const ANSWER_MAX_BYTES: usize = 4 << 20;
+/// Sends of one call, those that endpoints refused included.
+const SENDS_MAX: u32 = 4;
+/// An attempt that may be repeated is given up after this share of the goal, so that the repeat can still meet it.
+const ATTEMPT_GOAL_SHARE: f64 = 0.55;
+/// Below this much time left, nothing new is sent.
+const TIME_LEFT_MIN: Duration = Duration::from_millis(3);
+
+/// A whole answer of an endpoint.
+pub(crate) struct WholeAnswer {
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    Answered(WholeAnswer),
+    /// The endpoint says that it did not run the request, or nothing was sent.
+    NotRun(String),
+    /// Sent, and not known whether it ran.
+    MayHaveRun(String),
+    /// Sent, and no answer in the time given.
+    TimedOut,
+}
+
+/// What became of the attempts so far.
+#[derive(Default)]
+struct Attempts {
+    /// Requests that left this instance, refused ones included.
+    sends: u32,
+    /// Endpoints that may have run it.
+    may_have_run: u32,
+    tried: HashSet<String>,
+    /// A failure that an endpoint answered with, kept in case no other attempt does better.
+    failure_answer: Option<WholeAnswer>,
+    timed_out: bool,
+    last_reason: String,
+}
+
+/// Answers a call.
+pub(crate) async fn answer(call: Call) -> Response<AnswerBody> {
+    let mut attempts = Attempts::default();
+    call.gateway.count_first_send(&call.service);
+    let answered = run(&call, &mut attempts).await;
+    let took_ms = millis(call.age());
+    let (response, outcome) = match answered {
+        Ok(answer) => {
+            let status = answer.parts.status.as_u16();
+            (deliver(answer), format!("answered {status}"))
+        }
+        Err(error) => {
+            let response = ingress::refusal(&error).map(whole);
+            (response, format!("{:?}", error.kind))
+        }
+    };
+    metrics::counter!("larkwick_calls_total", "outcome" => outcome.clone()).increment(1);
+    metrics::histogram!("larkwick_call_seconds").record(call.age().as_secs_f64());
+    if crate::log::admits("call ended") {
+        info!("call ended", kv: {
+            request_id = call.head.request_id.as_str(),
+            route = call.route.name.as_str(),
+            config_version: = call.table.version(),
+            outcome = outcome.as_str(),
+            sends: = attempts.sends,
+            tried:? = attempts.tried,
+            last_reason = attempts.last_reason.as_str(),
+            took_ms:,
+        });
+    }
+    response
+}
+
+fn deliver(answer: WholeAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(answer.body));
+    *response.status_mut() = answer.parts.status;
+    *response.headers_mut() = engine::answer_headers(&answer.parts);
+    response
+}
+
+async fn run(call: &Call, attempts: &mut Attempts) -> Result<WholeAnswer, Error> {
+    let repeatable = call.route.kind == CallKind::Repeatable;
+    loop {
+        let Some(endpoint) = choose(call, &attempts.tried) else {
+            break;
+        };
+        let is_repeat = attempts.sends > 0;
+        if is_repeat && !call.gateway.take_retry(&call.service) {
+            "retry budget spent".clone_into(&mut attempts.last_reason);
+            break;
+        }
+        attempts.tried.insert(endpoint.id.clone());
+        let attempt = attempt(call, &endpoint, attempts).await;
+        note_health(&call.gateway, &endpoint, &attempt);
+        match attempt {
+            Attempt::Answered(answer) => {
+                let failed = answer.parts.status.is_server_error();
+                if !(failed && repeatable && may_repeat(call, attempts)) {
+                    return Ok(answer);
+                }
+                attempts.last_reason = format!("endpoint answered {}", answer.parts.status);
+                attempts.failure_answer = Some(answer);
+            }
+            Attempt::NotRun(why) => attempts.last_reason = why,
+            Attempt::MayHaveRun(why) => {
+                attempts.last_reason = why;
+                if !repeatable {
+                    break;
+                }
+            }
+            Attempt::TimedOut => {
+                "no answer in time".clone_into(&mut attempts.last_reason);
+                attempts.timed_out = true;
+                if !repeatable {
+                    break;
+                }
+            }
+        }
+        let out_of_runs = attempts.may_have_run >= call.route.attempts_max;
+        if out_of_runs || attempts.sends >= SENDS_MAX || call.time_left() < TIME_LEFT_MIN {
+            break;
+        }
+    }
+    match attempts.failure_answer.take() {
+        Some(answer) => Ok(answer),
+        None => Err(failure(call, attempts)),
+    }
+}
+
+fn may_repeat(call: &Call, attempts: &Attempts) -> bool {
+    attempts.may_have_run < call.route.attempts_max
+        && attempts.sends < SENDS_MAX
+        && call.age() < call.route.goal
+}
+
+/// The error that tells the truth about all attempts.
+fn failure(call: &Call, attempts: &Attempts) -> Error {
+    let reason = &attempts.last_reason;
+    if attempts.may_have_run > 0 {
+        let kind = if attempts.timed_out {
+            ErrorKind::AnswerTimeout
+        } else {
+            ErrorKind::EndpointLost
+        };
+        return Error::new(
+            kind,
+            format!("service {}: {reason}; it may have run", call.service),
+        );
+    }
+    if attempts.tried.is_empty() {
+        return Gateway::no_endpoint(&call.service).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
+    }
+    Error::new(
+        ErrorKind::EndpointRefused,
+        format!("service {}: {reason}; not run", call.service),
+    )
+    .with_retry_after(REFUSED_RETRY_AFTER)
+}
+
+/// Endpoints that left are replaced within seconds.
+const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// A full endpoint has a free slot again after a few calls' time.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Draws an endpoint that was not tried, by weight; where all were tried, none.
+fn choose(call: &Call, tried: &HashSet<String>) -> Option<EndpointEntry> {
+    let gateway = &call.gateway;
+    let candidates: Vec<EndpointEntry> = {
+        let fleet = gateway.fleet.lock();
+        let ready = fleet.ready(&call.service);
+        ready
+            .filter(|entry| !tried.contains(&entry.id))
+            .cloned()
+            .collect()
+    };
+    let now = gateway.now();
+    let weights: Vec<f64> = {
+        let health = gateway.health.lock();
+        let weight = |entry: &EndpointEntry| health.weight(&entry.id, entry.slots, now);
+        candidates.iter().map(weight).collect()
+    };
+    let total: f64 = weights.iter().sum();
+    let mut left = rand::rng().random_range(0.0..1.0) * total;
+    for (candidate, weight) in candidates.iter().zip(weights) {
+        left -= weight;
+        if left < 0.0 {
+            return Some(candidate.clone());
+        }
+    }
+    candidates.into_iter().next_back()
+}
+
+fn note_health(gateway: &Gateway, endpoint: &EndpointEntry, attempt: &Attempt) {
+    let failed = match attempt {
+        // An endpoint's own failures say little: some calls fail everywhere.
+        Attempt::Answered(answer) if answer.parts.status.is_server_error() => None,
+        Attempt::Answered(_) => Some(false),
+        Attempt::NotRun(_) | Attempt::MayHaveRun(_) | Attempt::TimedOut => Some(true),
+    };
+    let now = gateway.now();
+    gateway.health.lock().end(&endpoint.id, failed, now);
+}
+
+async fn attempt(call: &Call, endpoint: &EndpointEntry, attempts: &mut Attempts) -> Attempt {
+    let gateway = &call.gateway;
+    gateway.health.lock().begin(&endpoint.id);
+    let open_max = gateway.connections_max(&call.table, &call.service);
+    let connection = match gateway.upstream.connection(endpoint, open_max).await {
+        Ok(connection) => connection,
+        Err(none) => return Attempt::NotRun(none.to_string()),
+    };
+    // News of a departure may have come since the choice.
+    if !gateway.fleet.lock().takes_work(&endpoint.id) {
+        return Attempt::NotRun("the endpoint is leaving".to_owned());
+    }
+    let send = SendHead {
+        endpoint_id: &endpoint.id,
+        time_left: call.time_left(),
+        account: call.account.as_deref(),
+        priority: None,
+        backup_at: None,
+        continue_from: None,
+    };
+    let request = match engine::forward(&call.parts, call.body.clone(), &send) {
+        Ok(request) => request,
+        Err(error) => return Attempt::NotRun(error.to_string()),
+    };
+    attempts.sends += 1;
+    let patience = patience(call, attempts);
+    let answered = tokio::time::timeout(patience, async {
+        let answer = connection.send(request).await?;
+        read_whole(gateway, &call.head.request_id, answer).await
+    });
+    let attempt = match answered.await {
+        Ok(Ok(attempt)) => attempt,
+        Ok(Err(SendFailure::Unsent(why))) => Attempt::NotRun(why),
+        Ok(Err(SendFailure::MayHaveRun(why))) => Attempt::MayHaveRun(why),
+        Err(_) => Attempt::TimedOut,
+    };
+    if !matches!(attempt, Attempt::NotRun(_)) {
+        attempts.may_have_run += 1;
+    }
+    attempt
+}
+
+/// How long this attempt may take: all that is left, unless another one can follow in time.
+fn patience(call: &Call, attempts: &Attempts) -> Duration {
+    let left = call.time_left();
+    let another = call.route.kind == CallKind::Repeatable
+        && attempts.may_have_run + 1 < call.route.attempts_max;
+    if another {
+        left.min(call.route.goal.mul_f64(ATTEMPT_GOAL_SHARE))
+    } else {
+        left
+    }
+}
+
+/// Reads an answer to its end and looks whether it is the answer to this request.
+async fn read_whole(
+    gateway: &Gateway,
+    request_id: &str,
+    answer: Answer,
+) -> Result<Attempt, SendFailure> {
+    let Answer {
+        parts,
+        head,
+        body,
+        connection,
+    } = answer;
+    if head
+        .request_id
+        .as_deref()
+        .is_some_and(|id| id != request_id)
+    {
+        let why = "the answer belongs to another request".to_owned();
+        return Err(SendFailure::MayHaveRun(why));
+    }
+    let collected = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
+    let body = collected
+        .map_err(|error| SendFailure::MayHaveRun(format!("the answer broke off: {error}")))?;
+    gateway.upstream.give_back(connection, &head);
+    if head.not_run {
+        return Ok(Attempt::NotRun(format!(
+            "endpoint refused: {}",
+            head.status
+        )));
+    }
+    let is_success = parts.status.is_success();
+    if is_success && (!head.sealed || head.encoded || head.request_id.is_none()) {
+        let why = "the answer is not the endpoint's own".to_owned();
+        return Err(SendFailure::MayHaveRun(why));
+    }
+    Ok(Attempt::Answered(WholeAnswer {
+        parts,
+        body: body.to_bytes(),
+    }))
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,80 @@
+//! What the settings file says of routing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::site_store;
+use crate::settings::{SettingsFault, ms};
+
+/// Settings of an instance that serves the routes of a site.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RoutingSettings {
+    /// Where the platform asks whether this instance takes callers.
+    pub ready_address: SocketAddr,
+    /// Where callers ask which addresses to use.
+    pub directory_address: SocketAddr,
+    /// Plug-in that reaches the store.
+    #[serde(default = "default_store_plugin")]
+    pub store_plugin: String,
+    /// The store.
+    pub store_address: SocketAddr,
+    /// Processor share of this instance, in cores.
+    pub processor_cores: f64,
+    /// How long callers may keep the answer of the directory.
+    pub directory_valid_ms: u64,
+    /// After a request to stop, the process is killed at this time.
+    pub stop_within_s: f64,
+    /// Repeats that the site allows, as a share of the requests.
+    pub retry_share: f64,
+    /// Repeats that the site allows on top of that, in all instances together.
+    pub retry_slack: u32,
+}
+
+fn default_store_plugin() -> String {
+    "keyed_log".to_owned()
+}
+
+impl RoutingSettings {
+    /// Checks that need more than the types.
+    ///
+    /// # Errors
+    /// The first field at fault.
+    pub fn check(&self) -> Result<(), SettingsFault> {
+        let fault = |field, allowed: &str| {
+            Err(SettingsFault {
+                field,
+                allowed: allowed.to_owned(),
+            })
+        };
+        if !site_store::names().contains(&self.store_plugin.as_str()) {
+            let known = format!("one of {}", site_store::names().join(", "));
+            return fault("store_plugin", &known);
+        }
+        if !(self.processor_cores > 0.0 && self.processor_cores.is_finite()) {
+            return fault("processor_cores", "a positive number");
+        }
+        if !(0.0..=1.0).contains(&self.retry_share) {
+            return fault("retry_share", "a number from 0 to 1");
+        }
+        if !(1.0..=3_600.0).contains(&self.stop_within_s) {
+            return fault("stop_within_s", "a number from 1 to 3600");
+        }
+        Ok(())
+    }
+
+    /// After a request to stop, the process is killed at this time.
+    #[must_use]
+    pub fn stop_within(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_within_s)
+    }
+
+    /// How long callers may keep the answer of the directory.
+    #[must_use]
+    pub fn directory_valid(&self) -> Duration {
+        ms(self.directory_valid_ms)
+    }
+}
--- /dev/null
+++ b/src/gateway/site_store.rs
@@ -0,0 +1,148 @@
+//! What the platform's store holds for a site: the configuration, the list of endpoints and the members. Plug-ins reach it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::route::RouteConfig;
+
+/// A subject that is kept and followed on its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Subject {
+    /// The operator's configuration.
+    Configuration,
+    /// The endpoints' own entries.
+    Endpoints,
+    /// The members' own entries.
+    Members,
+}
+
+impl Subject {
+    /// Name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Endpoints => "endpoints",
+            Self::Members => "members",
+        }
+    }
+}
+
+/// What an instance writes about itself when it starts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberEntry {
+    /// Name of the instance.
+    pub name: String,
+    /// New at each start.
+    pub incarnation: uuid::Uuid,
+    /// Its hall.
+    pub hall: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where peers connect.
+    pub peer_address: SocketAddr,
+    /// Processor share, in cores: what it can carry against others.
+    pub processor_cores: f64,
+}
+
+/// A record of the store, decoded.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SiteRecord {
+    /// The configuration in full.
+    Configuration(RouteConfig),
+    /// An endpoint's entry.
+    Endpoint(EndpointEntry),
+    /// An endpoint's entry is gone.
+    EndpointGone(String),
+    /// A member's entry.
+    Member(MemberEntry),
+    /// A record that cannot be read.
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        why: String,
+    },
+}
+
+/// Consecutive records, or the newest of each key.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SitePage {
+    /// The records.
+    pub records: Vec<SiteRecord>,
+    /// Offset from which to read on.
+    pub next_offset: u64,
+}
+
+/// A call to the store that did not succeed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Nothing was done.
+    #[error("the store refused: {0}")]
+    Refused(String),
+    /// No whole answer: a write may have been done, or may be done later.
+    #[error("the store did not answer: {0}")]
+    NoAnswer(String),
+    /// Records from the offset asked for are no longer kept.
+    #[error("records before offset {first_offset} are no longer kept")]
+    Expired {
+        /// The first offset that is kept.
+        first_offset: u64,
+    },
+    /// An answer that cannot be read.
+    #[error("the store's answer cannot be read: {0}")]
+    Malformed(String),
+}
+
+/// Result of a call to the store.
+pub type StoreResult<T> = Result<T, StoreError>;
+
+/// The store, as an instance uses it.
+#[async_trait]
+pub trait SiteStore: Send + Sync {
+    /// The newest record of each key.
+    async fn newest(&self, subject: Subject) -> StoreResult<SitePage>;
+    /// Records from an offset on; waits up to `wait` for the first one.
+    async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage>;
+    /// Writes this instance's own entry.
+    async fn announce(&self, member: &MemberEntry) -> StoreResult<()>;
+}
+
+/// A registered way to reach a store.
+pub struct SiteStorePlugin {
+    /// Name in the settings.
+    pub name: &'static str,
+    /// Connects to an address.
+    pub connect: fn(address: SocketAddr) -> anyhow::Result<Arc<dyn SiteStore>>,
+}
+
+inventory::collect!(SiteStorePlugin);
+
+/// Names of the registered plug-ins, sorted.
+#[must_use]
+pub fn names() -> Vec<&'static str> {
+    let plugins = inventory::iter::<SiteStorePlugin>();
+    let mut names: Vec<_> = plugins.map(|plugin| plugin.name).collect();
+    names.sort_unstable();
+    names
+}
+
+/// Connects by plug-in name.
+///
+/// # Errors
+/// The name is unknown, or the client cannot be built.
+pub fn connect(plugin: &str, address: SocketAddr) -> anyhow::Result<Arc<dyn SiteStore>> {
+    let mut plugins = inventory::iter::<SiteStorePlugin>();
+    let Some(found) = plugins.find(|known| known.name == plugin) else {
+        anyhow::bail!(
+            "unknown store plug-in {plugin:?}; known: {}",
+            names().join(", ")
+        );
+    };
+    (found.connect)(address)
+}
--- /dev/null
+++ b/src/gateway/upstream.rs
@@ -0,0 +1,313 @@
+//! Connections to endpoints: one request at a time on each, and always known whether a request may have left.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::response::Parts;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use super::call::AnswerHead;
+use crate::kernel::clock::Clock;
+use crate::kernel::fleet::EndpointEntry;
+use crate::platform::engine;
+
+/// Endpoints stand within milliseconds; beyond this an opening packet was lost or nobody is there.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long sent bytes may stay unacknowledged before the peer counts as dead.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// A silent connection is asked after this long, and again at the same distance.
+const KEEPALIVE: Duration = Duration::from_millis(1_000);
+/// A connection rests this long before it is used again, so that a surplus answer shows before the next request is sent.
+const REST: Duration = Duration::from_millis(25);
+/// Idle connections are used for this long where the endpoint names no time of its own.
+const IDLE_KEPT: Duration = Duration::from_millis(4_000);
+/// An endpoint's own time for idle connections is left by this margin.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
+/// Idle connections kept for each endpoint; more than one instance uses at once on an even day.
+const IDLE_MAX: usize = 8;
+/// Share of an endpoint's connections that the instances use together; the rest is left for those that come and go.
+const CONNECTIONS_SHARE: f64 = 0.85;
+
+/// A connection that could not be had. Nothing was sent.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("{0}")]
+pub(crate) struct NoConnection(pub(crate) String);
+
+/// A request without an answer.
+#[derive(Debug, Clone, thiserror::Error)]
+pub(crate) enum SendFailure {
+    /// No byte left.
+    #[error("not sent: {0}")]
+    Unsent(String),
+    /// Bytes may have left.
+    #[error("sent without an answer: {0}")]
+    MayHaveRun(String),
+}
+
+/// Ends the task that drives a connection when dropped, and with it the connection.
+#[derive(Debug)]
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Counts an open connection for as long as it lives.
+#[derive(Debug)]
+struct OpenCount {
+    endpoint: String,
+    pools: Arc<Pools>,
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        let mut pools = self.pools.by_endpoint.lock();
+        if let Some(pool) = pools.get_mut(&self.endpoint) {
+            pool.open -= 1;
+        }
+    }
+}
+
+/// A connection in use; dropped, it is closed.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+    count: OpenCount,
+    /// Whether an earlier request used it.
+    pub(crate) reused: bool,
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) parts: Parts,
+    pub(crate) head: AnswerHead,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Duration,
+    kept_for: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    idle: Vec<Idle>,
+    /// In use and idle together.
+    open: usize,
+}
+
+#[derive(Debug, Default)]
+struct Pools {
+    by_endpoint: Mutex<HashMap<String, Pool>>,
+}
+
+/// All connections to endpoints.
+pub(crate) struct Upstream {
+    pools: Arc<Pools>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Upstream {
+    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            pools: Arc::default(),
+            clock,
+        }
+    }
+
+    /// A connection to an endpoint: an idle one, or a new one while the endpoint's share allows it.
+    pub(crate) async fn connection(
+        &self,
+        endpoint: &EndpointEntry,
+        open_max: usize,
+    ) -> Result<Connection, NoConnection> {
+        if let Some(connection) = self.take_idle(&endpoint.id) {
+            return Ok(connection);
+        }
+        let count = self.count_open(&endpoint.id, open_max)?;
+        let stream = connect(endpoint.address).await?;
+        let (sender, driven) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| NoConnection(error.to_string()))?;
+        metrics::counter!("larkwick_endpoint_connections_total").increment(1);
+        let task = tokio::spawn(async move {
+            // How it ended shows in the request that used it.
+            let _ = driven.await;
+        });
+        Ok(Connection {
+            sender,
+            driver: Driver(task.abort_handle()),
+            count,
+            reused: false,
+        })
+    }
+
+    fn count_open(&self, endpoint: &str, open_max: usize) -> Result<OpenCount, NoConnection> {
+        let mut pools = self.pools.by_endpoint.lock();
+        let pool = pools.entry(endpoint.to_owned()).or_default();
+        if pool.open >= open_max {
+            return Err(NoConnection(format!("{open_max} connections are open")));
+        }
+        pool.open += 1;
+        Ok(OpenCount {
+            endpoint: endpoint.to_owned(),
+            pools: self.pools.clone(),
+        })
+    }
+
+    fn take_idle(&self, endpoint: &str) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut stale = Vec::new();
+        let mut taken = None;
+        {
+            let mut pools = self.pools.by_endpoint.lock();
+            let pool = pools.get_mut(endpoint)?;
+            let mut kept = Vec::new();
+            for idle in pool.idle.drain(..).rev() {
+                let age = now.saturating_sub(idle.since);
+                if !idle.connection.sender.is_ready() || age >= idle.kept_for {
+                    stale.push(idle);
+                } else if taken.is_none() && age >= REST {
+                    taken = Some(idle.connection);
+                } else {
+                    kept.push(idle);
+                }
+            }
+            kept.reverse();
+            pool.idle = kept;
+        }
+        // Closing takes the pools' lock, so it comes after.
+        drop(stale);
+        taken
+    }
+
+    /// Takes a connection back whose answer was read to its end.
+    pub(crate) fn give_back(&self, mut connection: Connection, head: &AnswerHead) {
+        let kept_for = head.kept_for.map_or(IDLE_KEPT, |told| {
+            told.saturating_sub(IDLE_MARGIN).min(IDLE_KEPT * 2)
+        });
+        if head.closes || kept_for.is_zero() {
+            return;
+        }
+        connection.reused = true;
+        let endpoint = connection.count.endpoint.clone();
+        let idle = Idle {
+            connection,
+            since: self.clock.now(),
+            kept_for,
+        };
+        let surplus = {
+            let mut pools = self.pools.by_endpoint.lock();
+            let pool = pools.entry(endpoint).or_default();
+            pool.idle.push(idle);
+            (pool.idle.len() > IDLE_MAX).then(|| pool.idle.remove(0))
+        };
+        drop(surplus);
+    }
+
+    /// Closes idle connections that are old, and forgets endpoints that are gone.
+    pub(crate) fn tidy(&self, known: impl Fn(&str) -> bool) {
+        let now = self.clock.now();
+        let mut stale = Vec::new();
+        {
+            let mut pools = self.pools.by_endpoint.lock();
+            for (endpoint, pool) in pools.iter_mut() {
+                let idle = std::mem::take(&mut pool.idle);
+                for one in idle {
+                    let fresh = now.saturating_sub(one.since) < one.kept_for;
+                    if fresh && known(endpoint) && one.connection.sender.is_ready() {
+                        pool.idle.push(one);
+                    } else {
+                        stale.push(one);
+                    }
+                }
+            }
+            pools.retain(|_, pool| pool.open > 0);
+        }
+        drop(stale);
+    }
+}
+
+/// Connections that one instance may hold to an endpoint.
+pub(crate) fn open_max(connections_max: u32, instances: usize) -> usize {
+    let instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+    let share = f64::from(connections_max) * CONNECTIONS_SHARE / instances;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a share of a u32 is not negative and fits"
+    )]
+    let share = share as usize;
+    share.max(2)
+}
+
+async fn connect(address: SocketAddr) -> Result<TcpStream, NoConnection> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_| NoConnection(format!("{address} did not answer in time")))?
+        .map_err(|error| NoConnection(format!("{address}: {error}")))?;
+    notice_dead_peers(&stream).map_err(|error| NoConnection(error.to_string()))?;
+    Ok(stream)
+}
+
+/// Makes a connection fail soon when its peer is gone without a word.
+pub(crate) fn notice_dead_peers(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(mut self, request: Request<Bytes>) -> Result<Answer, SendFailure> {
+        if let Err(error) = self.sender.ready().await {
+            return Err(SendFailure::Unsent(error.to_string()));
+        }
+        let sent = self.sender.try_send_request(request.map(Full::new)).await;
+        let response = sent.map_err(|mut error| {
+            let unsent = error.take_message().is_some();
+            let why = error.into_error().to_string();
+            if unsent {
+                SendFailure::Unsent(why)
+            } else {
+                SendFailure::MayHaveRun(why)
+            }
+        })?;
+        let (parts, body) = response.into_parts();
+        Ok(Answer {
+            head: engine::decode_answer(&parts),
+            parts,
+            body,
+            connection: self,
+        })
+    }
+
+    /// Whether the connection is still driven.
+    pub(crate) fn is_driven(&self) -> bool {
+        !self.driver.0.is_finished()
+    }
+}
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -7,8 +7,11 @@
 use tonic::transport::{Channel, Endpoint};
 
 use super::generated::peer_client::PeerClient;
+use super::generated::site_client::SiteClient;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A peer that is gone without a word is noticed after this long twice over, and then connected to anew.
+const KEEPALIVE: Duration = Duration::from_secs(1);
 const MESSAGE_MAX_BYTES: usize = 64 << 20;
 
 /// Connections to peers; made lazily, reconnected by the library.
@@ -20,6 +23,17 @@
 impl PeerClients {
     /// A client for the peer at an address.
     pub(crate) fn to(&self, address: &str) -> Result<PeerClient<Channel>, tonic::Status> {
+        let channel = self.channel(address)?;
+        Ok(PeerClient::new(channel).max_decoding_message_size(MESSAGE_MAX_BYTES))
+    }
+
+    /// A client for the peer at an address that serves routes.
+    pub(crate) fn site_at(&self, address: &str) -> Result<SiteClient<Channel>, tonic::Status> {
+        let channel = self.channel(address)?;
+        Ok(SiteClient::new(channel).max_decoding_message_size(MESSAGE_MAX_BYTES))
+    }
+
+    fn channel(&self, address: &str) -> Result<Channel, tonic::Status> {
         let mut channels = self.channels.lock();
         let channel = if let Some(channel) = channels.get(address) {
             channel.clone()
@@ -29,11 +43,14 @@
             let channel = endpoint
                 .connect_timeout(CONNECT_TIMEOUT)
                 .tcp_nodelay(true)
+                .tcp_keepalive(Some(KEEPALIVE))
+                .http2_keep_alive_interval(KEEPALIVE)
+                .keep_alive_timeout(KEEPALIVE)
                 .connect_lazy();
             channels.insert(address.to_owned(), channel.clone());
             channel
         };
-        Ok(PeerClient::new(channel).max_decoding_message_size(MESSAGE_MAX_BYTES))
+        Ok(channel)
     }
 
     /// Drops connections to addresses that no peer has any more.
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -138,6 +138,120 @@
     #[prost(string, tag = "1")]
     pub event: ::prost::alloc::string::String,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchSiteRequest {
+    /// Version that the asker has; the configuration is left out where there is no newer one.
+    #[prost(uint64, tag = "1")]
+    pub config_version: u64,
+    #[prost(bool, tag = "2")]
+    pub endpoints: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchSiteReply {
+    /// JSON text; empty where there is no newer one.
+    #[prost(string, tag = "1")]
+    pub config: ::prost::alloc::string::String,
+    /// JSON text of the endpoints that take work; empty where the peer's own list is not fresh.
+    #[prost(string, tag = "2")]
+    pub endpoints: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Demand {
+    #[prost(string, tag = "1")]
+    pub run: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub prompt_tokens: u32,
+    #[prost(uint32, tag = "3")]
+    pub made_max_tokens: u32,
+    /// 0 where the caller gave no hint.
+    #[prost(float, tag = "4")]
+    pub made_hint_tokens: f32,
+    #[prost(uint32, tag = "5")]
+    pub priority: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PlaceRequest {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub entry: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "3")]
+    pub demand: ::core::option::Option<Demand>,
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+    /// Engines that refused this generation.
+    #[prost(string, repeated, tag = "5")]
+    pub excluded: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlaceReply {
+    /// Empty where there is no room.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Engine that should get a copy of the memory as it grows; may be empty.
+    #[prost(string, tag = "2")]
+    pub backup: ::prost::alloc::string::String,
+    /// When room is expected.
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+    /// Why there is no room.
+    #[prost(string, tag = "4")]
+    pub reason: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Run {
+    #[prost(message, optional, tag = "1")]
+    pub demand: ::core::option::Option<Demand>,
+    #[prost(string, tag = "2")]
+    pub endpoint: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub backup: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "4")]
+    pub made_tokens: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointResult {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Whether it refused as full.
+    #[prost(bool, tag = "2")]
+    pub refused: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunsReport {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub entry: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "3")]
+    pub runs: ::prost::alloc::vec::Vec<Run>,
+    #[prost(message, repeated, tag = "4")]
+    pub results: ::prost::alloc::vec::Vec<EndpointResult>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunsReply {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MoveRunRequest {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub run: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub source: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub target: ::prost::alloc::string::String,
+    /// Go on from the copy that the target already has.
+    #[prost(bool, tag = "5")]
+    pub from_backup: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MoveRunReply {
+    /// 0 copied, 1 run unknown, 2 no room at the target, 3 failed.
+    #[prost(uint32, tag = "1")]
+    pub result: u32,
+    #[prost(string, tag = "2")]
+    pub reason: ::prost::alloc::string::String,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -725,3 +839,575 @@
         const NAME: &'static str = SERVICE_NAME;
     }
 }
+/// Generated client implementations.
+pub mod site_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    /// Calls between instances that serve the routes of a site.
+    #[derive(Debug, Clone)]
+    pub struct SiteClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl SiteClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> SiteClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> SiteClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            SiteClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        /// Tells a peer that this instance lives, and learns the same of the peer.
+        pub async fn heartbeat(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Beat>,
+        ) -> std::result::Result<tonic::Response<super::Beat>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/Heartbeat",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "Heartbeat"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Gives the configuration in force and the endpoints, for an instance that cannot reach the store.
+        pub async fn fetch_site(
+            &mut self,
+            request: impl tonic::IntoRequest<super::FetchSiteRequest>,
+        ) -> std::result::Result<tonic::Response<super::FetchSiteReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/FetchSite",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "FetchSite"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Asks the owner of a service's engines where a generation may run.
+        pub async fn place(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PlaceRequest>,
+        ) -> std::result::Result<tonic::Response<super::PlaceReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/larkwick.peer.Site/Place");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("larkwick.peer.Site", "Place"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Tells the owner of a service's engines which generations an entry serves; replaces what it told before.
+        pub async fn report_runs(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RunsReport>,
+        ) -> std::result::Result<tonic::Response<super::RunsReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/ReportRuns",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "ReportRuns"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Has an entry move one of its generations to another engine. Answers once the memory has been copied.
+        pub async fn move_run(
+            &mut self,
+            request: impl tonic::IntoRequest<super::MoveRunRequest>,
+        ) -> std::result::Result<tonic::Response<super::MoveRunReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/MoveRun",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "MoveRun"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod site_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with SiteServer.
+    #[async_trait]
+    pub trait Site: std::marker::Send + std::marker::Sync + 'static {
+        /// Tells a peer that this instance lives, and learns the same of the peer.
+        async fn heartbeat(
+            &self,
+            request: tonic::Request<super::Beat>,
+        ) -> std::result::Result<tonic::Response<super::Beat>, tonic::Status>;
+        /// Gives the configuration in force and the endpoints, for an instance that cannot reach the store.
+        async fn fetch_site(
+            &self,
+            request: tonic::Request<super::FetchSiteRequest>,
+        ) -> std::result::Result<tonic::Response<super::FetchSiteReply>, tonic::Status>;
+        /// Asks the owner of a service's engines where a generation may run.
+        async fn place(
+            &self,
+            request: tonic::Request<super::PlaceRequest>,
+        ) -> std::result::Result<tonic::Response<super::PlaceReply>, tonic::Status>;
+        /// Tells the owner of a service's engines which generations an entry serves; replaces what it told before.
+        async fn report_runs(
+            &self,
+            request: tonic::Request<super::RunsReport>,
+        ) -> std::result::Result<tonic::Response<super::RunsReply>, tonic::Status>;
+        /// Has an entry move one of its generations to another engine. Answers once the memory has been copied.
+        async fn move_run(
+            &self,
+            request: tonic::Request<super::MoveRunRequest>,
+        ) -> std::result::Result<tonic::Response<super::MoveRunReply>, tonic::Status>;
+    }
+    /// Calls between instances that serve the routes of a site.
+    #[derive(Debug)]
+    pub struct SiteServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> SiteServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for SiteServer<T>
+    where
+        T: Site,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/larkwick.peer.Site/Heartbeat" => {
+                    #[allow(non_camel_case_types)]
+                    struct HeartbeatSvc<T: Site>(pub Arc<T>);
+                    impl<T: Site> tonic::server::UnaryService<super::Beat>
+                    for HeartbeatSvc<T> {
+                        type Response = super::Beat;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Beat>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::heartbeat(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = HeartbeatSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/larkwick.peer.Site/FetchSite" => {
+                    #[allow(non_camel_case_types)]
+                    struct FetchSiteSvc<T: Site>(pub Arc<T>);
+                    impl<T: Site> tonic::server::UnaryService<super::FetchSiteRequest>
+                    for FetchSiteSvc<T> {
+                        type Response = super::FetchSiteReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::FetchSiteRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::fetch_site(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FetchSiteSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/larkwick.peer.Site/Place" => {
+                    #[allow(non_camel_case_types)]
+                    struct PlaceSvc<T: Site>(pub Arc<T>);
+                    impl<T: Site> tonic::server::UnaryService<super::PlaceRequest>
+                    for PlaceSvc<T> {
+                        type Response = super::PlaceReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PlaceRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::place(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PlaceSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/larkwick.peer.Site/ReportRuns" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReportRunsSvc<T: Site>(pub Arc<T>);
+                    impl<T: Site> tonic::server::UnaryService<super::RunsReport>
+                    for ReportRunsSvc<T> {
+                        type Response = super::RunsReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RunsReport>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::report_runs(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReportRunsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/larkwick.peer.Site/MoveRun" => {
+                    #[allow(non_camel_case_types)]
+                    struct MoveRunSvc<T: Site>(pub Arc<T>);
+                    impl<T: Site> tonic::server::UnaryService<super::MoveRunRequest>
+                    for MoveRunSvc<T> {
+                        type Response = super::MoveRunReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::MoveRunRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::move_run(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = MoveRunSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for SiteServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "larkwick.peer.Site";
+    impl<T> tonic::server::NamedService for SiteServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
--- /dev/null
+++ b/src/platform/engine.rs
@@ -0,0 +1,220 @@
+//! What endpoints get and what they answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, StatusCode, response};
+use serde::{Deserialize, Serialize};
+
+use super::names;
+use crate::gateway::call::{AnswerHead, SendHead};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Headers that belong to one connection.
+const PER_CONNECTION: [HeaderName; 9] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    EXPECT,
+    CONTENT_LENGTH,
+];
+
+/// Drops what belongs to one connection, also what the `Connection` header names, but never a header that the request depends on.
+fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name: &HeaderName| !name.as_str().starts_with("larkwick-") && name != HOST)
+        .collect();
+    for name in named.iter().chain(&PER_CONNECTION) {
+        headers.remove(name);
+    }
+}
+
+fn header(value: &str) -> HeaderValue {
+    // Values are ids, addresses and numbers; one that is no header value would be refused as empty by the endpoint.
+    HeaderValue::from_str(value).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
+/// The request for an endpoint: the caller's own, but for what larkwick sets.
+///
+/// # Errors
+/// The caller's request cannot be sent on as it is.
+pub fn forward(parts: &Parts, body: Bytes, send: &SendHead<'_>) -> http::Result<Request<Bytes>> {
+    let mut headers = parts.headers.clone();
+    strip_connection_headers(&mut headers);
+    for name in &names::SET_BY_US {
+        headers.remove(name);
+    }
+    headers.insert(names::EXPECTED_ENDPOINT, header(send.endpoint_id));
+    headers.insert(
+        names::DEADLINE_MS,
+        HeaderValue::from(millis(send.time_left)),
+    );
+    if let Some(account) = send.account {
+        headers.insert(names::ACCOUNT, header(account));
+    }
+    if let Some(priority) = send.priority {
+        headers.insert(names::PRIORITY, HeaderValue::from(u16::from(priority)));
+    }
+    if let Some(address) = send.backup_at {
+        headers.insert(names::BACKUP_AT, header(&address.to_string()));
+    }
+    if let Some(from) = &send.continue_from {
+        let source = format!("{}/{}", from.copy_address, from.copy);
+        headers.insert(names::CONTINUE_FROM, header(&source));
+        headers.insert(names::LAST_EVENT_ID, header(from.last_event_id));
+    }
+    let path = parts.uri.path_and_query();
+    let path = path.map_or("/", http::uri::PathAndQuery::as_str);
+    let mut request = Request::builder()
+        .method(parts.method.clone())
+        .uri(path)
+        .body(body)?;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+fn millis(time: Duration) -> u64 {
+    crate::kernel::clock::millis(time)
+}
+
+/// Reads the head of an endpoint's answer.
+#[must_use]
+pub fn decode_answer(parts: &response::Parts) -> AnswerHead {
+    let headers = &parts.headers;
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let not_run =
+        headers.contains_key(names::NOT_RUN) || parts.status == StatusCode::MISDIRECTED_REQUEST;
+    AnswerHead {
+        status: parts.status.as_u16(),
+        request_id: text(&names::REQUEST_ID).map(str::to_owned),
+        sealed: headers.contains_key(names::SEAL),
+        not_run,
+        encoded: headers.contains_key(CONTENT_ENCODING),
+        closes: connection_closes(headers),
+        kept_for: kept_for(headers),
+    }
+}
+
+fn connection_closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(CONNECTION).iter();
+    let mut words = values.filter_map(|value| value.to_str().ok());
+    words.any(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// Seconds that an endpoint keeps an idle connection.
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut fields = value.split(',').map(str::trim);
+    let seconds = fields.find_map(|field| field.strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// The head of the answer to the caller: the endpoint's own.
+#[must_use]
+pub fn answer_headers(parts: &response::Parts) -> HeaderMap {
+    let mut headers = parts.headers.clone();
+    strip_connection_headers(&mut headers);
+    headers
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct WireMove<'a> {
+    id: &'a str,
+    /// The wire says version; it is the address of the engine that gets the copy.
+    target_version: String,
+    last: bool,
+}
+
+#[derive(Deserialize)]
+struct WireMoved {
+    /// Names the copy.
+    handle: Option<serde_json::Value>,
+}
+
+/// What became of an order to copy a running generation's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Copied {
+    /// The copy is whole as of now; its name.
+    Done(String),
+    /// The engine does not run this generation (any more).
+    NotRunning,
+    /// Another copy of it is under way.
+    Busy,
+    /// No room or no way there. Where the run was stopped for it, the name of what the source keeps.
+    NoRoom(Option<String>),
+    /// An answer that cannot be read.
+    Unreadable(String),
+}
+
+/// The order to copy a running generation's memory; with `stop` the run stops first.
+///
+/// # Errors
+/// The request cannot be built.
+pub fn move_request(
+    source: SocketAddr,
+    run: &str,
+    target: SocketAddr,
+    stop: bool,
+) -> http::Result<Request<Bytes>> {
+    let order = WireMove {
+        id: run,
+        target_version: target.to_string(),
+        last: stop,
+    };
+    let body = serde_json::to_vec(&order).unwrap_or_default();
+    Request::builder()
+        .method(Method::POST)
+        .uri(names::MOVE_PATH)
+        .header(HOST, source.to_string())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Bytes::from(body))
+}
+
+/// Reads the answer to [`move_request`].
+#[must_use]
+pub fn decode_moved(status: u16, body: &[u8]) -> Copied {
+    let moved: Option<WireMoved> = serde_json::from_slice(body).ok();
+    let handle = moved
+        .and_then(|moved| moved.handle)
+        .map(|handle| match handle {
+            serde_json::Value::String(text) => text,
+            other => other.to_string(),
+        });
+    match (status, handle) {
+        (200, Some(handle)) => Copied::Done(handle),
+        (404, _) => Copied::NotRunning,
+        (409, _) => Copied::Busy,
+        (503, handle) => Copied::NoRoom(handle),
+        (status, _) => Copied::Unreadable(format!("status {status}")),
+    }
+}
+
+/// The order to free a copy that is not wanted any more.
+///
+/// # Errors
+/// The request cannot be built.
+pub fn drop_copy_request(engine: SocketAddr, copy: &str) -> http::Result<Request<Bytes>> {
+    Request::builder()
+        .method(Method::DELETE)
+        .uri(format!("{}{copy}", names::COPY_PATH))
+        .header(HOST, engine.to_string())
+        .body(Bytes::new())
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,271 @@
+//! A client of the platform's log. Every call has a time-out; what is known after a failed call is in the type of its error.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use reqwest::StatusCode;
+use serde::Deserialize;
+
+use super::names::{STORE_APPEND_PATH, STORE_NEWEST_PATH, STORE_READ_PATH};
+use super::{operator_config, servers};
+use crate::gateway::site_store::{
+    MemberEntry, SitePage, SiteRecord, SiteStore, SiteStorePlugin, StoreError, StoreResult, Subject,
+};
+
+/// Longest time for a call beside what it waits by itself. The store answers in 4 ms; slow days take sixty times that.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A peer that is gone without a word is noticed after about this long twice over.
+const KEEPALIVE: Duration = Duration::from_millis(1_000);
+/// How long sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Key of the one configuration record.
+const CONFIG_KEY: &str = "config";
+/// Most that one read returns.
+const READ_MAX_KB: u32 = 1_024;
+
+inventory::submit! {
+    SiteStorePlugin { name: "keyed_log", connect: |address| Ok(Arc::new(Store::new(address)?)) }
+}
+
+/// Client of the log at one address.
+#[derive(Debug)]
+pub struct Store {
+    client: reqwest::Client,
+    base: String,
+}
+
+#[derive(Deserialize)]
+struct WireNewest {
+    items: Vec<WireItem>,
+    #[serde(default)]
+    more: bool,
+    /// Offset that the next record will get.
+    end: u64,
+}
+
+#[derive(Deserialize)]
+struct WireItem {
+    key: String,
+    /// In base64; absent or empty where the key was dropped.
+    #[serde(default)]
+    value: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct WireExpired {
+    first: u64,
+}
+
+/// One record of a topic whose newest record of each key is kept.
+struct KeyedRecord {
+    key: String,
+    /// Absent where the record drops its key.
+    value: Option<Bytes>,
+}
+
+const fn topic(subject: Subject) -> &'static str {
+    match subject {
+        Subject::Configuration => "keyed.op",
+        Subject::Endpoints => "keyed.servers",
+        Subject::Members => "keyed.status",
+    }
+}
+
+impl Store {
+    /// A client; connects with the first call.
+    ///
+    /// # Errors
+    /// The HTTP client cannot be built.
+    pub fn new(address: SocketAddr) -> anyhow::Result<Self> {
+        let client = reqwest::Client::builder()
+            .retry(reqwest::retry::never())
+            .redirect(reqwest::redirect::Policy::none())
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .tcp_keepalive(KEEPALIVE)
+            .tcp_keepalive_interval(KEEPALIVE)
+            .tcp_keepalive_retries(2)
+            .tcp_user_timeout(USER_TIMEOUT)
+            .build()?;
+        Ok(Self {
+            client,
+            base: format!("http://{address}"),
+        })
+    }
+
+    async fn call(
+        &self,
+        request: reqwest::RequestBuilder,
+        timeout: Duration,
+    ) -> StoreResult<reqwest::Response> {
+        let response = request.timeout(timeout).send().await.map_err(|error| {
+            if error.is_connect() {
+                StoreError::Refused(error.to_string())
+            } else {
+                StoreError::NoAnswer(error.to_string())
+            }
+        })?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        if status == StatusCode::GONE {
+            let expired: WireExpired = json(response).await?;
+            return Err(StoreError::Expired {
+                first_offset: expired.first,
+            });
+        }
+        Err(StoreError::Refused(status.to_string()))
+    }
+
+    async fn newest_page(&self, subject: Subject, since: Option<&str>) -> StoreResult<WireNewest> {
+        let url = format!("{}{STORE_NEWEST_PATH}", self.base);
+        let mut query = vec![("topic", topic(subject)), ("part", "0")];
+        query.extend(since.map(|key| ("since-rev", key)));
+        let query: Vec<String> = query
+            .into_iter()
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        let url = format!("{url}?{}", query.join("&"));
+        let response = self.call(self.client.get(url), CALL_TIMEOUT).await?;
+        json(response).await
+    }
+}
+
+async fn json<T: serde::de::DeserializeOwned>(response: reqwest::Response) -> StoreResult<T> {
+    let body = response
+        .bytes()
+        .await
+        .map_err(|error| StoreError::NoAnswer(error.to_string()))?;
+    serde_json::from_slice(&body).map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
+#[async_trait]
+impl SiteStore for Store {
+    async fn newest(&self, subject: Subject) -> StoreResult<SitePage> {
+        let mut records = Vec::new();
+        let mut next_offset = None;
+        let mut since: Option<String> = None;
+        loop {
+            let page = self.newest_page(subject, since.as_deref()).await?;
+            // Pages are no snapshot: reading on from the end of the first one misses nothing.
+            next_offset = next_offset.or(Some(page.end));
+            since = page.items.last().map(|item| item.key.clone());
+            for item in page.items {
+                let value = item.value.filter(|text| !text.is_empty());
+                let value = value.map(|text| STANDARD.decode(text)).transpose();
+                let value = value.map_err(|error| StoreError::Malformed(error.to_string()))?;
+                records.extend(decode(subject, &item.key, value.as_deref()));
+            }
+            if !page.more || since.is_none() {
+                break;
+            }
+        }
+        Ok(SitePage {
+            records,
+            next_offset: next_offset.unwrap_or_default(),
+        })
+    }
+
+    async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage> {
+        let url = format!(
+            "{}{STORE_READ_PATH}?topic={}&part=0&from={from}&max_kb={READ_MAX_KB}&wait-ms={}",
+            self.base,
+            topic(subject),
+            wait.as_millis()
+        );
+        let response = self.call(self.client.get(url), wait + CALL_TIMEOUT).await?;
+        let body = response
+            .bytes()
+            .await
+            .map_err(|error| StoreError::NoAnswer(error.to_string()))?;
+        let keyed = split_records(&body).map_err(StoreError::Malformed)?;
+        let count = u64::try_from(keyed.len()).unwrap_or(u64::MAX);
+        let records = keyed
+            .iter()
+            .filter_map(|record| decode(subject, &record.key, record.value.as_deref()))
+            .collect();
+        Ok(SitePage {
+            records,
+            next_offset: from.saturating_add(count),
+        })
+    }
+
+    async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
+        let url = format!(
+            "{}{STORE_APPEND_PATH}?topic={}&part=0",
+            self.base,
+            topic(Subject::Members)
+        );
+        let value =
+            serde_json::to_vec(member).map_err(|error| StoreError::Malformed(error.to_string()))?;
+        let record = keyed_record(&member.name, &value).map_err(StoreError::Malformed)?;
+        let request = self.client.post(url).body(record);
+        self.call(request, CALL_TIMEOUT).await?;
+        Ok(())
+    }
+}
+
+/// A record as it is appended: its length, the key's length, the key, the value.
+fn keyed_record(key: &str, value: &[u8]) -> Result<Vec<u8>, String> {
+    let key_length = u8::try_from(key.len()).map_err(|_| format!("key {key:?} is too long"))?;
+    let length = 1 + key.len() + value.len();
+    let length = u32::try_from(length).map_err(|_| format!("record of {key:?} is too long"))?;
+    let mut record = length.to_be_bytes().to_vec();
+    record.push(key_length);
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    Ok(record)
+}
+
+/// Splits the body of a read: two offsets (the end and the first one kept), then records.
+fn split_records(body: &[u8]) -> Result<Vec<KeyedRecord>, String> {
+    const OFFSETS_BYTES: usize = 16;
+    let mut rest = body
+        .get(OFFSETS_BYTES..)
+        .ok_or("a read without its two offsets")?;
+    let mut records = Vec::new();
+    while let Some((length, after)) = rest.split_first_chunk::<4>() {
+        let length = u32::from_be_bytes(*length) as usize;
+        let record = after.get(..length).ok_or("a record is cut short")?;
+        records.push(split_record(record)?);
+        rest = &after[length..];
+    }
+    Ok(records)
+}
+
+fn split_record(record: &[u8]) -> Result<KeyedRecord, String> {
+    let (key_length, rest) = record.split_first().ok_or("a record without a key")?;
+    let key_length = usize::from(*key_length);
+    let key = rest.get(..key_length).ok_or("a key is cut short")?;
+    let value = &rest[key_length..];
+    Ok(KeyedRecord {
+        key: String::from_utf8_lossy(key).into_owned(),
+        value: (!value.is_empty()).then(|| Bytes::copy_from_slice(value)),
+    })
+}
+
+/// Decodes a record of a subject; gives nothing for keys that are not ours to read.
+fn decode(subject: Subject, key: &str, value: Option<&[u8]>) -> Option<SiteRecord> {
+    let decoded = match (subject, value) {
+        (Subject::Configuration, Some(value)) if key == CONFIG_KEY => {
+            operator_config::decode(value).map(SiteRecord::Configuration)
+        }
+        (Subject::Endpoints, Some(value)) => servers::decode(key, value).map(SiteRecord::Endpoint),
+        (Subject::Endpoints, None) => Ok(SiteRecord::EndpointGone(key.to_owned())),
+        (Subject::Members, Some(value)) => serde_json::from_slice(value)
+            .map(SiteRecord::Member)
+            .map_err(|error| error.to_string()),
+        (Subject::Configuration, _) | (Subject::Members, None) => return None,
+    };
+    Some(decoded.unwrap_or_else(|why| SiteRecord::Unreadable {
+        key: key.to_owned(),
+        why,
+    }))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,8 +9,10 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::settings::RoutingSettings;
+use crate::gateway::site_store;
 use crate::kernel::object::is_name;
-use crate::{endpoint, kernel::policy, platform};
+use crate::{endpoint, kernel::policy, log_service};
 
 /// A place in a file and what is wrong there.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -88,7 +90,11 @@
     /// IP address and port for peers.
     pub peer_address: SocketAddr,
     /// The platform's service.
+    #[serde(default)]
     pub platform: PlatformSettings,
+    /// Present where this instance serves the routes of a site.
+    #[serde(default)]
+    pub routing: Option<RoutingSettings>,
     /// Routing policy.
     #[serde(default = "default_policy")]
     pub policy: String,
@@ -104,7 +110,7 @@
 }
 
 /// How to reach the platform.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Plug-in.
@@ -239,8 +245,13 @@
         if policy::build(&self.policy).is_none() {
             return fault("policy", format!("one of {}", policy::names().join(", ")));
         }
-        if !platform::names().contains(&self.platform.plugin.as_str()) {
-            return fault("plugin", format!("one of {}", platform::names().join(", ")));
+        if let Some(routing) = &self.routing {
+            routing.check()?;
+        } else if !log_service::names().contains(&self.platform.plugin.as_str()) {
+            return fault(
+                "plugin",
+                format!("one of {}", log_service::names().join(", ")),
+            );
         }
         let times = &self.times;
         if times.ticket_epoch_ms * 5 < times.entries_valid_ms {
@@ -296,14 +307,17 @@
     pub endpoint: Vec<&'static str>,
     /// Routing policies.
     pub policy: Vec<&'static str>,
+    /// Ways to reach a site's store.
+    pub store: Vec<&'static str>,
 }
 
 /// Lists the registered plug-ins.
 #[must_use]
 pub fn plugin_names() -> PluginNames {
     PluginNames {
-        platform: platform::names(),
+        platform: log_service::names(),
         endpoint: endpoint::names(),
         policy: policy::names(),
+        store: site_store::names(),
     }
 }
--- a/src/standin/announce.rs
+++ b/src/standin/announce.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::kernel::membership::Incarnation;
-use crate::platform::ListedInstance;
+use crate::log_service::ListedInstance;
 
 const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -16,7 +16,7 @@
 
 use super::server::{Server, rocket_at, start};
 use crate::kernel::clock::{Clock, SystemClock};
-use crate::platform::{ListedInstance, LogPage};
+use crate::log_service::{ListedInstance, LogPage};
 
 const PAGE_RECORDS: usize = 1_000;
 /// An instance that announces nothing for this long leaves the list.
--- a/src/tool/config.rs
+++ b/src/tool/config.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 
 use crate::kernel::config::{ConfigFold, ConfigState, LogRead, Record};
-use crate::platform::{CONFIG_STREAM, Platform};
+use crate::log_service::{CONFIG_STREAM, Platform};
 
 /// Reads the log to its head and gives the fold.
 ///
--- a/src/tool/load/compare.rs
+++ b/src/tool/load/compare.rs
@@ -14,7 +14,7 @@
 use crate::endpoint::plain_client;
 use crate::kernel::clock::SystemClock;
 use crate::kernel::policy::HeldModel;
-use crate::platform::{self, Platform};
+use crate::log_service::{self, Platform};
 use crate::settings::Settings;
 use crate::standin::engine::{EngineFaults, EngineSettings, RunningEngine, run as run_engine};
 use crate::standin::engine_core::EngineSpec;
@@ -196,7 +196,7 @@
 
 async fn set_up(options: &CompareOptions, policy: &str) -> anyhow::Result<Setup> {
     let core = Arc::new(PlatformCore::new(Arc::new(SystemClock::default())));
-    let platform: Platform = platform::embedded(core);
+    let platform: Platform = log_service::embedded(core);
     let mut engines = Vec::new();
     for index in 0..options.engines {
         engines.push(start_engine(index, options.report_lag).await?);
--- a/src/tool/publish.rs
+++ b/src/tool/publish.rs
@@ -11,7 +11,7 @@
     Change, ChangeAction, ConfigFold, ConfigState, Publish, Record, Verdict,
 };
 use crate::kernel::object::{Object, ObjectKey};
-use crate::platform::{CONFIG_STREAM, Platform, PlatformError};
+use crate::log_service::{CONFIG_STREAM, Platform, PlatformError};
 
 const APPEND_TRIES: u32 = 5;
 const APPEND_PAUSE: Duration = Duration::from_millis(300);
