--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -14,7 +14,7 @@
 use super::call::CallHead;
 use super::listener::{AnswerBody, whole};
 use super::node::{Counted, Gateway, Stage};
-use super::{plain_call, relay};
+use super::{generation, plain_call};
 use crate::error::{Error, ErrorKind, Result};
 use crate::kernel::clock::millis;
 use crate::kernel::route::{CallKind, Route, RouteTable};
@@ -80,7 +80,7 @@
     let stage = gateway.in_flight.stage();
     let answered = match take(&gateway, request, arrived).await {
         Ok(call) => match call.route.kind {
-            CallKind::Generation => relay::answer(call).await,
+            CallKind::Generation => generation::answer(call).await,
             CallKind::Once | CallKind::Repeatable => plain_call::answer(call).await,
         },
         Err(refused) => {
--- /dev/null
+++ b/src/gateway/coordinator.rs
@@ -0,0 +1,429 @@
+//! The owner of a service's engines, and how entries reach it.
+//!
+//! The owner is the live member with the highest hash for the service. Two members that both believe to be owner do no harm: engines
+//! refuse what does not fit, and a move carries the name of the engine that it leaves.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use spdlog::{info, warn};
+use tokio::sync::{Notify, oneshot};
+
+use super::moves;
+use super::node::{Gateway, Stage};
+use crate::kernel::clock::millis;
+use crate::kernel::engine_ledger::{
+    EngineEntry, EngineLedger, EngineSummary, Granted, MoveOrder, MoveResult, ReportedRun,
+    RunDemand,
+};
+use crate::kernel::membership::rendezvous;
+use crate::kernel::route::EngineShape;
+use crate::peer::client::within;
+use crate::peer::convert;
+use crate::peer::generated as wire;
+
+/// How often a ledger with waiting or leaving generations is looked through.
+const BUSY_TICK: Duration = Duration::from_millis(20);
+/// How often a quiet one is.
+const QUIET_TICK: Duration = Duration::from_millis(100);
+/// Longest wait for a report to the owner.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between reports of an entry whose generations neither begin nor end.
+const REPORT_EVERY: Duration = Duration::from_millis(400);
+/// Least pause between reports.
+const REPORT_PAUSE: Duration = Duration::from_millis(40);
+/// On top of the wait that was asked for, an answer of the owner may take this long.
+const PLACE_MARGIN: Duration = Duration::from_millis(150);
+/// Longest time for a copy of memory; a whole memory takes half of it.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// When room is expected on full engines: they end a generation every second or so.
+const ROOM_EXPECTED: Duration = Duration::from_millis(1_000);
+
+/// A generation that waits for room.
+struct Waiter {
+    demand: RunDemand,
+    entry: String,
+    excluded: Vec<String>,
+    until: Duration,
+    arrived: Duration,
+    answer: oneshot::Sender<Option<Granted>>,
+}
+
+#[derive(Default)]
+struct ServiceShard {
+    ledger: EngineLedger,
+    waiters: Vec<Waiter>,
+}
+
+/// The ledgers of all services with engines.
+#[derive(Default)]
+pub(crate) struct Coordinator {
+    services: Mutex<HashMap<String, Arc<Mutex<ServiceShard>>>>,
+    /// Wakes the report loop when generations begin or end.
+    pub(crate) changed: Notify,
+    /// Wakes the owner's loop.
+    wanted: Notify,
+}
+
+impl Coordinator {
+    fn shard(&self, service: &str) -> Arc<Mutex<ServiceShard>> {
+        let mut services = self.services.lock();
+        services.entry(service.to_owned()).or_default().clone()
+    }
+
+    fn all(&self) -> Vec<(String, Arc<Mutex<ServiceShard>>)> {
+        let services = self.services.lock();
+        let all = services.iter();
+        all.map(|(name, shard)| (name.clone(), shard.clone()))
+            .collect()
+    }
+
+    /// Looks through the ledgers soon.
+    pub(crate) fn wake(&self) {
+        self.wanted.notify_one();
+    }
+
+    /// Engines by service, for the dump.
+    pub(crate) fn dump(
+        &self,
+    ) -> HashMap<String, std::collections::BTreeMap<String, EngineSummary>> {
+        let all = self.all().into_iter();
+        all.map(|(name, shard)| (name, shard.lock().ledger.summary()))
+            .collect()
+    }
+}
+
+/// Peer address of the owner of a service's engines; nothing where it is this instance.
+fn owner_address(gateway: &Gateway, service: &str) -> Option<String> {
+    let own_name = &gateway.incarnation.name;
+    let serving = gateway.in_flight.stage() == Stage::Serving;
+    let members = gateway.members.lock();
+    let live: Vec<_> = members
+        .live(&gateway.settings.hall, gateway.now())
+        .collect();
+    let names = live
+        .iter()
+        .map(|peer| peer.status.incarnation.name.as_str());
+    let own = serving.then_some(own_name.as_str());
+    let owner = rendezvous(service, names.chain(own))?;
+    let owner = live
+        .iter()
+        .find(|peer| peer.status.incarnation.name == owner)?;
+    Some(owner.status.peer_address.clone())
+}
+
+/// Finds an engine for a generation, by the owner; where the owner cannot be reached, by what this instance knows itself.
+pub(crate) async fn place(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    demand: &RunDemand,
+    excluded: &[String],
+    wait: Duration,
+) -> Option<Granted> {
+    let own_name = gateway.incarnation.name.clone();
+    let Some(address) = owner_address(gateway, service) else {
+        return place_here(gateway, service, demand, &own_name, excluded, wait).await;
+    };
+    match place_at(gateway, &address, service, demand, excluded, wait).await {
+        Ok(granted) => granted,
+        Err(status) => {
+            if crate::log::admits("owner not reached") {
+                warn!("owner not reached; placing alone", kv: {
+                    request_id = demand.run.as_str(), service, owner = address.as_str(), why = status.message(),
+                });
+            }
+            place_here(
+                gateway,
+                service,
+                demand,
+                &own_name,
+                excluded,
+                Duration::ZERO,
+            )
+            .await
+        }
+    }
+}
+
+async fn place_at(
+    gateway: &Gateway,
+    address: &str,
+    service: &str,
+    demand: &RunDemand,
+    excluded: &[String],
+    wait: Duration,
+) -> Result<Option<Granted>, tonic::Status> {
+    let mut client = gateway.peers.site_at(address)?;
+    let request = wire::PlaceRequest {
+        service: service.to_owned(),
+        entry: gateway.incarnation.name.clone(),
+        demand: Some(demand.into()),
+        wait_ms: millis(wait),
+        excluded: excluded.to_vec(),
+    };
+    let reply = within(wait + PLACE_MARGIN, client.place(request)).await?;
+    Ok(convert::granted(reply))
+}
+
+/// Finds an engine by this instance's own ledger, waiting for room if need be.
+pub(crate) async fn place_here(
+    gateway: &Gateway,
+    service: &str,
+    demand: &RunDemand,
+    entry: &str,
+    excluded: &[String],
+    wait: Duration,
+) -> Option<Granted> {
+    let shard = gateway.coordinator.shard(service);
+    let now = gateway.now();
+    let waiting = {
+        let mut shard = shard.lock();
+        refresh_engines(gateway, service, &mut shard.ledger);
+        let urgent_waits = shard
+            .waiters
+            .iter()
+            .any(|waiter| waiter.demand.priority <= demand.priority);
+        let granted = if urgent_waits {
+            None
+        } else {
+            shard.ledger.place(demand, entry, excluded, now)
+        };
+        if granted.is_some() || wait.is_zero() {
+            return granted;
+        }
+        let (answer, waiting) = oneshot::channel();
+        shard.waiters.push(Waiter {
+            demand: demand.clone(),
+            entry: entry.to_owned(),
+            excluded: excluded.to_vec(),
+            until: now + wait,
+            arrived: now,
+            answer,
+        });
+        waiting
+    };
+    gateway.coordinator.wake();
+    // The sender is dropped only with the instance.
+    waiting.await.ok().flatten()
+}
+
+/// When to come back to full engines.
+pub(crate) fn room_expected() -> Duration {
+    ROOM_EXPECTED
+}
+
+fn refresh_engines(gateway: &Gateway, service: &str, ledger: &mut EngineLedger) {
+    let Some(table) = gateway.table() else { return };
+    let shape = table.service(service).and_then(|service| service.engine);
+    let Some(shape) = shape else { return };
+    let entries = {
+        let fleet = gateway.fleet.lock();
+        let all = fleet.all().filter(|(entry, _)| entry.service == service);
+        all.map(|(entry, _)| engine_entry(entry, &shape, !fleet.takes_work(&entry.id)))
+            .collect()
+    };
+    ledger.set_engines(entries);
+}
+
+fn engine_entry(
+    entry: &crate::kernel::fleet::EndpointEntry,
+    shape: &EngineShape,
+    leaving: bool,
+) -> EngineEntry {
+    EngineEntry {
+        id: entry.id.clone(),
+        hall: entry.hall.clone(),
+        slots: shape.slots,
+        memory_tokens: shape.memory_tokens,
+        leaving,
+        moves: shape.moves,
+        backups: shape.backups,
+    }
+}
+
+/// Takes a report of an entry.
+pub(crate) fn take_report(
+    gateway: &Gateway,
+    service: &str,
+    entry: &str,
+    runs: Vec<ReportedRun>,
+    refused: &[String],
+) {
+    let now = gateway.now();
+    let shard = gateway.coordinator.shard(service);
+    let mut shard = shard.lock();
+    for endpoint in refused {
+        shard.ledger.refused(endpoint, now);
+    }
+    shard.ledger.take_report(entry, runs, now);
+    let wanted = !shard.waiters.is_empty() || shard.ledger.has_leaving_runs();
+    drop(shard);
+    if wanted {
+        gateway.coordinator.wake();
+    }
+}
+
+/// Looks through the ledgers for the life of the instance: gives room to those that wait, and moves generations off engines that
+/// leave.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    loop {
+        let mut busy = false;
+        for (service, shard) in gateway.coordinator.all() {
+            busy |= look_through(&gateway, &service, &shard);
+        }
+        let pause = if busy { BUSY_TICK } else { QUIET_TICK };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = gateway.coordinator.wanted.notified(), if !busy => {}
+        }
+    }
+}
+
+/// Looks through one ledger; tells whether it should be looked through again soon.
+fn look_through(gateway: &Arc<Gateway>, service: &str, shard: &Arc<Mutex<ServiceShard>>) -> bool {
+    let now = gateway.now();
+    let owned = owner_address(gateway, service).is_none();
+    let (orders, busy) = {
+        let mut shard = shard.lock();
+        refresh_engines(gateway, service, &mut shard.ledger);
+        shard.ledger.expire(now);
+        settle_waiters(&mut shard, now);
+        let orders = if owned {
+            shard.ledger.plan_moves(now)
+        } else {
+            Vec::new()
+        };
+        let busy = !shard.waiters.is_empty() || (owned && shard.ledger.has_leaving_runs());
+        (orders, busy)
+    };
+    for order in orders {
+        tokio::spawn(carry_out(gateway.clone(), service.to_owned(), order));
+    }
+    busy
+}
+
+fn settle_waiters(shard: &mut ServiceShard, now: Duration) {
+    let mut waiters = std::mem::take(&mut shard.waiters);
+    waiters.retain(|waiter| !waiter.answer.is_closed());
+    waiters.sort_by_key(|waiter| (waiter.demand.priority, waiter.arrived));
+    let mut blocked = false;
+    for waiter in waiters {
+        let granted = if blocked {
+            None
+        } else {
+            let ledger = &mut shard.ledger;
+            ledger.place(&waiter.demand, &waiter.entry, &waiter.excluded, now)
+        };
+        if granted.is_some() || now >= waiter.until {
+            if let Err(Some(_)) = waiter.answer.send(granted) {
+                shard.ledger.release(&waiter.demand.run);
+            }
+        } else {
+            // A large generation at the head is not passed by smaller ones for ever.
+            blocked = true;
+            shard.waiters.push(waiter);
+        }
+    }
+}
+
+/// Has the entry of a generation move it.
+async fn carry_out(gateway: Arc<Gateway>, service: String, order: MoveOrder) {
+    let begun = gateway.now();
+    let request = wire::MoveRunRequest {
+        service: service.clone(),
+        run: order.run.clone(),
+        source: order.source.clone(),
+        target: order.target.clone(),
+        from_backup: order.from_backup,
+    };
+    let (result, reason) = if order.entry == gateway.incarnation.name {
+        moves::move_run(&gateway, &request).await
+    } else {
+        move_at(&gateway, &order.entry, request).await
+    };
+    let now = gateway.now();
+    let took_ms = millis(now.saturating_sub(begun));
+    if crate::log::admits("move ended") {
+        info!("move ended", kv: {
+            request_id = order.run.as_str(), source = order.source.as_str(), target = order.target.as_str(),
+            from_backup: = order.from_backup, result:?, reason = reason.as_str(), took_ms:,
+        });
+    }
+    metrics::counter!("larkwick_moves_total", "result" => format!("{result:?}")).increment(1);
+    let shard = gateway.coordinator.shard(&service);
+    shard.lock().ledger.move_ended(&order, result, now);
+    gateway.coordinator.wake();
+}
+
+async fn move_at(
+    gateway: &Gateway,
+    entry: &str,
+    request: wire::MoveRunRequest,
+) -> (MoveResult, String) {
+    let address = {
+        let members = gateway.members.lock();
+        members
+            .get(entry)
+            .map(|peer| peer.status.peer_address.clone())
+    };
+    let Some(address) = address else {
+        return (MoveResult::RunGone, "entry unknown".to_owned());
+    };
+    let client = gateway.peers.site_at(&address);
+    let called = match client {
+        Ok(mut client) => within(MOVE_TIMEOUT, client.move_run(request)).await,
+        Err(status) => Err(status),
+    };
+    match called {
+        Ok(reply) => (convert::move_result(reply.result), reply.reason),
+        Err(status) => (MoveResult::Failed, status.message().to_owned()),
+    }
+}
+
+/// Reports this instance's generations to the owners for the life of the instance.
+pub(crate) async fn run_reports(gateway: Arc<Gateway>) {
+    let mut reported: BTreeSet<String> = BTreeSet::new();
+    loop {
+        let mut services: BTreeSet<String> = gateway.runs.services();
+        // A service whose last generation has ended is reported once more.
+        services.append(&mut reported);
+        for service in &services {
+            let runs = gateway.runs.of_service(service);
+            if !runs.is_empty() {
+                reported.insert(service.clone());
+            }
+            report(&gateway, service, runs).await;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(REPORT_EVERY) => {}
+            () = gateway.coordinator.changed.notified() => tokio::time::sleep(REPORT_PAUSE).await,
+        }
+    }
+}
+
+async fn report(gateway: &Gateway, service: &str, runs: Vec<ReportedRun>) {
+    let refused = gateway.runs.take_refused(service);
+    let own_name = &gateway.incarnation.name;
+    // Kept here too, for the time when no owner can be reached.
+    take_report(gateway, service, own_name, runs.clone(), &refused);
+    let Some(address) = owner_address(gateway, service) else {
+        return;
+    };
+    let report = wire::RunsReport {
+        service: service.to_owned(),
+        entry: own_name.clone(),
+        runs: runs.iter().map(wire::Run::from).collect(),
+        refused,
+    };
+    let called = match gateway.peers.site_at(&address) {
+        Ok(mut client) => within(REPORT_TIMEOUT, client.report_runs(report)).await,
+        Err(status) => Err(status),
+    };
+    if let Err(status) = called
+        && crate::log::admits("report not taken")
+    {
+        warn!("report not taken", kv: { service, owner = address.as_str(), why = status.message() });
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -153,6 +153,7 @@
         let changes = fleet.take(entries, &vanished, gateway.now());
         drop(fleet);
         tell_changes(&changes);
+        gateway.coordinator.wake();
     }
 }
 
--- /dev/null
+++ b/src/gateway/generation.rs
@@ -0,0 +1,246 @@
+//! Places a generation on an engine and starts it there.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+
+use http::Response;
+use http_body_util::BodyExt;
+use parking_lot::Mutex;
+use spdlog::info;
+use tokio::sync::mpsc;
+
+use super::call::SendHead;
+use super::caller::Call;
+use super::coordinator;
+use super::listener::{AnswerBody, whole};
+use super::relay::{self, Source};
+use super::runs::{RunCommand, RunHandle, RunPlace};
+use super::upstream::SendFailure;
+use crate::error::{Error, ErrorKind};
+use crate::kernel::clock::millis;
+use crate::kernel::engine_ledger::{Granted, RunDemand};
+use crate::platform::{engine, ingress};
+
+/// Share of the goal that a generation waits for room; what is refused within it can still be served in time at a second try.
+const WAIT_GOAL_SHARE: f64 = 0.23;
+/// Engines that one generation is offered to.
+const OFFERS_MAX: u32 = 3;
+/// Tokens of a request whose caller does not tell: a middling one.
+const UNTOLD_PROMPT_TOKENS: u32 = 1_000;
+const UNTOLD_MADE_TOKENS: u32 = 500;
+
+/// Answers a call for a generation.
+pub(crate) async fn answer(call: Call) -> Response<AnswerBody> {
+    call.gateway.count_first_send(&call.service);
+    let call = Arc::new(call);
+    match start(&call).await {
+        Ok(started) => relay::answer(call, started),
+        Err(error) => {
+            tell_end(&call, &format!("{:?}", error.kind), &error.message, 0, 0);
+            ingress::refusal(&error).map(whole)
+        }
+    }
+}
+
+/// Logs the end of a generation.
+pub(crate) fn tell_end(call: &Call, outcome: &str, why: &str, events: u32, moves: u32) {
+    metrics::counter!("larkwick_generations_total", "outcome" => outcome.to_owned()).increment(1);
+    metrics::histogram!("larkwick_generation_seconds").record(call.age().as_secs_f64());
+    if crate::log::admits("generation ended") {
+        info!("generation ended", kv: {
+            request_id = call.head.request_id.as_str(),
+            route = call.route.name.as_str(),
+            outcome, why, events:, moves:,
+            config_version: = call.table.version(),
+            took_ms: = millis(call.age()),
+        });
+    }
+}
+
+/// A generation that an engine has begun to answer.
+pub(crate) struct Started {
+    pub(crate) source: Source,
+    pub(crate) handle: RunGuard,
+    pub(crate) commands: mpsc::UnboundedReceiver<RunCommand>,
+}
+
+/// Keeps a generation registered for as long as it lives.
+pub(crate) struct RunGuard {
+    call: Arc<Call>,
+    pub(crate) run: Arc<RunHandle>,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let gateway = &self.call.gateway;
+        gateway.runs.remove(&self.run.demand.run);
+        gateway.coordinator.changed.notify_one();
+    }
+}
+
+fn demand(call: &Call) -> RunDemand {
+    let tokens = call.head.tokens.as_ref();
+    RunDemand {
+        run: call.head.request_id.clone(),
+        prompt_tokens: tokens.map_or(UNTOLD_PROMPT_TOKENS, |tokens| tokens.prompt_tokens),
+        made_max_tokens: tokens.map_or(UNTOLD_MADE_TOKENS, |tokens| tokens.made_max_tokens),
+        made_hint_tokens: tokens.and_then(|tokens| tokens.made_hint_tokens),
+        priority: u32::from(call.priority),
+    }
+}
+
+/// How an offer to an engine ended, where it was not taken.
+enum NotStarted {
+    /// Not run: another engine may be asked.
+    NotRun(String),
+    /// The caller has to be told.
+    Failed(Error),
+}
+
+async fn start(call: &Arc<Call>) -> Result<Started, Error> {
+    let gateway = &call.gateway;
+    let demand = demand(call);
+    let mut excluded = Vec::new();
+    let mut reason = String::new();
+    for offers in 0..OFFERS_MAX {
+        if offers > 0 && !gateway.take_retry(&call.service) {
+            reason.push_str("; retry budget spent");
+            break;
+        }
+        let wait = call.route.goal.mul_f64(WAIT_GOAL_SHARE);
+        let wait = wait.saturating_sub(call.age());
+        let placed = coordinator::place(gateway, &call.service, &demand, &excluded, wait).await;
+        let Some(granted) = placed else {
+            reason.push_str("; no room");
+            break;
+        };
+        if crate::log::admits("generation placed") {
+            info!("generation placed", kv: {
+                request_id = demand.run.as_str(), endpoint = granted.endpoint.as_str(),
+                backup:? = granted.backup, prompt_tokens: = demand.prompt_tokens,
+                made_hint:? = demand.made_hint_tokens, waited_ms: = millis(call.age()),
+            });
+        }
+        match offer(call, &demand, &granted).await {
+            Ok(started) => return Ok(started),
+            Err(NotStarted::Failed(error)) => return Err(error),
+            Err(NotStarted::NotRun(why)) => {
+                gateway.runs.note_refused(&call.service, &granted.endpoint);
+                excluded.push(granted.endpoint);
+                reason = why;
+            }
+        }
+    }
+    Err(Error::new(
+        ErrorKind::NoRoom,
+        format!("service {}: {reason}; not run", call.service),
+    )
+    .with_retry_after(coordinator::room_expected()))
+}
+
+async fn offer(
+    call: &Arc<Call>,
+    demand: &RunDemand,
+    granted: &Granted,
+) -> Result<Started, NotStarted> {
+    let gateway = &call.gateway;
+    let (endpoint, backup) = {
+        let fleet = gateway.fleet.lock();
+        let endpoint = fleet.get(&granted.endpoint).cloned();
+        let backup = granted.backup.as_ref();
+        let backup = backup.and_then(|backup| fleet.get(backup).cloned());
+        (endpoint, backup)
+    };
+    let not_run = |why: &str| NotStarted::NotRun(why.to_owned());
+    let endpoint = endpoint.ok_or_else(|| not_run("engine unknown here"))?;
+    let (sender, commands) = mpsc::unbounded_channel();
+    let run = Arc::new(RunHandle {
+        service: call.service.clone(),
+        demand: demand.clone(),
+        place: Mutex::new(RunPlace {
+            endpoint: endpoint.clone(),
+            backup: backup.clone(),
+        }),
+        made_tokens: AtomicU32::new(0),
+        commands: sender,
+    });
+    gateway.runs.insert(run.clone());
+    let handle = RunGuard {
+        call: call.clone(),
+        run,
+    };
+    let open_max = gateway.connections_max(&call.table, &call.service);
+    let connection = gateway.upstream.connection(&endpoint, open_max).await;
+    let connection = connection.map_err(|none| not_run(&none.to_string()))?;
+    if !gateway.fleet.lock().takes_work(&endpoint.id) {
+        return Err(not_run("the engine is leaving"));
+    }
+    let send = SendHead {
+        endpoint_id: &endpoint.id,
+        time_left: call.time_left(),
+        account: call.account.as_deref(),
+        priority: None,
+        backup_at: backup.as_ref().map(|backup| backup.address),
+        continue_from: None,
+    };
+    let request = engine::forward(&call.parts, call.body.clone(), &send).map_err(|error| {
+        NotStarted::Failed(Error::new(ErrorKind::BadRequest, error.to_string()))
+    })?;
+    let answered = tokio::time::timeout(call.time_left(), connection.send(request)).await;
+    let answer = match answered {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(SendFailure::Unsent(why))) => return Err(NotStarted::NotRun(why)),
+        Ok(Err(SendFailure::MayHaveRun(why))) => {
+            return Err(lost(call, ErrorKind::EndpointLost, &why));
+        }
+        Err(_) => return Err(lost(call, ErrorKind::AnswerTimeout, "no event in time")),
+    };
+    if answer
+        .head
+        .request_id
+        .as_deref()
+        .is_some_and(|id| id != demand.run)
+    {
+        return Err(lost(
+            call,
+            ErrorKind::EndpointLost,
+            "answer of another request",
+        ));
+    }
+    if answer.head.not_run {
+        let status = answer.head.status;
+        drain_refusal(call, answer).await;
+        return Err(NotStarted::NotRun(format!("engine refused: {status}")));
+    }
+    let sound = answer.head.sealed && !answer.head.encoded && answer.head.request_id.is_some();
+    if answer.parts.status.is_success() && !sound {
+        return Err(lost(
+            call,
+            ErrorKind::EndpointLost,
+            "not the engine's own answer",
+        ));
+    }
+    Ok(Started {
+        source: Source::new(endpoint, answer),
+        handle,
+        commands,
+    })
+}
+
+fn lost(call: &Call, kind: ErrorKind, why: &str) -> NotStarted {
+    NotStarted::Failed(Error::new(
+        kind,
+        format!("service {}: {why}; it may have run", call.service),
+    ))
+}
+
+/// Reads a refusal to its end, so that the connection can be used again.
+async fn drain_refusal(call: &Call, answer: super::upstream::Answer) {
+    const REFUSAL_READ: Duration = Duration::from_millis(100);
+    let read = tokio::time::timeout(REFUSAL_READ, answer.body.collect()).await;
+    if matches!(read, Ok(Ok(_))) {
+        let upstream = &call.gateway.upstream;
+        upstream.give_back(answer.connection, &answer.head);
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,19 +13,24 @@
 //! | `plain_call` | calls with one answer |
 //! | `generation`, `relay` | generations: placed, then passed on event by event, also when they move |
 //! | `upstream` | connections to endpoints |
+//! | `runs`, `moves` | the generations served here, and how they move to another engine |
 //! | `coordinator` | the owner of a service's engines and how entries reach it |
 
 pub mod app;
 pub mod call;
 pub(crate) mod caller;
+pub(crate) mod coordinator;
 pub(crate) mod follow;
+pub(crate) mod generation;
 pub(crate) mod heartbeat;
 pub(crate) mod listener;
+pub(crate) mod moves;
 pub(crate) mod node;
 pub(crate) mod operators;
 pub(crate) mod peers;
 pub(crate) mod plain_call;
 pub(crate) mod relay;
+pub(crate) mod runs;
 pub mod settings;
 pub mod site_store;
 pub(crate) mod upstream;
--- /dev/null
+++ b/src/gateway/moves.rs
@@ -0,0 +1,130 @@
+//! Carries out the move of a generation: its memory is copied while it runs, then it is stopped and the rest is copied.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+
+use super::node::Gateway;
+use super::runs::{Continuation, RunCommand, RunHandle};
+use crate::kernel::engine_ledger::MoveResult;
+use crate::kernel::fleet::EndpointEntry;
+use crate::peer::generated as wire;
+use crate::platform::engine::{self, Copied};
+
+/// Longest wait for a copy; a whole memory between halls takes half of it.
+const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Largest answer to an order to copy.
+const ANSWER_MAX_BYTES: usize = 64 << 10;
+
+/// Moves a generation served here; answers once its memory has been copied.
+pub(crate) async fn move_run(
+    gateway: &Arc<Gateway>,
+    order: &wire::MoveRunRequest,
+) -> (MoveResult, String) {
+    let Some(run) = gateway.runs.get(&order.run) else {
+        return (MoveResult::RunGone, "not served here".to_owned());
+    };
+    let (source, target) = {
+        let fleet = gateway.fleet.lock();
+        let source = fleet.get(&order.source).cloned();
+        let target = fleet.get(&order.target).cloned();
+        (source, target.filter(|target| fleet.takes_work(&target.id)))
+    };
+    let (Some(source), Some(target)) = (source, target) else {
+        return (MoveResult::NoRoom, "engine unknown or leaving".to_owned());
+    };
+    if run.place.lock().endpoint.id != source.id {
+        return (MoveResult::Failed, "it runs elsewhere".to_owned());
+    }
+    if order.from_backup {
+        return go_on_from_backup(&run, &target);
+    }
+    match copy(gateway, &run, &source, &target, false).await {
+        Ok(Copied::Done(_)) => {}
+        other => return not_copied(other),
+    }
+    stop_and_copy(gateway, &run, &source, &target).await
+}
+
+fn go_on_from_backup(run: &RunHandle, backup: &EndpointEntry) -> (MoveResult, String) {
+    send(
+        run,
+        RunCommand::Continue(Continuation {
+            target: backup.clone(),
+            copy_address: backup.address,
+            copy: run.demand.run.clone(),
+            source_stopped: false,
+        }),
+    );
+    (MoveResult::Copied, String::new())
+}
+
+async fn stop_and_copy(
+    gateway: &Gateway,
+    run: &RunHandle,
+    source: &EndpointEntry,
+    target: &EndpointEntry,
+) -> (MoveResult, String) {
+    send(run, RunCommand::Stopping);
+    let continuation = |target: &EndpointEntry, copy| {
+        RunCommand::Continue(Continuation {
+            target: target.clone(),
+            copy_address: source.address,
+            copy,
+            source_stopped: true,
+        })
+    };
+    match copy(gateway, run, source, target, true).await {
+        Ok(Copied::Done(copy)) => {
+            send(run, continuation(target, copy));
+            (MoveResult::Copied, String::new())
+        }
+        Ok(Copied::NoRoom(Some(kept))) => {
+            // It was stopped, and its engine still has its memory: it goes on there.
+            send(run, continuation(source, kept));
+            (MoveResult::NoRoom, "stopped and gone on".to_owned())
+        }
+        other => {
+            send(run, RunCommand::NotStopped);
+            not_copied(other)
+        }
+    }
+}
+
+fn not_copied(copied: Result<Copied, String>) -> (MoveResult, String) {
+    match copied {
+        Ok(Copied::NoRoom(_)) => (MoveResult::NoRoom, "no room".to_owned()),
+        Ok(other) => (MoveResult::Failed, format!("{other:?}")),
+        Err(why) => (MoveResult::Failed, why),
+    }
+}
+
+/// The task that passes the generation on may have ended; then nobody needs the command.
+fn send(run: &RunHandle, command: RunCommand) {
+    let _ = run.commands.send(command);
+}
+
+async fn copy(
+    gateway: &Gateway,
+    run: &RunHandle,
+    source: &EndpointEntry,
+    target: &EndpointEntry,
+    stop: bool,
+) -> Result<Copied, String> {
+    let request = engine::move_request(source.address, &run.demand.run, target.address, stop)
+        .map_err(|error| error.to_string())?;
+    let called = async {
+        let connection = gateway.upstream.connection(source, usize::MAX).await;
+        let connection = connection.map_err(|none| none.to_string())?;
+        let answer = connection.send(request).await;
+        let answer = answer.map_err(|failure| failure.to_string())?;
+        let body = Limited::new(answer.body, ANSWER_MAX_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        gateway.upstream.give_back(answer.connection, &answer.head);
+        Ok(engine::decode_moved(answer.head.status, &body))
+    };
+    tokio::time::timeout(COPY_TIMEOUT, called)
+        .await
+        .map_err(|_| "no answer in time".to_owned())?
+}
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -13,6 +13,8 @@
 use tokio::sync::watch;
 use uuid::Uuid;
 
+use super::coordinator::Coordinator;
+use super::runs::RunRegistry;
 use super::settings::RoutingSettings;
 use super::site_store::{MemberEntry, SiteStore};
 use super::upstream::{Upstream, open_max};
@@ -107,6 +109,8 @@
     pub(crate) health: Mutex<EndpointHealth>,
     retries: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) upstream: Upstream,
+    pub(crate) runs: RunRegistry,
+    pub(crate) coordinator: Coordinator,
     pub(crate) peers: PeerClients,
     pub(crate) in_flight: InFlight,
 }
@@ -137,6 +141,8 @@
             member_entries: Mutex::default(),
             health: Mutex::default(),
             retries: Mutex::default(),
+            runs: RunRegistry::default(),
+            coordinator: Coordinator::default(),
             peers: PeerClients::default(),
             in_flight: InFlight::new(),
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,10 +4,13 @@
 
 use tonic::{Request, Response, Status};
 
-use super::heartbeat;
 use super::node::Gateway;
+use super::{coordinator, heartbeat, moves};
+use crate::kernel::engine_ledger::ReportedRun;
+use crate::peer::convert::{self, BadField};
 use crate::peer::generated as wire;
 use crate::peer::generated::site_server::Site;
+use crate::settings::ms;
 
 /// The peers' side of an instance.
 pub(crate) struct SiteService {
@@ -41,22 +44,46 @@
 
     async fn place(
         &self,
-        _request: Request<wire::PlaceRequest>,
+        request: Request<wire::PlaceRequest>,
     ) -> Result<Response<wire::PlaceReply>, Status> {
-        Err(Status::unimplemented("place"))
+        let request = request.into_inner();
+        let demand = request.demand.ok_or(BadField("demand"))?.into();
+        let granted = coordinator::place_here(
+            &self.gateway,
+            &request.service,
+            &demand,
+            &request.entry,
+            &request.excluded,
+            ms(request.wait_ms),
+        );
+        Ok(Response::new(convert::place_reply(granted.await)))
     }
 
     async fn report_runs(
         &self,
-        _request: Request<wire::RunsReport>,
+        request: Request<wire::RunsReport>,
     ) -> Result<Response<wire::RunsReply>, Status> {
-        Err(Status::unimplemented("report_runs"))
+        let report = request.into_inner();
+        let runs: Result<Vec<ReportedRun>, BadField> =
+            report.runs.into_iter().map(ReportedRun::try_from).collect();
+        coordinator::take_report(
+            &self.gateway,
+            &report.service,
+            &report.entry,
+            runs?,
+            &report.refused,
+        );
+        Ok(Response::new(wire::RunsReply {}))
     }
 
     async fn move_run(
         &self,
-        _request: Request<wire::MoveRunRequest>,
+        request: Request<wire::MoveRunRequest>,
     ) -> Result<Response<wire::MoveRunReply>, Status> {
-        Err(Status::unimplemented("move_run"))
+        let (result, reason) = moves::move_run(&self.gateway, &request.into_inner()).await;
+        Ok(Response::new(wire::MoveRunReply {
+            result: convert::move_result_number(result),
+            reason,
+        }))
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,8 @@
-//! Generations: placed on an engine, then passed on event by event.
+//! Passes a generation on event by event, also when it goes on at another engine.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures::stream;
@@ -9,111 +10,99 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use spdlog::info;
+use tokio::sync::mpsc;
 
-use super::call::SendHead;
+use super::call::{ContinueFrom, SendHead};
 use super::caller::Call;
-use super::listener::{AnswerBody, BodyBroken, whole};
-use super::node::Gateway;
-use super::upstream::{Answer, SendFailure};
-use crate::error::{Error, ErrorKind};
+use super::generation::{RunGuard, Started, tell_end};
+use super::listener::{AnswerBody, BodyBroken};
+use super::runs::{Continuation, RunCommand};
+use super::upstream::Answer;
 use crate::kernel::clock::millis;
 use crate::kernel::event_split::EventSplitter;
 use crate::kernel::fleet::EndpointEntry;
-use crate::platform::{engine, ingress};
-
-/// Answers a call for a generation.
-pub(crate) async fn answer(call: Call) -> Response<AnswerBody> {
-    call.gateway.count_first_send(&call.service);
-    let call = Arc::new(call);
-    match start(&call).await {
-        Ok((endpoint, answer)) => relay(call, endpoint, answer),
-        Err(error) => {
-            tell_end(&call, &format!("{:?}", error.kind), &error.message, 0);
-            ingress::refusal(&error).map(whole)
-        }
-    }
-}
+use crate::platform::engine;
 
-fn tell_end(call: &Call, outcome: &str, why: &str, events: u32) {
-    metrics::counter!("larkwick_generations_total", "outcome" => outcome.to_owned()).increment(1);
-    if crate::log::admits("generation ended") {
-        info!("generation ended", kv: {
-            request_id = call.head.request_id.as_str(),
-            route = call.route.name.as_str(),
-            outcome, why, events:,
-            config_version: = call.table.version(),
-            took_ms: = millis(call.age()),
-            tokens:? = call.head.tokens,
-        });
-    }
+/// An engine that was asked to stop a generation closes its stream, and the place to go on is known, within this time.
+const STOP_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Longest wait for the stream of a stopped generation to close.
+const CLOSE_PATIENCE: Duration = Duration::from_millis(120);
+/// Longest wait for the first event after a move.
+const RESUME_PATIENCE: Duration = Duration::from_millis(2_500);
+/// A generation with a backup whose engine says nothing for this long goes on from the backup. Engines under load make an event in
+/// 60 ms; a preempted generation is silent for up to a second.
+const SILENCE_MAX: Duration = Duration::from_millis(1_500);
+
+/// An engine's answer that is being passed on.
+pub(crate) struct Source {
+    endpoint: EndpointEntry,
+    answer: Answer,
+    splitter: EventSplitter,
 }
 
-async fn start(call: &Call) -> Result<(EndpointEntry, Answer), Error> {
-    let gateway = &call.gateway;
-    let endpoint = {
-        let fleet = gateway.fleet.lock();
-        let health = gateway.health.lock();
-        let now = gateway.now();
-        let ready = fleet.ready(&call.service);
-        let weight = |entry: &EndpointEntry| health.weight(&entry.id, entry.slots, now);
-        let mut ready: Vec<_> = ready.map(|entry| (weight(entry), entry.clone())).collect();
-        ready.sort_by(|one, other| other.0.total_cmp(&one.0));
-        ready.into_iter().next().map(|(_, entry)| entry)
-    };
-    let endpoint = endpoint.ok_or_else(|| Gateway::no_endpoint(&call.service))?;
-    gateway.health.lock().begin(&endpoint.id);
-    let open_max = gateway.connections_max(&call.table, &call.service);
-    let connection = gateway.upstream.connection(&endpoint, open_max).await;
-    let connection =
-        connection.map_err(|none| Error::new(ErrorKind::EndpointRefused, none.to_string()))?;
-    let send = SendHead {
-        endpoint_id: &endpoint.id,
-        time_left: call.time_left(),
-        account: call.account.as_deref(),
-        priority: None,
-        backup_at: None,
-        continue_from: None,
-    };
-    let request = engine::forward(&call.parts, call.body.clone(), &send)
-        .map_err(|error| Error::new(ErrorKind::BadRequest, error.to_string()))?;
-    let answer = connection
-        .send(request)
-        .await
-        .map_err(|error| match error {
-            SendFailure::Unsent(why) => Error::new(ErrorKind::EndpointRefused, why),
-            SendFailure::MayHaveRun(why) => Error::new(ErrorKind::EndpointLost, why),
-        })?;
-    if answer.head.not_run {
-        return Err(Error::new(ErrorKind::EndpointRefused, "refused"));
+impl Source {
+    pub(crate) fn new(endpoint: EndpointEntry, answer: Answer) -> Self {
+        Self {
+            endpoint,
+            answer,
+            splitter: EventSplitter::default(),
+        }
     }
-    Ok((endpoint, answer))
 }
 
 struct Relay {
     call: Arc<Call>,
-    endpoint: EndpointEntry,
-    answer: Answer,
-    splitter: EventSplitter,
-    ready: VecDeque<Bytes>,
+    handle: RunGuard,
+    commands: mpsc::UnboundedReceiver<RunCommand>,
+    /// Absent between two engines.
+    source: Option<Source>,
+    /// Whether an engine was asked to stop it, and the place to go on is not known yet.
+    stopping: bool,
+    /// Where it goes on once its stopped source has closed the stream: what the source made before must be read first.
+    pending: Option<Continuation>,
+    event_tokens: u32,
     events: u32,
+    last_event_id: Option<String>,
+    moves: u32,
     ended: bool,
 }
 
-fn relay(call: Arc<Call>, endpoint: EndpointEntry, answer: Answer) -> Response<AnswerBody> {
+/// How far one step came.
+enum Step {
+    /// Events to pass on.
+    Events(Bytes),
+    /// The generation is whole.
+    End,
+    /// The source broke off.
+    Broken(String),
+    /// It goes on elsewhere.
+    Continue(Continuation),
+    /// Nothing to pass on yet.
+    Again,
+}
+
+/// The answer to the caller, passed on as it comes.
+pub(crate) fn answer(call: Arc<Call>, started: Started) -> Response<AnswerBody> {
+    let parts = &started.source.answer.parts;
     let mut response = Response::new(());
-    *response.status_mut() = answer.parts.status;
-    *response.headers_mut() = engine::answer_headers(&answer.parts);
-    if crate::log::admits("probe head") {
-        info!("probe head", kv: { head:? = answer.parts.headers, request:? = call.parts.headers });
-    }
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = engine::answer_headers(parts);
+    let service = call.table.service(&call.service);
+    let event_tokens = service
+        .and_then(|service| service.engine)
+        .map_or(1, |engine| engine.event_tokens);
     let relay = Relay {
-        call,
-        endpoint,
-        answer,
-        splitter: EventSplitter::default(),
-        ready: VecDeque::new(),
+        handle: started.handle,
+        commands: started.commands,
+        source: Some(started.source),
+        stopping: false,
+        pending: None,
+        event_tokens,
         events: 0,
+        last_event_id: None,
+        moves: 0,
         ended: false,
+        call,
     };
     let frames = stream::unfold(relay, |mut relay| async {
         relay.next().await.map(|frame| (frame, relay))
@@ -128,58 +117,247 @@
             return None;
         }
         loop {
-            if !self.ready.is_empty() {
-                let mut bytes = BytesMut::new();
-                for event in self.ready.drain(..) {
-                    bytes.extend_from_slice(&event);
-                }
-                return Some(Ok(Frame::data(bytes.freeze())));
+            let mut step = self.step().await;
+            if let Step::Broken(why) = step {
+                step = self.after_break(why).await;
             }
-            match self.answer.body.frame().await {
-                Some(Ok(frame)) => {
-                    let Some(data) = frame.data_ref() else {
-                        continue;
-                    };
-                    let events = self.splitter.push(data).unwrap_or_default();
-                    for event in events {
-                        if (self.events < 3 || event.id.is_none())
-                            && crate::log::admits("probe event")
-                        {
-                            info!("probe event", kv: { bytes:? = event.bytes });
-                        }
-                        self.events += 1;
-                        self.ready.push_back(event.bytes);
+            match step {
+                Step::Events(bytes) => return Some(Ok(Frame::data(bytes))),
+                Step::Again => {}
+                Step::Continue(continuation) => {
+                    if let Err(why) = self.go_on(continuation).await {
+                        return Some(Err(self.fail(&why)));
                     }
                 }
-                Some(Err(error)) => {
-                    self.ended = true;
-                    tell_end(&self.call, "broken", &error.to_string(), self.events);
-                    return Some(Err(BodyBroken(error.to_string())));
-                }
-                None => {
-                    self.ended = true;
-                    let left = if self.splitter.is_between_events() {
-                        "whole"
-                    } else {
-                        "rest"
-                    };
-                    tell_end(&self.call, "whole", left, self.events);
+                Step::End => {
+                    self.finish();
                     return None;
                 }
+                Step::Broken(why) => return Some(Err(self.fail(&why))),
+            }
+        }
+    }
+
+    /// Waits for the source, a command, or a silence that is too long.
+    async fn step(&mut self) -> Step {
+        let Some(source) = &mut self.source else {
+            return Step::Broken("no source".to_owned());
+        };
+        let has_backup = self.handle.run.place.lock().backup.is_some();
+        let left = self.call.time_left();
+        let patience = if self.pending.is_some() {
+            CLOSE_PATIENCE
+        } else if has_backup && self.events > 0 && !self.stopping {
+            left.min(SILENCE_MAX)
+        } else {
+            left
+        };
+        tokio::select! {
+            biased;
+            frame = source.answer.body.frame() => match frame {
+                Some(Ok(frame)) => match frame.data_ref() {
+                    Some(data) => self.take_data(&data.clone()),
+                    None => Step::Again,
+                },
+                Some(Err(error)) => Step::Broken(error.to_string()),
+                None if source.splitter.is_between_events() => Step::End,
+                None => Step::Broken("the stream ended inside an event".to_owned()),
+            },
+            Some(command) = self.commands.recv() => self.take_command(command),
+            () = tokio::time::sleep(patience) => Step::Broken("silent for too long".to_owned()),
+        }
+    }
+
+    fn take_data(&mut self, data: &[u8]) -> Step {
+        let Some(source) = &mut self.source else {
+            return Step::Again;
+        };
+        let events = match source.splitter.push(data) {
+            Ok(events) => events,
+            Err(error) => return Step::Broken(error.to_string()),
+        };
+        let mut bytes = BytesMut::new();
+        for event in events {
+            if !self.is_next(event.id.as_deref()) {
+                return Step::Broken("an event is missing".to_owned());
+            }
+            if self.is_known(event.id.as_deref()) {
+                continue;
+            }
+            self.events += 1;
+            if event.id.is_some() {
+                self.last_event_id = event.id;
+            }
+            bytes.extend_from_slice(&event.bytes);
+        }
+        let made = self.events.saturating_mul(self.event_tokens);
+        let handle = &self.handle.run;
+        handle.made_tokens.store(made, Ordering::Relaxed);
+        if bytes.is_empty() {
+            Step::Again
+        } else {
+            Step::Events(bytes.freeze())
+        }
+    }
+
+    fn last_number(&self) -> Option<u64> {
+        self.last_event_id.as_ref()?.parse().ok()
+    }
+
+    /// Whether an event was passed on already, by the engine before.
+    fn is_known(&self, id: Option<&str>) -> bool {
+        let number = id.and_then(|id| id.parse::<u64>().ok());
+        match (number, self.last_number()) {
+            (Some(number), Some(last)) => number <= last,
+            _ => false,
+        }
+    }
+
+    /// Whether no event is missing before this one; ids are numbers that rise by one.
+    fn is_next(&self, id: Option<&str>) -> bool {
+        let number = id.and_then(|id| id.parse::<u64>().ok());
+        match (number, self.last_number()) {
+            (Some(number), Some(last)) => number <= last + 1,
+            (Some(number), None) => number <= 1,
+            _ => true,
+        }
+    }
+
+    fn take_command(&mut self, command: RunCommand) -> Step {
+        match command {
+            RunCommand::Stopping => {
+                self.stopping = true;
+                Step::Again
+            }
+            RunCommand::NotStopped => {
+                self.stopping = false;
+                Step::Again
+            }
+            RunCommand::Continue(continuation) if continuation.source_stopped => {
+                self.pending = Some(continuation);
+                Step::Again
+            }
+            RunCommand::Continue(continuation) => Step::Continue(continuation),
+        }
+    }
+
+    /// The source broke off: the place to go on is about to be known, or there is a backup, or it is the end.
+    async fn after_break(&mut self, why: String) -> Step {
+        self.source = None;
+        if let Some(continuation) = self.pending.take() {
+            return Step::Continue(continuation);
+        }
+        while self.stopping {
+            let command = tokio::time::timeout(STOP_PATIENCE, self.commands.recv()).await;
+            match command {
+                Ok(Some(RunCommand::Continue(continuation))) => {
+                    return Step::Continue(continuation);
+                }
+                Ok(Some(RunCommand::Stopping)) => {}
+                Ok(Some(RunCommand::NotStopped) | None) | Err(_) => self.stopping = false,
             }
         }
+        let backup = self.handle.run.place.lock().backup.clone();
+        match backup {
+            Some(backup) if self.events > 0 && self.takes_work(&backup) => {
+                Step::Continue(Continuation {
+                    copy_address: backup.address,
+                    copy: self.handle.run.demand.run.clone(),
+                    target: backup,
+                    source_stopped: false,
+                })
+            }
+            _ => Step::Broken(why),
+        }
+    }
+
+    fn takes_work(&self, endpoint: &EndpointEntry) -> bool {
+        self.call.gateway.fleet.lock().takes_work(&endpoint.id)
+    }
+
+    /// Goes on at another engine.
+    async fn go_on(&mut self, continuation: Continuation) -> Result<(), String> {
+        let begun = self.call.gateway.now();
+        self.stopping = false;
+        self.source = None;
+        let target = continuation.target.clone();
+        let resumed = tokio::time::timeout(RESUME_PATIENCE, self.resume(&continuation)).await;
+        let resumed = resumed.unwrap_or_else(|_| Err("no event in time".to_owned()));
+        let pause_ms = millis(self.call.gateway.now().saturating_sub(begun));
+        if crate::log::admits("generation moved") {
+            let outcome = resumed.as_ref().err().map_or("gone on", String::as_str);
+            info!("generation moved", kv: {
+                request_id = self.call.head.request_id.as_str(),
+                target = target.id.as_str(), outcome, pause_ms:,
+                source_stopped: = continuation.source_stopped, last_event_id:? = self.last_event_id,
+            });
+        }
+        let answer = resumed?;
+        self.moves += 1;
+        {
+            let mut place = self.handle.run.place.lock();
+            place.endpoint = target.clone();
+            place.backup = None;
+        }
+        self.call.gateway.coordinator.changed.notify_one();
+        self.source = Some(Source::new(target, answer));
+        Ok(())
+    }
+
+    async fn resume(&self, continuation: &Continuation) -> Result<Answer, String> {
+        let call = &self.call;
+        let gateway = &call.gateway;
+        let target = &continuation.target;
+        let connection = gateway.upstream.connection(target, usize::MAX).await;
+        let connection = connection.map_err(|none| none.to_string())?;
+        let send = SendHead {
+            endpoint_id: &target.id,
+            time_left: call.time_left(),
+            account: call.account.as_deref(),
+            priority: None,
+            backup_at: None,
+            continue_from: Some(ContinueFrom {
+                copy_address: continuation.copy_address,
+                copy: &continuation.copy,
+                last_event_id: self.last_event_id.as_deref().unwrap_or("0"),
+            }),
+        };
+        let request = engine::forward(&call.parts, call.body.clone(), &send);
+        let request = request.map_err(|error| error.to_string())?;
+        let answer = connection.send(request).await;
+        let answer = answer.map_err(|failure| failure.to_string())?;
+        if answer.parts.status != http::StatusCode::OK || !answer.head.sealed {
+            return Err(format!("engine answered {}", answer.head.status));
+        }
+        if answer.head.request_id.as_deref() != Some(call.head.request_id.as_str()) {
+            return Err("the answer belongs to another request".to_owned());
+        }
+        Ok(answer)
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        tell_end(&self.call, "whole", "", self.events, self.moves);
+        if let Some(source) = self.source.take() {
+            let Answer {
+                head, connection, ..
+            } = source.answer;
+            self.call.gateway.upstream.give_back(connection, &head);
+        }
+    }
+
+    fn fail(&mut self, why: &str) -> BodyBroken {
+        self.ended = true;
+        self.source = None;
+        tell_end(&self.call, "broken", why, self.events, self.moves);
+        BodyBroken(why.to_owned())
     }
 }
 
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.ended {
-            tell_end(&self.call, "caller gone", "", self.events);
+            tell_end(&self.call, "caller gone", "", self.events, self.moves);
         }
-        let gateway = &self.call.gateway;
-        gateway
-            .health
-            .lock()
-            .end(&self.endpoint.id, None, gateway.now());
     }
 }
--- /dev/null
+++ b/src/gateway/runs.rs
@@ -0,0 +1,114 @@
+//! The generations that this instance serves: what their owner is told of them, and the way to reach each one.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+
+use crate::kernel::engine_ledger::{ReportedRun, RunDemand};
+use crate::kernel::fleet::EndpointEntry;
+
+/// Where a generation goes on.
+#[derive(Debug, Clone)]
+pub(crate) struct Continuation {
+    /// Engine that runs it from now on.
+    pub(crate) target: EndpointEntry,
+    /// Engine that the copy is named after.
+    pub(crate) copy_address: std::net::SocketAddr,
+    /// Name of the copy.
+    pub(crate) copy: String,
+    /// Whether the engine that ran it has stopped it, so that its stream closes by itself.
+    pub(crate) source_stopped: bool,
+}
+
+/// What is told to the task that passes a generation on.
+#[derive(Debug)]
+pub(crate) enum RunCommand {
+    /// Its engine is asked to stop it; its stream will close before the place to go on is known.
+    Stopping,
+    /// Where it goes on.
+    Continue(Continuation),
+    /// It was not stopped after all.
+    NotStopped,
+}
+
+/// Where a generation is.
+#[derive(Debug, Clone)]
+pub(crate) struct RunPlace {
+    /// Engine that runs it.
+    pub(crate) endpoint: EndpointEntry,
+    /// Engine that has a copy of its memory.
+    pub(crate) backup: Option<EndpointEntry>,
+}
+
+/// A generation served here.
+#[derive(Debug)]
+pub(crate) struct RunHandle {
+    pub(crate) service: String,
+    pub(crate) demand: RunDemand,
+    pub(crate) place: Mutex<RunPlace>,
+    pub(crate) made_tokens: AtomicU32,
+    pub(crate) commands: mpsc::UnboundedSender<RunCommand>,
+}
+
+impl RunHandle {
+    fn reported(&self) -> ReportedRun {
+        let place = self.place.lock();
+        ReportedRun {
+            demand: self.demand.clone(),
+            endpoint: place.endpoint.id.clone(),
+            backup: place.backup.as_ref().map(|backup| backup.id.clone()),
+            made_tokens: self.made_tokens.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// All generations served here.
+#[derive(Debug, Default)]
+pub(crate) struct RunRegistry {
+    runs: Mutex<HashMap<String, Arc<RunHandle>>>,
+    /// Engines that refused a generation since the last report, by service.
+    refused: Mutex<HashMap<String, BTreeSet<String>>>,
+}
+
+impl RunRegistry {
+    pub(crate) fn insert(&self, handle: Arc<RunHandle>) {
+        self.runs.lock().insert(handle.demand.run.clone(), handle);
+    }
+
+    pub(crate) fn remove(&self, run: &str) {
+        self.runs.lock().remove(run);
+    }
+
+    pub(crate) fn get(&self, run: &str) -> Option<Arc<RunHandle>> {
+        self.runs.lock().get(run).cloned()
+    }
+
+    /// Services with generations here.
+    pub(crate) fn services(&self) -> BTreeSet<String> {
+        let runs = self.runs.lock();
+        runs.values().map(|run| run.service.clone()).collect()
+    }
+
+    /// Generations of a service, as its owner is told.
+    pub(crate) fn of_service(&self, service: &str) -> Vec<ReportedRun> {
+        let runs = self.runs.lock();
+        let runs = runs.values().filter(|run| run.service == service);
+        runs.map(|run| run.reported()).collect()
+    }
+
+    /// Notes an engine that refused a generation.
+    pub(crate) fn note_refused(&self, service: &str, endpoint: &str) {
+        let mut refused = self.refused.lock();
+        let endpoints = refused.entry(service.to_owned()).or_default();
+        endpoints.insert(endpoint.to_owned());
+    }
+
+    /// Takes the engines that refused a generation since the last call.
+    pub(crate) fn take_refused(&self, service: &str) -> Vec<String> {
+        let refused = self.refused.lock().remove(service);
+        refused.unwrap_or_default().into_iter().collect()
+    }
+}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod config;
 pub mod departures;
+pub mod engine_ledger;
 pub mod estimate;
 pub mod event_split;
 pub mod fairness;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -6,6 +6,7 @@
 
 use super::generated as wire;
 use crate::kernel::clock::millis;
+use crate::kernel::engine_ledger::{Granted, MoveResult, ReportedRun, RunDemand};
 use crate::kernel::group::ReserveRequest;
 use crate::kernel::membership::{Incarnation, PeerStatus, Suspicion};
 
@@ -132,3 +133,100 @@
         candidates: message.candidates,
     })
 }
+
+fn non_empty(text: String) -> Option<String> {
+    (!text.is_empty()).then_some(text)
+}
+
+impl From<&RunDemand> for wire::Demand {
+    fn from(demand: &RunDemand) -> Self {
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "a guess needs no more digits"
+        )]
+        let made_hint_tokens = demand.made_hint_tokens.unwrap_or_default() as f32;
+        Self {
+            run: demand.run.clone(),
+            prompt_tokens: demand.prompt_tokens,
+            made_max_tokens: demand.made_max_tokens,
+            made_hint_tokens,
+            priority: demand.priority,
+        }
+    }
+}
+
+impl From<wire::Demand> for RunDemand {
+    fn from(message: wire::Demand) -> Self {
+        let hint = f64::from(message.made_hint_tokens);
+        Self {
+            run: message.run,
+            prompt_tokens: message.prompt_tokens,
+            made_max_tokens: message.made_max_tokens,
+            made_hint_tokens: (hint > 0.0).then_some(hint),
+            priority: message.priority,
+        }
+    }
+}
+
+impl From<&ReportedRun> for wire::Run {
+    fn from(run: &ReportedRun) -> Self {
+        Self {
+            demand: Some((&run.demand).into()),
+            endpoint: run.endpoint.clone(),
+            backup: run.backup.clone().unwrap_or_default(),
+            made_tokens: run.made_tokens,
+        }
+    }
+}
+
+impl TryFrom<wire::Run> for ReportedRun {
+    type Error = BadField;
+
+    fn try_from(message: wire::Run) -> Result<Self, BadField> {
+        Ok(Self {
+            demand: message.demand.ok_or(BadField("demand"))?.into(),
+            endpoint: message.endpoint,
+            backup: non_empty(message.backup),
+            made_tokens: message.made_tokens,
+        })
+    }
+}
+
+/// Reads the owner's answer; nothing where there is no room.
+pub(crate) fn granted(reply: wire::PlaceReply) -> Option<Granted> {
+    Some(Granted {
+        endpoint: non_empty(reply.endpoint)?,
+        backup: non_empty(reply.backup),
+    })
+}
+
+/// The owner's answer.
+pub(crate) fn place_reply(granted: Option<Granted>) -> wire::PlaceReply {
+    let Some(granted) = granted else {
+        return wire::PlaceReply::default();
+    };
+    wire::PlaceReply {
+        endpoint: granted.endpoint,
+        backup: granted.backup.unwrap_or_default(),
+    }
+}
+
+/// Reads how a move ended.
+pub(crate) fn move_result(number: u32) -> MoveResult {
+    match number {
+        0 => MoveResult::Copied,
+        1 => MoveResult::RunGone,
+        2 => MoveResult::NoRoom,
+        _ => MoveResult::Failed,
+    }
+}
+
+/// How a move ended, as a number.
+pub(crate) fn move_result_number(result: MoveResult) -> u32 {
+    match result {
+        MoveResult::Copied => 0,
+        MoveResult::RunGone => 1,
+        MoveResult::NoRoom => 2,
+        MoveResult::Failed => 3,
+    }
+}
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -191,12 +191,6 @@
     /// Engine that should get a copy of the memory as it grows; may be empty.
     #[prost(string, tag = "2")]
     pub backup: ::prost::alloc::string::String,
-    /// When room is expected.
-    #[prost(uint64, tag = "3")]
-    pub retry_after_ms: u64,
-    /// Why there is no room.
-    #[prost(string, tag = "4")]
-    pub reason: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Run {
@@ -209,14 +203,6 @@
     #[prost(uint32, tag = "4")]
     pub made_tokens: u32,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct EndpointResult {
-    #[prost(string, tag = "1")]
-    pub endpoint: ::prost::alloc::string::String,
-    /// Whether it refused as full.
-    #[prost(bool, tag = "2")]
-    pub refused: bool,
-}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RunsReport {
     #[prost(string, tag = "1")]
@@ -225,8 +211,9 @@
     pub entry: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "3")]
     pub runs: ::prost::alloc::vec::Vec<Run>,
-    #[prost(message, repeated, tag = "4")]
-    pub results: ::prost::alloc::vec::Vec<EndpointResult>,
+    /// Engines that refused a generation since the last report.
+    #[prost(string, repeated, tag = "4")]
+    pub refused: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RunsReply {}
