Read the store through a few readers

Change: a few members read the store for all; the others read from them, with the store's own offsets and the age of its last word.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -14,7 +14,7 @@
 use super::node::Gateway;
 use super::peers::SiteService;
 use super::settings::RoutingSettings;
-use super::site_store::{self, Subject};
+use super::site_store::{self, SiteStore, Subject};
 use super::{coordinator, follow, heartbeat, operators};
 use crate::daemon::app::metrics_handle;
 use crate::kernel::clock::{SystemClock, millis};
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -42,7 +42,7 @@
     /// When the caller, or the route, stops waiting.
     pub(crate) deadline: Duration,
     /// Keeps the instance from stopping.
-    pub(crate) counted: Counted,
+    _counted: Counted,
 }
 
 impl Call {
@@ -154,7 +154,7 @@
         route: routed.route,
         arrived,
         deadline,
-        counted,
+        _counted: counted,
     })
 }
 
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -11,6 +11,7 @@
 use spdlog::{info, warn};
 use tokio::sync::{Notify, oneshot};
 
+use super::heartbeat::MEMBER_RING;
 use super::moves;
 use super::node::{Gateway, Stage};
 use crate::kernel::clock::millis;
@@ -100,9 +101,7 @@
     let own_name = &gateway.incarnation.name;
     let serving = gateway.in_flight.stage() == Stage::Serving;
     let members = gateway.members.lock();
-    let live: Vec<_> = members
-        .live(&gateway.settings.hall, gateway.now())
-        .collect();
+    let live: Vec<_> = members.live(MEMBER_RING, gateway.now()).collect();
     let names = live
         .iter()
         .map(|peer| peer.status.incarnation.name.as_str());
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,8 +7,9 @@
 use rand::RngExt;
 use spdlog::{info, warn};
 
+use super::heartbeat::{self, MEMBER_RING};
 use super::node::Gateway;
-use super::site_store::{MemberEntry, SitePage, SiteRecord, StoreError, Subject};
+use super::site_store::{MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, Subject};
 use crate::kernel::fleet::{EndpointEntry, FleetChange};
 use crate::kernel::membership::{Incarnation, Listed, PeerStatus};
 use crate::kernel::route::{RouteConfig, RouteTable};
@@ -18,6 +19,9 @@
 /// Longest pause between calls to a store that fails; well inside the two seconds in which entries come back.
 const PAUSE_MAX: Duration = Duration::from_millis(800);
 
+/// A site that starts as a whole knows its members after about this long.
+const MEMBERS_MET_WITHIN: Duration = Duration::from_millis(300);
+
 /// How long a read waits for news. A store that says nothing at all is noticed after this and the time-out of a call.
 const fn wait(subject: Subject) -> Duration {
     match subject {
@@ -25,8 +29,8 @@
         Subject::Configuration => Duration::from_secs(4),
         // Endpoints change every second anyway.
         Subject::Endpoints => Duration::from_secs(3),
-        // Heartbeats tell of members sooner.
-        Subject::Members => Duration::from_secs(15),
+        // Heartbeats tell of members sooner; but what others read here must not be old.
+        Subject::Members => Duration::from_secs(4),
     }
 }
 
@@ -54,9 +58,6 @@
         let now = gateway.now();
         let away_ms = now.saturating_sub(since).as_millis();
         info!("store regained", kv: { subject = self.subject.name(), away_ms: });
-        if self.subject == Subject::Endpoints {
-            gateway.fleet.lock().regained(now);
-        }
     }
 
     async fn failed(&mut self, gateway: &Gateway, error: &StoreError) {
@@ -71,8 +72,20 @@
     }
 }
 
+/// Waits a moment for a first member that lives: what it knows need not be read at the store.
+async fn members_met(gateway: &Gateway) {
+    const CHECK_EVERY: Duration = Duration::from_millis(15);
+    let until = gateway.now() + MEMBERS_MET_WITHIN;
+    while gateway.now() < until && gateway.instances_live() < 2 {
+        tokio::time::sleep(CHECK_EVERY).await;
+    }
+}
+
 /// Follows a subject for the life of the instance.
 pub(crate) async fn run(gateway: Arc<Gateway>, subject: Subject) {
+    if subject != Subject::Members {
+        members_met(&gateway).await;
+    }
     let mut contact = Contact::new(subject);
     loop {
         match gateway.store.newest(subject).await {
@@ -115,9 +128,12 @@
     }
 }
 
-fn take_newest(gateway: &Gateway, subject: Subject, page: SitePage) {
+fn take_newest(gateway: &Arc<Gateway>, subject: Subject, page: SitePage) {
     if subject != Subject::Endpoints {
         take_records(gateway, subject, page.records);
+        if subject == Subject::Members {
+            heartbeat::beat_round(gateway);
+        }
         return;
     }
     let mut entries = Vec::new();
@@ -127,11 +143,19 @@
             other => take_other(gateway, other),
         }
     }
+    note_regained(gateway);
     let changes = gateway.fleet.lock().take_whole(entries, gateway.now());
     gateway.fleet_known.store(true, Ordering::Relaxed);
     tell_changes(&changes);
 }
 
+/// Entries that are missing right after an outage of the list may come back.
+fn note_regained(gateway: &Gateway) {
+    if let Some(at) = gateway.store.regained_at(Subject::Endpoints) {
+        gateway.fleet.lock().regained(at);
+    }
+}
+
 fn take_records(gateway: &Gateway, subject: Subject, records: Vec<SiteRecord>) {
     let mut entries: Vec<EndpointEntry> = Vec::new();
     let mut vanished = Vec::new();
@@ -149,6 +173,7 @@
         }
     }
     if subject == Subject::Endpoints {
+        note_regained(gateway);
         let mut fleet = gateway.fleet.lock();
         let changes = fleet.take(entries, &vanished, gateway.now());
         drop(fleet);
@@ -186,7 +211,7 @@
             name: entry.name.clone(),
             id: entry.incarnation,
         },
-        hall: entry.hall.clone(),
+        hall: MEMBER_RING.to_owned(),
         caller_address: entry.caller_address.to_string(),
         peer_address: entry.peer_address.to_string(),
         operator_address: String::new(),
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -222,7 +222,7 @@
         ));
     }
     Ok(Started {
-        source: Source::new(endpoint, answer),
+        source: Source::new(answer),
         handle,
         commands,
     })
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -9,7 +9,7 @@
 
 use super::follow::take_config;
 use super::node::Gateway;
-use crate::kernel::membership::{Peer, PeerStatus, Suspicion};
+use crate::kernel::membership::{Incarnation, Peer, PeerStatus, Suspicion};
 use crate::kernel::route::RouteConfig;
 use crate::peer::client::within;
 use crate::peer::convert::BadField;
@@ -21,15 +21,25 @@
 /// Peers told in each round besides those watched; at a small site all are told.
 const FANOUT: usize = 2;
 
+/// Departures are passed on for this long.
+const DEPARTURES_PASSED_ON: Duration = Duration::from_secs(15);
+/// All members of a site watch each other on one ring, whatever hall they stand in: callers of any hall may use any of them.
+pub(crate) const MEMBER_RING: &str = "site";
+
 /// What this instance tells its peers.
 pub(crate) fn own_beat(gateway: &Gateway) -> wire::Beat {
-    let suspicions = {
+    let now = gateway.now();
+    let (departures, suspicions) = {
         let mut members = gateway.members.lock();
-        members.suspicions(&gateway.incarnation, &gateway.settings.hall, gateway.now())
+        let since = now.saturating_sub(DEPARTURES_PASSED_ON);
+        let recent = members.departures.recent(since);
+        let departures = recent.map(wire::Incarnation::from).collect();
+        let suspicions = members.suspicions(&gateway.incarnation, MEMBER_RING, now);
+        (departures, suspicions)
     };
     wire::Beat {
         status: Some((&gateway.status()).into()),
-        departures: Vec::new(),
+        departures,
         suspicions: suspicions.into_iter().map(wire::Suspicion::from).collect(),
     }
 }
@@ -38,6 +48,12 @@
 pub(crate) fn take_beat(gateway: &Arc<Gateway>, beat: wire::Beat) -> Result<(), BadField> {
     let status: PeerStatus = beat.status.ok_or(BadField("status"))?.try_into()?;
     let suspicions: Vec<Suspicion> = beat.suspicions.into_iter().map(Suspicion::from).collect();
+    let departed: Result<Vec<Incarnation>, BadField> = beat
+        .departures
+        .into_iter()
+        .map(Incarnation::try_from)
+        .collect();
+    let departed = departed?;
     let newer = status.config_next_offset > gateway.config_version();
     let address = status.peer_address.clone();
     let name = status.incarnation.name.clone();
@@ -47,6 +63,9 @@
         let mut members = gateway.members.lock();
         members.heard(status, now);
         members.take_suspicions(&suspicions, now);
+        for incarnation in &departed {
+            members.departures.record(incarnation, now);
+        }
     }
     if !was_live && is_live(gateway, &name) {
         info!("member lives", kv: { member = name.as_str() });
@@ -60,7 +79,7 @@
 
 fn is_live(gateway: &Gateway, name: &str) -> bool {
     let members = gateway.members.lock();
-    let mut live = members.live(&gateway.settings.hall, gateway.now());
+    let mut live = members.live(MEMBER_RING, gateway.now());
     live.any(|peer| peer.status.incarnation.name == name)
 }
 
@@ -71,7 +90,6 @@
     };
     let request = wire::FetchSiteRequest {
         config_version: gateway.config_version(),
-        endpoints: false,
     };
     match within(CALL_TIMEOUT, client.fetch_site(request)).await {
         Ok(reply) if reply.config.is_empty() => {}
@@ -95,7 +113,6 @@
     let config = newer.and_then(|table| serde_json::to_string(table.config()).ok());
     wire::FetchSiteReply {
         config: config.unwrap_or_default(),
-        endpoints: String::new(),
     }
 }
 
@@ -111,18 +128,16 @@
     }
 }
 
-/// Peer addresses to tell in one round: all of a small site; else the watched ones and a random few of the hall.
+/// Peer addresses to tell in one round: all of a small site; else the watched ones and a random few.
 fn told(gateway: &Gateway) -> Vec<String> {
     let members = gateway.members.lock();
     let address = |peer: &Peer| peer.status.peer_address.clone();
     if members.is_small_site() {
         return members.all().map(address).collect();
     }
-    let hall = &gateway.settings.hall;
-    let watched = members.watched(&gateway.incarnation.name, hall);
+    let watched = members.watched(&gateway.incarnation.name, MEMBER_RING);
     let watched = watched.iter().filter_map(|name| members.get(name));
-    let in_hall = members.all().filter(|peer| peer.status.hall == *hall);
-    let others = in_hall.sample(&mut rand::rng(), FANOUT);
+    let others = members.all().sample(&mut rand::rng(), FANOUT);
     watched.chain(others).map(address).collect()
 }
 
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -142,11 +142,10 @@
     if request.method() != Method::GET || request.uri().path() != names::RESOLVE_PATH {
         return status_only(StatusCode::NOT_FOUND);
     }
-    let mut addresses = gateway.caller_addresses();
+    let addresses = gateway.caller_addresses(directory::ADDRESSES_MAX);
     if addresses.is_empty() {
         return ingress::refusal(&Gateway::not_ready()).map(whole);
     }
-    addresses.truncate(directory::ADDRESSES_MAX);
     let valid = gateway.routing.read().directory_valid();
     let mut response = Response::new(whole(directory::encode(&addresses, valid)));
     response.headers_mut().insert(
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -9,13 +9,16 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
+use rand::RngExt;
 use serde::Serialize;
 use tokio::sync::watch;
 use uuid::Uuid;
 
 use super::coordinator::Coordinator;
+use super::heartbeat::MEMBER_RING;
 use super::runs::RunRegistry;
 use super::settings::RoutingSettings;
+use super::shared_store::{LiveMembers, SharedStore};
 use super::site_store::{MemberEntry, SiteStore};
 use super::upstream::{Upstream, open_max};
 use crate::error::{Error, ErrorKind};
@@ -99,22 +102,40 @@
     pub(crate) routing: RwLock<RoutingSettings>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) incarnation: Incarnation,
-    pub(crate) store: Arc<dyn SiteStore>,
+    pub(crate) store: SharedStore,
     table: RwLock<Option<Arc<RouteTable>>>,
     pub(crate) fleet: Mutex<Fleet>,
     /// Whether the list of endpoints was read once.
     pub(crate) fleet_known: std::sync::atomic::AtomicBool,
-    pub(crate) members: Mutex<Members>,
+    pub(crate) members: Arc<Mutex<Members>>,
     pub(crate) member_entries: Mutex<HashMap<String, MemberEntry>>,
     pub(crate) health: Mutex<EndpointHealth>,
     retries: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) upstream: Upstream,
     pub(crate) runs: RunRegistry,
     pub(crate) coordinator: Coordinator,
-    pub(crate) peers: PeerClients,
+    pub(crate) peers: Arc<PeerClients>,
     pub(crate) in_flight: InFlight,
 }
 
+/// The members that live as seen here, this instance included, with their peer addresses.
+fn live_members(
+    settings: &Settings,
+    members: Arc<Mutex<Members>>,
+    clock: Arc<dyn Clock>,
+) -> Box<LiveMembers> {
+    let own = (settings.instance.clone(), settings.peer_address.to_string());
+    Box::new(move || {
+        let members = members.lock();
+        let live = members.live(MEMBER_RING, clock.now());
+        let others = live.map(|peer| {
+            let status = &peer.status;
+            (status.incarnation.name.clone(), status.peer_address.clone())
+        });
+        others.chain([own.clone()]).collect()
+    })
+}
+
 impl Gateway {
     /// An instance that has heard of nothing yet.
     pub(crate) fn new(
@@ -127,6 +148,11 @@
             name: settings.instance.clone(),
             id: Uuid::new_v4(),
         };
+        let members: Arc<Mutex<Members>> = Arc::default();
+        let peers: Arc<PeerClients> = Arc::default();
+        let live = live_members(&settings, members.clone(), clock.clone());
+        let own_name = settings.instance.clone();
+        let store = SharedStore::new(own_name, store, clock.clone(), peers.clone(), live);
         Self {
             upstream: Upstream::new(clock.clone()),
             routing: RwLock::new(routing),
@@ -137,13 +163,13 @@
             table: RwLock::default(),
             fleet: Mutex::default(),
             fleet_known: std::sync::atomic::AtomicBool::new(false),
-            members: Mutex::default(),
+            members,
             member_entries: Mutex::default(),
             health: Mutex::default(),
             retries: Mutex::default(),
             runs: RunRegistry::default(),
             coordinator: Coordinator::default(),
-            peers: PeerClients::default(),
+            peers,
             in_flight: InFlight::new(),
         }
     }
@@ -205,6 +231,12 @@
         1 + self.members.lock().all().count()
     }
 
+    /// Instances that live, this one included.
+    pub(crate) fn instances_live(&self) -> usize {
+        let members = self.members.lock();
+        1 + members.live(MEMBER_RING, self.now()).count()
+    }
+
     /// Connections that this instance may hold to an endpoint of a service.
     pub(crate) fn connections_max(&self, table: &RouteTable, service: &str) -> usize {
         let allowed = table
@@ -245,7 +277,7 @@
     pub(crate) fn status(&self) -> PeerStatus {
         PeerStatus {
             incarnation: self.incarnation.clone(),
-            hall: self.settings.hall.clone(),
+            hall: MEMBER_RING.to_owned(),
             caller_address: self.settings.caller_address.to_string(),
             peer_address: self.settings.peer_address.to_string(),
             operator_address: self.settings.operator_address.to_string(),
@@ -267,13 +299,32 @@
         }
     }
 
-    /// Addresses for callers: those of the members that live, this one first while it takes callers.
-    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
+    /// Addresses for callers: those of the members that live, the larger ones more often where not all can be named.
+    pub(crate) fn caller_addresses(&self, most: usize) -> Vec<SocketAddr> {
         let own = self.is_ready().then_some(self.settings.caller_address);
-        let members = self.members.lock();
-        let live = members.live(&self.settings.hall, self.now());
-        let others = live.filter_map(|peer| peer.status.caller_address.parse().ok());
-        own.into_iter().chain(others).collect()
+        let live: Vec<(String, SocketAddr)> = {
+            let members = self.members.lock();
+            let live = members.live(MEMBER_RING, self.now());
+            let named = live.filter_map(|peer| {
+                let address = peer.status.caller_address.parse().ok()?;
+                Some((peer.status.incarnation.name.clone(), address))
+            });
+            named.collect()
+        };
+        let mut weighted: Vec<(f64, SocketAddr)> = {
+            let entries = self.member_entries.lock();
+            let cores = |name: &str| entries.get(name).map(|entry| entry.processor_cores);
+            let others = live.into_iter();
+            let others = others.map(|(name, address)| (cores(&name).unwrap_or_default(), address));
+            let own_cores = self.routing.read().processor_cores;
+            others
+                .chain(own.map(|address| (own_cores, address)))
+                .collect()
+        };
+        if weighted.len() > most {
+            weighted = sample_by_weight(weighted, most);
+        }
+        weighted.into_iter().map(|(_, address)| address).collect()
     }
 
     /// The error for a call that no endpoint can take now.
@@ -284,3 +335,20 @@
         )
     }
 }
+
+/// Draws so many, each in proportion to its weight.
+fn sample_by_weight(weighted: Vec<(f64, SocketAddr)>, most: usize) -> Vec<(f64, SocketAddr)> {
+    /// Weight of a member whose size is not known.
+    const UNKNOWN_WEIGHT: f64 = 0.1;
+    let mut drawn: Vec<(f64, (f64, SocketAddr))> = weighted
+        .into_iter()
+        .map(|one| {
+            let weight = one.0.max(UNKNOWN_WEIGHT);
+            let key = rand::rng().random_range(f64::EPSILON..1.0).ln() / weight;
+            (key, one)
+        })
+        .collect();
+    drawn.sort_by(|one, other| other.0.total_cmp(&one.0));
+    drawn.truncate(most);
+    drawn.into_iter().map(|(_, one)| one).collect()
+}
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -1,6 +1,6 @@
 //! What operators see of an instance that serves routes: its state and its metrics.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,6 +11,7 @@
 
 use super::node::{Gateway, Stage};
 use crate::kernel::clock::millis;
+use crate::kernel::engine_ledger::EngineSummary;
 use crate::kernel::fleet::{EndpointEntry, Standing};
 use crate::kernel::membership::PeerStatus;
 
@@ -32,6 +33,7 @@
     addresses_given: Vec<SocketAddr>,
     members: Vec<MemberDump>,
     endpoints: BTreeMap<String, EndpointDump>,
+    engines: HashMap<String, BTreeMap<String, EngineSummary>>,
 }
 
 #[derive(Serialize)]
@@ -87,9 +89,10 @@
         config_version: gateway.config_version(),
         calls: gateway.in_flight.calls(),
         connections: gateway.in_flight.connections(),
-        addresses_given: gateway.caller_addresses(),
+        addresses_given: gateway.caller_addresses(usize::MAX),
         members,
         endpoints,
+        engines: gateway.coordinator.dump(),
     })
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -42,6 +42,14 @@
         Ok(Response::new(reply))
     }
 
+    async fn read_site(
+        &self,
+        request: Request<wire::ReadSiteRequest>,
+    ) -> Result<Response<wire::ReadSiteReply>, Status> {
+        let reply = self.gateway.store.pass_on(&request.into_inner()).await?;
+        Ok(Response::new(reply))
+    }
+
     async fn place(
         &self,
         request: Request<wire::PlaceRequest>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -35,15 +35,13 @@
 
 /// An engine's answer that is being passed on.
 pub(crate) struct Source {
-    endpoint: EndpointEntry,
     answer: Answer,
     splitter: EventSplitter,
 }
 
 impl Source {
-    pub(crate) fn new(endpoint: EndpointEntry, answer: Answer) -> Self {
+    pub(crate) fn new(answer: Answer) -> Self {
         Self {
-            endpoint,
             answer,
             splitter: EventSplitter::default(),
         }
@@ -296,11 +294,11 @@
         self.moves += 1;
         {
             let mut place = self.handle.run.place.lock();
-            place.endpoint = target.clone();
+            place.endpoint = target;
             place.backup = None;
         }
         self.call.gateway.coordinator.changed.notify_one();
-        self.source = Some(Source::new(target, answer));
+        self.source = Some(Source::new(answer));
         Ok(())
     }
 
--- /dev/null
+++ b/src/gateway/shared_store.rs
@@ -0,0 +1,429 @@
+//! The store as seen through other instances: a few readers ask the store itself, the others ask a reader.
+//!
+//! A call to the store is dear and there may be thousands of instances. Offsets are the store's own, so an instance can change its
+//! source at any record. Every answer carries the age of the last word of the store, so that two instances that read from each
+//! other notice when neither hears the store any more.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use spdlog::info;
+use tokio::sync::Notify;
+
+use super::site_store::{
+    MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, StoreResult, Subject,
+};
+use crate::kernel::clock::{Clock, millis};
+use crate::kernel::readers;
+use crate::peer::client::{PeerClients, within};
+use crate::peer::generated as wire;
+
+/// Records of a subject that are kept for others to read on from.
+const KEPT_RECORDS: usize = 512;
+/// Longest wait of a read at another instance; its silence is noticed soon after.
+const PEER_WAIT: Duration = Duration::from_millis(700);
+/// On top of its wait, an answer of another instance may take this long.
+const PEER_MARGIN: Duration = Duration::from_millis(300);
+/// A word of the store older than this is not taken from another instance. Longer than a reader waits for news.
+const AGE_MAX: Duration = Duration::from_millis(5_500);
+/// That the store came back from an outage is told for this long.
+const REGAINED_TOLD_MS: u64 = 5_000;
+/// A source that failed is not asked for this long.
+const SOURCE_PAUSE: Duration = Duration::from_millis(2_000);
+
+/// Where the records of a subject are read.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum SourceName {
+    /// At the store.
+    Store,
+    /// At another instance.
+    Peer(String),
+}
+
+/// A page as it is passed to another instance.
+#[derive(Debug, Serialize, Deserialize)]
+struct PassedPage {
+    records: Vec<SiteRecord>,
+    next_offset: u64,
+    /// Age of the store's last word.
+    age_ms: u64,
+    /// Time since the store came back from an outage, where that was of late.
+    regained_ms_ago: Option<u64>,
+}
+
+/// What is known of a subject.
+#[derive(Debug, Default)]
+struct SubjectCache {
+    /// Newest record of each key; empty before the first answer.
+    newest: BTreeMap<String, SiteRecord>,
+    /// The last records, the newest last; the first one's offset is `next_offset` less their number.
+    recent: VecDeque<SiteRecord>,
+    next_offset: u64,
+    /// When the store last said something, by this instance's clock.
+    word_at: Option<Duration>,
+}
+
+struct SubjectShard {
+    cache: Mutex<SubjectCache>,
+    added: Notify,
+}
+
+/// Names of the members that live, this instance included, and their peer addresses.
+pub(crate) type LiveMembers = dyn Fn() -> BTreeMap<String, String> + Send + Sync;
+
+/// The store, read directly or through other instances.
+pub(crate) struct SharedStore {
+    own_name: String,
+    direct: Arc<dyn SiteStore>,
+    clock: Arc<dyn Clock>,
+    peers: Arc<PeerClients>,
+    live: Box<LiveMembers>,
+    shards: [SubjectShard; 3],
+    /// Sources that failed, and when they may be asked again.
+    paused: Mutex<HashMap<(Subject, SourceName), Duration>>,
+    /// When the store came back from its last outage, by subject.
+    regained_at: Mutex<HashMap<Subject, Duration>>,
+    /// Subjects for which the store itself failed last.
+    store_fails: Mutex<HashSet<Subject>>,
+    /// Source last used, for the log.
+    used: Mutex<HashMap<Subject, SourceName>>,
+}
+
+const SUBJECTS: [Subject; 3] = [Subject::Configuration, Subject::Endpoints, Subject::Members];
+
+fn key_of(record: &SiteRecord) -> Option<String> {
+    match record {
+        SiteRecord::Configuration(_) => Some(String::new()),
+        SiteRecord::Endpoint(entry) => Some(entry.id.clone()),
+        SiteRecord::EndpointGone(id) => Some(id.clone()),
+        SiteRecord::Member(entry) => Some(entry.name.clone()),
+        SiteRecord::Unreadable { .. } => None,
+    }
+}
+
+impl SubjectCache {
+    fn put_newest(&mut self, record: &SiteRecord) {
+        let Some(key) = key_of(record) else { return };
+        if matches!(record, SiteRecord::EndpointGone(_)) {
+            self.newest.remove(&key);
+        } else {
+            self.newest.insert(key, record.clone());
+        }
+    }
+
+    fn replace(&mut self, page: &SitePage, word_at: Duration) {
+        self.newest.clear();
+        self.recent.clear();
+        for record in &page.records {
+            self.put_newest(record);
+        }
+        self.next_offset = page.next_offset;
+        self.word_at = Some(word_at);
+    }
+
+    fn extend(&mut self, from: u64, page: &SitePage, word_at: Duration) {
+        self.word_at = self.word_at.max(Some(word_at));
+        if from != self.next_offset || page.next_offset <= from {
+            return;
+        }
+        for record in &page.records {
+            self.put_newest(record);
+            self.recent.push_back(record.clone());
+        }
+        // Records that are not ours to read leave gaps; then only whole pages can be passed on from here.
+        let read = u64::try_from(page.records.len()).unwrap_or(u64::MAX);
+        if page.next_offset - from != read {
+            self.recent.clear();
+        }
+        while self.recent.len() > KEPT_RECORDS {
+            self.recent.pop_front();
+        }
+        self.next_offset = page.next_offset;
+    }
+
+    /// Records from an offset on; nothing where they are not all kept.
+    fn since(&self, from: u64) -> Option<Vec<SiteRecord>> {
+        let missing = usize::try_from(self.next_offset.checked_sub(from)?).ok()?;
+        let skipped = self.recent.len().checked_sub(missing)?;
+        Some(self.recent.iter().skip(skipped).cloned().collect())
+    }
+}
+
+impl SharedStore {
+    pub(crate) fn new(
+        own_name: String,
+        direct: Arc<dyn SiteStore>,
+        clock: Arc<dyn Clock>,
+        peers: Arc<PeerClients>,
+        live: Box<LiveMembers>,
+    ) -> Self {
+        Self {
+            own_name,
+            direct,
+            clock,
+            peers,
+            live,
+            shards: SUBJECTS.map(|_| SubjectShard {
+                cache: Mutex::default(),
+                added: Notify::new(),
+            }),
+            paused: Mutex::default(),
+            used: Mutex::default(),
+            regained_at: Mutex::default(),
+            store_fails: Mutex::default(),
+        }
+    }
+
+    fn shard(&self, subject: Subject) -> &SubjectShard {
+        let index = SUBJECTS.iter().position(|one| *one == subject);
+        &self.shards[index.unwrap_or_default()]
+    }
+
+    /// Sources of a subject in the order in which they are tried. A reader asks the store first; the others ask their reader, the
+    /// next one, then the store.
+    fn sources(&self, subject: Subject) -> Vec<(SourceName, Option<String>)> {
+        let live = (self.live)();
+        let names: Vec<&str> = live.keys().map(String::as_str).collect();
+        let ranked = readers::ranked_for(&self.own_name, &names);
+        let store = (SourceName::Store, None);
+        let peer = |name: &&str| {
+            let address = live.get(*name).cloned();
+            (SourceName::Peer((*name).to_owned()), address)
+        };
+        let is_reader = ranked.contains(&self.own_name.as_str());
+        let others: Vec<&str> = ranked
+            .into_iter()
+            .filter(|name| *name != self.own_name)
+            .collect();
+        let mut sources: Vec<_> = others.iter().map(peer).collect();
+        // A member that has just started knows too few others to ask them.
+        let at = if is_reader { 0 } else { sources.len().min(2) };
+        sources.insert(at, store);
+        let now = self.clock.now();
+        let paused = self.paused.lock();
+        let usable = |source: &&(SourceName, Option<String>)| {
+            let until = paused.get(&(subject, source.0.clone()));
+            until.is_none_or(|until| now >= *until)
+        };
+        let usable: Vec<_> = sources.iter().filter(usable).cloned().collect();
+        drop(paused);
+        if usable.is_empty() { sources } else { usable }
+    }
+
+    fn pause(&self, subject: Subject, source: &SourceName) {
+        let until = self.clock.now() + SOURCE_PAUSE;
+        let mut paused = self.paused.lock();
+        paused.insert((subject, source.clone()), until);
+    }
+
+    fn note_used(&self, subject: Subject, source: &SourceName) {
+        let before = self.used.lock().insert(subject, source.clone());
+        if before.as_ref() != Some(source) && crate::log::admits("store source") {
+            info!("store read through", kv: { subject = subject.name(), source:?, before:? });
+        }
+    }
+
+    async fn from_peer(
+        &self,
+        address: &str,
+        subject: Subject,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> StoreResult<PassedPage> {
+        let no_answer = |status: tonic::Status| StoreError::NoAnswer(status.message().to_owned());
+        let mut client = self.peers.site_at(address).map_err(no_answer)?;
+        let wait = wait.min(PEER_WAIT);
+        let request = wire::ReadSiteRequest {
+            subject: subject.name().to_owned(),
+            whole: from.is_none(),
+            from_offset: from.unwrap_or_default(),
+            wait_ms: millis(wait),
+        };
+        let reply = within(wait + PEER_MARGIN, client.read_site(request)).await;
+        let reply = reply.map_err(no_answer)?;
+        let page: PassedPage = serde_json::from_str(&reply.page)
+            .map_err(|error| StoreError::Malformed(error.to_string()))?;
+        if page.age_ms > millis(AGE_MAX) {
+            return Err(StoreError::NoAnswer(format!(
+                "the peer heard the store {} ms ago",
+                page.age_ms
+            )));
+        }
+        Ok(page)
+    }
+
+    /// Reads from the first source that answers.
+    async fn from_any(
+        &self,
+        subject: Subject,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> StoreResult<SitePage> {
+        let mut last = StoreError::NoAnswer("no source".to_owned());
+        for (source, address) in self.sources(subject) {
+            let begun = self.clock.now();
+            let read = match &address {
+                Some(address) => self.from_peer(address, subject, from, wait).await,
+                None => self.from_store(subject, from, wait).await,
+            };
+            match read {
+                Ok(page) => {
+                    self.note_used(subject, &source);
+                    if let Some(ago_ms) = page.regained_ms_ago {
+                        let now = self.clock.now();
+                        let at = now.saturating_sub(Duration::from_millis(ago_ms));
+                        self.note_regained(subject, at);
+                    }
+                    let word_at = begun.saturating_sub(Duration::from_millis(page.age_ms));
+                    let page = SitePage {
+                        records: page.records,
+                        next_offset: page.next_offset,
+                    };
+                    self.keep(subject, from, &page, word_at);
+                    return Ok(page);
+                }
+                Err(error @ StoreError::Expired { .. }) if address.is_none() => return Err(error),
+                Err(error) => {
+                    self.pause(subject, &source);
+                    last = error;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    async fn from_store(
+        &self,
+        subject: Subject,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> StoreResult<PassedPage> {
+        let page = match from {
+            Some(from) => self.direct.read(subject, from, wait).await,
+            None => self.direct.newest(subject).await,
+        };
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => {
+                if !matches!(error, StoreError::Expired { .. }) {
+                    self.store_fails.lock().insert(subject);
+                }
+                return Err(error);
+            }
+        };
+        if self.store_fails.lock().remove(&subject) {
+            self.note_regained(subject, self.clock.now());
+        }
+        Ok(PassedPage {
+            records: page.records,
+            next_offset: page.next_offset,
+            age_ms: 0,
+            regained_ms_ago: None,
+        })
+    }
+
+    fn note_regained(&self, subject: Subject, at: Duration) {
+        let mut regained = self.regained_at.lock();
+        let known = regained.entry(subject).or_insert(at);
+        *known = at.max(*known);
+    }
+
+    /// When the store came back from its last outage, as far as is known.
+    pub(crate) fn regained_at(&self, subject: Subject) -> Option<Duration> {
+        self.regained_at.lock().get(&subject).copied()
+    }
+
+    fn keep(&self, subject: Subject, from: Option<u64>, page: &SitePage, word_at: Duration) {
+        let shard = self.shard(subject);
+        {
+            let mut cache = shard.cache.lock();
+            match from {
+                Some(from) => cache.extend(from, page, word_at),
+                None => cache.replace(page, word_at),
+            }
+        }
+        if !page.records.is_empty() || from.is_none() {
+            shard.added.notify_waiters();
+        }
+    }
+
+    /// Answers another instance from what is known here; waits for news as it asks.
+    pub(crate) async fn pass_on(
+        &self,
+        request: &wire::ReadSiteRequest,
+    ) -> Result<wire::ReadSiteReply, tonic::Status> {
+        let subject = SUBJECTS
+            .into_iter()
+            .find(|subject| subject.name() == request.subject)
+            .ok_or_else(|| tonic::Status::invalid_argument("unknown subject"))?;
+        let shard = self.shard(subject);
+        let wait = Duration::from_millis(request.wait_ms).min(PEER_WAIT);
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let added = shard.added.notified();
+            let page = self.page_for(subject, request)?;
+            let news = request.whole || !page.records.is_empty();
+            if news || tokio::time::timeout_at(until, added).await.is_err() {
+                let page = if news {
+                    page
+                } else {
+                    self.page_for(subject, request)?
+                };
+                let page = serde_json::to_string(&page)
+                    .map_err(|error| tonic::Status::internal(error.to_string()))?;
+                return Ok(wire::ReadSiteReply { page });
+            }
+        }
+    }
+
+    fn page_for(
+        &self,
+        subject: Subject,
+        request: &wire::ReadSiteRequest,
+    ) -> Result<PassedPage, tonic::Status> {
+        let cache = self.shard(subject).cache.lock();
+        let word_at = cache
+            .word_at
+            .ok_or_else(|| tonic::Status::unavailable("nothing known yet"))?;
+        let age = self.clock.now().saturating_sub(word_at);
+        if age > AGE_MAX {
+            return Err(tonic::Status::unavailable(
+                "the store was not heard of late",
+            ));
+        }
+        let records = if request.whole {
+            Some(cache.newest.values().cloned().collect())
+        } else {
+            cache.since(request.from_offset)
+        };
+        let records =
+            records.ok_or_else(|| tonic::Status::out_of_range("records are not kept here"))?;
+        Ok(PassedPage {
+            records,
+            next_offset: cache.next_offset,
+            age_ms: millis(age),
+            regained_ms_ago: self
+                .regained_at(subject)
+                .map(|at| millis(self.clock.now().saturating_sub(at)))
+                .filter(|ago_ms| *ago_ms < REGAINED_TOLD_MS),
+        })
+    }
+}
+
+#[async_trait::async_trait]
+impl SiteStore for SharedStore {
+    async fn newest(&self, subject: Subject) -> StoreResult<SitePage> {
+        self.from_any(subject, None, Duration::ZERO).await
+    }
+
+    async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage> {
+        self.from_any(subject, Some(from), wait).await
+    }
+
+    async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
+        self.direct.announce(member).await
+    }
+}
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -51,7 +51,7 @@
 }
 
 /// A record of the store, decoded.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum SiteRecord {
     /// The configuration in full.
     Configuration(RouteConfig),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -85,7 +85,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    driver: Driver,
+    _driver: Driver,
     count: OpenCount,
     /// Whether an earlier request used it.
     pub(crate) reused: bool,
@@ -154,7 +154,7 @@
         });
         Ok(Connection {
             sender,
-            driver: Driver(task.abort_handle()),
+            _driver: Driver(task.abort_handle()),
             count,
             reused: false,
         })
@@ -305,9 +305,4 @@
             connection: self,
         })
     }
-
-    /// Whether the connection is still driven.
-    pub(crate) fn is_driven(&self) -> bool {
-        !self.driver.0.is_finished()
-    }
 }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -19,6 +19,7 @@
 pub mod object;
 pub mod placement;
 pub mod policy;
+pub mod readers;
 pub mod retry;
 pub mod route;
 pub mod rules;
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -140,20 +140,34 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchSiteRequest {
-    /// Version that the asker has; the configuration is left out where there is no newer one.
+    /// Version that the asker has.
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
-    #[prost(bool, tag = "2")]
-    pub endpoints: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchSiteReply {
-    /// JSON text; empty where there is no newer one.
+    /// JSON text of the configuration in force; empty where it is no newer.
     #[prost(string, tag = "1")]
     pub config: ::prost::alloc::string::String,
-    /// JSON text of the endpoints that take work; empty where the peer's own list is not fresh.
-    #[prost(string, tag = "2")]
-    pub endpoints: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReadSiteRequest {
+    /// configuration, endpoints or members.
+    #[prost(string, tag = "1")]
+    pub subject: ::prost::alloc::string::String,
+    /// The newest record of each key, rather than records from an offset on.
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
+    #[prost(uint64, tag = "3")]
+    pub from_offset: u64,
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReadSiteReply {
+    /// JSON text of records, the offset after them, and the age of the store's last word.
+    #[prost(string, tag = "1")]
+    pub page: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Demand {
@@ -962,6 +976,28 @@
                 .insert(GrpcMethod::new("larkwick.peer.Site", "FetchSite"));
             self.inner.unary(req, path, codec).await
         }
+        /// Reads what the store holds, through this instance.
+        pub async fn read_site(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ReadSiteRequest>,
+        ) -> std::result::Result<tonic::Response<super::ReadSiteReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/ReadSite",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "ReadSite"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Asks the owner of a service's engines where a generation may run.
         pub async fn place(
             &mut self,
@@ -1050,6 +1086,11 @@
             &self,
             request: tonic::Request<super::FetchSiteRequest>,
         ) -> std::result::Result<tonic::Response<super::FetchSiteReply>, tonic::Status>;
+        /// Reads what the store holds, through this instance.
+        async fn read_site(
+            &self,
+            request: tonic::Request<super::ReadSiteRequest>,
+        ) -> std::result::Result<tonic::Response<super::ReadSiteReply>, tonic::Status>;
         /// Asks the owner of a service's engines where a generation may run.
         async fn place(
             &self,
@@ -1229,6 +1270,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/larkwick.peer.Site/ReadSite" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReadSiteSvc<T: Site>(pub Arc<T>);
+                    impl<T: Site> tonic::server::UnaryService<super::ReadSiteRequest>
+                    for ReadSiteSvc<T> {
+                        type Response = super::ReadSiteReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ReadSiteRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::read_site(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReadSiteSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/larkwick.peer.Site/Place" => {
                     #[allow(non_camel_case_types)]
                     struct PlaceSvc<T: Site>(pub Arc<T>);
