Count the age of the store's word from its answer; let who is ahead of a reader wait

Cause: readers looked stale after two long reads, and members that were ahead of their reader fell back to the store.

--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -144,9 +144,9 @@
         self.next_offset = page.next_offset;
     }
 
-    /// Records from an offset on; nothing where they are not all kept.
+    /// Records from an offset on; nothing where they are not all kept. Who asks may be ahead of what is known here.
     fn since(&self, from: u64) -> Option<Vec<SiteRecord>> {
-        let missing = usize::try_from(self.next_offset.checked_sub(from)?).ok()?;
+        let missing = usize::try_from(self.next_offset.saturating_sub(from)).ok()?;
         let skipped = self.recent.len().checked_sub(missing)?;
         Some(self.recent.iter().skip(skipped).cloned().collect())
     }
@@ -264,7 +264,6 @@
     ) -> StoreResult<SitePage> {
         let mut last = StoreError::NoAnswer("no source".to_owned());
         for (source, address) in self.sources(subject) {
-            let begun = self.clock.now();
             let read = match &address {
                 Some(address) => self.from_peer(address, subject, from, wait).await,
                 None => self.from_store(subject, from, wait).await,
@@ -272,12 +271,12 @@
             match read {
                 Ok(page) => {
                     self.note_used(subject, &source);
+                    let now = self.clock.now();
                     if let Some(ago_ms) = page.regained_ms_ago {
-                        let now = self.clock.now();
                         let at = now.saturating_sub(Duration::from_millis(ago_ms));
                         self.note_regained(subject, at);
                     }
-                    let word_at = begun.saturating_sub(Duration::from_millis(page.age_ms));
+                    let word_at = now.saturating_sub(Duration::from_millis(page.age_ms));
                     let page = SitePage {
                         records: page.records,
                         next_offset: page.next_offset,
@@ -403,7 +402,7 @@
             records.ok_or_else(|| tonic::Status::out_of_range("records are not kept here"))?;
         Ok(PassedPage {
             records,
-            next_offset: cache.next_offset,
+            next_offset: cache.next_offset.max(request.from_offset),
             age_ms: millis(age),
             regained_ms_ago: self
                 .regained_at(subject)
