Place past dead engines; ask engines whether they leave while the list is silent

Change: a connection that is refused takes no retry budget and keeps that engine out for 4 s; the owner asks engines for their report while the list is silent.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -15,7 +15,7 @@
 use super::peers::SiteService;
 use super::settings::RoutingSettings;
 use super::site_store::{self, SiteStore, Subject};
-use super::{coordinator, follow, heartbeat, operators};
+use super::{coordinator, engine_reports, follow, heartbeat, operators};
 use crate::daemon::app::metrics_handle;
 use crate::kernel::clock::{SystemClock, millis};
 use crate::peer::generated::site_server::SiteServer;
@@ -124,6 +124,8 @@
             .push(tokio::spawn(coordinator::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(coordinator::run_reports(gateway.clone())));
+        self.tasks
+            .push(tokio::spawn(engine_reports::run(gateway.clone())));
         self.tasks.push(tokio::spawn(announce(gateway.clone())));
         self.tasks.push(tokio::spawn(tidy(gateway.clone())));
     }
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -14,11 +14,13 @@
 use super::heartbeat::MEMBER_RING;
 use super::moves;
 use super::node::{Gateway, Stage};
+use super::runs::NotTaken;
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::{
     EngineEntry, EngineLedger, EngineSummary, Granted, MoveOrder, MoveResult, ReportedRun,
     RunDemand,
 };
+use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::membership::rendezvous;
 use crate::kernel::route::EngineShape;
 use crate::peer::client::within;
@@ -113,6 +115,19 @@
     Some(owner.status.peer_address.clone())
 }
 
+/// Engines that this instance owns and that run generations and are not known to leave.
+pub(crate) fn engines_to_ask(gateway: &Gateway) -> Vec<EndpointEntry> {
+    let mut running = BTreeSet::new();
+    for (service, shard) in gateway.coordinator.all() {
+        if owner_address(gateway, &service).is_none() {
+            running.append(&mut shard.lock().ledger.running_engines());
+        }
+    }
+    let fleet = gateway.fleet.lock();
+    let running = running.iter().filter(|id| fleet.takes_work(id));
+    running.filter_map(|id| fleet.get(id).cloned()).collect()
+}
+
 /// Finds an engine for a generation, by the owner; where the owner cannot be reached, by what this instance knows itself.
 pub(crate) async fn place(
     gateway: &Arc<Gateway>,
@@ -226,11 +241,7 @@
     ledger.set_engines(entries);
 }
 
-fn engine_entry(
-    entry: &crate::kernel::fleet::EndpointEntry,
-    shape: &EngineShape,
-    leaving: bool,
-) -> EngineEntry {
+fn engine_entry(entry: &EndpointEntry, shape: &EngineShape, leaving: bool) -> EngineEntry {
     EngineEntry {
         id: entry.id.clone(),
         hall: entry.hall.clone(),
@@ -248,14 +259,17 @@
     service: &str,
     entry: &str,
     runs: Vec<ReportedRun>,
-    refused: &[String],
+    not_taken: &NotTaken,
 ) {
     let now = gateway.now();
     let shard = gateway.coordinator.shard(service);
     let mut shard = shard.lock();
-    for endpoint in refused {
+    for endpoint in &not_taken.refused {
         shard.ledger.refused(endpoint, now);
     }
+    for endpoint in &not_taken.dead {
+        shard.ledger.found_dead(endpoint, now);
+    }
     shard.ledger.take_report(entry, runs, now);
     let wanted = !shard.waiters.is_empty() || shard.ledger.has_leaving_runs();
     drop(shard);
@@ -403,10 +417,10 @@
 }
 
 async fn report(gateway: &Gateway, service: &str, runs: Vec<ReportedRun>) {
-    let refused = gateway.runs.take_refused(service);
+    let not_taken = gateway.runs.take_not_taken(service);
     let own_name = &gateway.incarnation.name;
     // Kept here too, for the time when no owner can be reached.
-    take_report(gateway, service, own_name, runs.clone(), &refused);
+    take_report(gateway, service, own_name, runs.clone(), &not_taken);
     let Some(address) = owner_address(gateway, service) else {
         return;
     };
@@ -414,7 +428,8 @@
         service: service.to_owned(),
         entry: own_name.clone(),
         runs: runs.iter().map(wire::Run::from).collect(),
-        refused,
+        refused: not_taken.refused.into_iter().collect(),
+        dead: not_taken.dead.into_iter().collect(),
     };
     let called = match gateway.peers.site_at(&address) {
         Ok(mut client) => within(REPORT_TIMEOUT, client.report_runs(report)).await,
--- /dev/null
+++ b/src/gateway/engine_reports.rs
@@ -0,0 +1,70 @@
+//! Asks engines whether they are leaving while the list of endpoints is silent. Each question is priced, so nobody but the owner
+//! asks, and only then.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use spdlog::info;
+
+use super::coordinator;
+use super::follow::tell_changes;
+use super::node::Gateway;
+use super::site_store::Subject;
+use crate::kernel::fleet::EndpointEntry;
+use crate::platform::engine;
+
+/// The list counts as silent after this time; readers hear from the store more often.
+const LIST_SILENT_AFTER: Duration = Duration::from_millis(1_500);
+/// Between two rounds of questions. A notice is 1.5 s or more and shows in a report 0.6 s late.
+const ROUND_EVERY: Duration = Duration::from_millis(300);
+/// Longest wait for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Largest report.
+const REPORT_MAX_BYTES: usize = 256 << 10;
+
+/// Asks for the life of the instance.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(ROUND_EVERY).await;
+        let age = gateway.store.word_age(Subject::Endpoints);
+        if age.is_none_or(|age| age < LIST_SILENT_AFTER) {
+            continue;
+        }
+        for engine in coordinator::engines_to_ask(&gateway) {
+            tokio::spawn(ask(gateway.clone(), engine));
+        }
+    }
+}
+
+async fn ask(gateway: Arc<Gateway>, engine: EndpointEntry) {
+    let report = tokio::time::timeout(REPORT_TIMEOUT, report(&gateway, &engine)).await;
+    // An engine that says nothing shows in the generations that it runs.
+    let Ok(Some(true)) = report else { return };
+    let change = gateway.fleet.lock().told_leaving(&engine.id, gateway.now());
+    if let Some(change) = change {
+        info!("engine told that it leaves", kv: { endpoint = engine.id.as_str() });
+        tell_changes(&[change]);
+        gateway.coordinator.wake();
+    }
+}
+
+/// Whether an engine is leaving; nothing where it did not say.
+async fn report(gateway: &Gateway, engine: &EndpointEntry) -> Option<bool> {
+    let request = engine::report_request(engine.address).ok()?;
+    let connection = gateway.upstream.connection(engine, usize::MAX).await.ok()?;
+    metrics::counter!("larkwick_engine_reports_total").increment(1);
+    let answer = connection.send(request).await.ok()?;
+    let body = Limited::new(answer.body, REPORT_MAX_BYTES).collect().await;
+    let body = body.ok()?.to_bytes();
+    gateway.upstream.give_back(answer.connection, &answer.head);
+    match engine::decode_report(&body) {
+        Ok(report) => Some(report.leaving),
+        Err(why) => {
+            if crate::log::admits("report not read") {
+                info!("report not read", kv: { endpoint = engine.id.as_str(), why = why.as_str() });
+            }
+            None
+        }
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -16,21 +16,19 @@
 
 /// First pause after a failed call; doubles with each further one.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
-/// Longest pause between calls to a store that fails; well inside the two seconds in which entries come back.
-const PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Longest pause between calls to a store that fails; inside the two seconds in which entries come back.
+const PAUSE_MAX: Duration = Duration::from_millis(1_000);
 
 /// A site that starts as a whole knows its members after about this long.
 const MEMBERS_MET_WITHIN: Duration = Duration::from_millis(300);
 
-/// How long a read waits for news. A store that says nothing at all is noticed after this and the time-out of a call.
+/// How long a read waits for news: an answer without news shows that the store is there.
 const fn wait(subject: Subject) -> Duration {
     match subject {
-        // Changes are rare, and must be in force within two seconds of the store's return.
-        Subject::Configuration => Duration::from_secs(4),
-        // Endpoints change every second anyway.
-        Subject::Endpoints => Duration::from_secs(3),
-        // Heartbeats tell of members sooner; but what others read here must not be old.
-        Subject::Members => Duration::from_secs(4),
+        // What others read here must be fresh: a configuration has to be in force within two seconds, whoever is cut off.
+        Subject::Configuration | Subject::Endpoints => Duration::from_millis(750),
+        // Heartbeats tell of members sooner.
+        Subject::Members => Duration::from_secs(5),
     }
 }
 
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -16,7 +16,7 @@
 use super::listener::{AnswerBody, whole};
 use super::relay::{self, Source};
 use super::runs::{RunCommand, RunHandle, RunPlace};
-use super::upstream::SendFailure;
+use super::upstream::{NoConnection, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::{Granted, RunDemand};
@@ -25,7 +25,7 @@
 /// Share of the goal that a generation waits for room; what is refused within it can still be served in time at a second try.
 const WAIT_GOAL_SHARE: f64 = 0.23;
 /// Engines that one generation is offered to.
-const OFFERS_MAX: u32 = 3;
+const OFFERS_MAX: u32 = 5;
 /// Tokens of a request whose caller does not tell: a middling one.
 const UNTOLD_PROMPT_TOKENS: u32 = 1_000;
 const UNTOLD_MADE_TOKENS: u32 = 500;
@@ -92,8 +92,14 @@
 
 /// How an offer to an engine ended, where it was not taken.
 enum NotStarted {
-    /// Not run: another engine may be asked.
-    NotRun(String),
+    /// The engine refused it: another one may be asked.
+    Refused(String),
+    /// Nothing was sent: another engine may be asked.
+    Unsent {
+        why: String,
+        /// Whether nobody listens at the engine's address.
+        dead: bool,
+    },
     /// The caller has to be told.
     Failed(Error),
 }
@@ -103,8 +109,9 @@
     let demand = demand(call);
     let mut excluded = Vec::new();
     let mut reason = String::new();
-    for offers in 0..OFFERS_MAX {
-        if offers > 0 && !gateway.take_retry(&call.service) {
+    let mut refusals = 0;
+    for _ in 0..OFFERS_MAX {
+        if refusals > 0 && !gateway.take_retry(&call.service) {
             reason.push_str("; retry budget spent");
             break;
         }
@@ -115,22 +122,22 @@
             reason.push_str("; no room");
             break;
         };
-        if crate::log::admits("generation placed") {
-            info!("generation placed", kv: {
-                request_id = demand.run.as_str(), endpoint = granted.endpoint.as_str(),
-                backup:? = granted.backup, prompt_tokens: = demand.prompt_tokens,
-                made_hint:? = demand.made_hint_tokens, waited_ms: = millis(call.age()),
-            });
-        }
-        match offer(call, &demand, &granted).await {
+        tell_placed(call, &demand, &granted);
+        let (why, dead) = match offer(call, &demand, &granted).await {
             Ok(started) => return Ok(started),
             Err(NotStarted::Failed(error)) => return Err(error),
-            Err(NotStarted::NotRun(why)) => {
-                gateway.runs.note_refused(&call.service, &granted.endpoint);
-                excluded.push(granted.endpoint);
-                reason = why;
+            Err(NotStarted::Refused(why)) => {
+                refusals += 1;
+                (why, false)
             }
-        }
+            Err(NotStarted::Unsent { why, dead }) => (why, dead),
+        };
+        gateway
+            .runs
+            .note_not_taken(&call.service, &granted.endpoint, dead);
+        gateway.coordinator.changed.notify_one();
+        excluded.push(granted.endpoint);
+        reason = why;
     }
     Err(Error::new(
         ErrorKind::NoRoom,
@@ -139,6 +146,16 @@
     .with_retry_after(coordinator::room_expected()))
 }
 
+fn tell_placed(call: &Call, demand: &RunDemand, granted: &Granted) {
+    if crate::log::admits("generation placed") {
+        info!("generation placed", kv: {
+            request_id = demand.run.as_str(), endpoint = granted.endpoint.as_str(),
+            backup:? = granted.backup, prompt_tokens: = demand.prompt_tokens,
+            made_hint:? = demand.made_hint_tokens, waited_ms: = millis(call.age()),
+        });
+    }
+}
+
 async fn offer(
     call: &Arc<Call>,
     demand: &RunDemand,
@@ -152,8 +169,11 @@
         let backup = backup.and_then(|backup| fleet.get(backup).cloned());
         (endpoint, backup)
     };
-    let not_run = |why: &str| NotStarted::NotRun(why.to_owned());
-    let endpoint = endpoint.ok_or_else(|| not_run("engine unknown here"))?;
+    let unsent = |why: &str| NotStarted::Unsent {
+        why: why.to_owned(),
+        dead: false,
+    };
+    let endpoint = endpoint.ok_or_else(|| unsent("engine unknown here"))?;
     let (sender, commands) = mpsc::unbounded_channel();
     let run = Arc::new(RunHandle {
         service: call.service.clone(),
@@ -172,9 +192,12 @@
     };
     let open_max = gateway.connections_max(&call.table, &call.service);
     let connection = gateway.upstream.connection(&endpoint, open_max).await;
-    let connection = connection.map_err(|none| not_run(&none.to_string()))?;
+    let connection = connection.map_err(|none| NotStarted::Unsent {
+        why: none.to_string(),
+        dead: matches!(none, NoConnection::Refused(_)),
+    })?;
     if !gateway.fleet.lock().takes_work(&endpoint.id) {
-        return Err(not_run("the engine is leaving"));
+        return Err(unsent("the engine is leaving"));
     }
     let send = SendHead {
         endpoint_id: &endpoint.id,
@@ -190,7 +213,7 @@
     let answered = tokio::time::timeout(call.time_left(), connection.send(request)).await;
     let answer = match answered {
         Ok(Ok(answer)) => answer,
-        Ok(Err(SendFailure::Unsent(why))) => return Err(NotStarted::NotRun(why)),
+        Ok(Err(SendFailure::Unsent(why))) => return Err(unsent(&why)),
         Ok(Err(SendFailure::MayHaveRun(why))) => {
             return Err(lost(call, ErrorKind::EndpointLost, &why));
         }
@@ -211,7 +234,7 @@
     if answer.head.not_run {
         let status = answer.head.status;
         drain_refusal(call, answer).await;
-        return Err(NotStarted::NotRun(format!("engine refused: {status}")));
+        return Err(NotStarted::Refused(format!("engine refused: {status}")));
     }
     let sound = answer.head.sealed && !answer.head.encoded && answer.head.request_id.is_some();
     if answer.parts.status.is_success() && !sound {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,12 +15,14 @@
 //! | `generation`, `relay` | generations: placed, then passed on event by event, also when they move |
 //! | `upstream` | connections to endpoints |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
+//! | `engine_reports` | asks engines whether they leave while the list is silent |
 //! | `coordinator` | the owner of a service's engines and how entries reach it |
 
 pub mod app;
 pub mod call;
 pub(crate) mod caller;
 pub(crate) mod coordinator;
+pub(crate) mod engine_reports;
 pub(crate) mod follow;
 pub(crate) mod generation;
 pub(crate) mod heartbeat;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 use tonic::{Request, Response, Status};
 
 use super::node::Gateway;
+use super::runs::NotTaken;
 use super::{coordinator, heartbeat, moves};
 use crate::kernel::engine_ledger::ReportedRun;
 use crate::peer::convert::{self, BadField};
@@ -79,7 +80,10 @@
             &report.service,
             &report.entry,
             runs?,
-            &report.refused,
+            &NotTaken {
+                refused: report.refused.into_iter().collect(),
+                dead: report.dead.into_iter().collect(),
+            },
         );
         Ok(Response::new(wire::RunsReply {}))
     }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -65,12 +65,21 @@
     }
 }
 
+/// Engines that did not take a generation.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct NotTaken {
+    /// They refused as full, or could not be reached from here.
+    pub(crate) refused: BTreeSet<String>,
+    /// Nobody listens at their address.
+    pub(crate) dead: BTreeSet<String>,
+}
+
 /// All generations served here.
 #[derive(Debug, Default)]
 pub(crate) struct RunRegistry {
     runs: Mutex<HashMap<String, Arc<RunHandle>>>,
-    /// Engines that refused a generation since the last report, by service.
-    refused: Mutex<HashMap<String, BTreeSet<String>>>,
+    /// Engines that did not take a generation since the last report, by service.
+    not_taken: Mutex<HashMap<String, NotTaken>>,
 }
 
 impl RunRegistry {
@@ -99,16 +108,20 @@
         runs.map(|run| run.reported()).collect()
     }
 
-    /// Notes an engine that refused a generation.
-    pub(crate) fn note_refused(&self, service: &str, endpoint: &str) {
-        let mut refused = self.refused.lock();
-        let endpoints = refused.entry(service.to_owned()).or_default();
-        endpoints.insert(endpoint.to_owned());
+    /// Notes an engine that did not take a generation.
+    pub(crate) fn note_not_taken(&self, service: &str, endpoint: &str, dead: bool) {
+        let mut not_taken = self.not_taken.lock();
+        let not_taken = not_taken.entry(service.to_owned()).or_default();
+        let engines = if dead {
+            &mut not_taken.dead
+        } else {
+            &mut not_taken.refused
+        };
+        engines.insert(endpoint.to_owned());
     }
 
-    /// Takes the engines that refused a generation since the last call.
-    pub(crate) fn take_refused(&self, service: &str) -> Vec<String> {
-        let refused = self.refused.lock().remove(service);
-        refused.unwrap_or_default().into_iter().collect()
+    /// Takes the engines that did not take a generation since the last call.
+    pub(crate) fn take_not_taken(&self, service: &str) -> NotTaken {
+        self.not_taken.lock().remove(service).unwrap_or_default()
     }
 }
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -23,12 +23,20 @@
 
 /// Records of a subject that are kept for others to read on from.
 const KEPT_RECORDS: usize = 512;
-/// Longest wait of a read at another instance; its silence is noticed soon after.
-const PEER_WAIT: Duration = Duration::from_millis(700);
+/// Longest wait of a read at another instance; its silence is noticed soon after. With the age allowed, what is read through others
+/// stays well inside the two seconds in which a configuration has to be in force.
+const PEER_WAIT: Duration = Duration::from_millis(450);
 /// On top of its wait, an answer of another instance may take this long.
-const PEER_MARGIN: Duration = Duration::from_millis(300);
-/// A word of the store older than this is not taken from another instance. Longer than a reader waits for news.
-const AGE_MAX: Duration = Duration::from_millis(5_500);
+const PEER_MARGIN: Duration = Duration::from_millis(150);
+
+/// How old a word of the store may be when it is taken from another instance. Longer than a reader waits for news.
+const fn age_max(subject: Subject) -> Duration {
+    match subject {
+        Subject::Configuration | Subject::Endpoints => Duration::from_millis(1_100),
+        Subject::Members => Duration::from_secs(12),
+    }
+}
+
 /// That the store came back from an outage is told for this long.
 const REGAINED_TOLD_MS: u64 = 5_000;
 /// A source that failed is not asked for this long.
@@ -182,8 +190,8 @@
         &self.shards[index.unwrap_or_default()]
     }
 
-    /// Sources of a subject in the order in which they are tried. A reader asks the store first; the others ask their reader, the
-    /// next one, then the store.
+    /// Sources of a subject in the order in which they are tried. A reader asks the store first; the others ask their reader, then
+    /// the store, then the other readers: whoever is turned away by the store still hears of it.
     fn sources(&self, subject: Subject) -> Vec<(SourceName, Option<String>)> {
         let live = (self.live)();
         let names: Vec<&str> = live.keys().map(String::as_str).collect();
@@ -199,8 +207,7 @@
             .filter(|name| *name != self.own_name)
             .collect();
         let mut sources: Vec<_> = others.iter().map(peer).collect();
-        // A member that has just started knows too few others to ask them.
-        let at = if is_reader { 0 } else { sources.len().min(2) };
+        let at = if is_reader { 0 } else { sources.len().min(1) };
         sources.insert(at, store);
         let now = self.clock.now();
         let paused = self.paused.lock();
@@ -246,7 +253,7 @@
         let reply = reply.map_err(no_answer)?;
         let page: PassedPage = serde_json::from_str(&reply.page)
             .map_err(|error| StoreError::Malformed(error.to_string()))?;
-        if page.age_ms > millis(AGE_MAX) {
+        if page.age_ms > millis(age_max(subject)) {
             return Err(StoreError::NoAnswer(format!(
                 "the peer heard the store {} ms ago",
                 page.age_ms
@@ -330,6 +337,12 @@
         *known = at.max(*known);
     }
 
+    /// Age of the store's last word on a subject; nothing before the first one.
+    pub(crate) fn word_age(&self, subject: Subject) -> Option<Duration> {
+        let word_at = self.shard(subject).cache.lock().word_at?;
+        Some(self.clock.now().saturating_sub(word_at))
+    }
+
     /// When the store came back from its last outage, as far as is known.
     pub(crate) fn regained_at(&self, subject: Subject) -> Option<Duration> {
         self.regained_at.lock().get(&subject).copied()
@@ -388,7 +401,7 @@
             .word_at
             .ok_or_else(|| tonic::Status::unavailable("nothing known yet"))?;
         let age = self.clock.now().saturating_sub(word_at);
-        if age > AGE_MAX {
+        if age > age_max(subject) {
             return Err(tonic::Status::unavailable(
                 "the store was not heard of late",
             ));
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -41,8 +41,14 @@
 
 /// A connection that could not be had. Nothing was sent.
 #[derive(Debug, Clone, thiserror::Error)]
-#[error("{0}")]
-pub(crate) struct NoConnection(pub(crate) String);
+pub(crate) enum NoConnection {
+    /// Nobody listens at the address.
+    #[error("{0} refuses connections")]
+    Refused(SocketAddr),
+    /// Anything else.
+    #[error("{0}")]
+    Other(String),
+}
 
 /// A request without an answer.
 #[derive(Debug, Clone, thiserror::Error)]
@@ -146,7 +152,7 @@
         let stream = connect(endpoint.address).await?;
         let (sender, driven) = handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| NoConnection(error.to_string()))?;
+            .map_err(|error| NoConnection::Other(error.to_string()))?;
         metrics::counter!("larkwick_endpoint_connections_total").increment(1);
         let task = tokio::spawn(async move {
             // How it ended shows in the request that used it.
@@ -164,7 +170,8 @@
         let mut pools = self.pools.by_endpoint.lock();
         let pool = pools.entry(endpoint.to_owned()).or_default();
         if pool.open >= open_max {
-            return Err(NoConnection(format!("{open_max} connections are open")));
+            let why = format!("{open_max} connections are open");
+            return Err(NoConnection::Other(why));
         }
         pool.open += 1;
         Ok(OpenCount {
@@ -263,9 +270,12 @@
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connecting
         .await
-        .map_err(|_| NoConnection(format!("{address} did not answer in time")))?
-        .map_err(|error| NoConnection(format!("{address}: {error}")))?;
-    notice_dead_peers(&stream).map_err(|error| NoConnection(error.to_string()))?;
+        .map_err(|_| NoConnection::Other(format!("{address} did not answer in time")))?
+        .map_err(|error| match error.kind() {
+            std::io::ErrorKind::ConnectionRefused => NoConnection::Refused(address),
+            _ => NoConnection::Other(format!("{address}: {error}")),
+        })?;
+    notice_dead_peers(&stream).map_err(|error| NoConnection::Other(error.to_string()))?;
     Ok(stream)
 }
 
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -33,6 +33,8 @@
 const MOVE_PAUSE: Duration = Duration::from_millis(120);
 /// An engine that refused a generation takes no new ones for this time.
 const REFUSED_PAUSE: Duration = Duration::from_millis(400);
+/// An engine at whose address nobody listens takes none for this time; the list tells of its end or of its return.
+const DEAD_PAUSE: Duration = Duration::from_secs(4);
 /// Copies between halls take about twice as long as inside one.
 const OTHER_HALL_COST: f64 = 0.25;
 /// Expected share of the most tokens that may be made, where the caller gives no hint.
@@ -282,7 +284,7 @@
         let (_, chosen) = fits.min_by(|one, other| one.0.total_cmp(&other.0))?;
         let unbacked = held.get(chosen.id.as_str()).map_or(0, |held| held.unbacked);
         let wants_backup = chosen.backups && unbacked >= MOVABLE_RUNS && !new.ends_soon();
-        let backup = wants_backup.then(|| self.backup_for(&new, chosen, &held));
+        let backup = wants_backup.then(|| self.backup_for(&new, chosen, &held, now));
         let granted = Granted {
             endpoint: chosen.id.clone(),
             backup: backup.flatten(),
@@ -311,8 +313,9 @@
         run: &ReportedRun,
         source: &EngineEntry,
         held: &BTreeMap<&str, Held>,
+        now: Duration,
     ) -> Option<String> {
-        self.best_target(run, source, held, BACKUP_FILL_MAX, &BTreeSet::new())
+        self.best_target(run, source, held, BACKUP_FILL_MAX, &BTreeSet::new(), now)
     }
 
     /// The engine with most room for a generation of another one; inside the hall before elsewhere.
@@ -323,11 +326,13 @@
         held: &BTreeMap<&str, Held>,
         fill_max: f64,
         busy: &BTreeSet<String>,
+        now: Duration,
     ) -> Option<String> {
-        let others = self
+        let sound = self
             .engines
             .values()
-            .filter_map(|engine| engine.entry.as_ref());
+            .filter(|engine| now >= engine.refused_until);
+        let others = sound.filter_map(|engine| engine.entry.as_ref());
         let others = others.filter(|engine| {
             engine.id != source.id && !engine.leaving && !busy.contains(&engine.id)
         });
@@ -381,6 +386,13 @@
         }
     }
 
+    /// Nobody listens at an engine's address.
+    pub fn found_dead(&mut self, endpoint: &str, now: Duration) {
+        if let Some(engine) = self.engines.get_mut(endpoint) {
+            engine.refused_until = now + DEAD_PAUSE;
+        }
+    }
+
     /// A generation that was granted a place will not use it.
     pub fn release(&mut self, run: &str) {
         self.runs.remove(run);
@@ -490,7 +502,8 @@
         candidates.sort_by(|one, other| worth(other).total_cmp(&worth(one)));
         candidates.into_iter().find_map(|run| {
             let reported = &run.reported;
-            let target = self.best_target(reported, source, &held, MOVED_RUN_FILL_MAX, busy)?;
+            let target =
+                self.best_target(reported, source, &held, MOVED_RUN_FILL_MAX, busy, now)?;
             Some(MoveOrder {
                 run: reported.demand.run.clone(),
                 entry: run.entry.clone(),
@@ -536,6 +549,13 @@
         engines.collect()
     }
 
+    /// Engines that run generations.
+    #[must_use]
+    pub fn running_engines(&self) -> BTreeSet<String> {
+        let runs = self.runs.values();
+        runs.map(|run| run.reported.endpoint.clone()).collect()
+    }
+
     /// Generations known.
     #[must_use]
     pub fn runs(&self) -> usize {
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -166,6 +166,13 @@
         })
     }
 
+    /// An endpoint says itself that it is leaving, while the list is silent.
+    pub fn told_leaving(&mut self, id: &str, now: Duration) -> Option<FleetChange> {
+        let mut entry = self.get(id)?.clone();
+        entry.leaving = true;
+        self.listed(entry, now)
+    }
+
     /// Lets time pass: entries that were not listed again count as gone, and those gone for long are forgotten.
     pub fn settle(&mut self, now: Duration) -> Vec<FleetChange> {
         let mut changes = Vec::new();
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -228,6 +228,9 @@
     /// Engines that refused a generation since the last report.
     #[prost(string, repeated, tag = "4")]
     pub refused: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Engines at whose address nobody listens.
+    #[prost(string, repeated, tag = "5")]
+    pub dead: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RunsReply {}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -218,3 +218,42 @@
         .header(HOST, engine.to_string())
         .body(Bytes::new())
 }
+
+#[derive(Deserialize)]
+struct WireReport {
+    /// `ready`, or `draining` before a planned end.
+    #[serde(default)]
+    state: String,
+    /// Milliseconds until the end, where it is known.
+    leaves_ms: Option<f64>,
+}
+
+/// What an engine says of itself, half a second late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// The question for an engine's report.
+///
+/// # Errors
+/// The request cannot be built.
+pub fn report_request(engine: SocketAddr) -> http::Result<Request<Bytes>> {
+    Request::builder()
+        .method(Method::GET)
+        .uri(names::REPORT_PATH)
+        .header(HOST, engine.to_string())
+        .body(Bytes::new())
+}
+
+/// Reads an engine's report.
+///
+/// # Errors
+/// The text is not a report.
+pub fn decode_report(text: &[u8]) -> Result<EngineReport, String> {
+    let wire: WireReport = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+    Ok(EngineReport {
+        leaving: wire.state == "draining" || wire.leaves_ms.is_some(),
+    })
+}
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -70,6 +70,8 @@
 pub const READY_PATH: &str = "/larkwick/readyz";
 /// Path of the question where to connect.
 pub const RESOLVE_PATH: &str = "/larkwick/resolve";
+/// Path at an engine of its report.
+pub const REPORT_PATH: &str = "/larkwick/report";
 /// Path at an engine that copies a running generation's memory.
 pub const MOVE_PATH: &str = "/larkwick/kv-move";
 /// Path at an engine of a copy of memory; followed by its handle.
