--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
+use spdlog::warn;
 
 use super::node::Gateway;
 use super::runs::{Continuation, RunCommand, RunHandle};
@@ -17,7 +18,8 @@
 /// Largest answer to an order to copy.
 const ANSWER_MAX_BYTES: usize = 64 << 10;
 
-/// Moves a generation served here; answers once its memory has been copied.
+/// Moves a generation served here. Answers once its memory has been copied and its engine is being asked to stop it, so that the link
+/// is free for the next one while this one goes on.
 pub(crate) async fn move_run(
     gateway: &Arc<Gateway>,
     order: &wire::MoveRunRequest,
@@ -44,7 +46,9 @@
         Ok(Copied::Done(_)) => {}
         other => return not_copied(other),
     }
-    stop_and_copy(gateway, &run, &source, &target).await
+    let gateway = gateway.clone();
+    tokio::spawn(async move { stop_and_copy(&gateway, &run, &source, &target).await });
+    (MoveResult::Copied, String::new())
 }
 
 fn go_on_from_backup(run: &RunHandle, backup: &EndpointEntry) -> (MoveResult, String) {
@@ -65,7 +69,7 @@
     run: &RunHandle,
     source: &EndpointEntry,
     target: &EndpointEntry,
-) -> (MoveResult, String) {
+) {
     send(run, RunCommand::Stopping);
     let continuation = |target: &EndpointEntry, copy| {
         RunCommand::Continue(Continuation {
@@ -76,18 +80,16 @@
         })
     };
     match copy(gateway, run, source, target, true).await {
-        Ok(Copied::Done(copy)) => {
-            send(run, continuation(target, copy));
-            (MoveResult::Copied, String::new())
-        }
-        Ok(Copied::NoRoom(Some(kept))) => {
-            // It was stopped, and its engine still has its memory: it goes on there.
-            send(run, continuation(source, kept));
-            (MoveResult::NoRoom, "stopped and gone on".to_owned())
-        }
+        Ok(Copied::Done(copy)) => send(run, continuation(target, copy)),
+        // It was stopped, and its engine still has its memory: it goes on there.
+        Ok(Copied::NoRoom(Some(kept))) => send(run, continuation(source, kept)),
         other => {
             send(run, RunCommand::NotStopped);
-            not_copied(other)
+            if crate::log::admits("generation not stopped") {
+                warn!("generation not stopped", kv: {
+                    request_id = run.demand.run.as_str(), source = source.id.as_str(), why:? = other,
+                });
+            }
         }
     }
 }
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -19,7 +19,7 @@
 /// Share up to which an engine takes copies of memory that may never be used.
 const BACKUP_FILL_MAX: f64 = 0.80;
 /// Generations of one engine without a backup: about what its link can copy elsewhere between notice and end.
-const MOVABLE_RUNS: usize = 5;
+const MOVABLE_RUNS: usize = 7;
 /// A grant that no report has confirmed is dropped after this time.
 const GRANT_KEPT: Duration = Duration::from_millis(1_500);
 /// An entry that has not reported for this long is gone, and with it its connections.
@@ -27,7 +27,7 @@
 /// Prompt tokens that wait to be read on an engine count this much of its memory again when engines are compared, so that new
 /// generations spread.
 const UNREAD_WEIGHT: f64 = 1.5;
-/// A generation that is expected to end within this time is left where it is.
+/// A generation that is expected to end within this time is moved after the others.
 const ENDS_SOON: Duration = Duration::from_millis(700);
 /// A generation whose move failed is tried again after this time.
 const MOVE_PAUSE: Duration = Duration::from_millis(120);
@@ -36,7 +36,7 @@
 /// An engine at whose address nobody listens takes none for this time; the list tells of its end or of its return.
 const DEAD_PAUSE: Duration = Duration::from_secs(4);
 /// Copies between halls take about twice as long as inside one.
-const OTHER_HALL_COST: f64 = 0.25;
+const OTHER_HALL_COST: f64 = 0.6;
 /// Expected share of the most tokens that may be made, where the caller gives no hint.
 const MADE_SHARE: f64 = 0.35;
 /// Weight of the caller's hint against [`MADE_SHARE`], in logarithms: hints are right in the median and far off singly.
@@ -491,7 +491,7 @@
         let mut candidates: Vec<&Run> = on_source
             .filter(|run| {
                 let backup = run.reported.backup.as_deref();
-                backup.is_none_or(|backup| self.is_leaving(backup)) && !run.reported.ends_soon()
+                backup.is_none_or(|backup| self.is_leaving(backup))
             })
             .collect();
         let worth = |run: &Run| {
@@ -499,7 +499,11 @@
             let size = f64::from(demand.prompt_tokens) + 10.0 * demand.expected_made();
             size / run.reported.held()
         };
-        candidates.sort_by(|one, other| worth(other).total_cmp(&worth(one)));
+        // Those that may end by themselves come last: hints are often too short.
+        candidates.sort_by(|one, other| {
+            let ends_soon = one.reported.ends_soon().cmp(&other.reported.ends_soon());
+            ends_soon.then(worth(other).total_cmp(&worth(one)))
+        });
         candidates.into_iter().find_map(|run| {
             let reported = &run.reported;
             let target =
