--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -19,7 +19,7 @@
 /// Share up to which an engine takes copies of memory that may never be used.
 const BACKUP_FILL_MAX: f64 = 0.80;
 /// Generations of one engine without a backup: about what its link can copy elsewhere between notice and end.
-const MOVABLE_RUNS: usize = 7;
+const MOVABLE_RUNS: usize = 9;
 /// A grant that no report has confirmed is dropped after this time.
 const GRANT_KEPT: Duration = Duration::from_millis(1_500);
 /// An entry that has not reported for this long is gone, and with it its connections.
