--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -13,7 +13,7 @@
 use larkwick::kernel::rules::Catalog;
 use larkwick::kernel::ticket::{OnceKey, TicketBook, TicketLimits};
 use larkwick::standin::platform::PlatformCore;
-use larkwick::{App, Settings, any_loopback_port, platform};
+use larkwick::{App, Settings, any_loopback_port, log_service};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use uuid::Uuid;
--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -1,5 +1,6 @@
 //! Starts an instance that serves routes, and stops it as planned.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,6 @@
 use super::listener::{self, Surface};
 use super::node::Gateway;
 use super::peers::SiteService;
-use super::settings::RoutingSettings;
 use super::site_store::{self, SiteStore, Subject};
 use super::{coordinator, engine_reports, follow, heartbeat, operators};
 use crate::daemon::app::metrics_handle;
@@ -50,6 +50,8 @@
     /// The settings are wrong or an address cannot be bound.
     pub async fn start(settings: Settings, settings_file: Option<&Path>) -> anyhow::Result<Self> {
         settings.check()?;
+        let mut settings = settings;
+        let listeners = Listeners::bind(&mut settings).await?;
         let routing = settings
             .routing
             .clone()
@@ -68,23 +70,28 @@
             .manage(gateway.clone())
             .manage(metrics);
         let operators = start(operators::mount(rocket)).await;
-        app.servers.push(operators.context("operator_address")?);
-        app.listen(&routing).await?;
+        let operators = operators.context("operator_address")?;
+        let operator_address = operators.address;
+        app.servers.push(operators);
+        app.serve(listeners);
         app.spawn_loops();
         info!("instance started", kv: {
             instance = gateway.incarnation.name.as_str(),
             incarnation: = gateway.incarnation.id,
             hall = gateway.settings.hall.as_str(),
+            caller: = gateway.settings.caller_address,
+            peer: = gateway.settings.peer_address,
+            ready: = routing.ready_address,
+            directory: = routing.directory_address,
+            operator: = operator_address,
         });
         Ok(app)
     }
 
-    async fn listen(&mut self, routing: &RoutingSettings) -> anyhow::Result<()> {
+    fn serve(&mut self, listeners: Listeners) {
         let gateway = &self.gateway;
-        let settings = &gateway.settings;
-        let peers = bind("peer_address", settings.peer_address).await?;
         let service = SiteServer::new(SiteService::new(gateway.clone()));
-        let incoming = tokio_stream::wrappers::TcpListenerStream::new(peers);
+        let incoming = tokio_stream::wrappers::TcpListenerStream::new(listeners.peers);
         self.tasks.push(tokio::spawn(async move {
             let served = tonic::transport::Server::builder()
                 .tcp_nodelay(true)
@@ -95,20 +102,14 @@
             }
         }));
         let surfaces = [
-            ("ready_address", routing.ready_address, Surface::Ready),
-            (
-                "directory_address",
-                routing.directory_address,
-                Surface::Directory,
-            ),
-            ("caller_address", settings.caller_address, Surface::Callers),
+            (listeners.ready, Surface::Ready),
+            (listeners.directory, Surface::Directory),
+            (listeners.callers, Surface::Callers),
         ];
-        for (field, address, surface) in surfaces {
-            let listener = bind(field, address).await?;
+        for (listener, surface) in surfaces {
             let run = listener::run(gateway.clone(), listener, surface);
             self.tasks.push(tokio::spawn(run));
         }
-        Ok(())
     }
 
     fn spawn_loops(&mut self) {
@@ -181,10 +182,38 @@
     }
 }
 
-async fn bind(field: &'static str, address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
+/// The listeners of an instance, bound before anything else so that ports that were left open are known.
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    ready: TcpListener,
+    directory: TcpListener,
+}
+
+impl Listeners {
+    /// Binds all, and puts the ports taken into the settings.
+    async fn bind(settings: &mut Settings) -> anyhow::Result<Self> {
+        let peers = bind("peer_address", &mut settings.peer_address).await?;
+        let callers = bind("caller_address", &mut settings.caller_address).await?;
+        let routing = settings
+            .routing
+            .as_mut()
+            .context("the settings have no \"routing\"")?;
+        Ok(Self {
+            callers,
+            peers,
+            ready: bind("ready_address", &mut routing.ready_address).await?,
+            directory: bind("directory_address", &mut routing.directory_address).await?,
+        })
+    }
+}
+
+async fn bind(field: &'static str, address: &mut SocketAddr) -> anyhow::Result<TcpListener> {
+    let listener = TcpListener::bind(*address)
         .await
-        .with_context(|| format!("{field} {address} cannot be bound"))
+        .with_context(|| format!("{field} {address} cannot be bound"))?;
+    *address = listener.local_addr()?;
+    Ok(listener)
 }
 
 /// Writes this instance's own entry, until the store has taken it.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -73,6 +73,10 @@
 }
 
 /// The head of an endpoint's answer.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "four facts that are independent of each other"
+)]
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
     /// HTTP status.
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -42,7 +42,7 @@
 /// Longest time for a copy of memory; a whole memory takes half of it.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// When room is expected on full engines: they end a generation every second or so.
-const ROOM_EXPECTED: Duration = Duration::from_millis(1_000);
+const ROOM_EXPECTED: Duration = Duration::from_secs(1);
 
 /// A generation that waits for room.
 struct Waiter {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -17,7 +17,7 @@
 /// First pause after a failed call; doubles with each further one.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause between calls to a store that fails; inside the two seconds in which entries come back.
-const PAUSE_MAX: Duration = Duration::from_millis(1_000);
+const PAUSE_MAX: Duration = Duration::from_secs(1);
 
 /// A site that starts as a whole knows its members after about this long.
 const MEMBERS_MET_WITHIN: Duration = Duration::from_millis(300);
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -106,7 +106,7 @@
 /// Answers a peer that asks for the configuration.
 pub(crate) fn give_site(
     gateway: &Gateway,
-    request: &wire::FetchSiteRequest,
+    request: wire::FetchSiteRequest,
 ) -> wire::FetchSiteReply {
     let table = gateway.table();
     let newer = table.filter(|table| table.version() > request.config_version);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -39,7 +39,7 @@
         &self,
         request: Request<wire::FetchSiteRequest>,
     ) -> Result<Response<wire::FetchSiteReply>, Status> {
-        let reply = heartbeat::give_site(&self.gateway, &request.into_inner());
+        let reply = heartbeat::give_site(&self.gateway, request.into_inner());
         Ok(Response::new(reply))
     }
 
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -103,10 +103,7 @@
 
 async fn run(call: &Call, attempts: &mut Attempts) -> Result<WholeAnswer, Error> {
     let repeatable = call.route.kind == CallKind::Repeatable;
-    loop {
-        let Some(endpoint) = choose(call, &attempts.tried) else {
-            break;
-        };
+    while let Some(endpoint) = choose(call, &attempts.tried) {
         let is_repeat = attempts.sends > 0;
         if is_repeat && !call.gateway.take_retry(&call.service) {
             "retry budget spent".clone_into(&mut attempts.last_reason);
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -40,7 +40,7 @@
 /// That the store came back from an outage is told for this long.
 const REGAINED_TOLD_MS: u64 = 5_000;
 /// A source that failed is not asked for this long.
-const SOURCE_PAUSE: Duration = Duration::from_millis(2_000);
+const SOURCE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Where the records of a subject are read.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -233,7 +233,7 @@
         }
     }
 
-    async fn from_peer(
+    async fn read_at_peer(
         &self,
         address: &str,
         subject: Subject,
@@ -263,7 +263,7 @@
     }
 
     /// Reads from the first source that answers.
-    async fn from_any(
+    async fn read_anywhere(
         &self,
         subject: Subject,
         from: Option<u64>,
@@ -272,8 +272,8 @@
         let mut last = StoreError::NoAnswer("no source".to_owned());
         for (source, address) in self.sources(subject) {
             let read = match &address {
-                Some(address) => self.from_peer(address, subject, from, wait).await,
-                None => self.from_store(subject, from, wait).await,
+                Some(address) => self.read_at_peer(address, subject, from, wait).await,
+                None => self.read_at_store(subject, from, wait).await,
             };
             match read {
                 Ok(page) => {
@@ -301,7 +301,7 @@
         Err(last)
     }
 
-    async fn from_store(
+    async fn read_at_store(
         &self,
         subject: Subject,
         from: Option<u64>,
@@ -428,11 +428,11 @@
 #[async_trait::async_trait]
 impl SiteStore for SharedStore {
     async fn newest(&self, subject: Subject) -> StoreResult<SitePage> {
-        self.from_any(subject, None, Duration::ZERO).await
+        self.read_anywhere(subject, None, Duration::ZERO).await
     }
 
     async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage> {
-        self.from_any(subject, Some(from), wait).await
+        self.read_anywhere(subject, Some(from), wait).await
     }
 
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -25,13 +25,13 @@
 /// Endpoints stand within milliseconds; beyond this an opening packet was lost or nobody is there.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long sent bytes may stay unacknowledged before the peer counts as dead.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// A silent connection is asked after this long, and again at the same distance.
-const KEEPALIVE: Duration = Duration::from_millis(1_000);
+const KEEPALIVE: Duration = Duration::from_secs(1);
 /// A connection rests this long before it is used again, so that a surplus answer shows before the next request is sent.
 const REST: Duration = Duration::from_millis(25);
 /// Idle connections are used for this long where the endpoint names no time of its own.
-const IDLE_KEPT: Duration = Duration::from_millis(4_000);
+const IDLE_KEPT: Duration = Duration::from_secs(4);
 /// An endpoint's own time for idle connections is left by this margin.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
 /// Idle connections kept for each endpoint; more than one instance uses at once on an even day.
--- a/src/kernel/event_split.rs
+++ b/src/kernel/event_split.rs
@@ -71,8 +71,8 @@
 /// The event's id field.
 fn event_id(bytes: &[u8]) -> Option<String> {
     let lines = bytes.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.next_back()?;
     let id = String::from_utf8_lossy(id);
     Some(id.trim().to_owned())
 }
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -9,7 +9,7 @@
 /// After an outage of the list, an entry that is missing may come back for this long; the platform's word is two seconds.
 pub const RELIST_WITHIN: Duration = Duration::from_millis(2_200);
 /// How long an endpoint that left is remembered, so that its streams can still be looked up.
-const GONE_KEPT: Duration = Duration::from_secs(60);
+const GONE_KEPT: Duration = Duration::from_mins(1);
 /// Above this share of a service's endpoints, entries that vanish together are taken for a fault of the list at first.
 const VANISHED_TOGETHER_SHARE: f64 = 0.34;
 
--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -11,6 +11,10 @@
 
 /// A retry budget of one client account, service or endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit as a suffix"
+)]
 pub struct RetryBudget {
     /// Never above `balance_max_milli`.
     balance_milli: u64,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -21,7 +21,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A peer that is gone without a word is noticed after about this long twice over.
-const KEEPALIVE: Duration = Duration::from_millis(1_000);
+const KEEPALIVE: Duration = Duration::from_secs(1);
 /// How long sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Key of the one configuration record.
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,3 +6,4 @@
 pub mod platform;
 pub mod server;
 pub mod service;
+pub mod site;
--- /dev/null
+++ b/src/standin/site/server.rs
@@ -0,0 +1,372 @@
+//! The stand-in's servers: plain ones that answer a call, and engines that stream events, hold memory and move it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderMap, HeaderName, Request, Response};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use super::{Listening, StandinBody, answer, listen};
+use crate::platform::names;
+
+/// Pause between two events of an engine, short so that tests need not wait.
+const EVENT_EVERY: Duration = Duration::from_millis(25);
+/// How long a copy of memory takes.
+const COPY_TAKES: Duration = Duration::from_millis(40);
+
+/// What a server is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerKind {
+    /// Answers a call as a whole.
+    Plain,
+    /// Streams events. The last part of the path tells how many.
+    Engine,
+}
+
+/// What a server does wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ServerFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Refuses each request before it runs.
+    Refuses,
+    /// Runs each request and closes the connection in place of an answer.
+    RunsAndCloses,
+    /// Runs each request and says nothing.
+    RunsAndHangs,
+    /// Answers with the id of another request.
+    Crosses,
+    /// Answers 500.
+    Fails,
+    /// Leaves out its proof.
+    Unsealed,
+    /// Refuses to take in copies of memory.
+    NoRoom,
+}
+
+/// A generation should go on from a copy that is not there.
+struct NoSuchCopy;
+
+/// A generation on an engine.
+#[derive(Debug, Default)]
+struct EngineRun {
+    /// Events made; shared with its stream.
+    made: AtomicU32,
+    stopped: Notify,
+    stop: std::sync::atomic::AtomicBool,
+}
+
+/// A server.
+pub struct Server {
+    /// Names this start.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    kind: ServerKind,
+    fault: Mutex<ServerFault>,
+    listening: Mutex<Option<Listening>>,
+    address: std::sync::OnceLock<SocketAddr>,
+    servers: std::sync::Weak<Servers>,
+    running: Mutex<HashMap<String, Arc<EngineRun>>>,
+    /// Heads of the requests that it got, by request id.
+    heads: Mutex<HashMap<String, HeaderMap>>,
+}
+
+/// All servers, and what ran on them.
+#[derive(Default)]
+pub struct Servers {
+    by_address: Mutex<HashMap<SocketAddr, Arc<Server>>>,
+    /// Server and request, in order.
+    runs: Mutex<Vec<(String, String)>>,
+    /// Copies by the address they are named after and their name: events made when the copy was taken.
+    copies: Mutex<HashMap<(SocketAddr, String), u32>>,
+    started: AtomicU32,
+}
+
+impl Servers {
+    pub(super) async fn start(
+        self: &Arc<Self>,
+        service: &str,
+        kind: ServerKind,
+    ) -> std::io::Result<Arc<Server>> {
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        let server = Arc::new(Server {
+            id: format!("i-{number}"),
+            service: service.to_owned(),
+            kind,
+            fault: Mutex::default(),
+            listening: Mutex::default(),
+            address: std::sync::OnceLock::new(),
+            servers: Arc::downgrade(self),
+            running: Mutex::default(),
+            heads: Mutex::default(),
+        });
+        let handled_by = server.clone();
+        let listening = listen(move |request| {
+            let server = handled_by.clone();
+            async move { server.answer(request).await }
+        })
+        .await?;
+        let address = listening.address;
+        server.address.get_or_init(|| address);
+        *server.listening.lock() = Some(listening);
+        self.by_address.lock().insert(address, server.clone());
+        Ok(server)
+    }
+
+    pub(super) fn runs_of(&self, request: &str) -> Vec<String> {
+        let runs = self.runs.lock();
+        let of_request = runs.iter().filter(|(_, run)| run == request);
+        of_request.map(|(server, _)| server.clone()).collect()
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn not_run(status: u16) -> Response<StandinBody> {
+    let mut refused = answer(status, "not run");
+    let yes = http::HeaderValue::from_static("1");
+    refused.headers_mut().insert(names::NOT_RUN, yes);
+    refused
+}
+
+impl Server {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        *self
+            .address
+            .get_or_init(|| SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
+    /// Requests that it works on at once.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        24
+    }
+
+    /// Changes what it does wrong.
+    pub fn set_fault(&self, fault: ServerFault) {
+        *self.fault.lock() = fault;
+    }
+
+    /// Ends it: its address refuses connections, and the open ones are cut.
+    pub fn kill(&self) {
+        self.listening.lock().take();
+    }
+
+    /// Generations that it runs.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.lock().len()
+    }
+
+    /// Head of a request as it came here.
+    #[must_use]
+    pub fn head_of(&self, request: &str) -> Option<HeaderMap> {
+        self.heads.lock().get(request).cloned()
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<StandinBody> {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            names::MOVE_PATH => return self.copy_run(request).await,
+            names::REPORT_PATH => return answer(200, json!({"state": "ready"}).to_string()),
+            _ => {}
+        }
+        let headers = request.headers().clone();
+        let id = text(&headers, &names::REQUEST_ID)
+            .unwrap_or_default()
+            .to_owned();
+        self.heads.lock().insert(id.clone(), headers.clone());
+        let expected = text(&headers, &names::EXPECTED_ENDPOINT);
+        if expected.is_some_and(|expected| expected != self.id) {
+            return answer(421, "another server");
+        }
+        let body = request.into_body().collect().await;
+        let body = body
+            .map(http_body_util::Collected::to_bytes)
+            .unwrap_or_default();
+        let fault = *self.fault.lock();
+        if fault == ServerFault::Refuses {
+            return not_run(503);
+        }
+        let from = match self.continued_from(&headers) {
+            Ok(from) => from,
+            Err(NoSuchCopy) => return not_run(503),
+        };
+        let Some(servers) = self.servers.upgrade() else {
+            return answer(500, "the stand-in has ended");
+        };
+        if from.is_none() {
+            servers.runs.lock().push((self.id.clone(), id.clone()));
+        }
+        match fault {
+            ServerFault::RunsAndHangs => std::future::pending().await,
+            ServerFault::RunsAndCloses => {
+                let cut = futures::future::ready(Err(std::io::Error::other("cut")));
+                let frames = stream::once(cut);
+                return Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+            }
+            _ => {}
+        }
+        match self.kind {
+            ServerKind::Plain => Self::plain(&id, fault, &body),
+            ServerKind::Engine => self.stream(&id, &path, &headers, from.unwrap_or_default()),
+        }
+    }
+
+    fn plain(id: &str, fault: ServerFault, body: &Bytes) -> Response<StandinBody> {
+        let status = if fault == ServerFault::Fails {
+            500
+        } else {
+            200
+        };
+        let mut answered = answer(status, body.clone());
+        let echoed = if fault == ServerFault::Crosses {
+            "other"
+        } else {
+            id
+        };
+        let headers = answered.headers_mut();
+        headers.insert(names::REQUEST_ID, echoed.parse().expect("an id"));
+        if fault != ServerFault::Unsealed {
+            headers.insert(names::SEAL, http::HeaderValue::from_static("seal"));
+        }
+        answered
+    }
+
+    /// The number of the last event before the first one to make; an error where there is no such copy.
+    fn continued_from(&self, headers: &HeaderMap) -> Result<Option<u32>, NoSuchCopy> {
+        let Some(from) = text(headers, &names::CONTINUE_FROM) else {
+            return Ok(None);
+        };
+        let copy = from.split_once('/').and_then(|(address, name)| {
+            let key = (address.parse().ok()?, name.to_owned());
+            self.servers.upgrade()?.copies.lock().remove(&key)
+        });
+        if copy.is_none() {
+            return Err(NoSuchCopy);
+        }
+        let last = text(headers, &names::LAST_EVENT_ID).and_then(|id| id.parse().ok());
+        Ok(Some(last.unwrap_or_default()))
+    }
+
+    fn stream(
+        self: &Arc<Self>,
+        id: &str,
+        path: &str,
+        headers: &HeaderMap,
+        from: u32,
+    ) -> Response<StandinBody> {
+        let events = path.rsplit('/').next().and_then(|last| last.parse().ok());
+        let events: u32 = events.unwrap_or(1);
+        let run = Arc::new(EngineRun::default());
+        run.made.store(from, Ordering::Relaxed);
+        self.running.lock().insert(id.to_owned(), run.clone());
+        self.keep_backup(id, headers);
+        let making = Making {
+            server: self.clone(),
+            id: id.to_owned(),
+            run,
+            next: from + 1,
+            events,
+        };
+        let frames = stream::unfold(making, |mut making| async {
+            making.event().await.map(|frame| (frame, making))
+        });
+        let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+        let headers = response.headers_mut();
+        headers.insert(names::REQUEST_ID, id.parse().expect("an id"));
+        headers.insert(names::SEAL, http::HeaderValue::from_static("seal"));
+        response
+    }
+
+    /// A backup is a copy under the run's own name, at the engine that keeps it.
+    fn keep_backup(&self, id: &str, headers: &HeaderMap) {
+        let backup = text(headers, &names::BACKUP_AT).and_then(|address| address.parse().ok());
+        if let (Some(address), Some(servers)) = (backup, self.servers.upgrade()) {
+            servers.copies.lock().insert((address, id.to_owned()), 0);
+        }
+    }
+
+    async fn copy_run(&self, request: Request<Incoming>) -> Response<StandinBody> {
+        let body = request.into_body().collect().await;
+        let body = body
+            .map(http_body_util::Collected::to_bytes)
+            .unwrap_or_default();
+        let order: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let id = order["id"].as_str().unwrap_or_default().to_owned();
+        let run = self.running.lock().get(&id).cloned();
+        let (Some(run), Some(servers)) = (run, self.servers.upgrade()) else {
+            return answer(404, "no such run");
+        };
+        let target = order["target-version"]
+            .as_str()
+            .and_then(|text| text.parse().ok());
+        let target: Option<Arc<Server>> =
+            target.and_then(|address: SocketAddr| servers.by_address.lock().get(&address).cloned());
+        if target.is_none_or(|target| *target.fault.lock() == ServerFault::NoRoom) {
+            return answer(503, "no room");
+        }
+        let stop = order["last"].as_bool().unwrap_or_default();
+        if stop {
+            run.stop.store(true, Ordering::Relaxed);
+            run.stopped.notify_waiters();
+        }
+        tokio::time::sleep(COPY_TAKES).await;
+        let made = run.made.load(Ordering::Relaxed);
+        let handle = format!("h-{id}");
+        let mut copies = servers.copies.lock();
+        copies.insert((self.address(), handle.clone()), made);
+        answer(200, json!({"handle": handle, "made": made}).to_string())
+    }
+}
+
+/// A stream of events in the making.
+struct Making {
+    server: Arc<Server>,
+    id: String,
+    run: Arc<EngineRun>,
+    next: u32,
+    events: u32,
+}
+
+impl Making {
+    async fn event(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
+        if self.next > self.events {
+            return None;
+        }
+        let stopped = self.run.stopped.notified();
+        tokio::select! {
+            () = tokio::time::sleep(EVENT_EVERY) => {}
+            () = stopped => {}
+        }
+        if self.run.stop.load(Ordering::Relaxed) {
+            return Some(Err(std::io::Error::other("stopped")));
+        }
+        let number = self.next;
+        self.next += 1;
+        self.run.made.store(number, Ordering::Relaxed);
+        let event = format!("id: {number}\ndata: event {number} of {}\n\n", self.id);
+        Some(Ok(Frame::data(Bytes::from(event))))
+    }
+}
+
+impl Drop for Making {
+    fn drop(&mut self) {
+        self.server.running.lock().remove(&self.id);
+    }
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -2,6 +2,10 @@
 
 #[path = "kernel/config.rs"]
 mod config;
+#[path = "kernel/engine_ledger.rs"]
+mod engine_ledger;
+#[path = "kernel/fleet.rs"]
+mod fleet;
 #[path = "kernel/group.rs"]
 mod group;
 #[path = "kernel/lengths.rs"]
@@ -12,3 +16,7 @@
 mod parsers;
 #[path = "kernel/placement.rs"]
 mod placement;
+#[path = "kernel/routes.rs"]
+mod routes;
+#[path = "kernel/site_rules.rs"]
+mod site_rules;
--- /dev/null
+++ b/tests/kernel/engine_ledger.rs
@@ -0,0 +1,233 @@
+//! The owner's ledger: memory predicted, generations moved off engines that leave, nothing lost with an owner or an entry.
+
+use std::time::Duration;
+
+use larkwick::kernel::engine_ledger::{
+    EngineEntry, EngineLedger, MoveResult, ReportedRun, RunDemand,
+};
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn engine(id: &str, hall: &str, leaving: bool) -> EngineEntry {
+    EngineEntry {
+        id: id.to_owned(),
+        hall: hall.to_owned(),
+        slots: 24,
+        memory_tokens: 34_000,
+        leaving,
+        moves: true,
+        backups: true,
+    }
+}
+
+fn demand(run: &str, prompt_tokens: u32) -> RunDemand {
+    RunDemand {
+        run: run.to_owned(),
+        prompt_tokens,
+        made_max_tokens: 2_000,
+        made_hint_tokens: Some(800.0),
+        priority: 1,
+    }
+}
+
+fn reported(run: &str, endpoint: &str, made_tokens: u32) -> ReportedRun {
+    ReportedRun {
+        demand: demand(run, 3_000),
+        endpoint: endpoint.to_owned(),
+        backup: None,
+        made_tokens,
+    }
+}
+
+fn ledger(engines: &[EngineEntry]) -> EngineLedger {
+    let mut ledger = EngineLedger::default();
+    ledger.set_engines(engines.to_vec());
+    ledger
+}
+
+#[test]
+fn place_no_engine_beyond_its_memory() {
+    let mut ledger = ledger(&[engine("a", "h", false), engine("b", "h", false)]);
+    let mut granted = 0;
+    while let Some(place) = ledger.place(&demand(&format!("r{granted}"), 3_000), "n", &[], NOW) {
+        assert!(place.backup.is_none() || place.backup.as_deref() != Some(&place.endpoint));
+        granted += 1;
+        assert!(granted < 100);
+    }
+    // 0.9 of 34,000 tokens, each generation 3,000 and what it makes within the horizon.
+    assert_eq!(granted, 18);
+    let fills = ledger.summary();
+    let fills = fills
+        .values()
+        .map(|engine| engine.predicted_tokens / 34_000.0);
+    assert!(fills.into_iter().all(|fill| fill <= 0.9));
+}
+
+#[test]
+fn place_leaving_excluded_refused_and_dead_engines_left_out() {
+    let engines = ["a", "b", "c", "d"].map(|id| engine(id, "h", id == "a"));
+    let mut ledger = ledger(&engines);
+    ledger.refused("b", NOW);
+    ledger.found_dead("c", NOW);
+    let excluded = ["d".to_owned()];
+    assert!(
+        ledger
+            .place(&demand("r", 100), "n", &excluded, NOW)
+            .is_none()
+    );
+    let later = NOW + Duration::from_secs(1);
+    let place = ledger.place(&demand("r", 100), "n", &excluded, later);
+    assert_eq!(place.expect("a place").endpoint, "b");
+}
+
+#[test]
+fn plan_moves_one_at_a_time_for_each_engine() {
+    let mut ledger = ledger(&[
+        engine("a", "h", true),
+        engine("b", "h", false),
+        engine("c", "i", false),
+    ]);
+    let runs = (0..3).map(|number| reported(&format!("r{number}"), "a", 100));
+    ledger.take_report("n", runs.collect(), NOW);
+    let orders = ledger.plan_moves(NOW);
+    assert_eq!(orders.len(), 1);
+    // Inside the hall before elsewhere.
+    assert_eq!(
+        (orders[0].source.as_str(), orders[0].target.as_str()),
+        ("a", "b")
+    );
+    assert!(ledger.plan_moves(NOW).is_empty());
+    ledger.move_ended(&orders[0], MoveResult::Copied, NOW);
+    assert_eq!(ledger.plan_moves(NOW).len(), 1);
+}
+
+#[test]
+fn plan_moves_generation_without_an_event_stays() {
+    let mut ledger = ledger(&[engine("a", "h", true), engine("b", "h", false)]);
+    ledger.take_report("n", vec![reported("r", "a", 0)], NOW);
+    assert!(ledger.plan_moves(NOW).is_empty());
+}
+
+#[test]
+fn plan_moves_failed_move_tried_again_later() {
+    let mut ledger = ledger(&[engine("a", "h", true), engine("b", "h", false)]);
+    ledger.take_report("n", vec![reported("r", "a", 4)], NOW);
+    let order = ledger.plan_moves(NOW).remove(0);
+    ledger.move_ended(&order, MoveResult::NoRoom, NOW);
+    assert!(ledger.plan_moves(NOW).is_empty());
+    assert_eq!(ledger.plan_moves(NOW + Duration::from_millis(200)), [order]);
+}
+
+#[test]
+fn plan_moves_backup_used_unless_it_leaves_too() {
+    for backup_leaves in [false, true] {
+        let mut ledger = ledger(&[
+            engine("a", "h", true),
+            engine("b", "h", backup_leaves),
+            engine("c", "h", false),
+        ]);
+        let mut run = reported("r", "a", 4);
+        run.backup = Some("b".to_owned());
+        ledger.take_report("n", vec![run], NOW);
+        let orders = ledger.plan_moves(NOW);
+        assert_eq!(orders.len(), 1);
+        assert_eq!(orders[0].from_backup, !backup_leaves);
+        let target = if backup_leaves { "c" } else { "b" };
+        assert_eq!(orders[0].target, target);
+    }
+}
+
+/// A new owner knows everything after one round of reports.
+#[test]
+fn take_report_new_owner_moves_what_it_heard_of() {
+    let engines = [engine("a", "h", true), engine("b", "h", false)];
+    let mut new_owner = ledger(&engines);
+    assert!(new_owner.plan_moves(NOW).is_empty());
+    new_owner.take_report("n", vec![reported("r", "a", 40)], NOW);
+    assert_eq!(new_owner.plan_moves(NOW).len(), 1);
+}
+
+#[test]
+fn take_report_ended_generation_gives_its_memory_back() {
+    let mut ledger = ledger(&[engine("a", "h", false)]);
+    ledger.take_report("n", vec![reported("r", "a", 4), reported("s", "a", 4)], NOW);
+    ledger.take_report("n", vec![reported("s", "a", 8)], NOW);
+    assert_eq!(ledger.runs(), 1);
+}
+
+#[test]
+fn take_report_young_grant_is_kept_until_it_should_be_reported() {
+    let mut ledger = ledger(&[engine("a", "h", false)]);
+    assert!(ledger.place(&demand("r", 3_000), "n", &[], NOW).is_some());
+    ledger.take_report("n", Vec::new(), NOW);
+    assert_eq!(ledger.runs(), 1);
+    ledger.take_report("n", Vec::new(), NOW + Duration::from_secs(2));
+    assert_eq!(ledger.runs(), 0);
+}
+
+#[test]
+fn expire_silent_entry_holds_nothing() {
+    let mut ledger = ledger(&[engine("a", "h", false)]);
+    ledger.take_report("n", vec![reported("r", "a", 4)], NOW);
+    ledger.expire(NOW + Duration::from_secs(2));
+    assert_eq!(ledger.runs(), 1);
+    ledger.expire(NOW + Duration::from_secs(3));
+    assert_eq!(ledger.runs(), 0);
+}
+
+proptest! {
+    /// Whatever happens in whatever order: no engine is source and target of two moves at once, none that leaves is a target, and
+    /// no grant goes beyond an engine's memory.
+    #[test]
+    fn plan_moves_any_course_links_used_once(
+        steps in proptest::collection::vec((0_u8..5, 0_usize..6, 1_u32..6_000), 1..60)
+    ) {
+        let names = ["a", "b", "c", "d", "e", "f"];
+        let mut leaving = [false; 6];
+        let mut ledger = EngineLedger::default();
+        let mut open = Vec::new();
+        let mut now = NOW;
+        for (number, (kind, index, tokens)) in steps.into_iter().enumerate() {
+            now += Duration::from_millis(50);
+            match kind {
+                0 => leaving[index] = !leaving[index],
+                1 => {
+                    let run = format!("p{number}");
+                    if let Some(place) = ledger.place(&demand(&run, tokens), "n", &[], now) {
+                        let at = names.iter().position(|name| *name == place.endpoint).unwrap();
+                        prop_assert!(!leaving[at]);
+                        let summary = ledger.summary();
+                        let engine = &summary[&place.endpoint];
+                        prop_assert!(engine.predicted_tokens <= f64::from(engine.memory_tokens));
+                    }
+                }
+                2 => {
+                    let run = reported(&format!("r{number}"), names[index], tokens / 10);
+                    ledger.take_report(&format!("n{number}"), vec![run], now);
+                }
+                3 => {
+                    if !open.is_empty() {
+                        let order = open.remove(index % open.len());
+                        let results = [MoveResult::Copied, MoveResult::NoRoom, MoveResult::Failed, MoveResult::RunGone];
+                        ledger.move_ended(&order, results[index % 4], now);
+                    }
+                }
+                _ => ledger.expire(now),
+            }
+            let engines = names.iter().zip(leaving).map(|(name, leaving)| engine(name, "h", leaving));
+            ledger.set_engines(engines.collect());
+            for order in ledger.plan_moves(now) {
+                let target = names.iter().position(|name| *name == order.target).unwrap();
+                prop_assert!(!leaving[target]);
+                prop_assert!(order.source != order.target);
+                open.push(order);
+            }
+            let copying: Vec<_> = open.iter().filter(|order| !order.from_backup).collect();
+            for order in &copying {
+                let same = copying.iter().filter(|other| other.run == order.run);
+                prop_assert_eq!(same.count(), 1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/kernel/site_rules.rs
@@ -0,0 +1,107 @@
+//! Small decisions of the gateway: readers, retry allowance, health, whole events.
+
+use std::time::Duration;
+
+use larkwick::kernel::event_split::EventSplitter;
+use larkwick::kernel::health::EndpointHealth;
+use larkwick::kernel::readers;
+use larkwick::kernel::retry::RetryAllowance;
+use proptest::prelude::*;
+
+#[test]
+fn ranked_for_all_members_agree_on_the_readers() {
+    let names: Vec<String> = (0..85).map(|index| format!("n{index}")).collect();
+    let members: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut expected = readers::ranked_for("n0", &members);
+    expected.sort_unstable();
+    assert_eq!(expected.len(), 4);
+    for member in &members {
+        let mut ranked = readers::ranked_for(member, &members);
+        ranked.sort_unstable();
+        assert_eq!(ranked, expected);
+    }
+    // A dead reader is replaced by one other member; the rest stay.
+    let left: Vec<&str> = members
+        .iter()
+        .filter(|name| **name != expected[0])
+        .copied()
+        .collect();
+    let after = readers::ranked_for("n0", &left);
+    assert_eq!(
+        after.iter().filter(|name| expected.contains(name)).count(),
+        3
+    );
+}
+
+#[test]
+fn ranked_for_few_members_two_readers() {
+    assert_eq!(readers::ranked_for("a", &["a", "b", "c"]).len(), 2);
+    assert_eq!(readers::ranked_for("a", &["a"]), ["a"]);
+}
+
+proptest! {
+    /// Whatever the order of requests and repeats, nine instances together stay within what the site allows.
+    #[test]
+    fn budget_of_one_all_instances_within_the_allowance(steps in proptest::collection::vec((0_usize..9, any::<bool>()), 0..600)) {
+        let allowance = RetryAllowance { share: 0.2, slack: 58 };
+        let mut budgets = [allowance.budget_of_one(9); 9];
+        let (mut requests, mut repeats) = (0_u32, 0_u32);
+        for (instance, repeat) in steps {
+            if repeat {
+                repeats += u32::from(budgets[instance].take_retry());
+            } else {
+                requests += 1;
+                budgets[instance].first_try();
+            }
+            prop_assert!(f64::from(repeats) <= 0.2 * f64::from(requests) + 58.0);
+        }
+    }
+
+    /// However the bytes are cut, the same whole events come out, and no half one.
+    #[test]
+    fn push_any_cuts_same_events(cuts in proptest::collection::vec(1_usize..40, 1..60)) {
+        let events = (1..=12).map(|id| format!("id: {id}\ndata: text {id}\n\n"));
+        let text = events.collect::<Vec<_>>().concat();
+        let mut splitter = EventSplitter::default();
+        let mut rest = text.as_bytes();
+        let mut ids = Vec::new();
+        for cut in cuts.into_iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (part, after) = rest.split_at(cut.min(rest.len()));
+            rest = after;
+            for event in splitter.push(part).unwrap() {
+                prop_assert!(event.bytes.ends_with(b"\n\n"));
+                ids.push(event.id.unwrap().parse::<u32>().unwrap());
+            }
+        }
+        prop_assert_eq!(ids, (1..=12).collect::<Vec<u32>>());
+        prop_assert!(splitter.is_between_events());
+    }
+}
+
+#[test]
+fn weight_failing_endpoint_nearly_left_out_and_forgiven_in_time() {
+    let mut health = EndpointHealth::default();
+    let now = Duration::from_secs(10);
+    for _ in 0..8 {
+        health.begin("grey");
+        health.end("grey", Some(true), now);
+        health.begin("sound");
+        health.end("sound", Some(false), now);
+    }
+    assert!(health.weight("grey", 6, now) * 100.0 < health.weight("sound", 6, now));
+    let later = now + Duration::from_secs(15);
+    assert!(health.weight("grey", 6, later) * 2.0 > health.weight("sound", 6, later));
+}
+
+#[test]
+fn weight_load_of_this_instance_counts() {
+    let mut health = EndpointHealth::default();
+    for _ in 0..6 {
+        health.begin("busy");
+    }
+    let now = Duration::ZERO;
+    assert!(health.weight("busy", 6, now) * 2.0 < health.weight("idle", 6, now));
+}
--- /dev/null
+++ b/tests/site_calls.rs
@@ -0,0 +1,420 @@
+//! Calls through real processes to a stand-in site: routes, keys, retries, and what must never run twice.
+
+mod support;
+
+use larkwick::kernel::route::RouteConfig;
+use larkwick::standin::site::KEY;
+use larkwick::standin::site::server::{ServerFault, ServerKind};
+use larkwick::standin::site::store::StoreMood;
+use nix::sys::signal::Signal;
+use support::site::{Instance, RoutedSite, answered, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_through_one_instance_answered_unchanged() {
+    let site = RoutedSite::start(2).await;
+    let instance = site.instance("n1").await;
+    let answer = instance.call("/calls/1", "a1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "hello"));
+    let runs = site.standin.runs_of("a1");
+    assert_eq!(runs.len(), 1);
+    let server = site
+        .apps
+        .iter()
+        .find(|app| app.id == runs[0])
+        .expect("a server");
+    let head = server.head_of("a1").expect("its head");
+    assert_eq!(head["larkwick-tenant"], "account-1");
+    assert_eq!(head["larkwick-expect-instance"], runs[0].as_str());
+    assert!(!head.contains_key("api-key"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_forged_system_headers_dropped() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    let forged = [
+        "larkwick-tenant",
+        "hold",
+        "kv-from",
+        "kv-backup",
+        "pin-ms",
+        "priority",
+    ];
+    let mut request = instance.request("/calls/1", "f1");
+    for name in forged {
+        request = request.header(name, "10.0.0.1:1/forged");
+    }
+    assert_eq!(answered(request).await.status, 200);
+    let head = site.apps[0].head_of("f1").expect("its head");
+    assert_eq!(head["larkwick-tenant"], "account-1");
+    for name in &forged[1..] {
+        assert!(!head.contains_key(*name), "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_bad_input_clear_answer_and_nothing_forwarded() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    assert_eq!(instance.call("/nowhere/1", "b1").await.status, 404);
+    let wrong_key = instance
+        .request("/calls/1", "b2")
+        .header("api-key", "other");
+    // Two keys are as good as none.
+    assert_eq!(answered(wrong_key).await.status, 400);
+    let url = format!("http://{}/calls/1", instance.caller_address());
+    let no_key = reqwest::Client::new()
+        .post(url)
+        .header("host", "site.example");
+    let no_key = no_key.header("larkwick-request-id", "b3");
+    assert_eq!(answered(no_key).await.status, 401);
+    for id in ["b1", "b2", "b3"] {
+        assert!(site.standin.runs_of(id).is_empty(), "{id}");
+    }
+}
+
+/// hyper reads the chunks and drops the length; another reader of the same bytes would take the second request for a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_length_and_chunks_nothing_after_it_runs() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    let mut stream = tokio::net::TcpStream::connect(instance.caller_address())
+        .await
+        .expect("connected");
+    let smuggled = format!(
+        "POST /calls/1 HTTP/1.1\r\nhost: site.example\r\napi-key: {KEY}\r\nlarkwick-request-id: s1\r\n\
+         content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nPOST /calls/2 HTTP/1.1\r\nhost: site.example\r\n\
+         api-key: {KEY}\r\nlarkwick-request-id: s2\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream
+        .write_all(smuggled.as_bytes())
+        .await
+        .expect("written");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("closed");
+    let answer = String::from_utf8_lossy(&answer);
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer:?}");
+    assert!(site.standin.runs_of("s2").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_once_answer_lost_runs_once_and_says_so() {
+    let site = RoutedSite::start(2).await;
+    for app in &site.apps {
+        app.set_fault(ServerFault::RunsAndCloses);
+    }
+    let instance = site.instance("n1").await;
+    let answer = instance.call("/once/1", "o1").await;
+    // Neither 429 nor 503: those promise that it did not run.
+    assert_eq!(answer.status, 502);
+    assert_eq!(site.standin.runs_of("o1").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_once_refused_by_one_server_runs_at_the_other() {
+    let site = RoutedSite::start(2).await;
+    site.apps[0].set_fault(ServerFault::Refuses);
+    let instance = site.instance("n1").await;
+    for number in 0..10 {
+        let id = format!("r{number}");
+        assert_eq!(instance.call("/once/1", &id).await.status, 200);
+        assert_eq!(site.standin.runs_of(&id), [site.apps[1].id.clone()]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_once_refused_everywhere_told_when_to_come_back() {
+    let site = RoutedSite::start(1).await;
+    site.apps[0].set_fault(ServerFault::Refuses);
+    let instance = site.instance("n1").await;
+    let answer = instance.call("/once/1", "n1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some_and(|seconds| seconds > 0.0));
+    assert!(site.standin.runs_of("n1").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_repeatable_faults_answered_by_another_server() {
+    let faults = [
+        ServerFault::RunsAndCloses,
+        ServerFault::RunsAndHangs,
+        ServerFault::Crosses,
+        ServerFault::Fails,
+        ServerFault::Unsealed,
+    ];
+    for fault in faults {
+        let site = RoutedSite::start(2).await;
+        site.apps[0].set_fault(fault);
+        let instance = site.instance("n1").await;
+        for number in 0..6 {
+            let answer = instance.call("/calls/1", &format!("x{number}")).await;
+            assert_eq!(
+                (answer.status, answer.body.as_str()),
+                (200, "hello"),
+                "{fault:?}"
+            );
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_crossed_answer_goes_to_nobody() {
+    let site = RoutedSite::start(1).await;
+    site.apps[0].set_fault(ServerFault::Crosses);
+    let instance = site.instance("n1").await;
+    assert_eq!(instance.call("/once/1", "c1").await.status, 502);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_dead_server_costs_no_retry() {
+    let site = RoutedSite::start(2).await;
+    let instance = site.instance("n1").await;
+    site.apps[0].kill();
+    for number in 0..20 {
+        let answer = instance.call("/once/1", &format!("d{number}")).await;
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn config_revoked_key_refused_also_during_an_outage_of_one_instances_store() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    assert_eq!(instance.call("/calls/1", "k1").await.status, 200);
+    site.standin.publish(5, &["key-2"]);
+    until("refused", async || {
+        instance.call("/calls/1", "k2").await.status == 401
+    })
+    .await;
+    // An older version that comes late changes nothing.
+    site.standin.publish(4, &[KEY]);
+    site.standin.publish(6, &["key-3"]);
+    until("version 6", async || {
+        instance.state().await["config_version"] == 6
+    })
+    .await;
+    assert_eq!(instance.call("/calls/1", "k3").await.status, 401);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn config_history_forgotten_newest_is_read() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    for version in 3..8 {
+        site.standin.publish(version, &[KEY]);
+        site.standin.store.compact("keyed.op");
+    }
+    until("version 7", async || {
+        instance.state().await["config_version"] == 7
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn config_unreadable_record_keeps_the_one_in_force() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    site.standin
+        .publish_value(&serde_json::json!({"version": "no"}));
+    until("told", async || {
+        instance.has_line("record not read; what was known stays")
+    })
+    .await;
+    assert_eq!(instance.call("/calls/1", "u1").await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_down_serving_goes_on_and_catches_up() {
+    for mood in [StoreMood::Busy, StoreMood::Silent] {
+        let site = RoutedSite::start(1).await;
+        let instance = site.instance("n1").await;
+        site.standin.store.set_mood(mood);
+        until("lost", async || instance.has_line("store lost")).await;
+        assert_eq!(instance.call("/calls/1", "s1").await.status, 200);
+        site.standin.publish(9, &[KEY]);
+        site.standin.store.set_mood(StoreMood::Sound);
+        until("version 9", async || {
+            instance.state().await["config_version"] == 9
+        })
+        .await;
+        until("told", async || instance.has_line("store regained")).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_unknown_configuration_answers_not_run() {
+    let site = RoutedSite::start(1).await;
+    site.standin.store.set_mood(StoreMood::Busy);
+    let instance = site.instance_not_ready("n1");
+    let answer = instance.call("/calls/1", "w1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    assert!(!instance.is_ready().await);
+    site.standin.store.set_mood(StoreMood::Sound);
+    instance.until_ready().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_answer_to_own_entry_lost_instance_serves() {
+    let site = RoutedSite::start(1).await;
+    site.standin.store.set_mood(StoreMood::LosesAnswers);
+    let instance = site.instance("n1").await;
+    assert_eq!(instance.call("/calls/1", "l1").await.status, 200);
+    site.standin.store.set_mood(StoreMood::Sound);
+    until("written", async || {
+        site.standin.store.keys("keyed.status") == ["n1"]
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn directory_members_named_and_dead_or_leaving_ones_not() {
+    let site = RoutedSite::start(1).await;
+    let first = site.instance("n1").await;
+    let mut second = site.instance("n2").await;
+    let third = site.instance("n3").await;
+    until("all named", async || first.named().await.len() == 3).await;
+    let leaving = second.caller_address();
+    second.signal(Signal::SIGTERM);
+    until("n2 not named", async || {
+        !first.named().await.contains(&leaving)
+    })
+    .await;
+    until("n2 ended", async || second.ended_well().is_some()).await;
+    assert_eq!(second.ended_well(), Some(true));
+    third.signal(Signal::SIGKILL);
+    until("n3 not named", async || first.named().await.len() == 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_call_in_flight_answered() {
+    let site = RoutedSite::start(1).await;
+    let engine = site.engine().await;
+    let mut instance = site.instance("n1").await;
+    until("engine known", async || {
+        instance.state().await["endpoints"][&engine.id].is_object()
+    })
+    .await;
+    let generation = tokio::spawn(answered(instance.generation(60, "g1")));
+    until("running", async || engine.running() == 1).await;
+    instance.signal(Signal::SIGTERM);
+    let answer = generation.await.expect("answered");
+    assert!(answer.whole);
+    until("ended", async || instance.ended_well() == Some(true)).await;
+    until("told", async || instance.has_line("instance stopped")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_leaving_gets_no_new_work() {
+    for (number, vanish) in [(0, false), (1, true)] {
+        let site = RoutedSite::start(2).await;
+        let instance = site.instance("n1").await;
+        let leaving = &site.apps[number];
+        if vanish {
+            site.standin.unlist(leaving);
+        } else {
+            site.standin.list(leaving, "draining");
+        }
+        until("known", async || {
+            let state = instance.state().await;
+            state["endpoints"][&leaving.id]["standing"] == "leaving"
+        })
+        .await;
+        if !vanish {
+            // What it said is final, whatever the list says later.
+            site.standin.list(leaving, "ready");
+        }
+        for call in 0..20 {
+            let id = format!("e{number}-{call}");
+            assert_eq!(instance.call("/once/1", &id).await.status, 200);
+            assert_ne!(site.standin.runs_of(&id), [leaving.id.clone()]);
+        }
+        assert!(instance.metrics().await.contains("larkwick_calls_total"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_all_unlisted_together_still_used() {
+    let site = RoutedSite::start(3).await;
+    let instance = site.instance("n1").await;
+    site.standin.store.set_mood(StoreMood::Busy);
+    until("lost", async || instance.has_line("store lost")).await;
+    for app in &site.apps {
+        site.standin.unlist(app);
+    }
+    site.standin.store.set_mood(StoreMood::Sound);
+    until("regained", async || instance.has_line("store regained")).await;
+    assert_eq!(instance.call("/once/1", "v1").await.status, 200);
+    for app in &site.apps {
+        site.standin.list(app, "ready");
+    }
+    until("listed again", async || {
+        let state = instance.state().await;
+        let endpoints = state["endpoints"].as_object().expect("endpoints").clone();
+        endpoints
+            .values()
+            .all(|endpoint| endpoint["standing"] == "ready")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn readers_few_instances_ask_the_store() {
+    let site = RoutedSite::start(1).await;
+    let mut instances = Vec::new();
+    for number in 0..6 {
+        instances.push(site.instance(&format!("n{number}")).await);
+    }
+    for instance in &instances {
+        until("all named", async || instance.named().await.len() == 6).await;
+    }
+    site.standin.publish(7, &[KEY]);
+    for instance in &instances {
+        until("version 7", async || {
+            instance.state().await["config_version"] == 7
+        })
+        .await;
+    }
+    let reads_through_a_peer = |instance: &Instance| {
+        let lines = instance.lines.lock().expect("lines");
+        lines.iter().any(|line| {
+            let source = line["kv"]["source"].as_str().unwrap_or_default();
+            line["payload"] == "store read through" && source.starts_with("Peer")
+        })
+    };
+    until("all but two readers read through peers", async || {
+        let through_peers = instances.iter().filter(|one| reads_through_a_peer(one));
+        through_peers.count() >= 4
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_gone_before_the_first_event_work_ends() {
+    let site = RoutedSite::start(1).await;
+    let engine = site.engine().await;
+    engine.set_fault(ServerFault::RunsAndHangs);
+    let plain = site.standin.server("app", ServerKind::Plain).await;
+    plain.expect("server").set_fault(ServerFault::RunsAndHangs);
+    let instance = site.instance("n1").await;
+    let waiting = tokio::spawn(instance.generation(5, "q1").send());
+    until("sent", async || !site.standin.runs_of("q1").is_empty()).await;
+    waiting.abort();
+    until("no call left", async || {
+        instance.state().await["calls"] == 0
+    })
+    .await;
+}
+
+/// The types of the configuration are what members pass to each other.
+#[test]
+fn config_passed_between_members_unchanged() {
+    let text = r#"{"version":3,"routes":[{"name":"r","host":"h","path-prefix":"/p/","kind":"stream","service":"s",
+        "timeout-ms":6000,"goal-ms":1500,"max-attempts":1,"gap_aim_ms":180}],"services":[{"name":"s","max-conns":5}]}"#;
+    let config =
+        larkwick::platform::operator_config::decode(text.as_bytes()).expect("a configuration");
+    let passed = serde_json::to_string(&config).expect("encoded");
+    let read: RouteConfig = serde_json::from_str(&passed).expect("decoded");
+    assert_eq!(read, config);
+}
--- /dev/null
+++ b/tests/site_generations.rs
@@ -0,0 +1,151 @@
+//! Generations through real processes to a stand-in site: whole, in order, and moved off engines that leave.
+
+mod support;
+
+use larkwick::standin::site::server::ServerFault;
+use nix::sys::signal::Signal;
+use support::site::{Answered, RoutedSite, answered, event_numbers, until};
+
+fn assert_whole(answer: &Answered, events: u32) {
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.whole, "{answer:?}");
+    let expected: Vec<u32> = (1..=events).collect();
+    assert_eq!(event_numbers(&answer.body), expected);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_each_event_once_in_order() {
+    let site = RoutedSite::start(0).await;
+    let engine = site.engine().await;
+    let instance = site.instance("n1").await;
+    let answer = answered(instance.generation(20, "g1")).await;
+    assert_whole(&answer, 20);
+    assert_eq!(site.standin.runs_of("g1"), [engine.id.clone()]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_engine_leaves_moved_without_a_second_run() {
+    for vanish in [false, true] {
+        let site = RoutedSite::start(0).await;
+        let leaving = site.engine().await;
+        let instance = site.instance("n1").await;
+        let running: Vec<_> = (0..3)
+            .map(|number| tokio::spawn(answered(instance.generation(80, &format!("m{number}")))))
+            .collect();
+        until("running", async || leaving.running() == 3).await;
+        let staying = site.engine().await;
+        until("both known", async || {
+            instance.state().await["endpoints"][&staying.id].is_object()
+        })
+        .await;
+        if vanish {
+            site.standin.unlist(&leaving);
+        } else {
+            site.standin.list(&leaving, "draining");
+        }
+        until("moved", async || staying.running() == 3).await;
+        leaving.kill();
+        for (number, generation) in running.into_iter().enumerate() {
+            let answer = generation.await.expect("answered");
+            assert_whole(&answer, 80);
+            let runs = site.standin.runs_of(&format!("m{number}"));
+            assert_eq!(runs, [leaving.id.clone()]);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_target_without_room_goes_on_where_it_is() {
+    let site = RoutedSite::start(0).await;
+    let leaving = site.engine().await;
+    let instance = site.instance("n1").await;
+    let running = tokio::spawn(answered(instance.generation(40, "t1")));
+    until("running", async || leaving.running() == 1).await;
+    let full = site.engine().await;
+    full.set_fault(ServerFault::NoRoom);
+    until("both known", async || {
+        instance.state().await["endpoints"][&full.id].is_object()
+    })
+    .await;
+    site.standin.list(&leaving, "draining");
+    assert_whole(&running.await.expect("answered"), 40);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_engine_dies_cut_and_not_complete() {
+    let site = RoutedSite::start(0).await;
+    let engine = site.engine().await;
+    let instance = site.instance("n1").await;
+    let running = tokio::spawn(answered(instance.generation(400, "d1")));
+    until("running", async || engine.running() == 1).await;
+    engine.kill();
+    let answer = running.await.expect("answered");
+    assert!(!answer.whole);
+    assert_eq!(site.standin.runs_of("d1").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_dead_engine_offered_to_another() {
+    let site = RoutedSite::start(0).await;
+    let dead = site.engine().await;
+    let sound = site.engine().await;
+    let instance = site.instance("n1").await;
+    dead.kill();
+    for number in 0..8 {
+        let id = format!("p{number}");
+        assert_whole(&answered(instance.generation(2, &id)).await, 2);
+        assert_eq!(site.standin.runs_of(&id), [sound.id.clone()]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_refused_everywhere_not_run_and_when_to_come_back() {
+    let site = RoutedSite::start(0).await;
+    let engine = site.engine().await;
+    engine.set_fault(ServerFault::Refuses);
+    let instance = site.instance("n1").await;
+    let answer = answered(instance.generation(5, "r1")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some_and(|seconds| seconds > 0.0));
+    assert!(site.standin.runs_of("r1").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_caller_leaves_work_ends() {
+    let site = RoutedSite::start(0).await;
+    let engine = site.engine().await;
+    let instance = site.instance("n1").await;
+    let mut answer = instance.generation(4000, "l1").send().await.expect("begun");
+    answer.chunk().await.expect("an event");
+    drop(answer);
+    until("ended", async || engine.running() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_generations_still_moved_and_placed() {
+    let site = RoutedSite::start(0).await;
+    let leaving = site.engine().await;
+    let mut instances = Vec::new();
+    for number in 0..3 {
+        instances.push(site.instance(&format!("n{number}")).await);
+    }
+    for instance in &instances {
+        until("all named", async || instance.named().await.len() == 3).await;
+    }
+    // Whichever of them owns the engines: the one that serves the generation stays.
+    let server = instances.remove(0);
+    let running = tokio::spawn(answered(server.generation(240, "k1")));
+    until("running", async || leaving.running() == 1).await;
+    for other in &instances {
+        other.signal(Signal::SIGKILL);
+    }
+    let staying = site.engine().await;
+    until("known", async || {
+        server.state().await["endpoints"][&staying.id].is_object()
+    })
+    .await;
+    site.standin.list(&leaving, "draining");
+    assert_whole(&running.await.expect("answered"), 240);
+    assert_whole(&answered(server.generation(3, "k2")).await, 3);
+    assert_eq!(site.standin.runs_of("k2"), [staying.id.clone()]);
+}
--- /dev/null
+++ b/tests/support/site.rs
@@ -0,0 +1,261 @@
+//! Starts instances that serve the routes of a stand-in site, as processes, and calls them.
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use larkwick::standin::site::server::{Server, ServerKind};
+use larkwick::standin::site::{HOST, KEY, SiteStandin};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Longest wait for anything; far above what is usual.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// A site with a published configuration and two plain servers.
+pub struct RoutedSite {
+    pub standin: SiteStandin,
+    pub apps: Vec<Arc<Server>>,
+    dir: TempDir,
+}
+
+/// An instance as a process.
+pub struct Instance {
+    child: Child,
+    /// Its log lines so far.
+    pub lines: Arc<Mutex<Vec<Value>>>,
+    started: Value,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An answer as the caller has it.
+#[derive(Debug)]
+pub struct Answered {
+    pub status: u16,
+    pub body: String,
+    pub retry_after: Option<f64>,
+    /// Whether the answer came to its end.
+    pub whole: bool,
+}
+
+impl RoutedSite {
+    /// Starts a site whose plain service has so many servers.
+    pub async fn start(apps: usize) -> Self {
+        let standin = SiteStandin::start().await.expect("stand-in starts");
+        standin.publish(2, &[KEY]);
+        let mut site = Self {
+            standin,
+            apps: Vec::new(),
+            dir: tempfile::tempdir().expect("temporary directory"),
+        };
+        for _ in 0..apps {
+            let app = site.standin.server("app", ServerKind::Plain).await;
+            site.apps.push(app.expect("server starts"));
+        }
+        site
+    }
+
+    /// Starts an engine.
+    pub async fn engine(&self) -> Arc<Server> {
+        let engine = self.standin.server("llm", ServerKind::Engine).await;
+        engine.expect("engine starts")
+    }
+
+    /// Starts an instance and waits until it takes callers.
+    pub async fn instance(&self, name: &str) -> Instance {
+        let instance = self.instance_not_ready(name);
+        instance.until_ready().await;
+        instance
+    }
+
+    /// Starts an instance.
+    pub fn instance_not_ready(&self, name: &str) -> Instance {
+        let any = "127.0.0.1:0";
+        let settings = json!({
+            "instance": name, "hall": "hall-1", "caller_address": any, "operator_address": any, "peer_address": any,
+            "worker_threads": 1, "times": {"heartbeat_ms": 100},
+            "routing": {
+                "ready_address": any, "directory_address": any, "store_address": self.standin.store_address(),
+                "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8,
+                "retry_share": 0.2, "retry_slack": 60,
+            },
+        });
+        let path = self.dir.path().join(format!("{name}.jsonc"));
+        std::fs::write(&path, settings.to_string()).expect("settings written");
+        let mut child = Command::new(super::DAEMON)
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("daemon starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let kept = lines.clone();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                let line = serde_json::from_str(&line).expect("a log line is JSON");
+                kept.lock().expect("lines").push(line);
+            }
+        });
+        let started = wait_for_line(&lines, "instance started");
+        Instance {
+            child,
+            lines,
+            started: started["kv"].clone(),
+        }
+    }
+}
+
+fn wait_for_line(lines: &Mutex<Vec<Value>>, payload: &str) -> Value {
+    let until = std::time::Instant::now() + PATIENCE;
+    loop {
+        let found = {
+            let lines = lines.lock().expect("lines");
+            lines
+                .iter()
+                .find(|line| line["payload"] == payload)
+                .cloned()
+        };
+        if let Some(line) = found {
+            return line;
+        }
+        assert!(std::time::Instant::now() < until, "no line {payload:?}");
+        std::thread::sleep(LOOK_EVERY);
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let limit = tokio::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < limit, "never: {what}");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+impl Instance {
+    fn address(&self, name: &str) -> String {
+        self.started[name].as_str().expect("address").to_owned()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("pid"));
+        kill(pid, signal).expect("signal");
+    }
+
+    /// Whether it ended by itself, and well.
+    pub fn ended_well(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().expect("wait");
+        status.map(|status| status.success())
+    }
+
+    pub fn has_line(&self, payload: &str) -> bool {
+        let lines = self.lines.lock().expect("lines");
+        lines.iter().any(|line| line["payload"] == payload)
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/larkwick/readyz", self.address("ready"));
+        let asked = reqwest::get(url).await;
+        asked.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    pub async fn until_ready(&self) {
+        until("ready", async || self.is_ready().await).await;
+    }
+
+    /// Addresses that it names to callers.
+    pub async fn named(&self) -> Vec<String> {
+        let url = format!(
+            "http://{}/larkwick/resolve?name={HOST}&region=r&zone=hall-1",
+            self.address("directory")
+        );
+        let Ok(answer) = reqwest::get(url).await else {
+            return Vec::new();
+        };
+        let answer: Value = answer.json().await.unwrap_or_default();
+        serde_json::from_value(answer["addrs"].clone()).unwrap_or_default()
+    }
+
+    pub fn caller_address(&self) -> String {
+        self.address("caller")
+    }
+
+    /// The dump of its state.
+    pub async fn state(&self) -> Value {
+        let url = format!("http://{}/debug/state", self.address("operator"));
+        let answer = reqwest::get(url).await.expect("operators are answered");
+        answer.json().await.expect("the dump is JSON")
+    }
+
+    /// Metrics as text.
+    pub async fn metrics(&self) -> String {
+        let url = format!("http://{}/metrics", self.address("operator"));
+        let answer = reqwest::get(url).await.expect("operators are answered");
+        answer.text().await.expect("metrics are text")
+    }
+
+    /// A call with the usual headers.
+    pub fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.caller_address());
+        reqwest::Client::new()
+            .post(url)
+            .header("host", HOST)
+            .header("api-key", KEY)
+            .header("larkwick-request-id", id)
+            .header("larkwick-deadline-ms", "20000")
+            .body("hello")
+    }
+
+    /// A generation of so many events.
+    pub fn generation(&self, events: u32, id: &str) -> reqwest::RequestBuilder {
+        let most = events * 4;
+        self.request(&format!("/chat/{events}"), id)
+            .header("larkwick-model", "m")
+            .header("larkwick-token-count", format!("1000,{most}"))
+            .header("length-hint", most.to_string())
+    }
+
+    pub async fn call(&self, path: &str, id: &str) -> Answered {
+        answered(self.request(path, id)).await
+    }
+}
+
+/// Sends a request and reads its answer.
+pub async fn answered(request: reqwest::RequestBuilder) -> Answered {
+    let mut answer = request.send().await.expect("an answer");
+    let retry_after = answer.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+    let status = answer.status().as_u16();
+    let mut body = Vec::new();
+    let whole = loop {
+        match answer.chunk().await {
+            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    Answered {
+        status,
+        body: String::from_utf8_lossy(&body).into_owned(),
+        retry_after,
+        whole,
+    }
+}
+
+/// Numbers of the events of a stream, in the order in which they came.
+pub fn event_numbers(body: &str) -> Vec<u32> {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().expect("a number")).collect()
+}
