Give readers and owners by capacity; encode a page once for all who ask

Change: larger members take on roles; a page is encoded once; why a source failed is logged. Not measured yet.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -1,6 +1,6 @@
 //! The owner of a service's engines, and how entries reach it.
 //!
-//! The owner is the live member with the highest hash for the service. Two members that both believe to be owner do no harm: engines
+//! The owner is the live member with the highest weighted hash for the service. Two members that both believe to be owner do no harm: engines
 //! refuse what does not fit, and a move carries the name of the engine that it leaves.
 
 use std::collections::{BTreeSet, HashMap};
@@ -11,7 +11,6 @@
 use spdlog::{info, warn};
 use tokio::sync::{Notify, oneshot};
 
-use super::heartbeat::MEMBER_RING;
 use super::moves;
 use super::node::{Gateway, Stage};
 use super::runs::NotTaken;
@@ -21,7 +20,7 @@
     RunDemand,
 };
 use crate::kernel::fleet::EndpointEntry;
-use crate::kernel::membership::rendezvous;
+use crate::kernel::roles;
 use crate::kernel::route::EngineShape;
 use crate::peer::client::within;
 use crate::peer::convert;
@@ -101,18 +100,18 @@
 /// Peer address of the owner of a service's engines; nothing where it is this instance.
 fn owner_address(gateway: &Gateway, service: &str) -> Option<String> {
     let own_name = &gateway.incarnation.name;
-    let serving = gateway.in_flight.stage() == Stage::Serving;
-    let members = gateway.members.lock();
-    let live: Vec<_> = members.live(MEMBER_RING, gateway.now()).collect();
-    let names = live
-        .iter()
-        .map(|peer| peer.status.incarnation.name.as_str());
-    let own = serving.then_some(own_name.as_str());
-    let owner = rendezvous(service, names.chain(own))?;
-    let owner = live
+    let mut live = (gateway.live)();
+    if gateway.in_flight.stage() == Stage::Leaving {
+        live.remove(own_name);
+    }
+    let members: Vec<(&str, f64)> = live
         .iter()
-        .find(|peer| peer.status.incarnation.name == owner)?;
-    Some(owner.status.peer_address.clone())
+        .map(|(name, member)| (name.as_str(), member.processor_cores))
+        .collect();
+    let owner = roles::owner(service, &members)?;
+    let is_other = owner != own_name;
+    let address = live.get(owner).map(|member| member.peer_address.clone());
+    address.filter(|_| is_other)
 }
 
 /// Engines that this instance owns and that run generations and are not known to leave.
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -18,7 +18,7 @@
 use super::heartbeat::MEMBER_RING;
 use super::runs::RunRegistry;
 use super::settings::RoutingSettings;
-use super::shared_store::{LiveMembers, SharedStore};
+use super::shared_store::{LiveMember, LiveMembers, SharedStore};
 use super::site_store::{MemberEntry, SiteStore};
 use super::upstream::{Upstream, open_max};
 use crate::error::{Error, ErrorKind};
@@ -108,7 +108,9 @@
     /// Whether the list of endpoints was read once.
     pub(crate) fleet_known: std::sync::atomic::AtomicBool,
     pub(crate) members: Arc<Mutex<Members>>,
-    pub(crate) member_entries: Mutex<HashMap<String, MemberEntry>>,
+    /// The members that live, with what they can carry.
+    pub(crate) live: Arc<LiveMembers>,
+    pub(crate) member_entries: Arc<Mutex<HashMap<String, MemberEntry>>>,
     pub(crate) health: Mutex<EndpointHealth>,
     retries: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) upstream: Upstream,
@@ -118,21 +120,38 @@
     pub(crate) in_flight: InFlight,
 }
 
+/// Processor share of a member whose entry was not read yet: a small one.
+const UNKNOWN_CORES: f64 = 0.1;
+
 /// The members that live as seen here, this instance included, with their peer addresses.
 fn live_members(
     settings: &Settings,
     members: Arc<Mutex<Members>>,
+    entries: Arc<Mutex<HashMap<String, MemberEntry>>>,
     clock: Arc<dyn Clock>,
-) -> Box<LiveMembers> {
+) -> Arc<LiveMembers> {
     let own = (settings.instance.clone(), settings.peer_address.to_string());
-    Box::new(move || {
-        let members = members.lock();
-        let live = members.live(MEMBER_RING, clock.now());
-        let others = live.map(|peer| {
-            let status = &peer.status;
-            (status.incarnation.name.clone(), status.peer_address.clone())
+    Arc::new(move || {
+        let mut live: Vec<(String, String)> = {
+            let members = members.lock();
+            let live = members.live(MEMBER_RING, clock.now());
+            let named = live.map(|peer| {
+                let status = &peer.status;
+                (status.incarnation.name.clone(), status.peer_address.clone())
+            });
+            named.collect()
+        };
+        live.push(own.clone());
+        let entries = entries.lock();
+        let members = live.into_iter().map(|(name, peer_address)| {
+            let entry = entries.get(&name);
+            let member = LiveMember {
+                peer_address,
+                processor_cores: entry.map_or(UNKNOWN_CORES, |entry| entry.processor_cores),
+            };
+            (name, member)
         });
-        others.chain([own.clone()]).collect()
+        members.collect()
     })
 }
 
@@ -150,9 +169,11 @@
         };
         let members: Arc<Mutex<Members>> = Arc::default();
         let peers: Arc<PeerClients> = Arc::default();
-        let live = live_members(&settings, members.clone(), clock.clone());
+        let member_entries: Arc<Mutex<HashMap<String, MemberEntry>>> = Arc::default();
+        let entries = member_entries.clone();
+        let live = live_members(&settings, members.clone(), entries, clock.clone());
         let own_name = settings.instance.clone();
-        let store = SharedStore::new(own_name, store, clock.clone(), peers.clone(), live);
+        let store = SharedStore::new(own_name, store, clock.clone(), peers.clone(), live.clone());
         Self {
             upstream: Upstream::new(clock.clone()),
             routing: RwLock::new(routing),
@@ -164,7 +185,8 @@
             fleet: Mutex::default(),
             fleet_known: std::sync::atomic::AtomicBool::new(false),
             members,
-            member_entries: Mutex::default(),
+            live,
+            member_entries,
             health: Mutex::default(),
             retries: Mutex::default(),
             runs: RunRegistry::default(),
@@ -338,12 +360,10 @@
 
 /// Draws so many, each in proportion to its weight.
 fn sample_by_weight(weighted: Vec<(f64, SocketAddr)>, most: usize) -> Vec<(f64, SocketAddr)> {
-    /// Weight of a member whose size is not known.
-    const UNKNOWN_WEIGHT: f64 = 0.1;
     let mut drawn: Vec<(f64, (f64, SocketAddr))> = weighted
         .into_iter()
         .map(|one| {
-            let weight = one.0.max(UNKNOWN_WEIGHT);
+            let weight = one.0.max(UNKNOWN_CORES);
             let key = rand::rng().random_range(f64::EPSILON..1.0).ln() / weight;
             (key, one)
         })
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use spdlog::info;
 use tokio::sync::Notify;
 
@@ -17,7 +16,7 @@
     MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, StoreResult, Subject,
 };
 use crate::kernel::clock::{Clock, millis};
-use crate::kernel::readers;
+use crate::kernel::roles;
 use crate::peer::client::{PeerClients, within};
 use crate::peer::generated as wire;
 
@@ -27,7 +26,7 @@
 /// stays well inside the two seconds in which a configuration has to be in force.
 const PEER_WAIT: Duration = Duration::from_millis(450);
 /// On top of its wait, an answer of another instance may take this long.
-const PEER_MARGIN: Duration = Duration::from_millis(150);
+const PEER_MARGIN: Duration = Duration::from_millis(250);
 
 /// How old a word of the store may be when it is taken from another instance. Longer than a reader waits for news.
 const fn age_max(subject: Subject) -> Duration {
@@ -38,7 +37,7 @@
 }
 
 /// That the store came back from an outage is told for this long.
-const REGAINED_TOLD_MS: u64 = 5_000;
+const REGAINED_TOLD: Duration = Duration::from_secs(5);
 /// A source that failed is not asked for this long.
 const SOURCE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -51,15 +50,14 @@
     Peer(String),
 }
 
-/// A page as it is passed to another instance.
-#[derive(Debug, Serialize, Deserialize)]
-struct PassedPage {
-    records: Vec<SiteRecord>,
-    next_offset: u64,
+/// A page, and how fresh it is.
+#[derive(Debug)]
+struct AgedPage {
+    page: SitePage,
     /// Age of the store's last word.
-    age_ms: u64,
+    age: Duration,
     /// Time since the store came back from an outage, where that was of late.
-    regained_ms_ago: Option<u64>,
+    regained_ago: Option<Duration>,
 }
 
 /// What is known of a subject.
@@ -72,6 +70,8 @@
     next_offset: u64,
     /// When the store last said something, by this instance's clock.
     word_at: Option<Duration>,
+    /// The last page that was encoded for others, which most of them ask for: its first offset, and its text.
+    encoded: Option<(u64, String)>,
 }
 
 struct SubjectShard {
@@ -79,8 +79,17 @@
     added: Notify,
 }
 
-/// Names of the members that live, this instance included, and their peer addresses.
-pub(crate) type LiveMembers = dyn Fn() -> BTreeMap<String, String> + Send + Sync;
+/// A member that lives.
+#[derive(Debug, Clone)]
+pub(crate) struct LiveMember {
+    /// Where peers connect.
+    pub(crate) peer_address: String,
+    /// What it can carry.
+    pub(crate) processor_cores: f64,
+}
+
+/// The members that live, this instance included, by name.
+pub(crate) type LiveMembers = dyn Fn() -> BTreeMap<String, LiveMember> + Send + Sync;
 
 /// The store, read directly or through other instances.
 pub(crate) struct SharedStore {
@@ -88,7 +97,7 @@
     direct: Arc<dyn SiteStore>,
     clock: Arc<dyn Clock>,
     peers: Arc<PeerClients>,
-    live: Box<LiveMembers>,
+    live: Arc<LiveMembers>,
     shards: [SubjectShard; 3],
     /// Sources that failed, and when they may be asked again.
     paused: Mutex<HashMap<(Subject, SourceName), Duration>>,
@@ -125,6 +134,7 @@
     fn replace(&mut self, page: &SitePage, word_at: Duration) {
         self.newest.clear();
         self.recent.clear();
+        self.encoded = None;
         for record in &page.records {
             self.put_newest(record);
         }
@@ -137,6 +147,7 @@
         if from != self.next_offset || page.next_offset <= from {
             return;
         }
+        self.encoded = None;
         for record in &page.records {
             self.put_newest(record);
             self.recent.push_back(record.clone());
@@ -152,11 +163,23 @@
         self.next_offset = page.next_offset;
     }
 
-    /// Records from an offset on; nothing where they are not all kept. Who asks may be ahead of what is known here.
-    fn since(&self, from: u64) -> Option<Vec<SiteRecord>> {
+    /// Records from an offset on, encoded; nothing where they are not all kept. Who asks may be ahead of what is known here.
+    fn encoded_since(&mut self, from: u64) -> Option<String> {
+        if let Some((_, text)) = self.encoded.as_ref().filter(|(first, _)| *first == from) {
+            return Some(text.clone());
+        }
         let missing = usize::try_from(self.next_offset.saturating_sub(from)).ok()?;
         let skipped = self.recent.len().checked_sub(missing)?;
-        Some(self.recent.iter().skip(skipped).cloned().collect())
+        let records: Vec<&SiteRecord> = self.recent.iter().skip(skipped).collect();
+        let text = serde_json::to_string(&records).ok()?;
+        self.encoded = Some((from, text.clone()));
+        Some(text)
+    }
+
+    /// The newest record of each key, encoded.
+    fn encoded_whole(&self) -> Option<String> {
+        let records: Vec<&SiteRecord> = self.newest.values().collect();
+        serde_json::to_string(&records).ok()
     }
 }
 
@@ -166,7 +189,7 @@
         direct: Arc<dyn SiteStore>,
         clock: Arc<dyn Clock>,
         peers: Arc<PeerClients>,
-        live: Box<LiveMembers>,
+        live: Arc<LiveMembers>,
     ) -> Self {
         Self {
             own_name,
@@ -194,11 +217,14 @@
     /// the store, then the other readers: whoever is turned away by the store still hears of it.
     fn sources(&self, subject: Subject) -> Vec<(SourceName, Option<String>)> {
         let live = (self.live)();
-        let names: Vec<&str> = live.keys().map(String::as_str).collect();
-        let ranked = readers::ranked_for(&self.own_name, &names);
+        let members: Vec<(&str, f64)> = live
+            .iter()
+            .map(|(name, member)| (name.as_str(), member.processor_cores))
+            .collect();
+        let ranked = roles::readers_for(&self.own_name, &members);
         let store = (SourceName::Store, None);
         let peer = |name: &&str| {
-            let address = live.get(*name).cloned();
+            let address = live.get(*name).map(|member| member.peer_address.clone());
             (SourceName::Peer((*name).to_owned()), address)
         };
         let is_reader = ranked.contains(&self.own_name.as_str());
@@ -220,10 +246,14 @@
         if usable.is_empty() { sources } else { usable }
     }
 
-    fn pause(&self, subject: Subject, source: &SourceName) {
+    fn pause(&self, subject: Subject, source: &SourceName, error: &StoreError) {
         let until = self.clock.now() + SOURCE_PAUSE;
         let mut paused = self.paused.lock();
         paused.insert((subject, source.clone()), until);
+        drop(paused);
+        if crate::log::admits("store source failed") {
+            info!("store source failed", kv: { subject = subject.name(), source:?, why: = error });
+        }
     }
 
     fn note_used(&self, subject: Subject, source: &SourceName) {
@@ -239,7 +269,7 @@
         subject: Subject,
         from: Option<u64>,
         wait: Duration,
-    ) -> StoreResult<PassedPage> {
+    ) -> StoreResult<AgedPage> {
         let no_answer = |status: tonic::Status| StoreError::NoAnswer(status.message().to_owned());
         let mut client = self.peers.site_at(address).map_err(no_answer)?;
         let wait = wait.min(PEER_WAIT);
@@ -251,15 +281,22 @@
         };
         let reply = within(wait + PEER_MARGIN, client.read_site(request)).await;
         let reply = reply.map_err(no_answer)?;
-        let page: PassedPage = serde_json::from_str(&reply.page)
-            .map_err(|error| StoreError::Malformed(error.to_string()))?;
-        if page.age_ms > millis(age_max(subject)) {
-            return Err(StoreError::NoAnswer(format!(
-                "the peer heard the store {} ms ago",
-                page.age_ms
-            )));
+        let age = Duration::from_millis(reply.age_ms);
+        if age > age_max(subject) {
+            let why = format!("the peer heard the store {} ms ago", reply.age_ms);
+            return Err(StoreError::NoAnswer(why));
         }
-        Ok(page)
+        let records = serde_json::from_str(&reply.records)
+            .map_err(|error| StoreError::Malformed(error.to_string()))?;
+        let regained_ago = Duration::from_millis(reply.regained_ms_ago);
+        Ok(AgedPage {
+            page: SitePage {
+                records,
+                next_offset: reply.next_offset,
+            },
+            age,
+            regained_ago: (!regained_ago.is_zero()).then_some(regained_ago),
+        })
     }
 
     /// Reads from the first source that answers.
@@ -276,24 +313,13 @@
                 None => self.read_at_store(subject, from, wait).await,
             };
             match read {
-                Ok(page) => {
+                Ok(aged) => {
                     self.note_used(subject, &source);
-                    let now = self.clock.now();
-                    if let Some(ago_ms) = page.regained_ms_ago {
-                        let at = now.saturating_sub(Duration::from_millis(ago_ms));
-                        self.note_regained(subject, at);
-                    }
-                    let word_at = now.saturating_sub(Duration::from_millis(page.age_ms));
-                    let page = SitePage {
-                        records: page.records,
-                        next_offset: page.next_offset,
-                    };
-                    self.keep(subject, from, &page, word_at);
-                    return Ok(page);
+                    return Ok(self.keep(subject, from, aged));
                 }
                 Err(error @ StoreError::Expired { .. }) if address.is_none() => return Err(error),
                 Err(error) => {
-                    self.pause(subject, &source);
+                    self.pause(subject, &source, &error);
                     last = error;
                 }
             }
@@ -306,28 +332,24 @@
         subject: Subject,
         from: Option<u64>,
         wait: Duration,
-    ) -> StoreResult<PassedPage> {
+    ) -> StoreResult<AgedPage> {
         let page = match from {
             Some(from) => self.direct.read(subject, from, wait).await,
             None => self.direct.newest(subject).await,
         };
-        let page = match page {
-            Ok(page) => page,
-            Err(error) => {
-                if !matches!(error, StoreError::Expired { .. }) {
-                    self.store_fails.lock().insert(subject);
-                }
-                return Err(error);
-            }
-        };
+        if let Err(error) = &page
+            && !matches!(error, StoreError::Expired { .. })
+        {
+            self.store_fails.lock().insert(subject);
+        }
+        let page = page?;
         if self.store_fails.lock().remove(&subject) {
             self.note_regained(subject, self.clock.now());
         }
-        Ok(PassedPage {
-            records: page.records,
-            next_offset: page.next_offset,
-            age_ms: 0,
-            regained_ms_ago: None,
+        Ok(AgedPage {
+            page,
+            age: Duration::ZERO,
+            regained_ago: None,
         })
     }
 
@@ -348,18 +370,26 @@
         self.regained_at.lock().get(&subject).copied()
     }
 
-    fn keep(&self, subject: Subject, from: Option<u64>, page: &SitePage, word_at: Duration) {
+    /// Keeps a page for others to read.
+    fn keep(&self, subject: Subject, from: Option<u64>, aged: AgedPage) -> SitePage {
+        let now = self.clock.now();
+        if let Some(ago) = aged.regained_ago {
+            self.note_regained(subject, now.saturating_sub(ago));
+        }
+        let word_at = now.saturating_sub(aged.age);
+        let page = aged.page;
         let shard = self.shard(subject);
         {
             let mut cache = shard.cache.lock();
             match from {
-                Some(from) => cache.extend(from, page, word_at),
-                None => cache.replace(page, word_at),
+                Some(from) => cache.extend(from, &page, word_at),
+                None => cache.replace(&page, word_at),
             }
         }
         if !page.records.is_empty() || from.is_none() {
             shard.added.notify_waiters();
         }
+        page
     }
 
     /// Answers another instance from what is known here; waits for news as it asks.
@@ -376,17 +406,12 @@
         let until = tokio::time::Instant::now() + wait;
         loop {
             let added = shard.added.notified();
-            let page = self.page_for(subject, request)?;
-            let news = request.whole || !page.records.is_empty();
-            if news || tokio::time::timeout_at(until, added).await.is_err() {
-                let page = if news {
-                    page
-                } else {
-                    self.page_for(subject, request)?
-                };
-                let page = serde_json::to_string(&page)
-                    .map_err(|error| tonic::Status::internal(error.to_string()))?;
-                return Ok(wire::ReadSiteReply { page });
+            let has_news = {
+                let cache = shard.cache.lock();
+                request.whole || cache.next_offset > request.from_offset
+            };
+            if has_news || tokio::time::timeout_at(until, added).await.is_err() {
+                return self.page_for(subject, request);
             }
         }
     }
@@ -395,32 +420,33 @@
         &self,
         subject: Subject,
         request: &wire::ReadSiteRequest,
-    ) -> Result<PassedPage, tonic::Status> {
-        let cache = self.shard(subject).cache.lock();
+    ) -> Result<wire::ReadSiteReply, tonic::Status> {
+        let now = self.clock.now();
+        let regained_at = self.regained_at(subject);
+        let regained_ago = regained_at.map(|at| now.saturating_sub(at));
+        let regained_ago = regained_ago.filter(|ago| *ago < REGAINED_TOLD);
+        let mut cache = self.shard(subject).cache.lock();
         let word_at = cache
             .word_at
             .ok_or_else(|| tonic::Status::unavailable("nothing known yet"))?;
-        let age = self.clock.now().saturating_sub(word_at);
+        let age = now.saturating_sub(word_at);
         if age > age_max(subject) {
             return Err(tonic::Status::unavailable(
                 "the store was not heard of late",
             ));
         }
         let records = if request.whole {
-            Some(cache.newest.values().cloned().collect())
+            cache.encoded_whole()
         } else {
-            cache.since(request.from_offset)
+            cache.encoded_since(request.from_offset)
         };
         let records =
             records.ok_or_else(|| tonic::Status::out_of_range("records are not kept here"))?;
-        Ok(PassedPage {
+        Ok(wire::ReadSiteReply {
             records,
             next_offset: cache.next_offset.max(request.from_offset),
             age_ms: millis(age),
-            regained_ms_ago: self
-                .regained_at(subject)
-                .map(|at| millis(self.clock.now().saturating_sub(at)))
-                .filter(|ago_ms| *ago_ms < REGAINED_TOLD_MS),
+            regained_ms_ago: regained_ago.map_or(0, |ago| millis(ago).max(1)),
         })
     }
 }
--- a/src/kernel/membership.rs
+++ b/src/kernel/membership.rs
@@ -334,6 +334,17 @@
     members.max_by_key(|member| rendezvous_weight(key, member))
 }
 
+/// Weight of a member for a key, so that members win in proportion to their capacity.
+#[must_use]
+pub fn weighted_rendezvous(key: &str, member: &str, capacity: f64) -> f64 {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a hash, of which the high bits are enough"
+    )]
+    let drawn = (rendezvous_weight(key, member) as f64 / u64::MAX as f64).max(f64::MIN_POSITIVE);
+    drawn.ln() / capacity.max(f64::EPSILON)
+}
+
 /// Weight of a member for a key.
 #[must_use]
 pub fn rendezvous_weight(key: &str, member: &str) -> u64 {
--- /dev/null
+++ b/src/kernel/roles.rs
@@ -0,0 +1,44 @@
+//! Which members take on more than their own calls: reading the store for all, and owning a service's engines. All members with the
+//! same view choose the same ones, the larger ones more often.
+
+use super::membership::{rendezvous_weight, weighted_rendezvous};
+
+/// Members for which one reader reads. A reader answers each of them about twice a second.
+const MEMBERS_PER_READER: usize = 24;
+/// Fewest readers: one may be cut off from the store.
+const READERS_MIN: usize = 2;
+/// Members that carry less than this share of the largest take on a role only where no others are left.
+const CAPACITY_SHARE_MIN: f64 = 0.5;
+
+/// A member and what it can carry, in cores.
+pub type MemberCapacity<'a> = (&'a str, f64);
+
+/// The members in the order in which a role falls to them.
+fn ranked<'a>(role: &str, members: &[MemberCapacity<'a>]) -> Vec<&'a str> {
+    let largest = members.iter().map(|(_, capacity)| *capacity);
+    let largest = largest.fold(0.0, f64::max);
+    let mut ranked = members.to_vec();
+    ranked.sort_by(|one, other| {
+        let small = |member: &MemberCapacity| member.1 < CAPACITY_SHARE_MIN * largest;
+        let weight = |member: &MemberCapacity| weighted_rendezvous(role, member.0, member.1);
+        let by_size = small(one).cmp(&small(other));
+        by_size.then(weight(other).total_cmp(&weight(one)))
+    });
+    ranked.into_iter().map(|(name, _)| name).collect()
+}
+
+/// The readers of the store, in the order in which a member asks them: each member has its own, so that they share the work.
+#[must_use]
+pub fn readers_for<'a>(member: &str, members: &[MemberCapacity<'a>]) -> Vec<&'a str> {
+    let count = members.len().div_ceil(MEMBERS_PER_READER).max(READERS_MIN);
+    let mut readers = ranked("readers", members);
+    readers.truncate(count);
+    readers.sort_by_key(|name| std::cmp::Reverse(rendezvous_weight(member, name)));
+    readers
+}
+
+/// The owner of a service's engines.
+#[must_use]
+pub fn owner<'a>(service: &str, members: &[MemberCapacity<'a>]) -> Option<&'a str> {
+    ranked(service, members).into_iter().next()
+}
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -165,9 +165,18 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReadSiteReply {
-    /// JSON text of records, the offset after them, and the age of the store's last word.
+    /// JSON text of the records.
     #[prost(string, tag = "1")]
-    pub page: ::prost::alloc::string::String,
+    pub records: ::prost::alloc::string::String,
+    /// Offset after them.
+    #[prost(uint64, tag = "2")]
+    pub next_offset: u64,
+    /// Age of the store's last word.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Time since the store came back from an outage, where that was of late; else 0.
+    #[prost(uint64, tag = "4")]
+    pub regained_ms_ago: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Demand {
--- a/tests/kernel/site_rules.rs
+++ b/tests/kernel/site_rules.rs
@@ -4,29 +4,26 @@
 
 use larkwick::kernel::event_split::EventSplitter;
 use larkwick::kernel::health::EndpointHealth;
-use larkwick::kernel::readers;
 use larkwick::kernel::retry::RetryAllowance;
+use larkwick::kernel::roles;
 use proptest::prelude::*;
 
 #[test]
-fn ranked_for_all_members_agree_on_the_readers() {
+fn readers_for_all_members_agree_on_the_readers() {
     let names: Vec<String> = (0..85).map(|index| format!("n{index}")).collect();
-    let members: Vec<&str> = names.iter().map(String::as_str).collect();
-    let mut expected = readers::ranked_for("n0", &members);
+    let members: Vec<(&str, f64)> = names.iter().map(|name| (name.as_str(), 0.25)).collect();
+    let mut expected = roles::readers_for("n0", &members);
     expected.sort_unstable();
     assert_eq!(expected.len(), 4);
-    for member in &members {
-        let mut ranked = readers::ranked_for(member, &members);
+    for (member, _) in &members {
+        let mut ranked = roles::readers_for(member, &members);
         ranked.sort_unstable();
         assert_eq!(ranked, expected);
     }
     // A dead reader is replaced by one other member; the rest stay.
-    let left: Vec<&str> = members
-        .iter()
-        .filter(|name| **name != expected[0])
-        .copied()
-        .collect();
-    let after = readers::ranked_for("n0", &left);
+    let left = members.iter().filter(|(name, _)| *name != expected[0]);
+    let left: Vec<(&str, f64)> = left.copied().collect();
+    let after = roles::readers_for("n0", &left);
     assert_eq!(
         after.iter().filter(|name| expected.contains(name)).count(),
         3
@@ -34,9 +31,18 @@
 }
 
 #[test]
-fn ranked_for_few_members_two_readers() {
-    assert_eq!(readers::ranked_for("a", &["a", "b", "c"]).len(), 2);
-    assert_eq!(readers::ranked_for("a", &["a"]), ["a"]);
+fn readers_for_few_members_two_readers() {
+    let three = [("a", 0.25), ("b", 0.25), ("c", 0.25)];
+    assert_eq!(roles::readers_for("a", &three).len(), 2);
+    assert_eq!(roles::readers_for("a", &three[..1]), ["a"]);
+}
+
+#[test]
+fn readers_for_small_members_spared() {
+    let members = [("a", 0.1), ("b", 0.5), ("c", 0.1), ("d", 0.5), ("e", 0.1)];
+    let mut readers = roles::readers_for("a", &members);
+    readers.sort_unstable();
+    assert_eq!(readers, ["b", "d"]);
 }
 
 proptest! {
--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -119,7 +119,7 @@
     for number in 0..10 {
         let id = format!("r{number}");
         assert_eq!(instance.call("/once/1", &id).await.status, 200);
-        assert_eq!(site.standin.runs_of(&id), [site.apps[1].id.clone()]);
+        assert_eq!(site.standin.runs_of(&id), [site.apps[1].id.as_str()]);
     }
 }
 
@@ -328,7 +328,7 @@
         for call in 0..20 {
             let id = format!("e{number}-{call}");
             assert_eq!(instance.call("/once/1", &id).await.status, 200);
-            assert_ne!(site.standin.runs_of(&id), [leaving.id.clone()]);
+            assert_ne!(site.standin.runs_of(&id), [leaving.id.as_str()]);
         }
         assert!(instance.metrics().await.contains("larkwick_calls_total"));
     }
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -20,7 +20,7 @@
     let instance = site.instance("n1").await;
     let answer = answered(instance.generation(20, "g1")).await;
     assert_whole(&answer, 20);
-    assert_eq!(site.standin.runs_of("g1"), [engine.id.clone()]);
+    assert_eq!(site.standin.runs_of("g1"), [engine.id.as_str()]);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -49,7 +49,7 @@
             let answer = generation.await.expect("answered");
             assert_whole(&answer, 80);
             let runs = site.standin.runs_of(&format!("m{number}"));
-            assert_eq!(runs, [leaving.id.clone()]);
+            assert_eq!(runs, [leaving.id.as_str()]);
         }
     }
 }
@@ -94,7 +94,7 @@
     for number in 0..8 {
         let id = format!("p{number}");
         assert_whole(&answered(instance.generation(2, &id)).await, 2);
-        assert_eq!(site.standin.runs_of(&id), [sound.id.clone()]);
+        assert_eq!(site.standin.runs_of(&id), [sound.id.as_str()]);
     }
 }
 
@@ -147,5 +147,5 @@
     site.standin.list(&leaving, "draining");
     assert_whole(&running.await.expect("answered"), 240);
     assert_whole(&answered(server.generation(3, "k2")).await, 3);
-    assert_eq!(site.standin.runs_of("k2"), [staying.id.clone()]);
+    assert_eq!(site.standin.runs_of("k2"), [staying.id.as_str()]);
 }
