Start from a member's words while the store is down

Change: the role serves control, so that the settings name seeds; a new instance asks them, and takes what they know, however old.

--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -132,6 +132,12 @@
 fn told(gateway: &Gateway) -> Vec<String> {
     let members = gateway.members.lock();
     let address = |peer: &Peer| peer.status.peer_address.clone();
+    if members.all().next().is_none() {
+        let routing = gateway.routing.read();
+        let seeds = routing.seed_addresses.iter();
+        let others = seeds.filter(|seed| **seed != gateway.settings.peer_address);
+        return others.map(ToString::to_string).collect();
+    }
     if members.is_small_site() {
         return members.all().map(address).collect();
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -22,6 +22,9 @@
     pub store_plugin: String,
     /// The store.
     pub store_address: SocketAddr,
+    /// Peer addresses of a few members, which may be gone: the way in for a start while the store is down.
+    #[serde(default)]
+    pub seed_addresses: Vec<SocketAddr>,
     /// Processor share of this instance, in cores.
     pub processor_cores: f64,
     /// How long callers may keep the answer of the directory.
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -269,6 +269,7 @@
         subject: Subject,
         from: Option<u64>,
         wait: Duration,
+        any_age: bool,
     ) -> StoreResult<AgedPage> {
         let no_answer = |status: tonic::Status| StoreError::NoAnswer(status.message().to_owned());
         let mut client = self.peers.site_at(address).map_err(no_answer)?;
@@ -278,11 +279,12 @@
             whole: from.is_none(),
             from_offset: from.unwrap_or_default(),
             wait_ms: millis(wait),
+            any_age,
         };
         let reply = within(wait + PEER_MARGIN, client.read_site(request)).await;
         let reply = reply.map_err(no_answer)?;
         let age = Duration::from_millis(reply.age_ms);
-        if age > age_max(subject) {
+        if age > age_max(subject) && !any_age {
             let why = format!("the peer heard the store {} ms ago", reply.age_ms);
             return Err(StoreError::NoAnswer(why));
         }
@@ -309,7 +311,7 @@
         let mut last = StoreError::NoAnswer("no source".to_owned());
         for (source, address) in self.sources(subject) {
             let read = match &address {
-                Some(address) => self.read_at_peer(address, subject, from, wait).await,
+                Some(address) => self.read_at_peer(address, subject, from, wait, false).await,
                 None => self.read_at_store(subject, from, wait).await,
             };
             match read {
@@ -324,9 +326,34 @@
                 }
             }
         }
+        let knows_nothing = self.shard(subject).cache.lock().word_at.is_none();
+        if from.is_none()
+            && knows_nothing
+            && let Some(page) = self.read_old_words(subject).await
+        {
+            return Ok(page);
+        }
         Err(last)
     }
 
+    /// What any member knows, however old: an instance that starts while the store is down serves what the others serve.
+    async fn read_old_words(&self, subject: Subject) -> Option<SitePage> {
+        for (name, member) in (self.live)() {
+            if name == self.own_name {
+                continue;
+            }
+            let address = &member.peer_address;
+            let read = self.read_at_peer(address, subject, None, Duration::ZERO, true);
+            if let Ok(aged) = read.await {
+                info!("started from the words of a member", kv: {
+                    subject = subject.name(), member = name.as_str(), age_ms: = millis(aged.age),
+                });
+                return Some(self.keep(subject, None, aged));
+            }
+        }
+        None
+    }
+
     async fn read_at_store(
         &self,
         subject: Subject,
@@ -430,7 +457,7 @@
             .word_at
             .ok_or_else(|| tonic::Status::unavailable("nothing known yet"))?;
         let age = now.saturating_sub(word_at);
-        if age > age_max(subject) {
+        if age > age_max(subject) && !request.any_age {
             return Err(tonic::Status::unavailable(
                 "the store was not heard of late",
             ));
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -162,6 +162,9 @@
     pub from_offset: u64,
     #[prost(uint64, tag = "4")]
     pub wait_ms: u64,
+    /// Old words are better than none: the asker knows nothing yet and cannot reach the store.
+    #[prost(bool, tag = "5")]
+    pub any_age: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReadSiteReply {
--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -255,6 +255,26 @@
     instance.until_ready().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn store_down_at_start_served_from_the_words_of_a_member() {
+    let site = RoutedSite::start(1).await;
+    let first = site.instance("n1").await;
+    let second = site.instance("n2").await;
+    until("both named", async || first.named().await.len() == 2).await;
+    site.standin.store.set_mood(StoreMood::Busy);
+    until("lost", async || first.has_line("store lost")).await;
+    let seeds = [&first, &second];
+    let third = site.instance_with_seeds("n3", &seeds);
+    third.until_ready().await;
+    assert_eq!(third.call("/once/1", "m1").await.status, 200);
+    site.standin.publish(8, &[KEY]);
+    site.standin.store.set_mood(StoreMood::Sound);
+    until("version 8", async || {
+        third.state().await["config_version"] == 8
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn store_answer_to_own_entry_lost_instance_serves() {
     let site = RoutedSite::start(1).await;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -81,13 +81,19 @@
 
     /// Starts an instance.
     pub fn instance_not_ready(&self, name: &str) -> Instance {
+        self.instance_with_seeds(name, &[])
+    }
+
+    /// Starts an instance that knows the peer addresses of others.
+    pub fn instance_with_seeds(&self, name: &str, seeds: &[&Instance]) -> Instance {
+        let seeds: Vec<String> = seeds.iter().map(|seed| seed.address("peer")).collect();
         let any = "127.0.0.1:0";
         let settings = json!({
             "instance": name, "hall": "hall-1", "caller_address": any, "operator_address": any, "peer_address": any,
             "worker_threads": 1, "times": {"heartbeat_ms": 100},
             "routing": {
                 "ready_address": any, "directory_address": any, "store_address": self.standin.store_address(),
-                "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8,
+                "seed_addresses": seeds, "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8,
                 "retry_share": 0.2, "retry_slack": 60,
             },
         });
