Soak the real processes under overlapping faults

Change: tests/soak.rs plays seeds: instances killed, stopped, frozen and added, the store busy, silent, delayed, cut one way or reset through a loopback proxy, engines that leave or die, servers that refuse, close, cross or leave out their proof, configurations in between. Checked: one run at most, 503 means not run, events once and in order, whole means whole; after it each instance is ready, idle, on the last configuration and answers.

--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,331 @@
+//! Soak: processes under faults in series that overlap, and the promises checked from what callers and servers see.
+//!
+//! `cargo test --test soak` plays the seeds that ever failed and two more. By hand: `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test
+//! soak -- --nocapture`.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use larkwick::standin::site::KEY;
+use larkwick::standin::site::server::{Server, ServerFault};
+use larkwick::standin::site::store::StoreMood;
+use nix::sys::signal::Signal;
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use support::proxy::{Link, Proxy};
+use support::site::{Caller, Instance, RoutedSite, event_numbers, until};
+
+/// Seeds that failed once, each with its cause.
+const REGRESSIONS: [u64; 0] = [];
+const INSTANCES: usize = 4;
+const STEPS: u32 = 24;
+const STEP: Duration = Duration::from_millis(120);
+const CALLERS: usize = 6;
+
+/// What a caller asked for and what it saw.
+struct Seen {
+    id: String,
+    /// Events asked for; nothing for a call that may run once.
+    events: Option<u32>,
+    /// Nothing where the connection broke before an answer.
+    status: Option<u16>,
+    body: String,
+    whole: bool,
+}
+
+struct Soak {
+    site: RoutedSite,
+    proxy: Proxy,
+    instances: Mutex<Vec<Instance>>,
+    engines: Mutex<Vec<Arc<Server>>>,
+    started: AtomicU32,
+    version: AtomicU32,
+    over: AtomicBool,
+}
+
+impl Soak {
+    async fn start() -> Arc<Self> {
+        let mut site = RoutedSite::start(3).await;
+        let proxy = Proxy::start(site.standin.store_address()).await;
+        site.store_through(proxy.address);
+        let soak = Self {
+            site,
+            proxy,
+            instances: Mutex::default(),
+            engines: Mutex::default(),
+            started: AtomicU32::new(0),
+            version: AtomicU32::new(2),
+            over: AtomicBool::new(false),
+        };
+        for _ in 0..4 {
+            soak.add_engine().await;
+        }
+        for _ in 0..INSTANCES {
+            soak.add_instance();
+        }
+        Arc::new(soak)
+    }
+
+    async fn add_engine(&self) {
+        let engine = self.site.engine().await;
+        self.engines.lock().push(engine);
+    }
+
+    fn add_instance(&self) {
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        let seeds: Vec<String> = {
+            let instances = self.instances.lock();
+            instances.iter().map(Instance::peer_address).collect()
+        };
+        let name = format!("n{number}");
+        let instance = self.site.instance_seeded(&name, &seeds);
+        self.instances.lock().push(instance);
+    }
+
+    fn caller_of_one(&self, random: &mut StdRng) -> Option<Caller> {
+        let instances = self.instances.lock();
+        instances.choose(random).map(Instance::caller)
+    }
+
+    /// One fault; some end by themselves after a while, and others begin meanwhile.
+    async fn fault(self: &Arc<Self>, random: &mut StdRng) {
+        let lasts = Duration::from_millis(random.random_range(50..600));
+        match random.random_range(0..11) {
+            0 => {
+                let gone = self.take_instance(random);
+                drop(gone);
+                self.add_instance();
+            }
+            1 => {
+                if let Some(instance) = self.take_instance(random) {
+                    instance.signal(Signal::SIGTERM);
+                    self.add_instance();
+                    tokio::spawn(end_by_itself(instance));
+                }
+            }
+            2 => {
+                let instances = self.instances.lock();
+                if let Some(instance) = instances.choose(random) {
+                    instance.signal(Signal::SIGSTOP);
+                    let thaw = instance.thaw_handle();
+                    tokio::spawn(async move {
+                        tokio::time::sleep(lasts).await;
+                        thaw();
+                    });
+                }
+            }
+            3 => self.mood_for(StoreMood::Busy, lasts),
+            4 => self.mood_for(StoreMood::Silent, lasts),
+            5 => self.link_for(Link::Slow(Duration::from_millis(80)), lasts),
+            6 => self.link_for(
+                [Link::Silent, Link::OneWay][random.random_range(0..2)],
+                lasts,
+            ),
+            7 => self.proxy.reset(),
+            8 => {
+                let version = u64::from(self.version.fetch_add(1, Ordering::Relaxed)) + 1;
+                self.site.standin.publish(version, &[KEY]);
+            }
+            9 => self.replace_engine(random).await,
+            _ => {
+                let faults = [
+                    ServerFault::Refuses,
+                    ServerFault::RunsAndCloses,
+                    ServerFault::Crosses,
+                    ServerFault::Unsealed,
+                ];
+                let app = self.site.apps.choose(random).expect("servers").clone();
+                app.set_fault(*faults.choose(random).expect("faults"));
+                tokio::spawn(async move {
+                    tokio::time::sleep(lasts).await;
+                    app.set_fault(ServerFault::None);
+                });
+            }
+        }
+    }
+
+    fn take_instance(&self, random: &mut StdRng) -> Option<Instance> {
+        let mut instances = self.instances.lock();
+        let index = random.random_range(0..instances.len().max(1));
+        (index < instances.len()).then(|| instances.remove(index))
+    }
+
+    fn mood_for(self: &Arc<Self>, mood: StoreMood, lasts: Duration) {
+        self.site.standin.store.set_mood(mood);
+        let soak = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(lasts).await;
+            soak.site.standin.store.set_mood(StoreMood::Sound);
+        });
+    }
+
+    fn link_for(self: &Arc<Self>, link: Link, lasts: Duration) {
+        self.proxy.set(link);
+        let soak = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(lasts).await;
+            soak.proxy.set(Link::Sound);
+        });
+    }
+
+    /// An engine leaves, told or untold, or dies; another one comes.
+    async fn replace_engine(&self, random: &mut StdRng) {
+        self.add_engine().await;
+        let leaving = {
+            let mut engines = self.engines.lock();
+            let index = random.random_range(0..engines.len());
+            engines.remove(index)
+        };
+        match random.random_range(0..3) {
+            0 => self.site.standin.list(&leaving, "draining"),
+            1 => self.site.standin.unlist(&leaving),
+            _ => leaving.kill(),
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            leaving.kill();
+        });
+    }
+
+    async fn call_until_over(self: Arc<Self>, random_seed: u64, number: usize) -> Vec<Seen> {
+        let mut random = StdRng::seed_from_u64(random_seed ^ (number as u64) << 32);
+        let mut seen = Vec::new();
+        while !self.over.load(Ordering::Relaxed) {
+            tokio::time::sleep(Duration::from_millis(random.random_range(1..10))).await;
+            let Some(caller) = self.caller_of_one(&mut random) else {
+                continue;
+            };
+            let id = format!("c{number}-{}", seen.len());
+            let events = random.random_bool(0.5).then(|| random.random_range(1..40));
+            let request = match events {
+                Some(events) => caller.generation(events, &id),
+                None => caller.request("/once/1", &id),
+            };
+            seen.push(ask(request, id, events).await);
+        }
+        seen
+    }
+
+    fn check(&self, seen: &Seen) {
+        let runs = self.site.standin.runs_of(&seen.id).len();
+        let id = &seen.id;
+        assert!(runs <= 1, "{id} ran {runs} times");
+        if matches!(seen.status, Some(408 | 421 | 429 | 503)) {
+            assert_eq!(runs, 0, "{id} was answered {:?} and ran", seen.status);
+        }
+        if seen.status != Some(200) {
+            return;
+        }
+        let Some(events) = seen.events else {
+            assert!(!seen.whole || seen.body == "hello", "{id}: {:?}", seen.body);
+            return;
+        };
+        let numbers = event_numbers(&seen.body);
+        let count = u32::try_from(numbers.len()).expect("few events");
+        let expected: Vec<u32> = (1..=count).collect();
+        assert_eq!(numbers, expected, "{id}: an event is missing or came twice");
+        assert!(
+            !seen.whole || count == events,
+            "{id}: whole after {count} of {events}"
+        );
+    }
+
+    /// With all faults over, everything comes back.
+    async fn check_recovery(&self) {
+        let callers: Vec<Caller> = {
+            let instances = self.instances.lock();
+            instances.iter().map(Instance::caller).collect()
+        };
+        let version = self.version.load(Ordering::Relaxed);
+        for caller in &callers {
+            until(
+                "the last configuration in force, and nothing in flight",
+                async || {
+                    let state = caller.state().await;
+                    state["config_version"].as_u64().unwrap_or_default()
+                        >= u64::from(version.min(10))
+                        && state["calls"] == 0
+                        && state["ready"] == true
+                },
+            )
+            .await;
+            until("calls answered", async || {
+                let seen = ask(caller.request("/once/1", "after"), String::new(), None).await;
+                seen.status == Some(200)
+            })
+            .await;
+        }
+    }
+}
+
+async fn end_by_itself(mut instance: Instance) {
+    const LOOK_EVERY: Duration = Duration::from_millis(50);
+    while instance.ended_well().is_none() {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn ask(request: reqwest::RequestBuilder, id: String, events: Option<u32>) -> Seen {
+    let mut seen = Seen {
+        id,
+        events,
+        status: None,
+        body: String::new(),
+        whole: false,
+    };
+    let Ok(mut answer) = request.timeout(Duration::from_secs(20)).send().await else {
+        return seen;
+    };
+    seen.status = Some(answer.status().as_u16());
+    let mut body = Vec::new();
+    seen.whole = loop {
+        match answer.chunk().await {
+            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    seen.body = String::from_utf8_lossy(&body).into_owned();
+    seen
+}
+
+async fn play(seed: u64) {
+    println!("soak seed {seed}");
+    let soak = Soak::start().await;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| tokio::spawn(soak.clone().call_until_over(seed, number)))
+        .collect();
+    let mut random = StdRng::seed_from_u64(seed);
+    for _ in 0..STEPS {
+        tokio::time::sleep(STEP).await;
+        soak.fault(&mut random).await;
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    soak.over.store(true, Ordering::Relaxed);
+    let mut served = 0;
+    let mut asked = 0;
+    for caller in callers {
+        for seen in caller.await.expect("a caller ended") {
+            asked += 1;
+            served += u32::from(seen.status == Some(200) && seen.whole);
+            soak.check(&seen);
+        }
+    }
+    println!("soak seed {seed}: {served} of {asked} served");
+    soak.check_recovery().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_seeds_promises_hold() {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    let first = number("SOAK_FIRST").unwrap_or(1);
+    let seeds = number("SOAK_SEEDS").unwrap_or(2);
+    for seed in REGRESSIONS.into_iter().chain(first..first + seeds) {
+        play(seed).await;
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Starts the real binaries on free ports and talks to them.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod proxy;
 pub mod site;
 
 use std::io::{BufRead, BufReader};
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -1,6 +1,7 @@
 //! Starts instances that serve the routes of a stand-in site, as processes, and calls them.
 
 use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -21,6 +22,8 @@
     pub standin: SiteStandin,
     pub apps: Vec<Arc<Server>>,
     dir: TempDir,
+    /// Where instances find the store.
+    store: SocketAddr,
 }
 
 /// An instance as a process.
@@ -29,10 +32,12 @@
     /// Its log lines so far.
     pub lines: Arc<Mutex<Vec<Value>>>,
     started: Value,
+    waited_for: Arc<Mutex<bool>>,
 }
 
 impl Drop for Instance {
     fn drop(&mut self) {
+        *self.waited_for.lock().expect("flag") = true;
         // It may have ended by itself.
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -58,7 +63,9 @@
             standin,
             apps: Vec::new(),
             dir: tempfile::tempdir().expect("temporary directory"),
+            store: SocketAddr::from(([127, 0, 0, 1], 0)),
         };
+        site.store = site.standin.store_address();
         for _ in 0..apps {
             let app = site.standin.server("app", ServerKind::Plain).await;
             site.apps.push(app.expect("server starts"));
@@ -86,13 +93,23 @@
 
     /// Starts an instance that knows the peer addresses of others.
     pub fn instance_with_seeds(&self, name: &str, seeds: &[&Instance]) -> Instance {
-        let seeds: Vec<String> = seeds.iter().map(|seed| seed.address("peer")).collect();
+        let seeds: Vec<String> = seeds.iter().map(|seed| seed.peer_address()).collect();
+        self.instance_seeded(name, &seeds)
+    }
+
+    /// Has instances that start from now on find the store at another address.
+    pub fn store_through(&mut self, address: SocketAddr) {
+        self.store = address;
+    }
+
+    /// Starts an instance that knows peer addresses.
+    pub fn instance_seeded(&self, name: &str, seeds: &[String]) -> Instance {
         let any = "127.0.0.1:0";
         let settings = json!({
             "instance": name, "hall": "hall-1", "caller_address": any, "operator_address": any, "peer_address": any,
             "worker_threads": 1, "times": {"heartbeat_ms": 100},
             "routing": {
-                "ready_address": any, "directory_address": any, "store_address": self.standin.store_address(),
+                "ready_address": any, "directory_address": any, "store_address": self.store,
                 "seed_addresses": seeds, "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8,
                 "retry_share": 0.2, "retry_slack": 60,
             },
@@ -119,6 +136,7 @@
             child,
             lines,
             started: started["kv"].clone(),
+            waited_for: Arc::default(),
         }
     }
 }
@@ -162,7 +180,9 @@
 
     /// Whether it ended by itself, and well.
     pub fn ended_well(&mut self) -> Option<bool> {
+        let mut waited_for = self.waited_for.lock().expect("flag");
         let status = self.child.try_wait().expect("wait");
+        *waited_for |= status.is_some();
         status.map(|status| status.success())
     }
 
@@ -198,13 +218,6 @@
         self.address("caller")
     }
 
-    /// The dump of its state.
-    pub async fn state(&self) -> Value {
-        let url = format!("http://{}/debug/state", self.address("operator"));
-        let answer = reqwest::get(url).await.expect("operators are answered");
-        answer.json().await.expect("the dump is JSON")
-    }
-
     /// Metrics as text.
     pub async fn metrics(&self) -> String {
         let url = format!("http://{}/metrics", self.address("operator"));
@@ -212,9 +225,70 @@
         answer.text().await.expect("metrics are text")
     }
 
+    pub fn peer_address(&self) -> String {
+        self.address("peer")
+    }
+
+    /// What a caller needs to call it.
+    pub fn caller(&self) -> Caller {
+        Caller {
+            address: self.caller_address(),
+            operator: self.address("operator"),
+        }
+    }
+
+    /// Wakes it after a SIGSTOP, also when it has been handed on meanwhile.
+    pub fn thaw_handle(&self) -> impl FnOnce() + Send + 'static {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("pid"));
+        let waited_for = self.waited_for.clone();
+        move || {
+            // Once it was waited for, its number may be another process's.
+            if !*waited_for.lock().expect("flag") {
+                kill(pid, Signal::SIGCONT).expect("signal");
+            }
+        }
+    }
+
     /// A call with the usual headers.
     pub fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
-        let url = format!("http://{}{path}", self.caller_address());
+        self.caller().request(path, id)
+    }
+
+    /// A generation of so many events.
+    pub fn generation(&self, events: u32, id: &str) -> reqwest::RequestBuilder {
+        self.caller().generation(events, id)
+    }
+
+    /// The dump of its state.
+    pub async fn state(&self) -> Value {
+        self.caller().state().await
+    }
+
+    pub async fn call(&self, path: &str, id: &str) -> Answered {
+        answered(self.request(path, id)).await
+    }
+}
+
+/// Calls an instance that another owns.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    address: String,
+    operator: String,
+}
+
+impl Caller {
+    /// The dump of the instance's state; null where it does not answer.
+    pub async fn state(&self) -> Value {
+        let url = format!("http://{}/debug/state", self.operator);
+        let Ok(answer) = reqwest::get(url).await else {
+            return Value::Null;
+        };
+        answer.json().await.unwrap_or_default()
+    }
+
+    /// A call with the usual headers.
+    pub fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.address);
         reqwest::Client::new()
             .post(url)
             .header("host", HOST)
@@ -232,10 +306,6 @@
             .header("larkwick-token-count", format!("1000,{most}"))
             .header("length-hint", most.to_string())
     }
-
-    pub async fn call(&self, path: &str, id: &str) -> Answered {
-        answered(self.request(path, id)).await
-    }
 }
 
 /// Sends a request and reads its answer.
