Untie the gateway's files

Cause: imports ran in circles between caller, listener, generation and relay, and between node, coordinator, follow and heartbeat. Change: the call, the answer's body, a started generation and the ledgers have files of their own; behaviour is the same. The circle in src/daemon remains.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -4,16 +4,16 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use spdlog::info;
 
+use super::answer_body::{AnswerBody, whole};
 use super::call::CallHead;
-use super::listener::{AnswerBody, whole};
-use super::node::{Counted, Gateway, Stage};
+use super::inbound_call::Call;
+use super::node::{Gateway, Stage};
 use super::{generation, plain_call};
 use crate::error::{Error, ErrorKind, Result};
 use crate::kernel::clock::millis;
@@ -23,40 +23,6 @@
 /// Longest wait for the next part of a body.
 const BODY_PAUSE_MAX: Duration = Duration::from_secs(5);
 
-/// A call on its way.
-pub(crate) struct Call {
-    pub(crate) gateway: Arc<Gateway>,
-    /// The configuration at its arrival, for its whole life.
-    pub(crate) table: Arc<RouteTable>,
-    pub(crate) head: CallHead,
-    pub(crate) parts: Parts,
-    pub(crate) body: Bytes,
-    pub(crate) route: Route,
-    /// Service chosen for it.
-    pub(crate) service: String,
-    /// Name of the client account.
-    pub(crate) account: Option<String>,
-    /// 0 is served first.
-    pub(crate) priority: u8,
-    pub(crate) arrived: Duration,
-    /// When the caller, or the route, stops waiting.
-    pub(crate) deadline: Duration,
-    /// Keeps the instance from stopping.
-    _counted: Counted,
-}
-
-impl Call {
-    /// What is left of the deadline.
-    pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_sub(self.gateway.now())
-    }
-
-    /// Time since its arrival.
-    pub(crate) fn age(&self) -> Duration {
-        self.gateway.now().saturating_sub(self.arrived)
-    }
-}
-
 impl Gateway {
     /// The error for a call that comes before the configuration is known.
     pub(crate) fn not_ready() -> Error {
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -3,21 +3,21 @@
 //! The owner is the live member with the highest weighted hash for the service. Two members that both believe to be owner do no harm: engines
 //! refuse what does not fit, and a move carries the name of the engine that it leaves.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use spdlog::{info, warn};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 
+use super::ledgers::{ServiceShard, Waiter};
 use super::moves;
 use super::node::{Gateway, Stage};
 use super::runs::NotTaken;
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::{
-    EngineEntry, EngineLedger, EngineSummary, Granted, MoveOrder, MoveResult, ReportedRun,
-    RunDemand,
+    EngineEntry, EngineLedger, Granted, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::roles;
@@ -43,60 +43,6 @@
 /// When room is expected on full engines: they end a generation every second or so.
 const ROOM_EXPECTED: Duration = Duration::from_secs(1);
 
-/// A generation that waits for room.
-struct Waiter {
-    demand: RunDemand,
-    entry: String,
-    excluded: Vec<String>,
-    until: Duration,
-    arrived: Duration,
-    answer: oneshot::Sender<Option<Granted>>,
-}
-
-#[derive(Default)]
-struct ServiceShard {
-    ledger: EngineLedger,
-    waiters: Vec<Waiter>,
-}
-
-/// The ledgers of all services with engines.
-#[derive(Default)]
-pub(crate) struct Coordinator {
-    services: Mutex<HashMap<String, Arc<Mutex<ServiceShard>>>>,
-    /// Wakes the report loop when generations begin or end.
-    pub(crate) changed: Notify,
-    /// Wakes the owner's loop.
-    wanted: Notify,
-}
-
-impl Coordinator {
-    fn shard(&self, service: &str) -> Arc<Mutex<ServiceShard>> {
-        let mut services = self.services.lock();
-        services.entry(service.to_owned()).or_default().clone()
-    }
-
-    fn all(&self) -> Vec<(String, Arc<Mutex<ServiceShard>>)> {
-        let services = self.services.lock();
-        let all = services.iter();
-        all.map(|(name, shard)| (name.clone(), shard.clone()))
-            .collect()
-    }
-
-    /// Looks through the ledgers soon.
-    pub(crate) fn wake(&self) {
-        self.wanted.notify_one();
-    }
-
-    /// Engines by service, for the dump.
-    pub(crate) fn dump(
-        &self,
-    ) -> HashMap<String, std::collections::BTreeMap<String, EngineSummary>> {
-        let all = self.all().into_iter();
-        all.map(|(name, shard)| (name, shard.lock().ledger.summary()))
-            .collect()
-    }
-}
-
 /// Peer address of the owner of a service's engines; nothing where it is this instance.
 fn owner_address(gateway: &Gateway, service: &str) -> Option<String> {
     let own_name = &gateway.incarnation.name;
@@ -117,7 +63,7 @@
 /// Engines that this instance owns and that run generations and are not known to leave.
 pub(crate) fn engines_to_ask(gateway: &Gateway) -> Vec<EndpointEntry> {
     let mut running = BTreeSet::new();
-    for (service, shard) in gateway.coordinator.all() {
+    for (service, shard) in gateway.ledgers.all() {
         if owner_address(gateway, &service).is_none() {
             running.append(&mut shard.lock().ledger.running_engines());
         }
@@ -189,7 +135,7 @@
     excluded: &[String],
     wait: Duration,
 ) -> Option<Granted> {
-    let shard = gateway.coordinator.shard(service);
+    let shard = gateway.ledgers.shard(service);
     let now = gateway.now();
     let waiting = {
         let mut shard = shard.lock();
@@ -217,7 +163,7 @@
         });
         waiting
     };
-    gateway.coordinator.wake();
+    gateway.ledgers.wake();
     // The sender is dropped only with the instance.
     waiting.await.ok().flatten()
 }
@@ -261,7 +207,7 @@
     not_taken: &NotTaken,
 ) {
     let now = gateway.now();
-    let shard = gateway.coordinator.shard(service);
+    let shard = gateway.ledgers.shard(service);
     let mut shard = shard.lock();
     for endpoint in &not_taken.refused {
         shard.ledger.refused(endpoint, now);
@@ -273,7 +219,7 @@
     let wanted = !shard.waiters.is_empty() || shard.ledger.has_leaving_runs();
     drop(shard);
     if wanted {
-        gateway.coordinator.wake();
+        gateway.ledgers.wake();
     }
 }
 
@@ -282,13 +228,13 @@
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     loop {
         let mut busy = false;
-        for (service, shard) in gateway.coordinator.all() {
+        for (service, shard) in gateway.ledgers.all() {
             busy |= look_through(&gateway, &service, &shard);
         }
         let pause = if busy { BUSY_TICK } else { QUIET_TICK };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            () = gateway.coordinator.wanted.notified(), if !busy => {}
+            () = gateway.ledgers.wanted.notified(), if !busy => {}
         }
     }
 }
@@ -364,9 +310,9 @@
         });
     }
     metrics::counter!("larkwick_moves_total", "result" => format!("{result:?}")).increment(1);
-    let shard = gateway.coordinator.shard(&service);
+    let shard = gateway.ledgers.shard(&service);
     shard.lock().ledger.move_ended(&order, result, now);
-    gateway.coordinator.wake();
+    gateway.ledgers.wake();
 }
 
 async fn move_at(
@@ -410,7 +356,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(REPORT_EVERY) => {}
-            () = gateway.coordinator.changed.notified() => tokio::time::sleep(REPORT_PAUSE).await,
+            () = gateway.ledgers.changed.notified() => tokio::time::sleep(REPORT_PAUSE).await,
         }
     }
 }
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -45,7 +45,7 @@
     if let Some(change) = change {
         info!("engine told that it leaves", kv: { endpoint = engine.id.as_str() });
         tell_changes(&[change]);
-        gateway.coordinator.wake();
+        gateway.ledgers.wake();
     }
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,12 +7,11 @@
 use rand::RngExt;
 use spdlog::{info, warn};
 
-use super::heartbeat::{self, MEMBER_RING};
-use super::node::Gateway;
+use super::heartbeat;
+use super::node::{Gateway, MEMBER_RING};
 use super::site_store::{MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, Subject};
 use crate::kernel::fleet::{EndpointEntry, FleetChange};
 use crate::kernel::membership::{Incarnation, Listed, PeerStatus};
-use crate::kernel::route::{RouteConfig, RouteTable};
 
 /// First pause after a failed call; doubles with each further one.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
@@ -176,13 +175,13 @@
         let changes = fleet.take(entries, &vanished, gateway.now());
         drop(fleet);
         tell_changes(&changes);
-        gateway.coordinator.wake();
+        gateway.ledgers.wake();
     }
 }
 
 fn take_other(gateway: &Gateway, record: SiteRecord) {
     match record {
-        SiteRecord::Configuration(config) => take_config(gateway, config, "store"),
+        SiteRecord::Configuration(config) => gateway.take_config(config, "store"),
         SiteRecord::Member(entry) => take_member(gateway, entry),
         SiteRecord::Unreadable { key, why } => {
             warn!("record not read; what was known stays", kv: { key = key.as_str(), why = why.as_str() });
@@ -191,15 +190,6 @@
     }
 }
 
-/// Puts a configuration in force, unless it is older.
-pub(crate) fn take_config(gateway: &Gateway, config: RouteConfig, source: &str) {
-    let version = config.version;
-    let before = gateway.config_version();
-    if gateway.put_in_force(RouteTable::new(config)) {
-        info!("configuration in force", kv: { version:, before:, source });
-    }
-}
-
 fn take_member(gateway: &Gateway, entry: MemberEntry) {
     if entry.name == gateway.incarnation.name {
         return;
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -10,12 +10,13 @@
 use spdlog::info;
 use tokio::sync::mpsc;
 
+use super::answer_body::{AnswerBody, whole};
 use super::call::SendHead;
-use super::caller::Call;
 use super::coordinator;
-use super::listener::{AnswerBody, whole};
-use super::relay::{self, Source};
-use super::runs::{RunCommand, RunHandle, RunPlace};
+use super::inbound_call::Call;
+use super::relay;
+use super::runs::{RunHandle, RunPlace};
+use super::started::{RunGuard, Source, Started, tell_end};
 use super::upstream::{NoConnection, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
@@ -43,42 +44,6 @@
     }
 }
 
-/// Logs the end of a generation.
-pub(crate) fn tell_end(call: &Call, outcome: &str, why: &str, events: u32, moves: u32) {
-    metrics::counter!("larkwick_generations_total", "outcome" => outcome.to_owned()).increment(1);
-    metrics::histogram!("larkwick_generation_seconds").record(call.age().as_secs_f64());
-    if crate::log::admits("generation ended") {
-        info!("generation ended", kv: {
-            request_id = call.head.request_id.as_str(),
-            route = call.route.name.as_str(),
-            outcome, why, events:, moves:,
-            config_version: = call.table.version(),
-            took_ms: = millis(call.age()),
-        });
-    }
-}
-
-/// A generation that an engine has begun to answer.
-pub(crate) struct Started {
-    pub(crate) source: Source,
-    pub(crate) handle: RunGuard,
-    pub(crate) commands: mpsc::UnboundedReceiver<RunCommand>,
-}
-
-/// Keeps a generation registered for as long as it lives.
-pub(crate) struct RunGuard {
-    call: Arc<Call>,
-    pub(crate) run: Arc<RunHandle>,
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        let gateway = &self.call.gateway;
-        gateway.runs.remove(&self.run.demand.run);
-        gateway.coordinator.changed.notify_one();
-    }
-}
-
 fn demand(call: &Call) -> RunDemand {
     let tokens = call.head.tokens.as_ref();
     RunDemand {
@@ -135,7 +100,7 @@
         gateway
             .runs
             .note_not_taken(&call.service, &granted.endpoint, dead);
-        gateway.coordinator.changed.notify_one();
+        gateway.ledgers.changed.notify_one();
         excluded.push(granted.endpoint);
         reason = why;
     }
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -7,8 +7,7 @@
 use rand::seq::IteratorRandom;
 use spdlog::{info, warn};
 
-use super::follow::take_config;
-use super::node::Gateway;
+use super::node::{Gateway, MEMBER_RING};
 use crate::kernel::membership::{Incarnation, Peer, PeerStatus, Suspicion};
 use crate::kernel::route::RouteConfig;
 use crate::peer::client::within;
@@ -23,9 +22,6 @@
 
 /// Departures are passed on for this long.
 const DEPARTURES_PASSED_ON: Duration = Duration::from_secs(15);
-/// All members of a site watch each other on one ring, whatever hall they stand in: callers of any hall may use any of them.
-pub(crate) const MEMBER_RING: &str = "site";
-
 /// What this instance tells its peers.
 pub(crate) fn own_beat(gateway: &Gateway) -> wire::Beat {
     let now = gateway.now();
@@ -94,7 +90,7 @@
     match within(CALL_TIMEOUT, client.fetch_site(request)).await {
         Ok(reply) if reply.config.is_empty() => {}
         Ok(reply) => match serde_json::from_str::<RouteConfig>(&reply.config) {
-            Ok(config) => take_config(gateway, config, "peer"),
+            Ok(config) => gateway.take_config(config, "peer"),
             Err(error) => warn!("configuration of a peer not read", kv: { why: = error }),
         },
         Err(status) => {
--- /dev/null
+++ b/src/gateway/ledgers.rs
@@ -0,0 +1,64 @@
+//! The ledgers of the services with engines, each under its own lock, and the generations that wait for room.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::{Notify, oneshot};
+
+use crate::kernel::engine_ledger::{EngineLedger, EngineSummary, Granted, RunDemand};
+
+/// A generation that waits for room.
+pub(crate) struct Waiter {
+    pub(crate) demand: RunDemand,
+    pub(crate) entry: String,
+    pub(crate) excluded: Vec<String>,
+    pub(crate) until: Duration,
+    pub(crate) arrived: Duration,
+    pub(crate) answer: oneshot::Sender<Option<Granted>>,
+}
+
+#[derive(Default)]
+pub(crate) struct ServiceShard {
+    pub(crate) ledger: EngineLedger,
+    pub(crate) waiters: Vec<Waiter>,
+}
+
+/// The ledgers of all services with engines.
+#[derive(Default)]
+pub(crate) struct Ledgers {
+    services: Mutex<HashMap<String, Arc<Mutex<ServiceShard>>>>,
+    /// Wakes the report loop when generations begin or end.
+    pub(crate) changed: Notify,
+    /// Wakes the owner's loop.
+    pub(crate) wanted: Notify,
+}
+
+impl Ledgers {
+    /// The ledger of a service.
+    pub(crate) fn shard(&self, service: &str) -> Arc<Mutex<ServiceShard>> {
+        let mut services = self.services.lock();
+        services.entry(service.to_owned()).or_default().clone()
+    }
+
+    /// All ledgers, by service.
+    pub(crate) fn all(&self) -> Vec<(String, Arc<Mutex<ServiceShard>>)> {
+        let services = self.services.lock();
+        let all = services.iter();
+        all.map(|(name, shard)| (name.clone(), shard.clone()))
+            .collect()
+    }
+
+    /// Looks through the ledgers soon.
+    pub(crate) fn wake(&self) {
+        self.wanted.notify_one();
+    }
+
+    /// Engines by service, for the dump.
+    pub(crate) fn dump(&self) -> HashMap<String, BTreeMap<String, EngineSummary>> {
+        let all = self.all().into_iter();
+        all.map(|(name, shard)| (name, shard.lock().ledger.summary()))
+            .collect()
+    }
+}
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -6,8 +6,6 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,15 +13,13 @@
 use spdlog::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::answer_body::{AnswerBody, whole};
 use super::caller;
 use super::node::{Gateway, Stage};
 use super::upstream::notice_dead_peers;
 use crate::kernel::route::CallLimits;
 use crate::platform::{directory, ingress, names};
 
-/// Body of an answer; an error closes the connection, so that the answer does not look complete.
-pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, BodyBroken>;
-
 /// Open connections of callers; most of an instance's descriptors, the rest is for endpoints and peers.
 const CONNECTIONS_MAX: usize = 2_600;
 /// After a failure to accept, most likely for want of descriptors.
@@ -31,11 +27,6 @@
 /// Read buffer of a connection; larger than any head that the limits allow.
 const BUFFER_MAX_BYTES: usize = 64 << 10;
 
-/// The rest of an answer will not come.
-#[derive(Debug, Clone, thiserror::Error)]
-#[error("the answer broke off: {0}")]
-pub(crate) struct BodyBroken(pub(crate) String);
-
 /// What a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Surface {
@@ -114,13 +105,6 @@
     })
 }
 
-/// A body that is at hand.
-pub(crate) fn whole(body: Bytes) -> AnswerBody {
-    Full::new(body)
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
-
 fn status_only(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(whole(Bytes::new()));
     *response.status_mut() = status;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,14 +10,16 @@
 //! | `follow` | keeps configuration, endpoints and members in step with the store |
 //! | `heartbeat` | which members live |
 //! | `listener` | connections of callers |
+//! | `inbound_call`, `answer_body` | a call on its way, and the body of its answer |
 //! | `caller` | from a caller's request to its answer |
 //! | `plain_call` | calls with one answer |
-//! | `generation`, `relay` | generations: placed, then passed on event by event, also when they move |
+//! | `generation`, `started`, `relay` | generations: placed, then passed on event by event, also when they move |
 //! | `upstream` | connections to endpoints |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
 //! | `engine_reports` | asks engines whether they leave while the list is silent |
-//! | `coordinator` | the owner of a service's engines and how entries reach it |
+//! | `ledgers`, `coordinator` | the owner of a service's engines and how entries reach it |
 
+pub(crate) mod answer_body;
 pub mod app;
 pub mod call;
 pub(crate) mod caller;
@@ -26,6 +28,8 @@
 pub(crate) mod follow;
 pub(crate) mod generation;
 pub(crate) mod heartbeat;
+pub(crate) mod inbound_call;
+pub(crate) mod ledgers;
 pub(crate) mod listener;
 pub(crate) mod moves;
 pub(crate) mod node;
@@ -37,4 +41,5 @@
 pub mod settings;
 pub(crate) mod shared_store;
 pub mod site_store;
+pub(crate) mod started;
 pub(crate) mod upstream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -11,11 +11,11 @@
 use parking_lot::{Mutex, RwLock};
 use rand::RngExt;
 use serde::Serialize;
+use spdlog::info;
 use tokio::sync::watch;
 use uuid::Uuid;
 
-use super::coordinator::Coordinator;
-use super::heartbeat::MEMBER_RING;
+use super::ledgers::Ledgers;
 use super::runs::RunRegistry;
 use super::settings::RoutingSettings;
 use super::shared_store::{LiveMember, LiveMembers, SharedStore};
@@ -27,10 +27,13 @@
 use crate::kernel::health::EndpointHealth;
 use crate::kernel::membership::{Incarnation, Members, PeerStatus};
 use crate::kernel::retry::{RetryAllowance, RetryBudget};
-use crate::kernel::route::RouteTable;
+use crate::kernel::route::{RouteConfig, RouteTable};
 use crate::peer::client::PeerClients;
 use crate::settings::Settings;
 
+/// All members of a site watch each other on one ring, whatever hall they stand in: callers of any hall may use any of them.
+pub(crate) const MEMBER_RING: &str = "site";
+
 /// How far an instance is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -115,7 +118,7 @@
     retries: Mutex<HashMap<String, RetryBudget>>,
     pub(crate) upstream: Upstream,
     pub(crate) runs: RunRegistry,
-    pub(crate) coordinator: Coordinator,
+    pub(crate) ledgers: Ledgers,
     pub(crate) peers: Arc<PeerClients>,
     pub(crate) in_flight: InFlight,
 }
@@ -190,7 +193,7 @@
             health: Mutex::default(),
             retries: Mutex::default(),
             runs: RunRegistry::default(),
-            coordinator: Coordinator::default(),
+            ledgers: Ledgers::default(),
             peers,
             in_flight: InFlight::new(),
         }
@@ -207,7 +210,7 @@
     }
 
     /// Puts a configuration in force, unless one as new is in force already.
-    pub(crate) fn put_in_force(&self, newer: RouteTable) -> bool {
+    fn put_in_force(&self, newer: RouteTable) -> bool {
         let mut table = self.table.write();
         let known = table.as_ref().map(|table| table.version());
         if known.is_some_and(|known| known >= newer.version()) {
@@ -217,6 +220,15 @@
         true
     }
 
+    /// Puts a configuration in force, unless it is older than the one known.
+    pub(crate) fn take_config(&self, config: RouteConfig, source: &str) {
+        let version = config.version;
+        let before = self.config_version();
+        if self.put_in_force(RouteTable::new(config)) {
+            info!("configuration in force", kv: { version:, before:, source });
+        }
+    }
+
     /// Version of the configuration in force; 0 where none is known.
     pub(crate) fn config_version(&self) -> u64 {
         let table = self.table.read();
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -92,7 +92,7 @@
         addresses_given: gateway.caller_addresses(usize::MAX),
         members,
         endpoints,
-        engines: gateway.coordinator.dump(),
+        engines: gateway.ledgers.dump(),
     })
 }
 
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -10,9 +10,9 @@
 use rand::RngExt;
 use spdlog::info;
 
+use super::answer_body::{AnswerBody, whole};
 use super::call::SendHead;
-use super::caller::Call;
-use super::listener::{AnswerBody, whole};
+use super::inbound_call::Call;
 use super::node::Gateway;
 use super::upstream::{Answer, SendFailure};
 use crate::error::{Error, ErrorKind};
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,14 +12,13 @@
 use spdlog::info;
 use tokio::sync::mpsc;
 
+use super::answer_body::{AnswerBody, BodyBroken};
 use super::call::{ContinueFrom, SendHead};
-use super::caller::Call;
-use super::generation::{RunGuard, Started, tell_end};
-use super::listener::{AnswerBody, BodyBroken};
+use super::inbound_call::Call;
 use super::runs::{Continuation, RunCommand};
+use super::started::{RunGuard, Source, Started, tell_end};
 use super::upstream::Answer;
 use crate::kernel::clock::millis;
-use crate::kernel::event_split::EventSplitter;
 use crate::kernel::fleet::EndpointEntry;
 use crate::platform::engine;
 
@@ -33,21 +32,6 @@
 /// 60 ms; a preempted generation is silent for up to a second.
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 
-/// An engine's answer that is being passed on.
-pub(crate) struct Source {
-    answer: Answer,
-    splitter: EventSplitter,
-}
-
-impl Source {
-    pub(crate) fn new(answer: Answer) -> Self {
-        Self {
-            answer,
-            splitter: EventSplitter::default(),
-        }
-    }
-}
-
 struct Relay {
     call: Arc<Call>,
     handle: RunGuard,
@@ -297,7 +281,7 @@
             place.endpoint = target;
             place.backup = None;
         }
-        self.call.gateway.coordinator.changed.notify_one();
+        self.call.gateway.ledgers.changed.notify_one();
         self.source = Some(Source::new(answer));
         Ok(())
     }
