--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -410,6 +410,54 @@
     .await;
 }
 
+/// Source through which an instance last read a subject.
+fn source_of(instance: &Instance, subject: &str) -> String {
+    let lines = instance.lines.lock().expect("lines");
+    let used = lines
+        .iter()
+        .filter(|line| line["payload"] == "store read through" && line["kv"]["subject"] == subject);
+    let last = used.last().map(|line| line["kv"]["source"].clone());
+    last.and_then(|source| source.as_str().map(str::to_owned))
+        .unwrap_or_default()
+}
+
+/// A revoked key was served for seconds when both readers were cut off at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn readers_frozen_configuration_in_force_at_all_others() {
+    let site = RoutedSite::start(1).await;
+    let mut instances = Vec::new();
+    for number in 0..5 {
+        instances.push(site.instance(&format!("n{number}")).await);
+    }
+    for instance in &instances {
+        until("all named", async || instance.named().await.len() == 5).await;
+    }
+    let reads_itself = |one: &&Instance| source_of(one, "configuration") == "Store";
+    until("two readers", async || {
+        instances.iter().filter(reads_itself).count() == 2
+    })
+    .await;
+    let (readers, others): (Vec<&Instance>, Vec<&Instance>) =
+        instances.iter().partition(|one| reads_itself(one));
+    for reader in &readers {
+        reader.signal(Signal::SIGSTOP);
+    }
+    site.standin.publish(12, &["key-2"]);
+    for other in others {
+        until("refused", async || {
+            other.call("/calls/1", "z1").await.status == 401
+        })
+        .await;
+    }
+    for reader in &readers {
+        reader.signal(Signal::SIGCONT);
+        until("refused", async || {
+            reader.call("/calls/1", "z2").await.status == 401
+        })
+        .await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_gone_before_the_first_event_work_ends() {
     let site = RoutedSite::start(1).await;
