--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -74,9 +74,4 @@
         self.balance_milli -= RETRY_COST_MILLI;
         true
     }
-
-    /// Counts a repeat that cannot be left out.
-    pub fn force_retry(&mut self) {
-        self.balance_milli = self.balance_milli.saturating_sub(RETRY_COST_MILLI);
-    }
 }
--- a/src/log.rs
+++ b/src/log.rs
@@ -45,6 +45,9 @@
         .sink(stream)
         .thread_pool(pool)
         .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_: spdlog::Error| {
+            metrics::counter!("larkwick_log_lines_dropped_total").increment(1);
+        })
         .build_arc()
         .context("log queue")?;
     let level = if verbose {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -207,18 +207,6 @@
     }
 }
 
-/// The order to free a copy that is not wanted any more.
-///
-/// # Errors
-/// The request cannot be built.
-pub fn drop_copy_request(engine: SocketAddr, copy: &str) -> http::Result<Request<Bytes>> {
-    Request::builder()
-        .method(Method::DELETE)
-        .uri(format!("{}{copy}", names::COPY_PATH))
-        .header(HOST, engine.to_string())
-        .body(Bytes::new())
-}
-
 #[derive(Deserialize)]
 struct WireReport {
     /// `ready`, or `draining` before a planned end.
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -74,8 +74,6 @@
 pub const REPORT_PATH: &str = "/larkwick/report";
 /// Path at an engine that copies a running generation's memory.
 pub const MOVE_PATH: &str = "/larkwick/kv-move";
-/// Path at an engine of a copy of memory; followed by its handle.
-pub const COPY_PATH: &str = "/larkwick/kv-handle/";
 
 /// Path at the store to add records.
 pub const STORE_APPEND_PATH: &str = "/larkwick/log-append";
