Doubt the list of endpoints only after it was silent, and never beyond what is allowed

Change: the list counts as back from an outage only where no fresh word of the store had come for 2 s, also not through others; a vanished entry is doubted until 2.2 s after that, and for 1.6 s at most. Test: take_vanished_late_after_an_outage_is_not_doubted_anew.

--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -4,7 +4,7 @@
 //! source at any record. Every answer carries the age of the last word of the store, so that two instances that read from each
 //! other notice when neither hears the store any more.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +36,8 @@
     }
 }
 
+/// An entry lapses after three silent heartbeats of more than a second each, so that shorter outages take none away.
+const OUTAGE_MIN: Duration = Duration::from_secs(2);
 /// That the store came back from an outage is told for this long.
 const REGAINED_TOLD: Duration = Duration::from_secs(5);
 /// A source that failed is not asked for this long.
@@ -103,8 +105,6 @@
     paused: Mutex<HashMap<(Subject, SourceName), Duration>>,
     /// When the store came back from its last outage, by subject.
     regained_at: Mutex<HashMap<Subject, Duration>>,
-    /// Subjects for which the store itself failed last.
-    store_fails: Mutex<HashSet<Subject>>,
     /// Source last used, for the log.
     used: Mutex<HashMap<Subject, SourceName>>,
 }
@@ -204,7 +204,6 @@
             paused: Mutex::default(),
             used: Mutex::default(),
             regained_at: Mutex::default(),
-            store_fails: Mutex::default(),
         }
     }
 
@@ -392,13 +391,10 @@
             Some(from) => self.direct.read(subject, from, wait).await,
             None => self.direct.newest(subject).await,
         };
-        if let Err(error) = &page
-            && !matches!(error, StoreError::Expired { .. })
-        {
-            self.store_fails.lock().insert(subject);
-        }
         let page = page?;
-        if self.store_fails.lock().remove(&subject) {
+        // Where others passed on fresh words meanwhile, only this instance was turned away, and no entry lapsed.
+        let silent_for = self.word_age(subject);
+        if silent_for.is_some_and(|silent| silent >= OUTAGE_MIN) {
             self.note_regained(subject, self.clock.now());
         }
         Ok(AgedPage {
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -8,6 +8,8 @@
 
 /// After an outage of the list, an entry that is missing may come back for this long; the platform's word is two seconds.
 pub const RELIST_WITHIN: Duration = Duration::from_millis(2_200);
+/// No endpoint whose entry vanished takes work for longer than this: it may really be leaving, and two seconds are allowed.
+const DOUBT_MAX: Duration = Duration::from_millis(1_600);
 /// How long an endpoint that left is remembered, so that its streams can still be looked up.
 const GONE_KEPT: Duration = Duration::from_mins(1);
 /// Above this share of a service's endpoints, entries that vanish together are taken for a fault of the list at first.
@@ -36,7 +38,7 @@
 pub enum Standing {
     /// Listed and not leaving.
     Ready,
-    /// Not listed since the list came back from an outage; it takes work until it should have been listed again.
+    /// Its entry vanished, and the list is doubted; it takes work until it should have been listed again.
     Unlisted,
     /// Leaving or gone: takes no new work.
     Leaving,
@@ -48,6 +50,8 @@
     standing: Standing,
     /// When the standing last changed.
     since: Duration,
+    /// While unlisted: when it counts as leaving.
+    doubted_until: Duration,
 }
 
 /// A change that others may need to act on.
@@ -128,22 +132,24 @@
             entry,
             standing,
             since,
+            doubted_until: Duration::ZERO,
         };
         self.endpoints.insert(known.entry.id.clone(), known);
         change
     }
 
     fn vanished(&mut self, id: &str, together: bool, now: Duration) -> Option<FleetChange> {
-        let after_outage = self
-            .regained_at
-            .is_some_and(|at| now.saturating_sub(at) < RELIST_WITHIN);
+        let relisted_until = self.regained_at.map(|at| at + RELIST_WITHIN);
+        let after_outage = relisted_until.filter(|until| now < *until);
         let known = self.endpoints.get_mut(id)?;
         if known.standing != Standing::Ready {
             return None;
         }
         known.since = now;
-        if after_outage || together {
+        if after_outage.is_some() || together {
             known.standing = Standing::Unlisted;
+            let doubted_until = now + DOUBT_MAX;
+            known.doubted_until = after_outage.unwrap_or(doubted_until).min(doubted_until);
             return None;
         }
         known.standing = Standing::Leaving;
@@ -177,8 +183,7 @@
     pub fn settle(&mut self, now: Duration) -> Vec<FleetChange> {
         let mut changes = Vec::new();
         for known in self.endpoints.values_mut() {
-            let age = now.saturating_sub(known.since);
-            if known.standing == Standing::Unlisted && age >= RELIST_WITHIN {
+            if known.standing == Standing::Unlisted && now >= known.doubted_until {
                 known.standing = Standing::Leaving;
                 known.since = now;
                 changes.push(FleetChange::Left(known.entry.clone()));
--- a/tests/kernel/fleet.rs
+++ b/tests/kernel/fleet.rs
@@ -60,6 +60,28 @@
     assert_eq!(changes, [FleetChange::Left(entry("e1", false))]);
 }
 
+/// An endpoint that left two seconds after an outage worked on for more than the two seconds that are allowed.
+#[test]
+fn take_vanished_late_after_an_outage_is_not_doubted_anew() {
+    let allowed = Duration::from_millis(1_700);
+    for after in [0, 500, 1_500, 2_100].map(Duration::from_millis) {
+        let mut fleet = fleet(6);
+        fleet.regained(NOW);
+        let vanished = NOW + after;
+        fleet.take(Vec::new(), &ids(&["e1"]), vanished);
+        fleet.settle(vanished + allowed);
+        assert!(!fleet.takes_work("e1"), "{after:?} after the outage");
+        if after > Duration::from_secs(1) {
+            // The list has had its two seconds.
+            let mut fleet = self::fleet(6);
+            fleet.regained(NOW);
+            fleet.take(Vec::new(), &ids(&["e1"]), vanished);
+            fleet.settle(NOW + RELIST_WITHIN);
+            assert!(!fleet.takes_work("e1"), "{after:?} after the outage");
+        }
+    }
+}
+
 /// An outage that nobody noticed: most of a service is gone from one read to the next.
 #[test]
 fn take_most_vanish_together_list_is_doubted() {
