Count a call at an endpoint as ended when its caller leaves

Cause: read in the diff; a caller that left dropped the call before its end was counted, so that its endpoint seemed busier for ever, and new endpoints would have drawn ever more of the calls. Change: a guard counts the end. Test: caller_gone_endpoint_counts_no_call_in_flight (not run without the change).

--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -47,6 +47,7 @@
     entry: EndpointEntry,
     standing: Standing,
     failures_share: f64,
+    calls_in_flight: u32,
 }
 
 #[get("/debug/state")]
@@ -70,11 +71,13 @@
         let health = gateway.health.lock();
         let dumped = fleet.into_iter().map(|(entry, standing)| {
             let failures_share = health.failures(&entry.id, now);
+            let calls_in_flight = health.in_flight(&entry.id);
             let id = entry.id.clone();
             let dump = EndpointDump {
                 entry,
                 standing,
                 failures_share,
+                calls_in_flight,
             };
             (id, dump)
         });
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -110,8 +110,10 @@
             break;
         }
         attempts.tried.insert(endpoint.id.clone());
+        let mut health = HealthGuard::begin(&call.gateway, &endpoint);
         let attempt = attempt(call, &endpoint, attempts).await;
-        note_health(&call.gateway, &endpoint, &attempt);
+        health.failed = endpoint_failed(&attempt);
+        drop(health);
         match attempt {
             Attempt::Answered(answer) => {
                 let failed = answer.parts.status.is_server_error();
@@ -210,20 +212,45 @@
     candidates.into_iter().next_back()
 }
 
-fn note_health(gateway: &Gateway, endpoint: &EndpointEntry, attempt: &Attempt) {
-    let failed = match attempt {
+/// Counts a call at an endpoint, also where the caller leaves before its end.
+struct HealthGuard<'a> {
+    gateway: &'a Gateway,
+    endpoint: &'a EndpointEntry,
+    /// Whether the endpoint failed, where that is known.
+    failed: Option<bool>,
+}
+
+impl<'a> HealthGuard<'a> {
+    fn begin(gateway: &'a Gateway, endpoint: &'a EndpointEntry) -> Self {
+        gateway.health.lock().begin(&endpoint.id);
+        Self {
+            gateway,
+            endpoint,
+            failed: None,
+        }
+    }
+}
+
+impl Drop for HealthGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.gateway.now();
+        let mut health = self.gateway.health.lock();
+        health.end(&self.endpoint.id, self.failed, now);
+    }
+}
+
+/// What an attempt says of its endpoint.
+fn endpoint_failed(attempt: &Attempt) -> Option<bool> {
+    match attempt {
         // An endpoint's own failures say little: some calls fail everywhere.
         Attempt::Answered(answer) if answer.parts.status.is_server_error() => None,
         Attempt::Answered(_) => Some(false),
         Attempt::NotRun(_) | Attempt::MayHaveRun(_) | Attempt::TimedOut => Some(true),
-    };
-    let now = gateway.now();
-    gateway.health.lock().end(&endpoint.id, failed, now);
+    }
 }
 
 async fn attempt(call: &Call, endpoint: &EndpointEntry, attempts: &mut Attempts) -> Attempt {
     let gateway = &call.gateway;
-    gateway.health.lock().begin(&endpoint.id);
     let open_max = gateway.connections_max(&call.table, &call.service);
     let connection = match gateway.upstream.connection(endpoint, open_max).await {
         Ok(connection) => connection,
--- a/src/kernel/health.rs
+++ b/src/kernel/health.rs
@@ -62,6 +62,14 @@
         record.map_or(0.0, |record| record.failures_now(now))
     }
 
+    /// Calls in flight at an endpoint from here.
+    #[must_use]
+    pub fn in_flight(&self, endpoint: &str) -> u32 {
+        self.records
+            .get(endpoint)
+            .map_or(0, |record| record.in_flight)
+    }
+
     /// Weight of an endpoint when one is drawn: falls with its failures and with what is in flight on its slots.
     #[must_use]
     pub fn weight(&self, endpoint: &str, slots: u32, now: Duration) -> f64 {
--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -475,6 +475,21 @@
     .await;
 }
 
+/// Calls whose callers left were counted as in flight for ever, so that older endpoints got ever less work.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_gone_endpoint_counts_no_call_in_flight() {
+    let site = RoutedSite::start(1).await;
+    let app = &site.apps[0];
+    app.set_fault(ServerFault::RunsAndHangs);
+    let instance = site.instance("n1").await;
+    let in_flight =
+        async || instance.state().await["endpoints"][&app.id]["calls_in_flight"].clone();
+    let waiting = tokio::spawn(instance.request("/once/1", "h1").send());
+    until("sent", async || in_flight().await == 1).await;
+    waiting.abort();
+    until("none in flight", async || in_flight().await == 0).await;
+}
+
 /// The types of the configuration are what members pass to each other.
 #[test]
 fn config_passed_between_members_unchanged() {
