--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -1,6 +1,7 @@
 //! The state of an instance that serves routes, in shards each under its own lock.
 //!
-//! No lock is held across an await or while another is taken.
+//! No lock is held across an await. Two are held at once in these orders only: a service's ledger, then the table or the fleet; the
+//! members or their entries, then the routing settings.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
