Go back to the engine that stopped a generation where its target refuses it

Ruled out: the owner's choice of target; it had room when the copy was made. Change: a refused continuation goes back to the stopped engine, within 1.3 s of its leaving (2 s are allowed for anything sent there); the owner hears of the refusal. Test: generation_target_refuses_to_go_on_goes_back_to_the_stopped_engine fails without the change (cut), passes with it. It passed only after the refusing target was reported to the owner: before that the next move went there again.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use super::started::{RunGuard, Source, Started, tell_end};
 use super::upstream::Answer;
 use crate::kernel::clock::millis;
-use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::fleet::{EndpointEntry, Standing};
 use crate::platform::engine;
 
 /// An engine that was asked to stop a generation closes its stream, and the place to go on is known, within this time.
@@ -32,6 +32,10 @@
 /// 60 ms; a preempted generation is silent for up to a second.
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 
+/// A generation goes back to an engine that stopped it for this long after the engine was heard to leave. Two seconds are allowed from
+/// when the first instance heard of it; the others hear within half a second.
+const SENT_AFTER_LEAVING_MAX: Duration = Duration::from_millis(1_300);
+
 struct Relay {
     call: Arc<Call>,
     handle: RunGuard,
@@ -253,28 +257,41 @@
         }
     }
 
+    /// Whether an engine has been leaving for so long that nothing may be sent to it any more.
+    fn left_long_ago(&self, endpoint: &EndpointEntry) -> bool {
+        let gateway = &self.call.gateway;
+        let standing = gateway.fleet.lock().standing(&endpoint.id, gateway.now());
+        standing.is_some_and(|(standing, since)| {
+            standing == Standing::Leaving && since > SENT_AFTER_LEAVING_MAX
+        })
+    }
+
     fn takes_work(&self, endpoint: &EndpointEntry) -> bool {
         self.call.gateway.fleet.lock().takes_work(&endpoint.id)
     }
 
-    /// Goes on at another engine.
+    /// Goes on at another engine; where that one refuses, at the one that stopped it, which still has its memory.
     async fn go_on(&mut self, continuation: Continuation) -> Result<(), String> {
-        let begun = self.call.gateway.now();
         self.stopping = false;
         self.source = None;
-        let target = continuation.target.clone();
-        let resumed = tokio::time::timeout(RESUME_PATIENCE, self.resume(&continuation)).await;
-        let resumed = resumed.unwrap_or_else(|_| Err("no event in time".to_owned()));
-        let pause_ms = millis(self.call.gateway.now().saturating_sub(begun));
-        if crate::log::admits("generation moved") {
-            let outcome = resumed.as_ref().err().map_or("gone on", String::as_str);
-            info!("generation moved", kv: {
-                request_id = self.call.head.request_id.as_str(),
-                target = target.id.as_str(), outcome, pause_ms:,
-                source_stopped: = continuation.source_stopped, last_event_id:? = self.last_event_id,
-            });
-        }
-        let answer = resumed?;
+        let before = self.handle.run.place.lock().endpoint.clone();
+        let (target, answer) = match self.try_at(&continuation).await {
+            Ok(answer) => (continuation.target, answer),
+            Err(_) if continuation.source_stopped && continuation.target.id != before.id => {
+                let call = &self.call;
+                let refused = &continuation.target.id;
+                call.gateway
+                    .runs
+                    .note_not_taken(&call.service, refused, false);
+                let back = Continuation {
+                    target: before,
+                    ..continuation
+                };
+                let answer = self.try_at(&back).await?;
+                (back.target, answer)
+            }
+            Err(why) => return Err(why),
+        };
         self.moves += 1;
         {
             let mut place = self.handle.run.place.lock();
@@ -286,10 +303,29 @@
         Ok(())
     }
 
+    async fn try_at(&self, continuation: &Continuation) -> Result<Answer, String> {
+        let begun = self.call.gateway.now();
+        let resumed = tokio::time::timeout(RESUME_PATIENCE, self.resume(continuation)).await;
+        let resumed = resumed.unwrap_or_else(|_| Err("no event in time".to_owned()));
+        let pause_ms = millis(self.call.gateway.now().saturating_sub(begun));
+        if crate::log::admits("generation moved") {
+            let outcome = resumed.as_ref().err().map_or("gone on", String::as_str);
+            info!("generation moved", kv: {
+                request_id = self.call.head.request_id.as_str(),
+                target = continuation.target.id.as_str(), outcome, pause_ms:,
+                source_stopped: = continuation.source_stopped, last_event_id:? = self.last_event_id,
+            });
+        }
+        resumed
+    }
+
     async fn resume(&self, continuation: &Continuation) -> Result<Answer, String> {
         let call = &self.call;
         let gateway = &call.gateway;
         let target = &continuation.target;
+        if self.left_long_ago(target) {
+            return Err("the engine that has its memory left too long ago".to_owned());
+        }
         let connection = gateway.upstream.connection(target, usize::MAX).await;
         let connection = connection.map_err(|none| none.to_string())?;
         let send = SendHead {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -52,6 +52,8 @@
     Unsealed,
     /// Refuses to take in copies of memory.
     NoRoom,
+    /// Takes in copies of memory and refuses to go on from them.
+    DropsCopies,
 }
 
 /// A generation should go on from a copy that is not there.
@@ -204,6 +206,7 @@
             return not_run(503);
         }
         let from = match self.continued_from(&headers) {
+            Ok(Some(_)) if fault == ServerFault::DropsCopies => return not_run(503),
             Ok(from) => from,
             Err(NoSuchCopy) => return not_run(503),
         };
@@ -255,7 +258,13 @@
         };
         let copy = from.split_once('/').and_then(|(address, name)| {
             let key = (address.parse().ok()?, name.to_owned());
-            self.servers.upgrade()?.copies.lock().remove(&key)
+            let servers = self.servers.upgrade()?;
+            let mut copies = servers.copies.lock();
+            if *self.fault.lock() == ServerFault::DropsCopies {
+                copies.get(&key).copied()
+            } else {
+                copies.remove(&key)
+            }
         });
         if copy.is_none() {
             return Err(NoSuchCopy);
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -71,6 +71,25 @@
     assert_whole(&running.await.expect("answered"), 40);
 }
 
+/// Finding 6: the target had lost the copy and refused; the stopped engine, which still had the memory, was not asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_target_refuses_to_go_on_goes_back_to_the_stopped_engine() {
+    let site = RoutedSite::start(0).await;
+    let leaving = site.engine().await;
+    let instance = site.instance("n1").await;
+    let running = tokio::spawn(answered(instance.generation(24, "t2")));
+    until("running", async || leaving.running() == 1).await;
+    let forgetful = site.engine().await;
+    forgetful.set_fault(ServerFault::DropsCopies);
+    until("both known", async || {
+        instance.state().await["endpoints"][&forgetful.id].is_object()
+    })
+    .await;
+    site.standin.list(&leaving, "draining");
+    assert_whole(&running.await.expect("answered"), 24);
+    assert_eq!(site.standin.runs_of("t2"), [leaving.id.as_str()]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn generation_engine_dies_cut_and_not_complete() {
     let site = RoutedSite::start(0).await;
