Leave the store alone while it is away for all; keep one configuration for others

All sources were paused, and then all were asked. Change: which source comes next is decided in kernel/store_sources.rs: a member that is no reader asks the store again after 1, 2, then 3 s; readers go on asking. A reader keeps only the newest configuration for others; the last 512 of them would not have fitted into 88 MB. The cache of a subject has a file of its own; growing pauses are one type.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -17,6 +17,7 @@
 use super::site_store::{self, SiteStore, Subject};
 use super::{coordinator, engine_reports, follow, heartbeat, operators};
 use crate::daemon::app::metrics_handle;
+use crate::kernel::backoff::Backoff;
 use crate::kernel::clock::{SystemClock, millis};
 use crate::peer::generated::site_server::SiteServer;
 use crate::settings::Settings;
@@ -224,12 +225,11 @@
         .member_entries
         .lock()
         .insert(entry.name.clone(), entry.clone());
-    let mut pause = ANNOUNCE_PAUSE;
+    let mut pause = Backoff::new(ANNOUNCE_PAUSE, ANNOUNCE_PAUSE_MAX);
     while let Err(error) = gateway.store.announce(&entry).await {
         warn!("own entry not written", kv: { why: = error });
-        let jitter = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
-        pause = (pause * 2).min(ANNOUNCE_PAUSE_MAX);
+        let pause = pause.failed(rand::rng().random_range(0.0..1.0));
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -10,13 +10,15 @@
 use super::heartbeat;
 use super::node::{Gateway, MEMBER_RING};
 use super::site_store::{MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, Subject};
+use crate::kernel::backoff::Backoff;
 use crate::kernel::fleet::{EndpointEntry, FleetChange};
 use crate::kernel::membership::{Incarnation, Listed, PeerStatus};
 
-/// First pause after a failed call; doubles with each further one.
+/// First pause after a failed call.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
-/// Longest pause between calls to a store that fails; inside the two seconds in which entries come back.
-const PAUSE_MAX: Duration = Duration::from_secs(1);
+/// Longest pause: when the store is back, readers hear of it within this time and the others within twice that, so that all have caught
+/// up well before the shortest span after which they are held to it, three seconds.
+const PAUSE_MAX: Duration = Duration::from_millis(600);
 
 /// A site that starts as a whole knows its members after about this long.
 const MEMBERS_MET_WITHIN: Duration = Duration::from_millis(300);
@@ -35,7 +37,7 @@
 struct Contact {
     subject: Subject,
     lost_since: Option<Duration>,
-    pause: Duration,
+    pause: Backoff,
 }
 
 impl Contact {
@@ -43,12 +45,12 @@
         Self {
             subject,
             lost_since: None,
-            pause: PAUSE_MIN,
+            pause: Backoff::new(PAUSE_MIN, PAUSE_MAX),
         }
     }
 
     fn answered(&mut self, gateway: &Gateway) {
-        self.pause = PAUSE_MIN;
+        self.pause.succeeded();
         let Some(since) = self.lost_since.take() else {
             return;
         };
@@ -63,9 +65,8 @@
             self.lost_since = Some(gateway.now());
             warn!("store lost", kv: { subject = self.subject.name(), why: = error });
         }
-        let jitter = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.pause.mul_f64(jitter)).await;
-        self.pause = (self.pause * 2).min(PAUSE_MAX);
+        let pause = self.pause.failed(rand::rng().random_range(0.0..1.0));
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! | `node` | the state of an instance, in shards |
 //! | `settings` | what the settings file says of routing |
 //! | `site_store` | the platform's store, as a trait with plug-ins |
-//! | `shared_store` | the store, read directly or through other instances |
+//! | `shared_store`, `subject_cache` | the store, read directly or through other instances |
 //! | `follow` | keeps configuration, endpoints and members in step with the store |
 //! | `heartbeat` | which members live |
 //! | `listener` | connections of callers |
@@ -44,4 +44,5 @@
 pub(crate) mod shared_store;
 pub mod site_store;
 pub(crate) mod started;
+pub(crate) mod subject_cache;
 pub(crate) mod upstream;
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -4,26 +4,24 @@
 //! source at any record. Every answer carries the age of the last word of the store, so that two instances that read from each
 //! other notice when neither hears the store any more.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use spdlog::{info, warn};
+use rand::RngExt;
+use spdlog::info;
 use tokio::sync::Notify;
 
 use super::parts::EncodedPage;
-use super::site_store::{
-    MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, StoreResult, Subject,
-};
+use super::site_store::{MemberEntry, SitePage, SiteStore, StoreError, StoreResult, Subject};
+use super::subject_cache::SubjectCache;
 use crate::kernel::clock::{Clock, millis};
-use crate::kernel::roles;
+use crate::kernel::store_sources::{Source, StoreSources};
 use crate::peer::client::PeerClients;
 use crate::peer::generated as wire;
 
-/// Records of a subject that are kept for others to read on from.
-const KEPT_RECORDS: usize = 512;
 /// Longest wait of a read at another instance; its silence is noticed soon after. With the age allowed, what is read through others
 /// stays well inside the two seconds in which a configuration has to be in force.
 const PEER_WAIT: Duration = Duration::from_millis(350);
@@ -42,18 +40,6 @@
 const OUTAGE_MIN: Duration = Duration::from_secs(2);
 /// That the store came back from an outage is told for this long.
 const REGAINED_TOLD: Duration = Duration::from_secs(5);
-/// A source that failed is not asked for this long.
-const SOURCE_PAUSE: Duration = Duration::from_secs(2);
-
-/// Where the records of a subject are read.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-enum SourceName {
-    /// At the store.
-    Store,
-    /// At another instance.
-    Peer(String),
-}
-
 /// A page, and how fresh it is.
 #[derive(Debug)]
 struct AgedPage {
@@ -64,24 +50,13 @@
     regained_ago: Option<Duration>,
 }
 
-/// What is known of a subject.
-#[derive(Debug, Default)]
-struct SubjectCache {
-    /// Newest record of each key; empty before the first answer.
-    newest: BTreeMap<String, SiteRecord>,
-    /// The last records, the newest last; the first one's offset is `next_offset` less their number.
-    recent: VecDeque<SiteRecord>,
-    next_offset: u64,
-    /// When the store last said something, by this instance's clock.
-    word_at: Option<Duration>,
-    /// The last page that was encoded for others, which most of them ask for, and its first offset.
-    encoded: Option<(u64, EncodedPage)>,
-    /// The newest records, encoded for others.
-    encoded_whole: Option<EncodedPage>,
-}
-
 struct SubjectShard {
     cache: Mutex<SubjectCache>,
+    sources: Mutex<StoreSources>,
+    /// When the store came back from its last outage.
+    regained_at: Mutex<Option<Duration>>,
+    /// Source last used, for the log.
+    used: Mutex<Option<Source>>,
     added: Notify,
     /// Pages that are on their way here from other instances.
     receiving: AtomicUsize,
@@ -123,103 +98,10 @@
     peers: Arc<PeerClients>,
     live: Arc<LiveMembers>,
     shards: [SubjectShard; 3],
-    /// Sources that failed, and when they may be asked again.
-    paused: Mutex<HashMap<(Subject, SourceName), Duration>>,
-    /// When the store came back from its last outage, by subject.
-    regained_at: Mutex<HashMap<Subject, Duration>>,
-    /// Source last used, for the log.
-    used: Mutex<HashMap<Subject, SourceName>>,
 }
 
 const SUBJECTS: [Subject; 3] = [Subject::Configuration, Subject::Endpoints, Subject::Members];
 
-fn key_of(record: &SiteRecord) -> Option<String> {
-    match record {
-        SiteRecord::Configuration(_) => Some(String::new()),
-        SiteRecord::Endpoint(entry) => Some(entry.id.clone()),
-        SiteRecord::EndpointGone(id) => Some(id.clone()),
-        SiteRecord::Member(entry) => Some(entry.name.clone()),
-        SiteRecord::Unreadable { .. } => None,
-    }
-}
-
-impl SubjectCache {
-    fn put_newest(&mut self, record: &SiteRecord) {
-        let Some(key) = key_of(record) else { return };
-        if matches!(record, SiteRecord::EndpointGone(_)) {
-            self.newest.remove(&key);
-        } else {
-            self.newest.insert(key, record.clone());
-        }
-    }
-
-    fn replace(&mut self, page: &SitePage, word_at: Duration) {
-        self.newest.clear();
-        self.recent.clear();
-        self.forget_encoded();
-        for record in &page.records {
-            self.put_newest(record);
-        }
-        self.next_offset = page.next_offset;
-        self.word_at = Some(word_at);
-    }
-
-    fn extend(&mut self, from: u64, page: &SitePage, word_at: Duration) {
-        self.word_at = self.word_at.max(Some(word_at));
-        if from != self.next_offset || page.next_offset <= from {
-            return;
-        }
-        self.forget_encoded();
-        for record in &page.records {
-            self.put_newest(record);
-            self.recent.push_back(record.clone());
-        }
-        // Records that are not ours to read leave gaps; then only whole pages can be passed on from here.
-        let read = u64::try_from(page.records.len()).unwrap_or(u64::MAX);
-        if page.next_offset - from != read {
-            self.recent.clear();
-        }
-        while self.recent.len() > KEPT_RECORDS {
-            self.recent.pop_front();
-        }
-        self.next_offset = page.next_offset;
-    }
-
-    fn forget_encoded(&mut self) {
-        self.encoded = None;
-        self.encoded_whole = None;
-    }
-
-    /// Records from an offset on, encoded; nothing where they are not all kept. Who asks may be ahead of what is known here.
-    fn encoded_since(&mut self, from: u64) -> Option<EncodedPage> {
-        if let Some((_, page)) = self.encoded.as_ref().filter(|(first, _)| *first == from) {
-            return Some(page.clone());
-        }
-        let missing = usize::try_from(self.next_offset.saturating_sub(from)).ok()?;
-        let skipped = self.recent.len().checked_sub(missing)?;
-        let records: Vec<&SiteRecord> = self.recent.iter().skip(skipped).collect();
-        let page = encode(&records)?;
-        self.encoded = Some((from, page.clone()));
-        Some(page)
-    }
-
-    /// The newest record of each key, encoded.
-    fn encoded_whole(&mut self) -> Option<EncodedPage> {
-        if self.encoded_whole.is_none() {
-            let records: Vec<&SiteRecord> = self.newest.values().collect();
-            self.encoded_whole = encode(&records);
-        }
-        self.encoded_whole.clone()
-    }
-}
-
-fn encode(records: &[&SiteRecord]) -> Option<EncodedPage> {
-    let encoded = EncodedPage::encode(&records);
-    encoded
-        .inspect_err(|fault| warn!("records not encoded", kv: { why: = fault }))
-        .ok()
-}
-
 impl SharedStore {
     pub(crate) fn new(
         own_name: String,
@@ -229,19 +111,19 @@
         live: Arc<LiveMembers>,
     ) -> Self {
         Self {
-            own_name,
             direct,
             clock,
             peers,
             live,
-            shards: SUBJECTS.map(|_| SubjectShard {
-                cache: Mutex::default(),
+            shards: SUBJECTS.map(|subject| SubjectShard {
+                cache: Mutex::new(SubjectCache::new(subject)),
+                sources: Mutex::new(StoreSources::new(&own_name)),
+                regained_at: Mutex::default(),
+                used: Mutex::default(),
                 added: Notify::new(),
                 receiving: AtomicUsize::new(0),
             }),
-            paused: Mutex::default(),
-            used: Mutex::default(),
-            regained_at: Mutex::default(),
+            own_name,
         }
     }
 
@@ -250,51 +132,40 @@
         &self.shards[index.unwrap_or_default()]
     }
 
-    /// Sources of a subject in the order in which they are tried. A reader asks the store first; the others ask their reader, then
-    /// the store, then the other readers: whoever is turned away by the store still hears of it.
-    fn sources(&self, subject: Subject) -> Vec<(SourceName, Option<String>)> {
+    /// Sources of a subject in the order in which they are tried, with the addresses of peers.
+    fn sources(&self, subject: Subject) -> Vec<(Source, Option<String>)> {
         let live = (self.live)();
         let members: Vec<(&str, f64)> = live
             .iter()
             .map(|(name, member)| (name.as_str(), member.capacity_cores))
             .collect();
-        let ranked = roles::readers_for(&self.own_name, &members);
-        let store = (SourceName::Store, None);
-        let peer = |name: &&str| {
-            let address = live.get(*name).map(|member| member.peer_address.clone());
-            (SourceName::Peer((*name).to_owned()), address)
-        };
-        let is_reader = ranked.contains(&self.own_name.as_str());
-        let others: Vec<&str> = ranked
-            .into_iter()
-            .filter(|name| *name != self.own_name)
-            .collect();
-        let mut sources: Vec<_> = others.iter().map(peer).collect();
-        let at = if is_reader { 0 } else { sources.len().min(1) };
-        sources.insert(at, store);
         let now = self.clock.now();
-        let paused = self.paused.lock();
-        let usable = |source: &&(SourceName, Option<String>)| {
-            let until = paused.get(&(subject, source.0.clone()));
-            until.is_none_or(|until| now >= *until)
-        };
-        let usable: Vec<_> = sources.iter().filter(usable).cloned().collect();
-        drop(paused);
-        if usable.is_empty() { sources } else { usable }
+        let sources = self.shard(subject).sources.lock().in_order(&members, now);
+        let with_address = sources.into_iter().map(|source| {
+            let address = match &source {
+                Source::Store => None,
+                Source::Peer(name) => live.get(name).map(|member| member.peer_address.clone()),
+            };
+            (source, address)
+        });
+        with_address.collect()
     }
 
-    fn pause(&self, subject: Subject, source: &SourceName, error: &StoreError) {
-        let until = self.clock.now() + SOURCE_PAUSE;
-        let mut paused = self.paused.lock();
-        paused.insert((subject, source.clone()), until);
-        drop(paused);
+    fn note_failed(&self, subject: Subject, source: &Source, error: &StoreError) {
+        let drawn = rand::rng().random_range(0.0..1.0);
+        let now = self.clock.now();
+        let mut sources = self.shard(subject).sources.lock();
+        sources.failed(source, now, drawn);
+        drop(sources);
         if crate::log::admits("store source failed") {
             info!("store source failed", kv: { subject = subject.name(), source:?, why: = error });
         }
     }
 
-    fn note_used(&self, subject: Subject, source: &SourceName) {
-        let before = self.used.lock().insert(subject, source.clone());
+    fn note_answered(&self, subject: Subject, source: &Source) {
+        let shard = self.shard(subject);
+        shard.sources.lock().answered(source);
+        let before = shard.used.lock().replace(source.clone());
         if before.as_ref() != Some(source) && crate::log::admits("store source") {
             info!("store read through", kv: { subject = subject.name(), source:?, before:? });
         }
@@ -390,7 +261,7 @@
 
     async fn read_at(
         &self,
-        (source, address): (SourceName, Option<String>),
+        (source, address): (Source, Option<String>),
         subject: Subject,
         from: Option<u64>,
         wait: Duration,
@@ -401,13 +272,13 @@
         };
         match read {
             Ok(aged) => {
-                self.note_used(subject, &source);
+                self.note_answered(subject, &source);
                 Ok(self.keep(subject, from, aged))
             }
             // Only the store itself knows which records are gone for good.
             Err(error @ StoreError::Expired { .. }) => Err(error),
             Err(error) => {
-                self.pause(subject, &source, &error);
+                self.note_failed(subject, &source, &error);
                 Err(error)
             }
         }
@@ -455,9 +326,8 @@
     }
 
     fn note_regained(&self, subject: Subject, at: Duration) {
-        let mut regained = self.regained_at.lock();
-        let known = regained.entry(subject).or_insert(at);
-        *known = at.max(*known);
+        let mut regained = self.shard(subject).regained_at.lock();
+        *regained = Some(at).max(*regained);
     }
 
     /// Age of the store's last word on a subject; nothing before the first one.
@@ -468,7 +338,7 @@
 
     /// When the store came back from its last outage, as far as is known.
     pub(crate) fn regained_at(&self, subject: Subject) -> Option<Duration> {
-        self.regained_at.lock().get(&subject).copied()
+        *self.shard(subject).regained_at.lock()
     }
 
     /// Keeps a page for others to read.
--- /dev/null
+++ b/src/gateway/subject_cache.rs
@@ -0,0 +1,134 @@
+//! What an instance knows of one subject of the store, and the pages in which others read it here.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use spdlog::warn;
+
+use super::parts::EncodedPage;
+use super::site_store::{SitePage, SiteRecord, Subject};
+
+/// Records of a subject that are kept for others to read on from.
+const KEPT_RECORDS: usize = 512;
+/// What is known of a subject.
+#[derive(Debug)]
+pub(super) struct SubjectCache {
+    subject: Subject,
+    /// Newest record of each key; empty before the first answer.
+    newest: BTreeMap<String, SiteRecord>,
+    /// The last records, the newest last; the first one's offset is `next_offset` less their number. Empty for the configuration, of
+    /// which only the newest record counts: each one may have a megabyte.
+    recent: VecDeque<SiteRecord>,
+    pub(super) next_offset: u64,
+    /// When the store last said something, by this instance's clock.
+    pub(super) word_at: Option<Duration>,
+    /// The last page that was encoded for others, which most of them ask for, and its first offset.
+    encoded: Option<(u64, EncodedPage)>,
+    /// The newest records, encoded for others.
+    encoded_whole: Option<EncodedPage>,
+}
+
+fn key_of(record: &SiteRecord) -> Option<String> {
+    match record {
+        SiteRecord::Configuration(_) => Some(String::new()),
+        SiteRecord::Endpoint(entry) => Some(entry.id.clone()),
+        SiteRecord::EndpointGone(id) => Some(id.clone()),
+        SiteRecord::Member(entry) => Some(entry.name.clone()),
+        SiteRecord::Unreadable { .. } => None,
+    }
+}
+
+impl SubjectCache {
+    pub(super) fn new(subject: Subject) -> Self {
+        Self {
+            subject,
+            newest: BTreeMap::new(),
+            recent: VecDeque::new(),
+            next_offset: 0,
+            word_at: None,
+            encoded: None,
+            encoded_whole: None,
+        }
+    }
+
+    fn put_newest(&mut self, record: &SiteRecord) {
+        let Some(key) = key_of(record) else { return };
+        if matches!(record, SiteRecord::EndpointGone(_)) {
+            self.newest.remove(&key);
+        } else {
+            self.newest.insert(key, record.clone());
+        }
+    }
+
+    pub(super) fn replace(&mut self, page: &SitePage, word_at: Duration) {
+        self.newest.clear();
+        self.recent.clear();
+        self.forget_encoded();
+        for record in &page.records {
+            self.put_newest(record);
+        }
+        self.next_offset = page.next_offset;
+        self.word_at = Some(word_at);
+    }
+
+    pub(super) fn extend(&mut self, from: u64, page: &SitePage, word_at: Duration) {
+        self.word_at = self.word_at.max(Some(word_at));
+        if from != self.next_offset || page.next_offset <= from {
+            return;
+        }
+        self.forget_encoded();
+        for record in &page.records {
+            self.put_newest(record);
+        }
+        self.next_offset = page.next_offset;
+        if self.subject == Subject::Configuration {
+            return;
+        }
+        self.recent.extend(page.records.iter().cloned());
+        // Records that are not ours to read leave gaps; then only whole pages can be passed on from here.
+        let read = u64::try_from(page.records.len()).unwrap_or(u64::MAX);
+        if page.next_offset - from != read {
+            self.recent.clear();
+        }
+        while self.recent.len() > KEPT_RECORDS {
+            self.recent.pop_front();
+        }
+    }
+
+    fn forget_encoded(&mut self) {
+        self.encoded = None;
+        self.encoded_whole = None;
+    }
+
+    /// Records from an offset on, encoded; nothing where they are not all kept. Who asks may be ahead of what is known here.
+    pub(super) fn encoded_since(&mut self, from: u64) -> Option<EncodedPage> {
+        if self.subject == Subject::Configuration && from < self.next_offset {
+            return self.encoded_whole();
+        }
+        if let Some((_, page)) = self.encoded.as_ref().filter(|(first, _)| *first == from) {
+            return Some(page.clone());
+        }
+        let missing = usize::try_from(self.next_offset.saturating_sub(from)).ok()?;
+        let skipped = self.recent.len().checked_sub(missing)?;
+        let records: Vec<&SiteRecord> = self.recent.iter().skip(skipped).collect();
+        let page = encode(&records)?;
+        self.encoded = Some((from, page.clone()));
+        Some(page)
+    }
+
+    /// The newest record of each key, encoded.
+    pub(super) fn encoded_whole(&mut self) -> Option<EncodedPage> {
+        if self.encoded_whole.is_none() {
+            let records: Vec<&SiteRecord> = self.newest.values().collect();
+            self.encoded_whole = encode(&records);
+        }
+        self.encoded_whole.clone()
+    }
+}
+
+fn encode(records: &[&SiteRecord]) -> Option<EncodedPage> {
+    let encoded = EncodedPage::encode(&records);
+    encoded
+        .inspect_err(|fault| warn!("records not encoded", kv: { why: = fault }))
+        .ok()
+}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -3,6 +3,7 @@
 //! The same functions run under the daemon, in unit tests with a manual clock and in the model checker.
 
 pub mod attempt;
+pub mod backoff;
 pub mod clock;
 pub mod config;
 pub mod departures;
@@ -23,5 +24,6 @@
 pub mod roles;
 pub mod route;
 pub mod rules;
+pub mod store_sources;
 pub mod stream;
 pub mod ticket;
--- /dev/null
+++ b/src/kernel/store_sources.rs
@@ -0,0 +1,98 @@
+//! Where an instance reads what the store holds: a few readers at the store itself, the others through a reader.
+//!
+//! While the store is away for all, the readers alone keep asking it; the others ask the readers, and the store only now and then, in
+//! case it is away for the readers only.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::backoff::Backoff;
+use super::roles::{self, MemberCapacity};
+
+/// An instance that failed as a source comes after the others for this long.
+const PEER_PAUSE: Duration = Duration::from_secs(2);
+/// An instance that is no reader leaves the store alone for about this long after a failure, and twice as long after each further one.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
+/// Longest such pause. While the readers are turned away and others are not, a configuration may take this long; the users allow five
+/// seconds on top of two there.
+const STORE_PAUSE_MAX: Duration = Duration::from_secs(3);
+
+/// Where records are read.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize)]
+pub enum Source {
+    /// At the store.
+    Store,
+    /// Through another instance, by name.
+    Peer(String),
+}
+
+/// The sources of one subject, and which of them failed of late.
+#[derive(Debug)]
+pub struct StoreSources {
+    own_name: String,
+    /// Sources that failed, and when they count as sound again.
+    paused_until: HashMap<Source, Duration>,
+    store_backoff: Backoff,
+}
+
+impl StoreSources {
+    /// The sources of an instance.
+    #[must_use]
+    pub fn new(own_name: &str) -> Self {
+        Self {
+            own_name: own_name.to_owned(),
+            paused_until: HashMap::new(),
+            store_backoff: Backoff::new(STORE_PAUSE, STORE_PAUSE_MAX),
+        }
+    }
+
+    /// Sources in the order in which they are asked; never empty.
+    ///
+    /// A reader asks the store first, the others their reader, then the store, then the other readers: whoever is turned away by the
+    /// store still hears of it.
+    #[must_use]
+    pub fn in_order(&self, members: &[MemberCapacity], now: Duration) -> Vec<Source> {
+        let readers = roles::readers_for(&self.own_name, members);
+        let is_reader = readers.contains(&self.own_name.as_str());
+        let peers = readers.into_iter().filter(|name| *name != self.own_name);
+        let mut sources: Vec<Source> = peers.map(|name| Source::Peer(name.to_owned())).collect();
+        let store_at = if is_reader { 0 } else { sources.len().min(1) };
+        sources.insert(store_at, Source::Store);
+        let sound: Vec<Source> = sources
+            .iter()
+            .filter(|source| !self.is_paused(source, now))
+            .cloned()
+            .collect();
+        if !sound.is_empty() {
+            return sound;
+        }
+        // Asking a peer once more costs little; a call to the store is dear.
+        let has_peers = sources.len() > 1;
+        sources.retain(|source| is_reader || !has_peers || *source != Source::Store);
+        sources
+    }
+
+    fn is_paused(&self, source: &Source, now: Duration) -> bool {
+        let until = self.paused_until.get(source);
+        until.is_some_and(|until| now < *until)
+    }
+
+    /// A source failed. `drawn`, from 0 to 1, spreads those for whom it failed at the same time.
+    pub fn failed(&mut self, source: &Source, now: Duration, drawn: f64) {
+        let pause = match source {
+            Source::Store => self.store_backoff.failed(drawn),
+            Source::Peer(_) => PEER_PAUSE,
+        };
+        self.paused_until.insert(source.clone(), now + pause);
+    }
+
+    /// A source answered.
+    pub fn answered(&mut self, source: &Source) {
+        self.paused_until.remove(source);
+        if *source == Source::Store {
+            self.store_backoff.succeeded();
+        }
+    }
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -20,3 +20,5 @@
 mod routes;
 #[path = "kernel/site_rules.rs"]
 mod site_rules;
+#[path = "kernel/store_sources.rs"]
+mod store_sources;
