Ask the other readers before the store, and gather what comes together

Two of the four readers were turned away by the store; their followers then followed the store itself, one call for each change of an endpoint. Each new member's entry and each endpoint of a group that leaves together was a read of its own as well. Change: a follower asks its reader, then all other readers, then the store; a reader that failed is left alone for 2, 4, 8 s. After news, endpoints are gathered for 25 ms, members for 500 ms.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -33,6 +33,17 @@
     }
 }
 
+/// After news, a read waits this long for what comes with it: endpoints leave several at a time, and a site starts as a whole. One read
+/// is one call to the store for each reader.
+const fn gather(subject: Subject) -> Duration {
+    match subject {
+        Subject::Configuration => Duration::ZERO,
+        // Little of the 1.5 s that engines give notice.
+        Subject::Endpoints => Duration::from_millis(25),
+        Subject::Members => Duration::from_millis(500),
+    }
+}
+
 /// Whether the store answers for a subject, and since when it does not.
 struct Contact {
     subject: Subject,
@@ -111,8 +122,12 @@
         match gateway.store.read(subject, from, wait).await {
             Ok(page) => {
                 contact.answered(gateway);
+                let is_news = page.next_offset > from;
                 from = page.next_offset;
                 take_records(gateway, subject, page.records);
+                if is_news {
+                    tokio::time::sleep(gather(subject)).await;
+                }
             }
             Err(error @ (StoreError::Expired { .. } | StoreError::Malformed(_))) => {
                 warn!("records cannot be followed; reading the newest", kv: {
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -221,8 +221,8 @@
         self.shard(subject).receiving.load(Ordering::Relaxed) > 0
     }
 
-    /// Reads from the source that comes first; when it fails, from all others at once: one after the other they could take longer than
-    /// a departure or a configuration may stay unknown.
+    /// Reads from the source that comes first; when it fails, from all other instances at once, and last from the store: one after the
+    /// other they could take longer than a departure or a configuration may stay unknown.
     async fn read_anywhere(
         &self,
         subject: Subject,
@@ -233,22 +233,25 @@
         let Some(first) = sources.next() else {
             return Err(StoreError::NoAnswer("no source".to_owned()));
         };
-        let last = match self.read_at(first, subject, from, wait).await {
+        let mut last = match self.read_at(first, subject, from, wait).await {
             Ok(page) => return Ok(page),
             Err(error @ StoreError::Expired { .. }) => return Err(error),
             Err(error) => error,
         };
-        let others: Vec<_> = sources
-            .map(|source| Box::pin(self.read_at(source, subject, from, Duration::ZERO)))
-            .collect();
-        let last = if others.is_empty() {
-            last
-        } else {
-            match futures::future::select_ok(others).await {
+        let (store, peers): (Vec<_>, Vec<_>) =
+            sources.partition(|(source, _)| *source == Source::Store);
+        for together in [peers, store] {
+            let reads = together.into_iter();
+            let reads = reads.map(|source| self.read_at(source, subject, from, Duration::ZERO));
+            let reads: Vec<_> = reads.map(Box::pin).collect();
+            if reads.is_empty() {
+                continue;
+            }
+            match futures::future::select_ok(reads).await {
                 Ok((page, _)) => return Ok(page),
-                Err(error) => error,
+                Err(error) => last = error,
             }
-        };
+        }
         let knows_nothing = self.shard(subject).cache.lock().word_at.is_none();
         if from.is_none()
             && knows_nothing
--- a/src/kernel/store_sources.rs
+++ b/src/kernel/store_sources.rs
@@ -11,8 +11,10 @@
 use super::backoff::Backoff;
 use super::roles::{self, MemberCapacity};
 
-/// An instance that failed as a source comes after the others for this long.
+/// An instance that failed as a source is left alone for about this long, and twice as long after each further failure.
 const PEER_PAUSE: Duration = Duration::from_secs(2);
+/// Longest such pause: a reader that the store turns away for ten seconds is asked three times meanwhile.
+const PEER_PAUSE_MAX: Duration = Duration::from_secs(8);
 /// An instance that is no reader leaves the store alone for about this long after a failure, and twice as long after each further one.
 const STORE_PAUSE: Duration = Duration::from_secs(1);
 /// Longest such pause. While the readers are turned away and others are not, a configuration may take this long; the users allow five
@@ -32,9 +34,16 @@
 #[derive(Debug)]
 pub struct StoreSources {
     own_name: String,
-    /// Sources that failed, and when they count as sound again.
-    paused_until: HashMap<Source, Duration>,
-    store_backoff: Backoff,
+    /// Sources that failed since they last answered.
+    failed: HashMap<Source, Failed>,
+}
+
+/// A source that failed.
+#[derive(Debug)]
+struct Failed {
+    /// When it counts as sound again.
+    paused_until: Duration,
+    backoff: Backoff,
 }
 
 impl StoreSources {
@@ -43,22 +52,21 @@
     pub fn new(own_name: &str) -> Self {
         Self {
             own_name: own_name.to_owned(),
-            paused_until: HashMap::new(),
-            store_backoff: Backoff::new(STORE_PAUSE, STORE_PAUSE_MAX),
+            failed: HashMap::new(),
         }
     }
 
     /// Sources in the order in which they are asked; never empty.
     ///
-    /// A reader asks the store first, the others their reader, then the store, then the other readers: whoever is turned away by the
-    /// store still hears of it.
+    /// A reader asks the store first and then the other readers: it may be turned away while they are not. The others ask their reader,
+    /// the other readers, and the store last.
     #[must_use]
     pub fn in_order(&self, members: &[MemberCapacity], now: Duration) -> Vec<Source> {
         let readers = roles::readers_for(&self.own_name, members);
         let is_reader = readers.contains(&self.own_name.as_str());
         let peers = readers.into_iter().filter(|name| *name != self.own_name);
         let mut sources: Vec<Source> = peers.map(|name| Source::Peer(name.to_owned())).collect();
-        let store_at = if is_reader { 0 } else { sources.len().min(1) };
+        let store_at = if is_reader { 0 } else { sources.len() };
         sources.insert(store_at, Source::Store);
         let sound: Vec<Source> = sources
             .iter()
@@ -75,24 +83,25 @@
     }
 
     fn is_paused(&self, source: &Source, now: Duration) -> bool {
-        let until = self.paused_until.get(source);
-        until.is_some_and(|until| now < *until)
+        let failed = self.failed.get(source);
+        failed.is_some_and(|failed| now < failed.paused_until)
     }
 
     /// A source failed. `drawn`, from 0 to 1, spreads those for whom it failed at the same time.
     pub fn failed(&mut self, source: &Source, now: Duration, drawn: f64) {
-        let pause = match source {
-            Source::Store => self.store_backoff.failed(drawn),
-            Source::Peer(_) => PEER_PAUSE,
+        let (first, longest) = match source {
+            Source::Store => (STORE_PAUSE, STORE_PAUSE_MAX),
+            Source::Peer(_) => (PEER_PAUSE, PEER_PAUSE_MAX),
         };
-        self.paused_until.insert(source.clone(), now + pause);
+        let failed = self.failed.entry(source.clone()).or_insert(Failed {
+            paused_until: now,
+            backoff: Backoff::new(first, longest),
+        });
+        failed.paused_until = now + failed.backoff.failed(drawn);
     }
 
     /// A source answered.
     pub fn answered(&mut self, source: &Source) {
-        self.paused_until.remove(source);
-        if *source == Source::Store {
-            self.store_backoff.succeeded();
-        }
+        self.failed.remove(source);
     }
 }
