Soak the links of engines, compaction, lost answers, grown configurations and SIGHUP

Change: each engine of the soak stands behind a loopback proxy of its own, which is delayed, silenced, cut one way or reset; the store also loses answers and forgets its history; configurations grow by 1,400 routes; instances get SIGHUP; SOAK_INSTANCES widens the site. After each seed the last published version has to be in force (it was version 10 at most before).

--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -139,11 +139,23 @@
     /// # Errors
     /// No port can be bound.
     pub async fn server(&self, service: &str, kind: ServerKind) -> std::io::Result<Arc<Server>> {
-        let server = self.servers.start(service, kind).await?;
+        let server = self.server_unlisted(service, kind).await?;
         self.list(&server, "ready");
         Ok(server)
     }
 
+    /// Starts a server that nobody knows yet.
+    ///
+    /// # Errors
+    /// No port can be bound.
+    pub async fn server_unlisted(
+        &self,
+        service: &str,
+        kind: ServerKind,
+    ) -> std::io::Result<Arc<Server>> {
+        self.servers.start(service, kind).await
+    }
+
     /// Writes a server's entry.
     pub fn list(&self, server: &Server, state: &str) {
         let entry = json!({
@@ -160,6 +172,11 @@
 
     /// Publishes a configuration: `calls` may be repeated on two servers, `once` may not, `chat` streams.
     pub fn publish(&self, version: u64, keys: &[&str]) {
+        self.publish_with_routes(version, keys, 0);
+    }
+
+    /// Publishes a configuration with so many routes more, which nobody calls.
+    pub fn publish_with_routes(&self, version: u64, keys: &[&str], more: u32) {
         let route = |name: &str, kind: &str, service: &str, attempts: u32| {
             let timeout_ms = if kind == "stream" { 20_000 } else { 4_000 };
             json!({
@@ -171,12 +188,16 @@
             "slots": 24, "kv-capacity": 34_000, "token-kv-bytes": 327_680, "link-mbps": 47_000.0, "moves": true,
             "backups": true, "stride": 4, "handle-s": 5.0,
         });
+        let mut routes = vec![
+            route("calls", "idempotent", "app", 2),
+            route("once", "non_idempotent", "app", 1),
+            route("chat", "stream", "llm", 1),
+        ];
+        let more = (0..more).map(|number| format!("more-{number}"));
+        routes.extend(more.map(|name| route(&name, "idempotent", "app", 2)));
         let config = json!({
             "version": version,
-            "routes": [
-                route("calls", "idempotent", "app", 2), route("once", "non_idempotent", "app", 1),
-                route("chat", "stream", "llm", 1),
-            ],
+            "routes": routes,
             "services": [
                 {"name": "app", "max-conns": 100}, {"name": "llm", "max-conns": 100, "engine": engine},
             ],
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -78,6 +78,8 @@
     fault: Mutex<ServerFault>,
     listening: Mutex<Option<Listening>>,
     address: std::sync::OnceLock<SocketAddr>,
+    /// Where callers find it, where that is not where it listens: a proxy stands before it.
+    listed: std::sync::OnceLock<SocketAddr>,
     servers: std::sync::Weak<Servers>,
     running: Mutex<HashMap<String, Arc<EngineRun>>>,
     /// Heads of the requests that it got, by request id.
@@ -109,6 +111,7 @@
             fault: Mutex::default(),
             listening: Mutex::default(),
             address: std::sync::OnceLock::new(),
+            listed: std::sync::OnceLock::new(),
             servers: Arc::downgrade(self),
             running: Mutex::default(),
             heads: Mutex::default(),
@@ -147,12 +150,29 @@
 impl Server {
     /// Where it listens.
     #[must_use]
-    pub fn address(&self) -> SocketAddr {
+    pub fn own_address(&self) -> SocketAddr {
         *self
             .address
             .get_or_init(|| SocketAddr::from(([0, 0, 0, 0], 0)))
     }
 
+    /// Where callers find it.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.listed
+            .get()
+            .copied()
+            .unwrap_or_else(|| self.own_address())
+    }
+
+    /// Has callers find it at another address from now on; once at most.
+    pub fn list_at(self: &Arc<Self>, address: SocketAddr) {
+        self.listed.get_or_init(|| address);
+        if let Some(servers) = self.servers.upgrade() {
+            servers.by_address.lock().insert(address, self.clone());
+        }
+    }
+
     /// Requests that it works on at once.
     #[must_use]
     pub fn slots(&self) -> u32 {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Soak: processes under faults in series that overlap, and the promises checked from what callers and servers see.
 //!
 //! `cargo test --test soak` plays the seeds that ever failed and two more. By hand: `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --test
-//! soak -- --nocapture`.
+//! soak -- --nocapture`, and `SOAK_INSTANCES=40` for a wider site.
 
 mod support;
 
@@ -22,7 +22,10 @@
 
 /// Seeds that failed once, each with its cause.
 const REGRESSIONS: [u64; 0] = [];
-const INSTANCES: usize = 4;
+/// Instances, where the environment names no other number.
+const INSTANCES: u64 = 4;
+/// Routes that a grown configuration has more: as many as the users' largest.
+const MANY_ROUTES: u32 = 1_400;
 const STEPS: u32 = 24;
 const STEP: Duration = Duration::from_millis(120);
 const CALLERS: usize = 6;
@@ -40,9 +43,11 @@
 
 struct Soak {
     site: RoutedSite,
-    proxy: Proxy,
+    /// Before the store.
+    proxy: Arc<Proxy>,
     instances: Mutex<Vec<Instance>>,
-    engines: Mutex<Vec<Arc<Server>>>,
+    /// Each behind a proxy of its own.
+    engines: Mutex<Vec<(Arc<Server>, Arc<Proxy>)>>,
     started: AtomicU32,
     version: AtomicU32,
     over: AtomicBool,
@@ -51,7 +56,7 @@
 impl Soak {
     async fn start() -> Arc<Self> {
         let mut site = RoutedSite::start(3).await;
-        let proxy = Proxy::start(site.standin.store_address()).await;
+        let proxy = Arc::new(Proxy::start(site.standin.store_address()).await);
         site.store_through(proxy.address);
         let soak = Self {
             site,
@@ -65,15 +70,15 @@
         for _ in 0..4 {
             soak.add_engine().await;
         }
-        for _ in 0..INSTANCES {
+        for _ in 0..number("SOAK_INSTANCES").unwrap_or(INSTANCES) {
             soak.add_instance();
         }
         Arc::new(soak)
     }
 
     async fn add_engine(&self) {
-        let engine = self.site.engine().await;
-        self.engines.lock().push(engine);
+        let (engine, proxy) = self.site.engine_behind_proxy().await;
+        self.engines.lock().push((engine, Arc::new(proxy)));
     }
 
     fn add_instance(&self) {
@@ -95,7 +100,7 @@
     /// One fault; some end by themselves after a while, and others begin meanwhile.
     async fn fault(self: &Arc<Self>, random: &mut StdRng) {
         let lasts = Duration::from_millis(random.random_range(50..600));
-        match random.random_range(0..11) {
+        match random.random_range(0..16) {
             0 => {
                 let gone = self.take_instance(random);
                 drop(gone);
@@ -121,17 +126,25 @@
             }
             3 => self.mood_for(StoreMood::Busy, lasts),
             4 => self.mood_for(StoreMood::Silent, lasts),
-            5 => self.link_for(Link::Slow(Duration::from_millis(80)), lasts),
-            6 => self.link_for(
-                [Link::Silent, Link::OneWay][random.random_range(0..2)],
-                lasts,
-            ),
+            5 => self.mood_for(StoreMood::LosesAnswers, lasts),
+            6 => link_for(&self.proxy, a_link(random), lasts),
             7 => self.proxy.reset(),
-            8 => {
-                let version = u64::from(self.version.fetch_add(1, Ordering::Relaxed)) + 1;
-                self.site.standin.publish(version, &[KEY]);
+            8 => self.publish(0),
+            9 => self.publish(MANY_ROUTES),
+            10 => self.replace_engine(random).await,
+            11 => link_for(&self.engine_proxy(random), a_link(random), lasts),
+            12 => self.engine_proxy(random).reset(),
+            13 => {
+                let topics = ["keyed.op", "keyed.servers", "keyed.status"];
+                let topic = topics.choose(random).expect("topics");
+                self.site.standin.store.compact(topic);
+            }
+            14 => {
+                let instances = self.instances.lock();
+                if let Some(instance) = instances.choose(random) {
+                    instance.signal(Signal::SIGHUP);
+                }
             }
-            9 => self.replace_engine(random).await,
             _ => {
                 let faults = [
                     ServerFault::Refuses,
@@ -164,19 +177,22 @@
         });
     }
 
-    fn link_for(self: &Arc<Self>, link: Link, lasts: Duration) {
-        self.proxy.set(link);
-        let soak = self.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(lasts).await;
-            soak.proxy.set(Link::Sound);
-        });
+    fn publish(&self, more_routes: u32) {
+        let version = u64::from(self.version.fetch_add(1, Ordering::Relaxed)) + 1;
+        let standin = &self.site.standin;
+        standin.publish_with_routes(version, &[KEY], more_routes);
+    }
+
+    fn engine_proxy(&self, random: &mut StdRng) -> Arc<Proxy> {
+        let engines = self.engines.lock();
+        let (_, proxy) = engines.choose(random).expect("engines");
+        proxy.clone()
     }
 
     /// An engine leaves, told or untold, or dies; another one comes.
     async fn replace_engine(&self, random: &mut StdRng) {
         self.add_engine().await;
-        let leaving = {
+        let (leaving, proxy) = {
             let mut engines = self.engines.lock();
             let index = random.random_range(0..engines.len());
             engines.remove(index)
@@ -189,6 +205,7 @@
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(1_500)).await;
             leaving.kill();
+            drop(proxy);
         });
     }
 
@@ -247,8 +264,7 @@
                 "the last configuration in force, and nothing in flight",
                 async || {
                     let state = caller.state().await;
-                    state["config_version"].as_u64().unwrap_or_default()
-                        >= u64::from(version.min(10))
+                    state["config_version"].as_u64().unwrap_or_default() >= u64::from(version)
                         && state["calls"] == 0
                         && state["ready"] == true
                 },
@@ -263,6 +279,29 @@
     }
 }
 
+fn a_link(random: &mut StdRng) -> Link {
+    let links = [
+        Link::Slow(Duration::from_millis(80)),
+        Link::Silent,
+        Link::OneWay,
+    ];
+    *links.choose(random).expect("links")
+}
+
+fn link_for(proxy: &Arc<Proxy>, link: Link, lasts: Duration) {
+    proxy.set(link);
+    let proxy = proxy.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(lasts).await;
+        proxy.set(Link::Sound);
+    });
+}
+
+/// A number from the environment.
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
 async fn end_by_itself(mut instance: Instance) {
     const LOOK_EVERY: Duration = Duration::from_millis(50);
     while instance.ended_well().is_none() {
@@ -322,7 +361,6 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_seeds_promises_hold() {
-    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
     let first = number("SOAK_FIRST").unwrap_or(1);
     let seeds = number("SOAK_SEEDS").unwrap_or(2);
     for seed in REGRESSIONS.into_iter().chain(first..first + seeds) {
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -13,6 +13,8 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
+use super::proxy::Proxy;
+
 /// Longest wait for anything; far above what is usual.
 pub const PATIENCE: Duration = Duration::from_mins(1);
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -79,6 +81,19 @@
         engine.expect("engine starts")
     }
 
+    /// Starts an engine that callers reach through a proxy.
+    pub async fn engine_behind_proxy(&self) -> (Arc<Server>, Proxy) {
+        let engine = self
+            .standin
+            .server_unlisted("llm", ServerKind::Engine)
+            .await;
+        let engine = engine.expect("engine starts");
+        let proxy = Proxy::start(engine.own_address()).await;
+        engine.list_at(proxy.address);
+        self.standin.list(&engine, "ready");
+        (engine, proxy)
+    }
+
     /// Starts an instance and waits until it takes callers.
     pub async fn instance(&self, name: &str) -> Instance {
         let instance = self.instance_not_ready(name);
