Take new connections to a service whose endpoints forget those at rest

Ruled out: asking on the connection first (a probe, a slot); never reusing (new connections are dear on one site). Change: after a rested connection came back without an answer, the service's connections are used again within 0.2 s only, for 10 s. Small answers of endpoints are read in one place (Upstream::ask); an unread report is logged.

--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use spdlog::info;
 
 use super::coordinator;
@@ -12,7 +11,7 @@
 use super::node::Gateway;
 use super::site_store::Subject;
 use crate::kernel::fleet::EndpointEntry;
-use crate::platform::engine;
+use crate::platform::engine::{self, EngineReport};
 
 /// The list counts as silent after this time; readers hear from the store more often.
 const LIST_SILENT_AFTER: Duration = Duration::from_millis(1_500);
@@ -39,8 +38,20 @@
 
 async fn ask(gateway: Arc<Gateway>, engine: EndpointEntry) {
     let report = tokio::time::timeout(REPORT_TIMEOUT, report(&gateway, &engine)).await;
-    // An engine that says nothing shows in the generations that it runs.
-    let Ok(Some(true)) = report else { return };
+    let report = report.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    match report {
+        Ok(report) if report.leaving => take_leaving(&gateway, &engine),
+        Ok(_) => {}
+        // An engine that says nothing shows in the generations that it runs.
+        Err(why) => {
+            if crate::log::admits("report not read") {
+                info!("report not read", kv: { endpoint = engine.id.as_str(), why = why.as_str() });
+            }
+        }
+    }
+}
+
+fn take_leaving(gateway: &Gateway, engine: &EndpointEntry) {
     let change = gateway.fleet.lock().told_leaving(&engine.id, gateway.now());
     if let Some(change) = change {
         info!("engine told that it leaves", kv: { endpoint = engine.id.as_str() });
@@ -49,22 +60,10 @@
     }
 }
 
-/// Whether an engine is leaving; nothing where it did not say.
-async fn report(gateway: &Gateway, engine: &EndpointEntry) -> Option<bool> {
-    let request = engine::report_request(engine.address).ok()?;
-    let connection = gateway.upstream.connection(engine, usize::MAX).await.ok()?;
+async fn report(gateway: &Gateway, engine: &EndpointEntry) -> Result<EngineReport, String> {
+    let request = engine::report_request(engine.address).map_err(|error| error.to_string())?;
     metrics::counter!("larkwick_engine_reports_total").increment(1);
-    let answer = connection.send(request).await.ok()?;
-    let body = Limited::new(answer.body, REPORT_MAX_BYTES).collect().await;
-    let body = body.ok()?.to_bytes();
-    gateway.upstream.give_back(answer.connection, &answer.head);
-    match engine::decode_report(&body) {
-        Ok(report) => Some(report.leaving),
-        Err(why) => {
-            if crate::log::admits("report not read") {
-                info!("report not read", kv: { endpoint = engine.id.as_str(), why = why.as_str() });
-            }
-            None
-        }
-    }
+    let upstream = &gateway.upstream;
+    let (_, body) = upstream.ask(engine, request, REPORT_MAX_BYTES).await?;
+    engine::decode_report(&body)
 }
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use spdlog::warn;
 
 use super::node::Gateway;
@@ -117,14 +116,9 @@
     let request = engine::move_request(source.address, &run.demand.run, target.address, stop)
         .map_err(|error| error.to_string())?;
     let called = async {
-        let connection = gateway.upstream.connection(source, usize::MAX).await;
-        let connection = connection.map_err(|none| none.to_string())?;
-        let answer = connection.send(request).await;
-        let answer = answer.map_err(|failure| failure.to_string())?;
-        let body = Limited::new(answer.body, ANSWER_MAX_BYTES).collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
-        gateway.upstream.give_back(answer.connection, &answer.head);
-        Ok(engine::decode_moved(answer.head.status, &body))
+        let upstream = &gateway.upstream;
+        let (status, body) = upstream.ask(source, request, ANSWER_MAX_BYTES).await?;
+        Ok(engine::decode_moved(status, &body))
     };
     tokio::time::timeout(COPY_TIMEOUT, called)
         .await
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use http::Request;
 use http::response::Parts;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
+use spdlog::info;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -36,6 +37,11 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
 /// Idle connections kept for each endpoint; more than one instance uses at once on an even day.
 const IDLE_MAX: usize = 8;
+/// After an endpoint of a service closed a connection that had rested in place of an answer, the service's connections are used again for
+/// this long only after a short rest: its endpoints may forget them sooner than they say.
+const DISTRUSTED_FOR: Duration = Duration::from_secs(10);
+/// The short rest; the shortest time after which the users' servers forget a connection is 300 ms.
+const DISTRUSTED_REST_MAX: Duration = Duration::from_millis(200);
 /// Share of an endpoint's connections that the instances use together; the rest is left for those that come and go.
 const CONNECTIONS_SHARE: f64 = 0.85;
 
@@ -72,9 +78,9 @@
 }
 
 /// Counts an open connection for as long as it lives.
-#[derive(Debug)]
 struct OpenCount {
     endpoint: String,
+    service: String,
     pools: Arc<Pools>,
 }
 
@@ -88,7 +94,6 @@
 }
 
 /// A connection in use; dropped, it is closed.
-#[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     _driver: Driver,
@@ -98,7 +103,6 @@
 }
 
 /// An answer whose head has come.
-#[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) parts: Parts,
     pub(crate) head: AnswerHead,
@@ -106,23 +110,47 @@
     pub(crate) connection: Connection,
 }
 
-#[derive(Debug)]
 struct Idle {
     connection: Connection,
     since: Duration,
     kept_for: Duration,
 }
 
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Pool {
     idle: Vec<Idle>,
     /// In use and idle together.
     open: usize,
 }
 
-#[derive(Debug, Default)]
 struct Pools {
+    clock: Arc<dyn Clock>,
     by_endpoint: Mutex<HashMap<String, Pool>>,
+    /// Services whose connections may not rest for long, and until when.
+    distrusted_until: Mutex<HashMap<String, Duration>>,
+}
+
+impl Pools {
+    /// A request on a connection that had rested came back without an answer.
+    fn distrust_rest(&self, service: &str) {
+        let now = self.clock.now();
+        let mut distrusted = self.distrusted_until.lock();
+        let before = distrusted.insert(service.to_owned(), now + DISTRUSTED_FOR);
+        if before.is_none_or(|before| before < now) {
+            info!("connections at rest are not used again for a while", kv: { service });
+        }
+    }
+
+    /// How long a connection may have rested that is used again.
+    fn rest_max(&self, service: &str) -> Duration {
+        let distrusted = self.distrusted_until.lock();
+        let until = distrusted.get(service);
+        if until.is_some_and(|until| self.clock.now() < *until) {
+            DISTRUSTED_REST_MAX
+        } else {
+            Duration::MAX
+        }
+    }
 }
 
 /// All connections to endpoints.
@@ -134,7 +162,11 @@
 impl Upstream {
     pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
-            pools: Arc::default(),
+            pools: Arc::new(Pools {
+                clock: clock.clone(),
+                by_endpoint: Mutex::default(),
+                distrusted_until: Mutex::default(),
+            }),
             clock,
         }
     }
@@ -145,10 +177,10 @@
         endpoint: &EndpointEntry,
         open_max: usize,
     ) -> Result<Connection, NoConnection> {
-        if let Some(connection) = self.take_idle(&endpoint.id) {
+        if let Some(connection) = self.take_idle(endpoint) {
             return Ok(connection);
         }
-        let count = self.count_open(&endpoint.id, open_max)?;
+        let count = self.count_open(endpoint, open_max)?;
         let stream = connect(endpoint.address).await?;
         let (sender, driven) = handshake(TokioIo::new(stream))
             .await
@@ -166,31 +198,38 @@
         })
     }
 
-    fn count_open(&self, endpoint: &str, open_max: usize) -> Result<OpenCount, NoConnection> {
+    fn count_open(
+        &self,
+        endpoint: &EndpointEntry,
+        open_max: usize,
+    ) -> Result<OpenCount, NoConnection> {
         let mut pools = self.pools.by_endpoint.lock();
-        let pool = pools.entry(endpoint.to_owned()).or_default();
+        let pool = pools.entry(endpoint.id.clone()).or_default();
         if pool.open >= open_max {
             let why = format!("{open_max} connections are open");
             return Err(NoConnection::Other(why));
         }
         pool.open += 1;
         Ok(OpenCount {
-            endpoint: endpoint.to_owned(),
+            endpoint: endpoint.id.clone(),
+            service: endpoint.service.clone(),
             pools: self.pools.clone(),
         })
     }
 
-    fn take_idle(&self, endpoint: &str) -> Option<Connection> {
+    fn take_idle(&self, endpoint: &EndpointEntry) -> Option<Connection> {
         let now = self.clock.now();
+        let rest_max = self.pools.rest_max(&endpoint.service);
         let mut stale = Vec::new();
         let mut taken = None;
         {
             let mut pools = self.pools.by_endpoint.lock();
-            let pool = pools.get_mut(endpoint)?;
+            let pool = pools.get_mut(&endpoint.id)?;
             let mut kept = Vec::new();
             for idle in pool.idle.drain(..).rev() {
                 let age = now.saturating_sub(idle.since);
-                if !idle.connection.sender.is_ready() || age >= idle.kept_for {
+                let old = age >= idle.kept_for.min(rest_max);
+                if !idle.connection.sender.is_ready() || old {
                     stale.push(idle);
                 } else if taken.is_none() && age >= REST {
                     taken = Some(idle.connection);
@@ -206,6 +245,23 @@
         taken
     }
 
+    /// Sends a request that belongs to no caller, and reads the whole answer.
+    pub(crate) async fn ask(
+        &self,
+        endpoint: &EndpointEntry,
+        request: Request<Bytes>,
+        body_max_bytes: usize,
+    ) -> Result<(u16, Bytes), String> {
+        let connection = self.connection(endpoint, usize::MAX).await;
+        let connection = connection.map_err(|none| none.to_string())?;
+        let answer = connection.send(request).await;
+        let answer = answer.map_err(|failure| failure.to_string())?;
+        let body = Limited::new(answer.body, body_max_bytes).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        self.give_back(answer.connection, &answer.head);
+        Ok((answer.head.status, body))
+    }
+
     /// Takes a connection back whose answer was read to its end.
     pub(crate) fn give_back(&self, mut connection: Connection, head: &AnswerHead) {
         let kept_for = head.kept_for.map_or(IDLE_KEPT, |told| {
@@ -304,6 +360,10 @@
             if unsent {
                 SendFailure::Unsent(why)
             } else {
+                if self.reused {
+                    let count = &self.count;
+                    count.pools.distrust_rest(&count.service);
+                }
                 SendFailure::MayHaveRun(why)
             }
         })?;
--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::time::Duration;
+
 use larkwick::kernel::route::RouteConfig;
 use larkwick::standin::site::KEY;
 use larkwick::standin::site::server::{ServerFault, ServerKind};
 use larkwick::standin::site::store::StoreMood;
 use nix::sys::signal::Signal;
+use support::proxy::Link;
 use support::site::{Instance, RoutedSite, answered, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -111,6 +114,33 @@
     assert_eq!(site.standin.runs_of("o1").len(), 1);
 }
 
+/// Servers forget connections at rest without a word: one call is lost by it, and is said to be; those after it take new connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_once_connections_forgotten_one_call_lost_at_most() {
+    let site = RoutedSite::start(0).await;
+    let (_app, proxy) = site.app_behind_proxy().await;
+    proxy.set(Link::Forgets(Duration::from_millis(250)));
+    let instance = site.instance("n1").await;
+    let together = (0..4).map(|number| {
+        let id = format!("w{number}");
+        answered(instance.request("/once/1", &id))
+    });
+    for answer in futures::future::join_all(together).await {
+        assert_eq!(answer.status, 200);
+    }
+    let mut statuses = Vec::new();
+    for number in 0..4 {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let id = format!("f{number}");
+        statuses.push(instance.call("/once/1", &id).await.status);
+        assert!(site.standin.runs_of(&id).len() <= 1);
+    }
+    let lost = statuses.iter().filter(|status| **status == 502);
+    assert!(lost.count() <= 1, "{statuses:?}");
+    let answered = statuses.iter().filter(|status| **status == 200);
+    assert!(answered.count() >= 3, "{statuses:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn call_once_refused_by_one_server_runs_at_the_other() {
     let site = RoutedSite::start(2).await;
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -21,6 +21,8 @@
     Silent,
     /// Those towards the caller are held.
     OneWay,
+    /// A connection that rested for so long is closed when the caller uses it again, and nothing passes.
+    Forgets(Duration),
 }
 
 /// A proxy to one address.
@@ -55,9 +57,14 @@
                 let (from_server, to_server) = server.into_split();
                 let there = pass(from_caller, to_server, links.subscribe(), false);
                 let back = pass(from_server, to_caller, links.subscribe(), true);
-                let mut open = open.lock();
-                open.push(tokio::spawn(there).abort_handle());
-                open.push(tokio::spawn(back).abort_handle());
+                let both = async move {
+                    // Where one direction ends, the connection ends: HTTP does without half-closed ones.
+                    tokio::select! {
+                        () = there => {}
+                        () = back => {}
+                    }
+                };
+                open.lock().push(tokio::spawn(both).abort_handle());
             }
         });
         Self {
@@ -88,10 +95,18 @@
     towards_caller: bool,
 ) {
     let mut buffer = vec![0; 16 << 10];
+    let mut used_at = None;
     while let Ok(read) = from.read(&mut buffer).await {
         if read == 0 {
             break;
         }
+        let rested = used_at.replace(Instant::now());
+        if let (Some(rested), Link::Forgets(after)) = (rested, *link.borrow())
+            && !towards_caller
+            && rested.elapsed() > after
+        {
+            break;
+        }
         let held = |link: &Link| *link == Link::Silent || (towards_caller && *link == Link::OneWay);
         let passing = link.wait_for(|link| !held(link)).await.map(|link| *link);
         if let Ok(Link::Slow(delay)) = passing {
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -83,15 +83,21 @@
 
     /// Starts an engine that callers reach through a proxy.
     pub async fn engine_behind_proxy(&self) -> (Arc<Server>, Proxy) {
-        let engine = self
-            .standin
-            .server_unlisted("llm", ServerKind::Engine)
-            .await;
-        let engine = engine.expect("engine starts");
-        let proxy = Proxy::start(engine.own_address()).await;
-        engine.list_at(proxy.address);
-        self.standin.list(&engine, "ready");
-        (engine, proxy)
+        self.behind_proxy("llm", ServerKind::Engine).await
+    }
+
+    /// Starts a plain server that callers reach through a proxy.
+    pub async fn app_behind_proxy(&self) -> (Arc<Server>, Proxy) {
+        self.behind_proxy("app", ServerKind::Plain).await
+    }
+
+    async fn behind_proxy(&self, service: &str, kind: ServerKind) -> (Arc<Server>, Proxy) {
+        let server = self.standin.server_unlisted(service, kind).await;
+        let server = server.expect("server starts");
+        let proxy = Proxy::start(server.own_address()).await;
+        server.list_at(proxy.address);
+        self.standin.list(&server, "ready");
+        (server, proxy)
     }
 
     /// Starts an instance and waits until it takes callers.
