Untie the settings of routing and the catch-up from what uses them

Change: settings/ has a file for faults and one for routing; the turn that only one transfer takes is kernel/one_at_a_time.rs, with a test. src/gateway has no circle now; src/daemon has its own still.

--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -4,7 +4,6 @@
 //! comes to its end.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use spdlog::{info, warn};
@@ -23,35 +22,18 @@
 /// Longest wait for the head of a peer's answer.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Whether a configuration is being taken from a peer.
-#[derive(Debug, Default)]
-pub(crate) struct CatchUp {
-    under_way: AtomicBool,
-}
-
-impl CatchUp {
-    /// Tells whether the caller is to begin a transfer: none is under way.
-    fn begin(&self) -> bool {
-        !self.under_way.swap(true, Ordering::AcqRel)
-    }
-
-    fn ended(&self) {
-        self.under_way.store(false, Ordering::Release);
-    }
-}
-
 /// A peer told that it has a newer version.
 pub(crate) fn heard_newer(gateway: &Arc<Gateway>, version: u64, address: String) {
-    if !gateway.catch_up.begin() {
+    let Some(turn) = gateway.catch_up.begin() else {
         return;
-    }
+    };
     let gateway = gateway.clone();
     tokio::spawn(async move {
         usual_path(&gateway, version).await;
         if gateway.config_version() < version {
             take_from(&gateway, &address).await;
         }
-        gateway.catch_up.ended();
+        drop(turn);
     });
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,8 +4,7 @@
 //! |---|---|
 //! | `app` | starts an instance and stops it as planned |
 //! | `node` | the state of an instance, in shards |
-//! | `settings` | what the settings file says of routing |
-//! | `site_store` | the platform's store, as a trait with plug-ins |
+//! //! | `site_store` | the platform's store, as a trait with plug-ins |
 //! | `shared_store`, `subject_cache` | the store, read directly or through other instances |
 //! | `follow` | keeps configuration, endpoints and members in step with the store |
 //! | `heartbeat` | which members live |
@@ -40,7 +39,6 @@
 pub(crate) mod plain_call;
 pub(crate) mod relay;
 pub(crate) mod runs;
-pub mod settings;
 pub(crate) mod shared_store;
 pub mod site_store;
 pub(crate) mod started;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -16,10 +16,8 @@
 use tokio::sync::watch;
 use uuid::Uuid;
 
-use super::catch_up::CatchUp;
 use super::ledgers::Ledgers;
 use super::runs::RunRegistry;
-use super::settings::RoutingSettings;
 use super::shared_store::{LiveMember, LiveMembers, SharedStore};
 use super::site_store::{MemberEntry, SiteStore};
 use super::upstream::{Upstream, open_max};
@@ -28,10 +26,12 @@
 use crate::kernel::fleet::Fleet;
 use crate::kernel::health::EndpointHealth;
 use crate::kernel::membership::{Incarnation, Members, PeerStatus};
+use crate::kernel::one_at_a_time::OneAtATime;
 use crate::kernel::retry::{RetryAllowance, RetryBudget};
 use crate::kernel::route::{RouteConfig, RouteTable};
 use crate::peer::client::PeerClients;
 use crate::settings::Settings;
+use crate::settings::routing::RoutingSettings;
 
 /// All members of a site watch each other on one ring, whatever hall they stand in: callers of any hall may use any of them.
 pub(crate) const MEMBER_RING: &str = "site";
@@ -122,7 +122,8 @@
     pub(crate) runs: RunRegistry,
     pub(crate) ledgers: Ledgers,
     pub(crate) peers: Arc<PeerClients>,
-    pub(crate) catch_up: CatchUp,
+    /// Whether a configuration is being taken from a peer.
+    pub(crate) catch_up: OneAtATime,
     pub(crate) in_flight: InFlight,
     /// When this instance ends at the latest; set when it is asked to stop.
     pub(crate) ends_at: Mutex<Option<Duration>>,
@@ -202,7 +203,7 @@
             runs: RunRegistry::default(),
             ledgers: Ledgers::default(),
             peers,
-            catch_up: CatchUp::default(),
+            catch_up: OneAtATime::default(),
             in_flight: InFlight::new(),
             ends_at: Mutex::default(),
         }
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -7,9 +7,8 @@
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
 
-use super::settings::default_link_mbps;
 use crate::kernel::fleet::EndpointEntry;
-use crate::kernel::roles;
+use crate::kernel::roles::{self, default_link_mbps};
 use crate::kernel::route::RouteConfig;
 
 /// A subject that is kept and followed on its own.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -18,6 +18,7 @@
 pub mod lease;
 pub mod membership;
 pub mod object;
+pub mod one_at_a_time;
 pub mod placement;
 pub mod policy;
 pub mod retry;
--- a/src/kernel/roles.rs
+++ b/src/kernel/roles.rs
@@ -14,6 +14,12 @@
 /// is what runs out first when an instance passes pages on to others.
 const LINK_MBPS_PER_CORE: f64 = 400.0;
 
+/// Link of a member that names none: wide enough that the processor share decides.
+#[must_use]
+pub fn default_link_mbps() -> f64 {
+    1_000.0
+}
+
 /// A member and what it can carry, in cores.
 pub type MemberCapacity<'a> = (&'a str, f64);
 
--- a/src/settings.rs
+++ b/src/settings/mod.rs
@@ -2,18 +2,22 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
 
 use jsonc_parser::ParseOptions;
 use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::settings::RoutingSettings;
 use crate::gateway::site_store;
 use crate::kernel::object::is_name;
 use crate::{endpoint, kernel::policy, log_service};
 
+pub mod fault;
+pub mod routing;
+
+pub use fault::{SettingsFault, ms};
+use routing::RoutingSettings;
+
 /// A place in a file and what is wrong there.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{file}:{line}: {message}")]
@@ -273,16 +277,6 @@
     }
 }
 
-/// A field of the settings at fault.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("field \"{field}\": allowed: {allowed}")]
-pub struct SettingsFault {
-    /// The field.
-    pub field: &'static str,
-    /// What is allowed.
-    pub allowed: String,
-}
-
 /// Line on which a field first stands, from 1; 1 where it does not.
 #[must_use]
 pub fn line_of_field(text: &str, field: &str) -> usize {
@@ -292,12 +286,6 @@
         .map_or(1, |index| index + 1)
 }
 
-/// A number of milliseconds as a duration.
-#[must_use]
-pub const fn ms(milliseconds: u64) -> Duration {
-    Duration::from_millis(milliseconds)
-}
-
 /// Names of all registered plug-ins, by kind: a registration that was dropped at link time shows here.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct PluginNames {
--- a/src/gateway/settings.rs
+++ b/src/settings/routing.rs
@@ -6,8 +6,9 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::site_store;
-use crate::settings::{SettingsFault, ms};
+use super::fault::{SettingsFault, ms};
+use crate::gateway::site_store;
+use crate::kernel::roles::default_link_mbps;
 
 /// Settings of an instance that serves the routes of a site.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -40,11 +41,6 @@
     pub retry_slack: u32,
 }
 
-/// Wide enough that the processor share decides.
-pub(super) fn default_link_mbps() -> f64 {
-    1_000.0
-}
-
 fn default_store_plugin() -> String {
     "keyed_log".to_owned()
 }
--- a/tests/kernel/site_rules.rs
+++ b/tests/kernel/site_rules.rs
@@ -4,6 +4,7 @@
 
 use larkwick::kernel::event_split::EventSplitter;
 use larkwick::kernel::health::EndpointHealth;
+use larkwick::kernel::one_at_a_time::OneAtATime;
 use larkwick::kernel::retry::RetryAllowance;
 use larkwick::kernel::roles;
 use proptest::prelude::*;
@@ -58,6 +59,16 @@
     assert!(owner == "b" || owner == "d");
 }
 
+/// Every heartbeat of a peer that has a newer configuration used to begin a transfer of its own.
+#[test]
+fn begin_while_taken_refused_until_it_ends() {
+    let transfers = OneAtATime::default();
+    let first = transfers.begin().expect("a turn");
+    assert!(transfers.begin().is_none());
+    drop(first);
+    assert!(transfers.begin().is_some());
+}
+
 proptest! {
     /// Whatever the order of requests and repeats, nine instances together stay within what the site allows.
     #[test]
