Hold calls that come before configuration and endpoints are known

Ruled out: a longer Retry-After (callers cap it), asking sooner (the store was silent until 37.4 s).

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -15,7 +15,7 @@
 use super::inbound_call::Call;
 use super::node::{Gateway, Stage};
 use super::site_store::Subject;
-use super::{generation, plain_call};
+use super::{generation, held, plain_call};
 use crate::error::{Error, ErrorKind, Result};
 use crate::kernel::clock::millis;
 use crate::kernel::route::{CallKind, Route, RouteTable};
@@ -108,6 +108,7 @@
         request_id: head.request_id.clone(),
         error,
     };
+    held::hold(gateway, &head).await;
     let table = gateway
         .table()
         .ok_or_else(|| refused(gateway.not_ready()))?;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,7 +1,6 @@
 //! Keeps configuration, endpoints and members in step with the store: the newest records first, then whatever is added.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -158,7 +157,7 @@
     }
     note_regained(gateway);
     let changes = gateway.fleet.lock().take_whole(entries, gateway.now());
-    gateway.fleet_known.store(true, Ordering::Relaxed);
+    gateway.fleet_read();
     tell_changes(&changes);
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,12 +4,13 @@
 //! |---|---|
 //! | `app` | starts an instance and stops it as planned |
 //! | `node` | the state of an instance, in shards |
-//! //! | `site_store` | the platform's store, as a trait with plug-ins |
+//! | `site_store` | the platform's store, as a trait with plug-ins |
 //! | `shared_store`, `subject_cache` | the store, read directly or through other instances |
 //! | `follow` | keeps configuration, endpoints and members in step with the store |
 //! | `heartbeat` | which members live |
 //! | `listener` | connections of callers |
 //! | `inbound_call`, `answer_body` | a call on its way, and the body of its answer |
+//! | `held` | calls that come before anything is known
 //! | `caller` | from a caller's request to its answer |
 //! | `plain_call` | calls with one answer |
 //! | `generation`, `started`, `relay` | generations: placed, then passed on event by event, also when they move |
@@ -28,6 +29,7 @@
 pub(crate) mod follow;
 pub(crate) mod generation;
 pub(crate) mod heartbeat;
+pub(crate) mod held;
 pub(crate) mod inbound_call;
 pub(crate) mod ledgers;
 pub(crate) mod listener;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use uuid::Uuid;
 
+use super::held::HeldCalls;
 use super::ledgers::Ledgers;
 use super::runs::RunRegistry;
 use super::shared_store::{LiveMember, LiveMembers, SharedStore};
@@ -111,7 +112,7 @@
     table: RwLock<Option<Arc<RouteTable>>>,
     pub(crate) fleet: Mutex<Fleet>,
     /// Whether the list of endpoints was read once.
-    pub(crate) fleet_known: std::sync::atomic::AtomicBool,
+    fleet_known: std::sync::atomic::AtomicBool,
     pub(crate) members: Arc<Mutex<Members>>,
     /// The members that live, with what they can carry.
     pub(crate) live: Arc<LiveMembers>,
@@ -125,6 +126,7 @@
     /// Whether a configuration is being taken from a peer.
     pub(crate) catch_up: OneAtATime,
     pub(crate) in_flight: InFlight,
+    pub(crate) held: HeldCalls,
     /// When this instance ends at the latest; set when it is asked to stop.
     pub(crate) ends_at: Mutex<Option<Duration>>,
 }
@@ -205,6 +207,7 @@
             peers,
             catch_up: OneAtATime::default(),
             in_flight: InFlight::new(),
+            held: HeldCalls::default(),
             ends_at: Mutex::default(),
         }
     }
@@ -236,6 +239,7 @@
         let before = self.config_version();
         if self.put_in_force(RouteTable::new(config)) {
             info!("configuration in force", kv: { version:, before:, source });
+            self.release_held();
         }
     }
 
@@ -247,9 +251,24 @@
 
     /// Whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.in_flight.stage() == Stage::Serving
-            && self.table.read().is_some()
-            && self.fleet_known.load(Ordering::Relaxed)
+        self.in_flight.stage() == Stage::Serving && self.can_serve()
+    }
+
+    /// Whether configuration and endpoints are known.
+    pub(crate) fn can_serve(&self) -> bool {
+        self.table.read().is_some() && self.fleet_known.load(Ordering::Relaxed)
+    }
+
+    /// The list of endpoints was read.
+    pub(crate) fn fleet_read(&self) {
+        self.fleet_known.store(true, Ordering::Relaxed);
+        self.release_held();
+    }
+
+    fn release_held(&self) {
+        if self.can_serve() {
+            self.held.release();
+        }
     }
 
     /// Time until this instance ends, where it was asked to stop.
