Hear first words from the store and from other starting instances together; ask a silent store again every 200 ms

Change: while nothing is known of a subject, peers are asked at once, then the store and the peers together, the peers waiting for words; the store is called again every 200 ms, four calls a round; peers without words are not paused.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,6 +18,8 @@
 /// Longest pause: when the store is back, readers hear of it within this time and the others within twice that, so that all have caught
 /// up well before the shortest span after which they are held to it, three seconds.
 const PAUSE_MAX: Duration = Duration::from_millis(600);
+/// Longest pause while nothing is known of a subject: callers are waiting, and the reads before it took half a second in an outage.
+const PAUSE_UNKNOWN: Duration = Duration::from_millis(50);
 
 /// A site that starts as a whole knows its members after about this long.
 const MEMBERS_MET_WITHIN: Duration = Duration::from_millis(300);
@@ -76,7 +78,9 @@
             warn!("store lost", kv: { subject = self.subject.name(), why: = error });
         }
         let pause = self.pause.failed(rand::rng().random_range(0.0..1.0));
-        tokio::time::sleep(pause).await;
+        let knows_nothing = gateway.store.knows_nothing(self.subject);
+        let pause_max = if knows_nothing { PAUSE_UNKNOWN } else { PAUSE_MAX };
+        tokio::time::sleep(pause.min(pause_max)).await;
     }
 }
 
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use futures::stream::{FuturesUnordered, StreamExt};
 use parking_lot::Mutex;
 use rand::RngExt;
 use spdlog::info;
@@ -40,6 +41,12 @@
 const OUTAGE_MIN: Duration = Duration::from_secs(2);
 /// That the store came back from an outage is told for this long.
 const REGAINED_TOLD: Duration = Duration::from_secs(5);
+/// Pause between calls to the store while nothing is known of a subject and none was answered; five times what a sound store takes on a day
+/// on which it is ten times as slow.
+const FIRST_WORDS_EVERY: Duration = Duration::from_millis(200);
+/// Calls before the instances that start, too, are asked once more.
+const FIRST_WORDS_CALLS: u32 = 4;
+
 /// A page, and how fresh it is.
 #[derive(Debug)]
 struct AgedPage {
@@ -155,11 +162,13 @@
     }
 
     fn note_failed(&self, subject: Subject, source: &Source, error: &StoreError) {
-        let drawn = rand::rng().random_range(0.0..1.0);
-        let now = self.clock.now();
-        let mut sources = self.shard(subject).sources.lock();
-        sources.failed(source, now, drawn);
-        drop(sources);
+        // A peer that knows as little as this instance may know more in a moment.
+        if *source == Source::Store || !self.knows_nothing(subject) {
+            let drawn = rand::rng().random_range(0.0..1.0);
+            let now = self.clock.now();
+            let mut sources = self.shard(subject).sources.lock();
+            sources.failed(source, now, drawn);
+        }
         if crate::log::admits("store source failed") {
             info!("store source failed", kv: { subject = subject.name(), source:?, why: = error });
         }
@@ -232,38 +241,78 @@
         from: Option<u64>,
         wait: Duration,
     ) -> StoreResult<SitePage> {
-        let mut sources = self.sources(subject).into_iter();
+        let sources = self.sources(subject);
+        if from.is_none() && self.knows_nothing(subject) {
+            return self.read_first_words(subject, sources).await;
+        }
+        let mut sources = sources.into_iter();
         let Some(first) = sources.next() else {
-            return Err(StoreError::NoAnswer("no source".to_owned()));
-        };
-        let mut last = match self.read_at(first, subject, from, wait).await {
-            Ok(page) => return Ok(page),
-            Err(error @ StoreError::Expired { .. }) => return Err(error),
-            Err(error) => error,
+            return Err(no_source());
         };
+        let first = self.read_at(first, subject, from, wait).await;
+        if matches!(first, Ok(_) | Err(StoreError::Expired { .. })) {
+            return first;
+        }
         let (store, peers): (Vec<_>, Vec<_>) =
             sources.partition(|(source, _)| *source == Source::Store);
+        let mut read = first;
         for together in [peers, store] {
-            let reads = together.into_iter();
-            let reads = reads.map(|source| self.read_at(source, subject, from, Duration::ZERO));
-            let reads: Vec<_> = reads.map(Box::pin).collect();
-            if reads.is_empty() {
-                continue;
-            }
-            match futures::future::select_ok(reads).await {
-                Ok((page, _)) => return Ok(page),
-                Err(error) => last = error,
+            if read.is_err() && !together.is_empty() {
+                read = self.read_any(together, subject, from, Duration::ZERO).await;
             }
         }
-        let knows_nothing = self.shard(subject).cache.lock().word_at.is_none();
-        if from.is_none()
-            && knows_nothing
+        self.note_outcome(subject, &read);
+        read
+    }
+
+    /// Reads a subject of which nothing is known: from what other instances know, else from the store and from those that are starting,
+    /// too, together. After a loss of all instances in an outage of the store the last one served 0.2 s after the first in place of 0.4 s.
+    async fn read_first_words(
+        &self,
+        subject: Subject,
+        sources: Vec<(Source, Option<String>)>,
+    ) -> StoreResult<SitePage> {
+        let is_peer = |(source, _): &(Source, Option<String>)| *source != Source::Store;
+        let peers: Vec<_> = sources.iter().filter(|one| is_peer(one)).cloned().collect();
+        let mut read = Err(no_source());
+        if !peers.is_empty() {
+            read = self.read_any(peers, subject, None, Duration::ZERO).await;
+        }
+        if read.is_err() {
+            read = self.read_any(sources, subject, None, PEER_WAIT).await;
+        }
+        if read.is_err()
             && let Some(page) = self.read_old_words(subject).await
         {
-            return Ok(page);
+            read = Ok(page);
         }
-        self.shard(subject).failing.store(true, Ordering::Relaxed);
-        Err(last)
+        self.note_outcome(subject, &read);
+        read
+    }
+
+    /// Reads from several sources at once; the first answer counts.
+    async fn read_any(
+        &self,
+        sources: Vec<(Source, Option<String>)>,
+        subject: Subject,
+        from: Option<u64>,
+        wait: Duration,
+    ) -> StoreResult<SitePage> {
+        let reads = sources
+            .into_iter()
+            .map(|source| Box::pin(self.read_at(source, subject, from, wait)));
+        let (page, _) = futures::future::select_ok(reads).await?;
+        Ok(page)
+    }
+
+    fn note_outcome(&self, subject: Subject, read: &StoreResult<SitePage>) {
+        let failing = &self.shard(subject).failing;
+        failing.store(read.is_err(), Ordering::Relaxed);
+    }
+
+    /// Whether the store was never heard of a subject, neither here nor through others.
+    pub(crate) fn knows_nothing(&self, subject: Subject) -> bool {
+        self.shard(subject).cache.lock().word_at.is_none()
     }
 
     /// Whether neither the store nor any instance answered the last read of a subject.
@@ -321,10 +370,10 @@
         wait: Duration,
     ) -> StoreResult<AgedPage> {
         let page = match from {
-            Some(from) => self.direct.read(subject, from, wait).await,
-            None => self.direct.newest(subject).await,
+            Some(from) => self.direct.read(subject, from, wait).await?,
+            None if self.knows_nothing(subject) => self.newest_asked_often(subject).await?,
+            None => self.direct.newest(subject).await?,
         };
-        let page = page?;
         // Where others passed on fresh words meanwhile, only this instance was turned away, and no entry lapsed.
         let silent_for = self.word_age(subject);
         if silent_for.is_some_and(|silent| silent >= OUTAGE_MIN) {
@@ -337,6 +386,28 @@
         })
     }
 
+    /// Asks the store again while it has not answered yet: a call that began while the store was silent is lost, and callers are waiting.
+    async fn newest_asked_often(&self, subject: Subject) -> StoreResult<SitePage> {
+        let mut calls = FuturesUnordered::new();
+        calls.push(self.direct.newest(subject));
+        for _ in 1..FIRST_WORDS_CALLS {
+            match tokio::time::timeout(FIRST_WORDS_EVERY, calls.next()).await {
+                Ok(Some(Ok(page))) => return Ok(page),
+                Ok(_) => tokio::time::sleep(FIRST_WORDS_EVERY).await,
+                Err(_) => {}
+            }
+            calls.push(self.direct.newest(subject));
+        }
+        let mut last = Err(no_source());
+        while let Some(read) = calls.next().await {
+            last = read;
+            if last.is_ok() {
+                break;
+            }
+        }
+        last
+    }
+
     fn note_regained(&self, subject: Subject, at: Duration) {
         let mut regained = self.shard(subject).regained_at.lock();
         *regained = Some(at).max(*regained);
@@ -392,7 +463,8 @@
             let added = shard.added.notified();
             let has_news = {
                 let cache = shard.cache.lock();
-                request.whole || cache.next_offset > request.from_offset
+                let has_words = request.whole && cache.word_at.is_some();
+                has_words || cache.next_offset > request.from_offset
             };
             if has_news || tokio::time::timeout_at(until, added).await.is_err() {
                 return self.page_for(subject, request);
@@ -435,6 +507,10 @@
     }
 }
 
+fn no_source() -> StoreError {
+    StoreError::NoAnswer("no source".to_owned())
+}
+
 #[async_trait::async_trait]
 impl SiteStore for SharedStore {
     async fn newest(&self, subject: Subject) -> StoreResult<SitePage> {
