Count a call that is late against its endpoint before it has failed

Change: when an endpoint is drawn, each call in flight beyond the mean and four deviations of its service counts as a failure. An answer that ran into its caller's own deadline does not stretch the service's pace.

--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -200,8 +200,9 @@
     };
     let now = gateway.now();
     let weights: Vec<f64> = {
+        let late_after = gateway.pace(&call.service, ANSWER).late();
         let health = gateway.health.lock();
-        let weight = |entry: &EndpointEntry| health.weight(&entry.id, entry.slots, now);
+        let weight = |entry: &EndpointEntry| health.weight(&entry.id, entry.slots, late_after, now);
         candidates.iter().map(weight).collect()
     };
     let total: f64 = weights.iter().sum();
@@ -219,16 +220,19 @@
 struct HealthGuard<'a> {
     gateway: &'a Gateway,
     endpoint: &'a EndpointEntry,
+    begun: Duration,
     /// Whether the endpoint failed, where that is known.
     failed: Option<bool>,
 }
 
 impl<'a> HealthGuard<'a> {
     fn begin(gateway: &'a Gateway, endpoint: &'a EndpointEntry) -> Self {
-        gateway.health.lock().begin(&endpoint.id);
+        let begun = gateway.now();
+        gateway.health.lock().begin(&endpoint.id, begun);
         Self {
             gateway,
             endpoint,
+            begun,
             failed: None,
         }
     }
@@ -238,7 +242,7 @@
     fn drop(&mut self) {
         let now = self.gateway.now();
         let mut health = self.gateway.health.lock();
-        health.end(&self.endpoint.id, self.failed, now);
+        health.end(&self.endpoint.id, self.begun, self.failed, now);
     }
 }
 
@@ -278,6 +282,7 @@
     };
     attempts.sends += 1;
     let patience = patience(call, attempts);
+    let is_given_up = patience < call.time_left();
     let answered = tokio::time::timeout(patience, async {
         let answer = connection.send(request).await?;
         read_whole(gateway, &call.head.request_id, answer).await
@@ -292,7 +297,9 @@
         Ok(Err(SendFailure::Unsent(why))) => Attempt::NotRun(why),
         Ok(Err(SendFailure::MayHaveRun(why))) => Attempt::MayHaveRun(why),
         Err(_) => {
-            gateway.note_pace(&call.service, ANSWER, patience * LATE_TIMES);
+            if is_given_up {
+                gateway.note_pace(&call.service, ANSWER, patience * LATE_TIMES);
+            }
             Attempt::TimedOut
         }
     };
--- a/src/kernel/pace.rs
+++ b/src/kernel/pace.rs
@@ -42,13 +42,19 @@
         Duration::from_secs_f64((self.mean_s + DEVIATIONS_USUAL * self.deviation_s).max(0.0))
     }
 
+    /// Beyond this an answer is not expected any more.
+    #[must_use]
+    pub fn late(&self) -> Duration {
+        Duration::from_secs_f64((self.mean_s + DEVIATIONS_MAX * self.deviation_s).max(0.0))
+    }
+
     /// How long an answer is worth waiting for where another endpoint can be asked: until a repeat could only just meet the goal, of which
     /// this much is left, but never less than most answers take. Waiting for the mean and four deviations whatever the goal cost 0.015 of
     /// the credit of calls of which a seventh fails (quiet day, six seeds).
     #[must_use]
     pub fn patience(&self, goal_left: Duration) -> Duration {
         let usual_s = self.usual().as_secs_f64();
-        let most_s = self.mean_s + DEVIATIONS_MAX * self.deviation_s;
+        let most_s = self.late().as_secs_f64();
         let repeat_in_time_s = goal_left.as_secs_f64() - usual_s;
         Duration::from_secs_f64(repeat_in_time_s.clamp(usual_s, most_s.max(usual_s)))
     }
--- a/tests/kernel/site_rules.rs
+++ b/tests/kernel/site_rules.rs
@@ -111,27 +111,48 @@
     }
 }
 
+const LATE_AFTER: Duration = Duration::from_millis(200);
+
 #[test]
 fn weight_failing_endpoint_nearly_left_out_and_forgiven_in_time() {
     let mut health = EndpointHealth::default();
     let now = Duration::from_secs(10);
     for _ in 0..8 {
-        health.begin("grey");
-        health.end("grey", Some(true), now);
-        health.begin("sound");
-        health.end("sound", Some(false), now);
+        health.begin("grey", now);
+        health.end("grey", now, Some(true), now);
+        health.begin("sound", now);
+        health.end("sound", now, Some(false), now);
     }
-    assert!(health.weight("grey", 6, now) * 100.0 < health.weight("sound", 6, now));
+    let weight = |name, at| health.weight(name, 6, LATE_AFTER, at);
+    assert!(weight("grey", now) * 100.0 < weight("sound", now));
     let later = now + Duration::from_secs(15);
-    assert!(health.weight("grey", 6, later) * 2.0 > health.weight("sound", 6, later));
+    assert!(weight("grey", later) * 2.0 > weight("sound", later));
 }
 
 #[test]
 fn weight_load_of_this_instance_counts() {
     let mut health = EndpointHealth::default();
     for _ in 0..6 {
-        health.begin("busy");
+        health.begin("busy", Duration::ZERO);
     }
-    let now = Duration::ZERO;
-    assert!(health.weight("busy", 6, now) * 2.0 < health.weight("idle", 6, now));
+    let weight = |name| health.weight(name, 6, LATE_AFTER, Duration::ZERO);
+    assert!(weight("busy") * 2.0 < weight("idle"));
+}
+
+/// A server that hangs got calls until the first one's deadline had passed.
+#[test]
+fn weight_late_call_counts_before_it_has_failed() {
+    let mut health = EndpointHealth::default();
+    health.begin("hangs", Duration::ZERO);
+    health.begin("quick", Duration::ZERO);
+    health.end(
+        "quick",
+        Duration::ZERO,
+        Some(false),
+        Duration::from_millis(40),
+    );
+    health.begin("quick", Duration::from_millis(400));
+    let weight = |name, ms| health.weight(name, 6, LATE_AFTER, Duration::from_millis(ms));
+    assert!((weight("hangs", 100) - weight("quick", 100)).abs() < 1e-9);
+    assert!(weight("hangs", 401) * 5.0 < weight("quick", 401));
 }
