Have members that read in place of others go back to the readers

Change: a group counts as out of touch while its members are paused, not until they have answered. The test's second half fails without.

--- a/src/kernel/store_sources.rs
+++ b/src/kernel/store_sources.rs
@@ -77,11 +77,9 @@
             reads_itself |= group.contains(&own_name);
             let others = group.into_iter().filter(|name| *name != own_name);
             sources.extend(others.map(|name| Source::Peer(name.to_owned())));
-            let store_failed = !reads_itself || self.failed.contains_key(&Source::Store);
-            let all_failed = sources
-                .iter()
-                .all(|source| self.failed.contains_key(source));
-            if !(store_failed && all_failed) {
+            let store_paused = !reads_itself || self.is_paused(&Source::Store, now);
+            // Paused, not failed: a member that reads in place of others asks them again later.
+            if !(store_paused && sources.iter().all(|source| self.is_paused(source, now))) {
                 break;
             }
         }
--- a/tests/kernel/store_sources.rs
+++ b/tests/kernel/store_sources.rs
@@ -61,16 +61,22 @@
     let names: Vec<String> = (0..60).map(|number| format!("n{number}")).collect();
     let members: Vec<(&str, f64)> = names.iter().map(|name| (name.as_str(), 0.25)).collect();
     let readers = roles::readers_for("n0", &members);
-    let first_sources = members.iter().map(|(name, _)| {
-        let mut sources = StoreSources::new(name);
-        for reader in &readers {
-            let source = Source::Peer((*reader).to_owned());
-            sources.failed(&source, ms(0), 1.0);
-        }
-        sources.in_order(&members, ms(10)).remove(0)
-    });
-    let at_store = first_sources.filter(|source| *source == Source::Store);
-    assert_eq!(at_store.count(), 2 * readers.len());
+    let at_store = |at| {
+        let first_sources = members.iter().map(|(name, _)| {
+            let mut sources = StoreSources::new(name);
+            for reader in &readers {
+                let source = Source::Peer((*reader).to_owned());
+                sources.failed(&source, ms(0), 1.0);
+            }
+            sources.in_order(&members, at).remove(0)
+        });
+        first_sources
+            .filter(|source| *source == Source::Store)
+            .count()
+    };
+    assert_eq!(at_store(ms(10)), 2 * readers.len());
+    // Later the readers are asked again.
+    assert_eq!(at_store(ms(2_001)), readers.len());
 }
 
 #[test]
