--- a/src/bin/larkwick/controller.rs
+++ b/src/bin/larkwick/controller.rs
@@ -36,6 +36,7 @@
             let value = instance::get(&entries.entry, "/v1/entries").await?;
             print_value(&value, Format::of(entries.json));
         }
+        LarkwickCmd::Logs(logs) => crate::logs::run(logs)?,
         LarkwickCmd::Load(load) => crate::load::run(load).await?,
         LarkwickCmd::Key(key) => println!("{}", blake3::hash(key.key.as_bytes()).to_hex()),
     }
--- a/src/bin/larkwick/flags.rs
+++ b/src/bin/larkwick/flags.rs
@@ -14,6 +14,7 @@
     ///   larkwick check objects.jsonc
     ///   larkwick publish --platform 10.0.0.5:7000 objects.jsonc
     ///   larkwick status --operator 10.0.0.9:8001
+    ///   larkwick logs summary entry-*.log
     cmd larkwick {
         /// Check files of objects or settings.
         cmd check {
@@ -78,6 +79,27 @@
             /// Print JSON.
             optional --json
         }
+        /// Read the logs of instances that serve routes.
+        cmd logs {
+            /// How requests ended and why, by route.
+            cmd summary {
+                /// Log files; standard input where none is named.
+                repeated files: PathBuf
+                /// Leave out lines that are no log lines, and count them.
+                optional --skip-damaged
+                /// Print JSON.
+                optional --json
+            }
+            /// All lines of one request, in order of time.
+            cmd request {
+                /// Id of the request.
+                required id: String
+                /// Log files; standard input where none is named.
+                repeated files: PathBuf
+                /// Leave out lines that are no log lines, and count them.
+                optional --skip-damaged
+            }
+        }
         /// Drive load and measure it.
         cmd load {
             /// Drive an engine directly and through an entry, turn by turn.
--- a/src/bin/larkwick/main.rs
+++ b/src/bin/larkwick/main.rs
@@ -3,6 +3,7 @@
 mod controller;
 mod flags;
 mod load;
+mod logs;
 mod printer;
 
 use std::process::ExitCode;
--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -88,6 +88,6 @@
     }
     let begun = gateway.now();
     gateway.held.wait(most).await;
-    let held = gateway.now().saturating_sub(begun);
-    metrics::histogram!("larkwick_call_held_seconds").record(held.as_secs_f64());
+    let waited = gateway.now().saturating_sub(begun);
+    metrics::histogram!("larkwick_call_held_seconds").record(waited.as_secs_f64());
 }
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -4,4 +4,5 @@
 pub mod config;
 pub mod instance;
 pub mod load;
+pub mod logs;
 pub mod publish;
