Remove backups of running generations: worth nothing, and less in a crowd

Change: ledger, relay, moves, peer protocol (fields reserved) and stand-in lose them; a caller's own kv-backup is still taken off. Conclusion: removed.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -57,8 +57,6 @@
     pub account: Option<&'a str>,
     /// Rank at an engine.
     pub priority: Option<u8>,
-    /// Engine that gets a copy of the memory as it grows.
-    pub backup_at: Option<SocketAddr>,
     /// Copy from which a moved generation goes on.
     pub continue_from: Option<ContinueFrom<'a>>,
     /// The last event that the caller has, where the endpoint is to go on after it.
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -17,7 +17,7 @@
 use super::runs::NotTaken;
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::{
-    EngineEntry, EngineLedger, Granted, MoveOrder, MoveResult, ReportedRun, RunDemand,
+    EngineEntry, EngineLedger, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::roles;
@@ -78,7 +78,7 @@
     demand: &RunDemand,
     excluded: &[String],
     wait: Duration,
-) -> Option<Granted> {
+) -> Option<String> {
     let own_name = gateway.incarnation.name.clone();
     let Some(address) = owner_address(gateway, service) else {
         return place_here(gateway, service, demand, &own_name, excluded, wait).await;
@@ -111,7 +111,7 @@
     demand: &RunDemand,
     excluded: &[String],
     wait: Duration,
-) -> Result<Option<Granted>, tonic::Status> {
+) -> Result<Option<String>, tonic::Status> {
     let mut client = gateway.peers.site_at(address)?;
     let request = wire::PlaceRequest {
         service: service.to_owned(),
@@ -132,7 +132,7 @@
     entry: &str,
     excluded: &[String],
     wait: Duration,
-) -> Option<Granted> {
+) -> Option<String> {
     let shard = gateway.ledgers.shard(service);
     let now = gateway.now();
     let waiting = {
@@ -187,7 +187,6 @@
         memory_tokens: shape.memory_tokens,
         leaving,
         moves: shape.moves,
-        backups: shape.backups,
     }
 }
 
@@ -287,7 +286,6 @@
         run: order.run.clone(),
         source: order.source.clone(),
         target: order.target.clone(),
-        from_backup: order.from_backup,
     };
     let (result, reason) = if order.entry == gateway.incarnation.name {
         moves::move_run(&gateway, &request).await
@@ -299,7 +297,7 @@
     if crate::log::admits("move ended") {
         info!("move ended", kv: {
             request_id = order.run.as_str(), source = order.source.as_str(), target = order.target.as_str(),
-            from_backup: = order.from_backup, result:?, reason = reason.as_str(), took_ms:,
+            result:?, reason = reason.as_str(), took_ms:,
         });
     }
     metrics::counter!("larkwick_moves_total", "result" => format!("{result:?}")).increment(1);
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -21,7 +21,7 @@
 use super::upstream::{NoConnection, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
-use crate::kernel::engine_ledger::{Granted, RunDemand};
+use crate::kernel::engine_ledger::RunDemand;
 use crate::kernel::pace::Pace;
 use crate::platform::{engine, ingress};
 
@@ -160,11 +160,9 @@
             }
             Err(NotStarted::Unsent { why, dead }) => (why, dead),
         };
-        gateway
-            .runs
-            .note_not_taken(&call.service, &granted.endpoint, dead);
+        gateway.runs.note_not_taken(&call.service, &granted, dead);
         gateway.ledgers.changed.notify_one();
-        offers.excluded.push(granted.endpoint);
+        offers.excluded.push(granted);
         reason = why;
     }
     if let Some(begun) = failure {
@@ -213,11 +211,11 @@
     most.mul_f64(rand::rng().random_range(COME_BACK_SPREAD..1.0))
 }
 
-fn tell_placed(call: &Call, demand: &RunDemand, granted: &Granted) {
+fn tell_placed(call: &Call, demand: &RunDemand, granted: &str) {
     if crate::log::admits("generation placed") {
         info!("generation placed", kv: {
-            request_id = demand.run.as_str(), endpoint = granted.endpoint.as_str(),
-            backup:? = granted.backup, prompt_tokens: = demand.prompt_tokens,
+            request_id = demand.run.as_str(), endpoint = granted,
+            prompt_tokens: = demand.prompt_tokens,
             made_hint:? = demand.made_hint_tokens, waited_ms: = millis(call.age()),
         });
     }
@@ -226,18 +224,12 @@
 async fn offer(
     call: &Arc<Call>,
     demand: &RunDemand,
-    granted: &Granted,
+    granted: &str,
     last_event_id: Option<&str>,
     patience: Duration,
 ) -> Result<Begun, NotStarted> {
     let gateway = &call.gateway;
-    let (endpoint, backup) = {
-        let fleet = gateway.fleet.lock();
-        let endpoint = fleet.get(&granted.endpoint).cloned();
-        let backup = granted.backup.as_ref();
-        let backup = backup.and_then(|backup| fleet.get(backup).cloned());
-        (endpoint, backup)
-    };
+    let endpoint = gateway.fleet.lock().get(granted).cloned();
     let unsent = |why: &str| NotStarted::Unsent {
         why: why.to_owned(),
         dead: false,
@@ -249,7 +241,6 @@
         demand: demand.clone(),
         place: Mutex::new(RunPlace {
             endpoint: endpoint.clone(),
-            backup: backup.clone(),
         }),
         made_tokens: AtomicU32::new(0),
         commands: sender,
@@ -273,7 +264,6 @@
         time_left: call.time_left(),
         account: call.account.as_deref(),
         priority: None,
-        backup_at: backup.as_ref().map(|backup| backup.address),
         continue_from: None,
         last_event_id,
     };
--- a/src/gateway/ledgers.rs
+++ b/src/gateway/ledgers.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
-use crate::kernel::engine_ledger::{EngineLedger, EngineSummary, Granted, RunDemand};
+use crate::kernel::engine_ledger::{EngineLedger, EngineSummary, RunDemand};
 
 /// A generation that waits for room.
 pub(crate) struct Waiter {
@@ -16,7 +16,7 @@
     pub(crate) excluded: Vec<String>,
     pub(crate) until: Duration,
     pub(crate) arrived: Duration,
-    pub(crate) answer: oneshot::Sender<Option<Granted>>,
+    pub(crate) answer: oneshot::Sender<Option<String>>,
 }
 
 #[derive(Default)]
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -38,9 +38,6 @@
     if run.place.lock().endpoint.id != source.id {
         return (MoveResult::Failed, "it runs elsewhere".to_owned());
     }
-    if order.from_backup {
-        return go_on_from_backup(&run, &target);
-    }
     match copy(gateway, &run, &source, &target, false).await {
         Ok(Copied::Done(_)) => {}
         other => return not_copied(other),
@@ -50,19 +47,6 @@
     (MoveResult::Copied, String::new())
 }
 
-fn go_on_from_backup(run: &RunHandle, backup: &EndpointEntry) -> (MoveResult, String) {
-    send(
-        run,
-        RunCommand::Continue(Continuation {
-            target: backup.clone(),
-            copy_address: backup.address,
-            copy: run.demand.run.clone(),
-            source_stopped: false,
-        }),
-    );
-    (MoveResult::Copied, String::new())
-}
-
 async fn stop_and_copy(
     gateway: &Gateway,
     run: &RunHandle,
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -272,7 +272,6 @@
         time_left: call.time_left(),
         account: call.account.as_deref(),
         priority: None,
-        backup_at: None,
         continue_from: None,
         last_event_id: None,
     };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -29,9 +29,6 @@
 const CLOSE_PATIENCE: Duration = Duration::from_millis(120);
 /// Longest wait for the first event after a move.
 const RESUME_PATIENCE: Duration = Duration::from_millis(2_500);
-/// A generation with a backup whose engine says nothing for this long goes on from the backup. Engines under load make an event in
-/// 60 ms; a preempted generation is silent for up to a second.
-const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 
 /// A generation goes back to an engine that stopped it for this long after the engine was heard to leave. Two seconds are allowed from
 /// when the first instance heard of it; the others hear within half a second.
@@ -140,12 +137,9 @@
         let Some(source) = &mut self.source else {
             return Step::Broken("no source".to_owned());
         };
-        let has_backup = self.handle.run.place.lock().backup.is_some();
         let left = self.call.time_left();
         let patience = if self.pending.is_some() {
             CLOSE_PATIENCE
-        } else if has_backup && self.events > 0 && !self.stopping {
-            left.min(SILENCE_MAX)
         } else {
             left
         };
@@ -238,7 +232,7 @@
         }
     }
 
-    /// The source broke off: the place to go on is about to be known, or there is a backup, or it is the end.
+    /// The source broke off: the place to go on is about to be known, or it may begin anew, or it is the end.
     async fn after_break(&mut self, why: String) -> Step {
         self.source = None;
         if let Some(continuation) = self.pending.take() {
@@ -254,18 +248,10 @@
                 Ok(Some(RunCommand::NotStopped) | None) | Err(_) => self.stopping = false,
             }
         }
-        let backup = self.handle.run.place.lock().backup.clone();
-        match backup {
-            Some(backup) if self.events > 0 && self.takes_work(&backup) => {
-                Step::Continue(Continuation {
-                    copy_address: backup.address,
-                    copy: self.handle.run.demand.run.clone(),
-                    target: backup,
-                    source_stopped: false,
-                })
-            }
-            _ if generation::may_begin_anew(&self.call, &self.offers) => Step::BeginAnew(why),
-            _ => Step::Broken(why),
+        if generation::may_begin_anew(&self.call, &self.offers) {
+            Step::BeginAnew(why)
+        } else {
+            Step::Broken(why)
         }
     }
 
@@ -318,10 +304,6 @@
         })
     }
 
-    fn takes_work(&self, endpoint: &EndpointEntry) -> bool {
-        self.call.gateway.fleet.lock().takes_work(&endpoint.id)
-    }
-
     /// Goes on at another engine; where that one refuses, at the one that stopped it, which still has its memory.
     async fn go_on(&mut self, continuation: Continuation) -> Result<(), String> {
         self.stopping = false;
@@ -348,7 +330,6 @@
         {
             let mut place = self.handle.run.place.lock();
             place.endpoint = target;
-            place.backup = None;
         }
         self.call.gateway.ledgers.changed.notify_one();
         self.source = Some(Source::new(answer));
@@ -385,7 +366,6 @@
             time_left: call.time_left(),
             account: call.account.as_deref(),
             priority: None,
-            backup_at: None,
             continue_from: Some(ContinueFrom {
                 copy_address: continuation.copy_address,
                 copy: &continuation.copy,
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -39,8 +39,6 @@
 pub(crate) struct RunPlace {
     /// Engine that runs it.
     pub(crate) endpoint: EndpointEntry,
-    /// Engine that has a copy of its memory.
-    pub(crate) backup: Option<EndpointEntry>,
 }
 
 /// A generation served here.
@@ -59,7 +57,6 @@
         ReportedRun {
             demand: self.demand.clone(),
             endpoint: place.endpoint.id.clone(),
-            backup: place.backup.as_ref().map(|backup| backup.id.clone()),
             made_tokens: self.made_tokens.load(Ordering::Relaxed),
         }
     }
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -16,10 +16,6 @@
 const NEW_RUN_FILL_MAX: f64 = 0.90;
 /// Share that a moved generation may fill.
 const MOVED_RUN_FILL_MAX: f64 = 0.97;
-/// Share up to which an engine takes copies of memory that may never be used.
-const BACKUP_FILL_MAX: f64 = 0.80;
-/// Generations of one engine without a backup: about what its link can copy elsewhere between notice and end.
-const MOVABLE_RUNS: usize = 9;
 /// A grant that no report has confirmed is dropped after this time.
 const GRANT_KEPT: Duration = Duration::from_millis(1_500);
 /// An entry that has not reported for this long is gone, and with it its connections.
@@ -72,8 +68,6 @@
     pub leaving: bool,
     /// Whether generations can be moved off it.
     pub moves: bool,
-    /// Whether it can send copies of memory as it grows.
-    pub backups: bool,
 }
 
 /// A generation as an entry reports it.
@@ -83,8 +77,6 @@
     pub demand: RunDemand,
     /// Engine that runs it.
     pub endpoint: String,
-    /// Engine that has a copy of its memory.
-    pub backup: Option<String>,
     /// Tokens made.
     pub made_tokens: u32,
 }
@@ -103,15 +95,6 @@
     next_move_at: Duration,
 }
 
-/// Where a generation may run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Granted {
-    /// Engine that runs it.
-    pub endpoint: String,
-    /// Engine that gets a copy of its memory as it grows.
-    pub backup: Option<String>,
-}
-
 /// A move that the entry of a generation is to carry out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MoveOrder {
@@ -123,8 +106,6 @@
     pub source: String,
     /// Engine on which it goes on.
     pub target: String,
-    /// Whether the target has a copy of its memory already.
-    pub from_backup: bool,
 }
 
 /// How a move ended.
@@ -155,8 +136,6 @@
     unread_tokens: f64,
     /// Generations and copies.
     places: u32,
-    /// Generations that run there and have no backup.
-    unbacked: usize,
 }
 
 /// The engines of one service.
@@ -238,12 +217,10 @@
             let engine = held.entry(&reported.endpoint).or_default();
             engine.tokens += reported.predicted();
             engine.places += 1;
-            engine.unbacked += usize::from(reported.backup.is_none());
             if reported.made_tokens == 0 {
                 engine.unread_tokens += f64::from(reported.demand.prompt_tokens);
             }
-            let copies = reported.backup.iter().chain(&run.moving_to);
-            for target in copies.collect::<BTreeSet<_>>() {
+            if let Some(target) = &run.moving_to {
                 let target = held.entry(target).or_default();
                 target.tokens += reported.predicted();
                 target.places += 1;
@@ -252,18 +229,17 @@
         held
     }
 
-    /// Finds an engine for a new generation.
+    /// Finds an engine for a new generation; gives the id of the engine.
     pub fn place(
         &mut self,
         demand: &RunDemand,
         entry: &str,
         excluded: &[String],
         now: Duration,
-    ) -> Option<Granted> {
+    ) -> Option<String> {
         let new = ReportedRun {
             demand: demand.clone(),
             endpoint: String::new(),
-            backup: None,
             made_tokens: 0,
         };
         let held = self.held_by_engine();
@@ -282,16 +258,9 @@
             Some((score, engine))
         });
         let (_, chosen) = fits.min_by(|one, other| one.0.total_cmp(&other.0))?;
-        let unbacked = held.get(chosen.id.as_str()).map_or(0, |held| held.unbacked);
-        let wants_backup = chosen.backups && unbacked >= MOVABLE_RUNS && !new.ends_soon();
-        let backup = wants_backup.then(|| self.backup_for(&new, chosen, &held, now));
-        let granted = Granted {
-            endpoint: chosen.id.clone(),
-            backup: backup.flatten(),
-        };
+        let granted = chosen.id.clone();
         let reported = ReportedRun {
-            endpoint: granted.endpoint.clone(),
-            backup: granted.backup.clone(),
+            endpoint: granted.clone(),
             ..new
         };
         self.runs.insert(
@@ -308,16 +277,6 @@
         Some(granted)
     }
 
-    fn backup_for(
-        &self,
-        run: &ReportedRun,
-        source: &EngineEntry,
-        held: &BTreeMap<&str, Held>,
-        now: Duration,
-    ) -> Option<String> {
-        self.best_target(run, source, held, BACKUP_FILL_MAX, &BTreeSet::new(), now)
-    }
-
     /// The engine with most room for a generation of another one; inside the hall before elsewhere.
     fn best_target(
         &self,
@@ -421,7 +380,6 @@
                 busy.insert(run.reported.endpoint.clone());
             }
         }
-        orders.extend(self.backup_switches(now));
         let leaving: Vec<EngineEntry> = self
             .engines
             .values()
@@ -442,31 +400,6 @@
         orders
     }
 
-    /// Generations on engines that leave whose memory is elsewhere already.
-    fn backup_switches(&mut self, now: Duration) -> Vec<MoveOrder> {
-        let switches: Vec<MoveOrder> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.moving_to.is_none() && now >= run.next_move_at)
-            .filter(|(_, run)| run.reported.made_tokens > 0 && !run.reported.ends_soon())
-            .filter(|(_, run)| self.is_leaving(&run.reported.endpoint))
-            .filter_map(|(name, run)| {
-                let backup = run.reported.backup.clone()?;
-                (!self.is_leaving(&backup)).then(|| MoveOrder {
-                    run: name.clone(),
-                    entry: run.entry.clone(),
-                    source: run.reported.endpoint.clone(),
-                    target: backup,
-                    from_backup: true,
-                })
-            })
-            .collect();
-        for order in &switches {
-            self.mark_moving(order);
-        }
-        switches
-    }
-
     fn mark_moving(&mut self, order: &MoveOrder) {
         if let Some(run) = self.runs.get_mut(&order.run) {
             run.moving_to = Some(order.target.clone());
@@ -488,12 +421,7 @@
                 && run.reported.made_tokens > 0
                 && now >= run.next_move_at
         });
-        let mut candidates: Vec<&Run> = on_source
-            .filter(|run| {
-                let backup = run.reported.backup.as_deref();
-                backup.is_none_or(|backup| self.is_leaving(backup))
-            })
-            .collect();
+        let mut candidates: Vec<&Run> = on_source.collect();
         let worth = |run: &Run| {
             let demand = &run.reported.demand;
             let size = f64::from(demand.prompt_tokens) + 10.0 * demand.expected_made();
@@ -513,7 +441,6 @@
                 entry: run.entry.clone(),
                 source: source.id.clone(),
                 target,
-                from_backup: false,
             })
         })
     }
@@ -529,7 +456,6 @@
         };
         if result == MoveResult::Copied {
             run.reported.endpoint.clone_from(&order.target);
-            run.reported.backup = None;
         }
         run.moving_to = None;
         run.next_move_at = now + MOVE_PAUSE;
--- a/src/kernel/route.rs
+++ b/src/kernel/route.rs
@@ -82,8 +82,6 @@
     pub link_mbps: f64,
     /// Whether running generations can be moved.
     pub moves: bool,
-    /// Whether a running generation's memory can be copied to a second engine as it grows.
-    pub backups: bool,
     /// Tokens in one event.
     pub event_tokens: u32,
     /// How long an unused copy is kept.
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -6,7 +6,7 @@
 
 use super::generated as wire;
 use crate::kernel::clock::millis;
-use crate::kernel::engine_ledger::{Granted, MoveResult, ReportedRun, RunDemand};
+use crate::kernel::engine_ledger::{MoveResult, ReportedRun, RunDemand};
 use crate::kernel::group::ReserveRequest;
 use crate::kernel::membership::{Incarnation, PeerStatus, Suspicion};
 
@@ -173,7 +173,6 @@
         Self {
             demand: Some((&run.demand).into()),
             endpoint: run.endpoint.clone(),
-            backup: run.backup.clone().unwrap_or_default(),
             made_tokens: run.made_tokens,
         }
     }
@@ -186,28 +185,20 @@
         Ok(Self {
             demand: message.demand.ok_or(BadField("demand"))?.into(),
             endpoint: message.endpoint,
-            backup: non_empty(message.backup),
             made_tokens: message.made_tokens,
         })
     }
 }
 
 /// Reads the owner's answer; nothing where there is no room.
-pub(crate) fn granted(reply: wire::PlaceReply) -> Option<Granted> {
-    Some(Granted {
-        endpoint: non_empty(reply.endpoint)?,
-        backup: non_empty(reply.backup),
-    })
+pub(crate) fn granted(reply: wire::PlaceReply) -> Option<String> {
+    non_empty(reply.endpoint)
 }
 
 /// The owner's answer.
-pub(crate) fn place_reply(granted: Option<Granted>) -> wire::PlaceReply {
-    let Some(granted) = granted else {
-        return wire::PlaceReply::default();
-    };
+pub(crate) fn place_reply(granted: Option<String>) -> wire::PlaceReply {
     wire::PlaceReply {
-        endpoint: granted.endpoint,
-        backup: granted.backup.unwrap_or_default(),
+        endpoint: granted.unwrap_or_default(),
     }
 }
 
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -217,9 +217,6 @@
     /// Empty where there is no room.
     #[prost(string, tag = "1")]
     pub endpoint: ::prost::alloc::string::String,
-    /// Engine that should get a copy of the memory as it grows; may be empty.
-    #[prost(string, tag = "2")]
-    pub backup: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Run {
@@ -227,8 +224,6 @@
     pub demand: ::core::option::Option<Demand>,
     #[prost(string, tag = "2")]
     pub endpoint: ::prost::alloc::string::String,
-    #[prost(string, tag = "3")]
-    pub backup: ::prost::alloc::string::String,
     #[prost(uint32, tag = "4")]
     pub made_tokens: u32,
 }
@@ -259,9 +254,6 @@
     pub source: ::prost::alloc::string::String,
     #[prost(string, tag = "4")]
     pub target: ::prost::alloc::string::String,
-    /// Go on from the copy that the target already has.
-    #[prost(bool, tag = "5")]
-    pub from_backup: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MoveRunReply {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -72,9 +72,6 @@
     if let Some(priority) = send.priority {
         headers.insert(names::PRIORITY, HeaderValue::from(u16::from(priority)));
     }
-    if let Some(address) = send.backup_at {
-        headers.insert(names::BACKUP_AT, header(&address.to_string()));
-    }
     if let Some(from) = &send.continue_from {
         let source = format!("{}/{}", from.copy_address, from.copy);
         headers.insert(names::CONTINUE_FROM, header(&source));
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -47,7 +47,7 @@
     FETCH_FROM = "kv-fetch";
     /// Copy from which a moved generation goes on.
     CONTINUE_FROM = "kv-from";
-    /// Engine that gets a copy of the memory as it grows.
+    /// Engine that gets a copy of the memory as it grows; larkwick asks for none.
     BACKUP_AT = "kv-backup";
 }
 
--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -78,8 +78,6 @@
     link_mbps: f64,
     #[serde(default)]
     moves: bool,
-    #[serde(default)]
-    backups: bool,
     /// Tokens in one event.
     #[serde(default = "one")]
     stride: u32,
@@ -182,7 +180,6 @@
         token_bytes: engine.token_kv_bytes,
         link_mbps: engine.link_mbps,
         moves: engine.moves,
-        backups: engine.backups,
         event_tokens: engine.stride.max(1),
         copy_kept: Duration::from_secs_f64(engine.handle_s.unwrap_or(COPY_KEPT_S).max(0.0)),
     });
