--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -84,6 +84,34 @@
     Failed(Error),
 }
 
+impl NotStarted {
+    fn why(&self) -> String {
+        match self {
+            Self::Refused(why) | Self::Unsent { why, .. } => why.clone(),
+            Self::Answered(begun) => format!("engine answered {}", begun.source.answer.head.status),
+            Self::Lost(error) | Self::Failed(error) => error.message.clone(),
+        }
+    }
+
+    /// Whether nobody listens at the engine's address.
+    fn is_dead(&self) -> bool {
+        matches!(self, Self::Unsent { dead: true, .. })
+    }
+}
+
+impl Offers {
+    /// Counts what an offer has cost: a request that reached an engine, and a run where there may have been one.
+    fn count(&mut self, offered: &Result<Begun, NotStarted>) {
+        let (sent, may_have_run) = match offered {
+            Ok(_) | Err(NotStarted::Answered(_) | NotStarted::Lost(_)) => (1, 1),
+            Err(NotStarted::Refused(_)) => (1, 0),
+            Err(NotStarted::Unsent { .. } | NotStarted::Failed(_)) => (0, 0),
+        };
+        self.sends += sent;
+        self.runs += may_have_run;
+    }
+}
+
 async fn start(call: &Arc<Call>) -> Result<Started, Error> {
     let last_event_id = last_event_id(call);
     start_after(call, Offers::default(), last_event_id).await
@@ -111,8 +139,7 @@
     let gateway = &call.gateway;
     let demand = demand(call);
     let mut reason = String::new();
-    let mut lost = None;
-    let mut failure = None;
+    let mut tries = FailedTries::default();
     for _ in 0..OFFERS_MAX {
         if offers.sends > 0 && !gateway.take_retry(&call.service) {
             reason.push_str("; retry budget spent");
@@ -127,49 +154,62 @@
         };
         tell_placed(call, &demand, &granted);
         let patience = patience(call, &offers);
-        let (why, dead) = match offer(call, &demand, &granted, last_event_id, patience).await {
-            Ok(begun) => {
-                offers.sends += 1;
-                offers.runs += 1;
-                return Ok(begun.started(offers));
-            }
-            Err(NotStarted::Failed(error)) => return Err(error),
-            Err(NotStarted::Lost(error)) => {
-                offers.sends += 1;
-                offers.runs += 1;
-                if !may_begin_anew(call, &offers) {
-                    return Err(error);
-                }
-                let why = error.message.clone();
-                lost = Some(error);
-                (why, false)
-            }
-            Err(NotStarted::Answered(begun)) => {
-                offers.sends += 1;
-                offers.runs += 1;
-                let why = format!("engine answered {}", begun.source.answer.head.status);
-                if !may_begin_anew(call, &offers) {
-                    return Ok(begun.started(offers));
-                }
-                failure = Some(begun);
-                (why, false)
-            }
-            Err(NotStarted::Refused(why)) => {
-                offers.sends += 1;
-                (why, false)
-            }
-            Err(NotStarted::Unsent { why, dead }) => (why, dead),
+        let offered = offer(call, &demand, &granted, last_event_id, patience).await;
+        offers.count(&offered);
+        let not_started = match offered {
+            Ok(begun) => return Ok(begun.started(offers)),
+            Err(not_started) => not_started,
         };
-        gateway.runs.note_not_taken(&call.service, &granted, dead);
+        reason = not_started.why();
+        let is_dead = not_started.is_dead();
+        if tries.is_final(call, &offers, not_started) {
+            break;
+        }
+        gateway
+            .runs
+            .note_not_taken(&call.service, &granted, is_dead);
         gateway.ledgers.changed.notify_one();
         offers.excluded.push(granted);
-        reason = why;
     }
-    if let Some(begun) = failure {
-        return Ok(begun.started(offers));
+    tries.outcome(call, offers, &reason)
+}
+
+/// What to answer where no engine begins: the truth about all engines that may have run the generation.
+#[derive(Default)]
+struct FailedTries {
+    /// A failure that an engine answered with.
+    answered: Option<Box<Begun>>,
+    /// An engine may have run it, or it cannot be sent at all.
+    error: Option<Error>,
+}
+
+impl FailedTries {
+    /// Keeps what a try leaves to tell the caller; gives whether no other engine may be asked.
+    fn is_final(&mut self, call: &Call, offers: &Offers, not_started: NotStarted) -> bool {
+        match not_started {
+            NotStarted::Refused(_) | NotStarted::Unsent { .. } => false,
+            NotStarted::Answered(begun) => {
+                self.answered = Some(begun);
+                !may_begin_anew(call, offers)
+            }
+            NotStarted::Lost(error) => {
+                self.error = Some(error);
+                !may_begin_anew(call, offers)
+            }
+            NotStarted::Failed(error) => {
+                self.error = Some(error);
+                true
+            }
+        }
+    }
+
+    fn outcome(self, call: &Call, offers: Offers, reason: &str) -> Result<Started, Error> {
+        if let Some(begun) = self.answered {
+            return Ok(begun.started(offers));
+        }
+        // Once an engine may have run it, no later refusal makes it "not run".
+        Err(self.error.unwrap_or_else(|| no_room(call, reason)))
     }
-    // Once an engine may have run it, no later refusal makes it "not run".
-    Err(lost.unwrap_or_else(|| no_room(call, &reason)))
 }
 
 /// How long room is waited for: as long as the first event can still come within the goal; a generation that has begun, until it can just
