Take a site's allowance of repeats also where it is not a whole number

Cause: at a part of a deployment the platform fills in 33.157..., and the settings wanted a whole number: no instance started (exit 1). Ruled out: the other numeric settings that the platform fills in (cores, link, shares, seconds) are fractions already; the time for which the directory's answer holds is ours. Change: retry_slack is a number that is not negative, checked.

--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -37,8 +37,8 @@
 pub struct RetryAllowance {
     /// Share of the requests, from 0 to 1.
     pub share: f64,
-    /// On top of that, in each window.
-    pub slack: u32,
+    /// On top of that, in each window; not a whole number where a deployment is a part of another one.
+    pub slack: f64,
 }
 
 impl RetryAllowance {
@@ -50,7 +50,7 @@
             let duration = Duration::try_from_secs_f64(retries.max(0.0)).unwrap_or_default();
             crate::kernel::clock::millis(duration)
         };
-        let balance_max_milli = milli(f64::from(self.slack) * ALLOWANCE_USED / instances);
+        let balance_max_milli = milli(self.slack * ALLOWANCE_USED / instances);
         RetryBudget {
             balance_milli: balance_max_milli,
             balance_max_milli,
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -38,7 +38,7 @@
     /// Repeats that the site allows, as a share of the requests.
     pub retry_share: f64,
     /// Repeats that the site allows on top of that, in all instances together.
-    pub retry_slack: u32,
+    pub retry_slack: f64,
     /// Longest time that a call is held which comes before configuration and endpoints are known.
     #[serde(default = "default_hold_max_ms")]
     pub hold_max_ms: u64,
@@ -78,6 +78,9 @@
         if !(0.0..=1.0).contains(&self.retry_share) {
             return fault("retry_share", "a number from 0 to 1");
         }
+        if !(self.retry_slack >= 0.0 && self.retry_slack.is_finite()) {
+            return fault("retry_slack", "a number that is not negative");
+        }
         if !(1.0..=3_600.0).contains(&self.stop_within_s) {
             return fault("stop_within_s", "a number from 1 to 3600");
         }
