--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -221,10 +221,7 @@
 /// Writes this instance's own entry, until the store has taken it.
 async fn announce(gateway: Arc<Gateway>) {
     let entry = gateway.member_entry();
-    gateway
-        .member_entries
-        .lock()
-        .insert(entry.name.clone(), entry.clone());
+    gateway.take_member_entry(entry.clone());
     let mut pause = Backoff::new(ANNOUNCE_PAUSE, ANNOUNCE_PAUSE_MAX);
     while let Err(error) = gateway.store.announce(&entry).await {
         warn!("own entry not written", kv: { why: = error });
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -20,7 +20,6 @@
     EngineEntry, EngineLedger, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
 use crate::kernel::fleet::EndpointEntry;
-use crate::kernel::roles;
 use crate::kernel::route::EngineShape;
 use crate::peer::client::within;
 use crate::peer::convert;
@@ -43,19 +42,13 @@
 
 /// Peer address of the owner of a service's engines; nothing where it is this instance.
 fn owner_address(gateway: &Gateway, service: &str) -> Option<String> {
-    let own_name = &gateway.incarnation.name;
-    let mut live = (gateway.live)();
-    if gateway.in_flight.stage() == Stage::Leaving {
-        live.remove(own_name);
-    }
-    let members: Vec<(&str, f64)> = live
-        .iter()
-        .map(|(name, member)| (name.as_str(), member.capacity_cores))
-        .collect();
-    let owner = roles::owner(service, &members)?;
-    let is_other = owner != own_name;
-    let address = live.get(owner).map(|member| member.peer_address.clone());
-    address.filter(|_| is_other)
+    let live = gateway.live.view();
+    let owner = match gateway.in_flight.stage() {
+        Stage::Leaving => live.owner_among_others(service),
+        Stage::Serving => live.owner(service),
+    }?;
+    let is_other = owner.name != gateway.incarnation.name;
+    is_other.then(|| owner.peer_address.clone())
 }
 
 /// Engines that this instance owns and that run generations and are not known to leave.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -236,10 +236,7 @@
         .members
         .lock()
         .listed(&[Listed { status }], own_name, now);
-    gateway
-        .member_entries
-        .lock()
-        .insert(entry.name.clone(), entry);
+    gateway.take_member_entry(entry);
 }
 
 /// Logs what changed in the fleet.
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -1,10 +1,8 @@
 //! Heartbeats between instances: who lives, and who has a newer configuration.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use spdlog::{info, warn};
 
 use super::catch_up;
@@ -19,6 +17,12 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Peers told in each round besides those watched; at a small site all are told.
 const FANOUT: usize = 2;
+/// How long these stay the same: each one is a connection, and every instance would in time hold one to every other.
+const FANOUT_KEPT: Duration = Duration::from_secs(20);
+
+/// A connection to a peer that was not used for this long is closed: with 295 members, memory at its peak was 31.6 MB an instance while all
+/// connections were kept.
+const CONNECTIONS_SWEPT_EVERY: Duration = Duration::from_secs(5);
 
 /// Departures are passed on for this long.
 const DEPARTURES_PASSED_ON: Duration = Duration::from_secs(15);
@@ -54,16 +58,24 @@
     let address = status.peer_address.clone();
     let name = status.incarnation.name.clone();
     let now = gateway.now();
-    let was_live = is_live(gateway, &name);
-    {
+    let (was_live, lives, departures) = {
         let mut members = gateway.members.lock();
+        let was_live = members.is_live(&name, MEMBER_RING, now);
         members.heard(status, now);
         members.take_suspicions(&suspicions, now);
-        for incarnation in &departed {
-            members.departures.record(incarnation, now);
-        }
+        let departed = departed.iter();
+        let news = departed.filter(|gone| members.departures.record(gone, now));
+        let departures = news.count();
+        (
+            was_live,
+            members.is_live(&name, MEMBER_RING, now),
+            departures,
+        )
+    };
+    if was_live != lives || departures > 0 {
+        gateway.live.note_changed();
     }
-    if !was_live && is_live(gateway, &name) {
+    if !was_live && lives {
         info!("member lives", kv: { member = name.as_str() });
     }
     if peer_version > gateway.config_version() {
@@ -72,18 +84,12 @@
     Ok(())
 }
 
-fn is_live(gateway: &Gateway, name: &str) -> bool {
-    let members = gateway.members.lock();
-    let mut live = members.live(MEMBER_RING, gateway.now());
-    live.any(|peer| peer.status.incarnation.name == name)
-}
-
-async fn beat(gateway: Arc<Gateway>, address: String) {
+async fn beat(gateway: Arc<Gateway>, address: String, own: wire::Beat) {
     let Ok(mut client) = gateway.peers.site_at(&address) else {
         return;
     };
     // A peer that does not answer shows by its silence.
-    if let Ok(reply) = within(CALL_TIMEOUT, client.heartbeat(own_beat(&gateway))).await
+    if let Ok(reply) = within(CALL_TIMEOUT, client.heartbeat(own)).await
         && let Err(bad) = take_beat(&gateway, reply)
     {
         warn!("heartbeat not read: {}", bad);
@@ -105,28 +111,29 @@
     }
     let watched = members.watched(&gateway.incarnation.name, MEMBER_RING);
     let watched = watched.iter().filter_map(|name| members.get(name));
-    let others = members.all().sample(&mut rand::rng(), FANOUT);
-    watched.chain(others).map(address).collect()
+    let turn = gateway.now().as_secs() / FANOUT_KEPT.as_secs();
+    let distant = members.distant(&gateway.incarnation.name, turn, FANOUT);
+    watched.chain(distant).map(address).collect()
 }
 
 /// Sends heartbeats now.
 pub(crate) fn beat_round(gateway: &Arc<Gateway>) {
+    let own = own_beat(gateway);
     for address in told(gateway) {
-        tokio::spawn(beat(gateway.clone(), address));
+        tokio::spawn(beat(gateway.clone(), address, own.clone()));
     }
-    let known: BTreeSet<String> = {
-        let members = gateway.members.lock();
-        let all = members.all();
-        all.map(|peer| peer.status.peer_address.clone()).collect()
-    };
-    gateway.peers.retain(|address| known.contains(address));
 }
 
 /// Sends heartbeats for the life of the instance.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let every = ms(gateway.settings.times.heartbeat_ms);
+    let mut swept_at = gateway.now();
     loop {
         beat_round(&gateway);
+        if gateway.now().saturating_sub(swept_at) >= CONNECTIONS_SWEPT_EVERY {
+            gateway.peers.drop_unused();
+            swept_at = gateway.now();
+        }
         tokio::time::sleep(every).await;
     }
 }
--- /dev/null
+++ b/src/gateway/live_members.rs
@@ -0,0 +1,111 @@
+//! The view of the members that live, kept until it changes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use super::node::MEMBER_RING;
+use super::site_store::MemberEntry;
+use crate::kernel::clock::Clock;
+use crate::kernel::live_view::{LiveMember, LiveView};
+use crate::kernel::membership::Members;
+
+/// How long a view is believed without a look at the members: little beside the 2.5 s after which a silent member counts as gone.
+const VIEW_KEPT: Duration = Duration::from_millis(100);
+/// What a member carries whose entry was not read yet, in cores: little, so that roles fall to others.
+const UNKNOWN_CORES: f64 = 0.01;
+
+/// The view in use, and when the members were last looked at for it.
+struct Current {
+    view: Arc<LiveView>,
+    looked_at: Option<Duration>,
+}
+
+/// The members that live, this instance included.
+pub(crate) struct LiveMembers {
+    own_name: String,
+    own_peer_address: String,
+    members: Arc<Mutex<Members>>,
+    entries: Arc<Mutex<HashMap<String, MemberEntry>>>,
+    clock: Arc<dyn Clock>,
+    current: Mutex<Current>,
+    /// Whether something changed since the members were last looked at.
+    changed: AtomicBool,
+}
+
+impl LiveMembers {
+    /// Follows the members of an instance.
+    pub(crate) fn new(
+        own_name: &str,
+        own_peer_address: String,
+        members: Arc<Mutex<Members>>,
+        entries: Arc<Mutex<HashMap<String, MemberEntry>>>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let view = Arc::new(LiveView::new(own_name, Vec::new()));
+        let current = Current {
+            view,
+            looked_at: None,
+        };
+        Self {
+            own_name: own_name.to_owned(),
+            own_peer_address,
+            members,
+            entries,
+            clock,
+            current: Mutex::new(current),
+            changed: AtomicBool::new(true),
+        }
+    }
+
+    /// A member was heard or listed anew, or is leaving: the next view is made from a fresh look.
+    pub(crate) fn note_changed(&self) {
+        self.changed.store(true, Ordering::Relaxed);
+    }
+
+    /// The view as of now. The same one for as long as the same members live.
+    pub(crate) fn view(&self) -> Arc<LiveView> {
+        let now = self.clock.now();
+        let mut current = self.current.lock();
+        let age = current.looked_at.map(|at| now.saturating_sub(at));
+        let is_fresh = age.is_some_and(|age| age < VIEW_KEPT);
+        if is_fresh && !self.changed.swap(false, Ordering::Relaxed) {
+            return current.view.clone();
+        }
+        self.changed.store(false, Ordering::Relaxed);
+        current.looked_at = Some(now);
+        let seen = LiveView::new(&self.own_name, self.look(now));
+        if seen.members() != current.view.members() {
+            current.view = Arc::new(seen);
+        }
+        current.view.clone()
+    }
+
+    fn look(&self, now: Duration) -> Vec<LiveMember> {
+        let mut live: Vec<LiveMember> = {
+            let members = self.members.lock();
+            let live = members.live(MEMBER_RING, now);
+            let named = live.map(|peer| LiveMember {
+                name: peer.status.incarnation.name.clone(),
+                peer_address: peer.status.peer_address.clone(),
+                capacity_cores: UNKNOWN_CORES,
+            });
+            named.collect()
+        };
+        live.push(LiveMember {
+            name: self.own_name.clone(),
+            peer_address: self.own_peer_address.clone(),
+            capacity_cores: UNKNOWN_CORES,
+        });
+        let entries = self.entries.lock();
+        for member in &mut live {
+            if let Some(entry) = entries.get(&member.name) {
+                member.capacity_cores = entry.capacity_cores();
+            }
+        }
+        live
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,9 +8,10 @@
 //! | `shared_store`, `subject_cache` | the store, read directly or through other instances |
 //! | `follow` | keeps configuration, endpoints and members in step with the store |
 //! | `heartbeat` | which members live |
+//! | `live_members` | the view of the members that live, kept until it changes |
 //! | `listener` | connections of callers |
 //! | `inbound_call`, `answer_body` | a call on its way, and the body of its answer |
-//! | `held` | calls that come before anything is known
+//! | `held` | calls that come before anything is known |
 //! | `caller` | from a caller's request to its answer |
 //! | `plain_call` | calls with one answer |
 //! | `generation`, `started`, `relay` | generations: placed, then passed on event by event, also when they move |
@@ -33,6 +34,7 @@
 pub(crate) mod inbound_call;
 pub(crate) mod ledgers;
 pub(crate) mod listener;
+pub(crate) mod live_members;
 pub(crate) mod moves;
 pub(crate) mod node;
 pub(crate) mod operators;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -18,8 +18,9 @@
 
 use super::held::HeldCalls;
 use super::ledgers::Ledgers;
+use super::live_members::LiveMembers;
 use super::runs::RunRegistry;
-use super::shared_store::{LiveMember, LiveMembers, SharedStore};
+use super::shared_store::SharedStore;
 use super::site_store::{MemberEntry, SiteStore};
 use super::upstream::{Upstream, open_max};
 use crate::error::{Error, ErrorKind};
@@ -134,43 +135,9 @@
     pub(crate) ends_at: Mutex<Option<Duration>>,
 }
 
-/// What a member carries whose entry was not read yet: little, so that roles fall to others.
-const UNKNOWN_CORES: f64 = 0.01;
 /// Least weight of a member's address among those named to callers, in cores.
 const ADDRESS_WEIGHT_MIN: f64 = 0.1;
 
-/// The members that live as seen here, this instance included, with their peer addresses.
-fn live_members(
-    settings: &Settings,
-    members: Arc<Mutex<Members>>,
-    entries: Arc<Mutex<HashMap<String, MemberEntry>>>,
-    clock: Arc<dyn Clock>,
-) -> Arc<LiveMembers> {
-    let own = (settings.instance.clone(), settings.peer_address.to_string());
-    Arc::new(move || {
-        let mut live: Vec<(String, String)> = {
-            let members = members.lock();
-            let live = members.live(MEMBER_RING, clock.now());
-            let named = live.map(|peer| {
-                let status = &peer.status;
-                (status.incarnation.name.clone(), status.peer_address.clone())
-            });
-            named.collect()
-        };
-        live.push(own.clone());
-        let entries = entries.lock();
-        let members = live.into_iter().map(|(name, peer_address)| {
-            let entry = entries.get(&name);
-            let member = LiveMember {
-                peer_address,
-                capacity_cores: entry.map_or(UNKNOWN_CORES, MemberEntry::capacity_cores),
-            };
-            (name, member)
-        });
-        members.collect()
-    })
-}
-
 impl Gateway {
     /// An instance that has heard of nothing yet.
     pub(crate) fn new(
@@ -187,8 +154,14 @@
         let peers: Arc<PeerClients> = Arc::default();
         let member_entries: Arc<Mutex<HashMap<String, MemberEntry>>> = Arc::default();
         let entries = member_entries.clone();
-        let live = live_members(&settings, members.clone(), entries, clock.clone());
         let own_name = settings.instance.clone();
+        let live = Arc::new(LiveMembers::new(
+            &own_name,
+            settings.peer_address.to_string(),
+            members.clone(),
+            entries,
+            clock.clone(),
+        ));
         let store = SharedStore::new(own_name, store, clock.clone(), peers.clone(), live.clone());
         Self {
             upstream: Upstream::new(clock.clone()),
@@ -310,6 +283,12 @@
         1 + members.live(MEMBER_RING, self.now()).count()
     }
 
+    /// Takes a member's own entry.
+    pub(crate) fn take_member_entry(&self, entry: MemberEntry) {
+        self.member_entries.lock().insert(entry.name.clone(), entry);
+        self.live.note_changed();
+    }
+
     /// Connections that this instance may hold to an endpoint of a service.
     pub(crate) fn connections_max(&self, table: &RouteTable, service: &str) -> usize {
         let allowed = table
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -4,7 +4,6 @@
 //! source at any record. Every answer carries the age of the last word of the store, so that two instances that read from each
 //! other notice when neither hears the store any more.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -12,9 +11,11 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use parking_lot::Mutex;
 use rand::RngExt;
+use rand::seq::IteratorRandom;
 use spdlog::info;
 use tokio::sync::Notify;
 
+use super::live_members::LiveMembers;
 use super::parts::EncodedPage;
 use super::site_store::{MemberEntry, SitePage, SiteStore, StoreError, StoreResult, Subject};
 use super::subject_cache::SubjectCache;
@@ -44,6 +45,8 @@
 /// Pause between calls to the store while nothing is known of a subject and none was answered; five times what a sound store takes on a day
 /// on which it is ten times as slow.
 const FIRST_WORDS_EVERY: Duration = Duration::from_millis(200);
+/// Members asked at once for words of any age.
+const OLD_WORDS_ASKED: usize = 8;
 /// Calls before the instances that start, too, are asked once more.
 const FIRST_WORDS_CALLS: u32 = 4;
 
@@ -87,18 +90,6 @@
     }
 }
 
-/// A member that lives.
-#[derive(Debug, Clone)]
-pub(crate) struct LiveMember {
-    /// Where peers connect.
-    pub(crate) peer_address: String,
-    /// What it can carry against others, in cores.
-    pub(crate) capacity_cores: f64,
-}
-
-/// The members that live, this instance included, by name.
-pub(crate) type LiveMembers = dyn Fn() -> BTreeMap<String, LiveMember> + Send + Sync;
-
 /// The store, read directly or through other instances.
 pub(crate) struct SharedStore {
     own_name: String,
@@ -126,7 +117,7 @@
             live,
             shards: SUBJECTS.map(|subject| SubjectShard {
                 cache: Mutex::new(SubjectCache::new(subject)),
-                sources: Mutex::new(StoreSources::new(&own_name)),
+                sources: Mutex::new(StoreSources::default()),
                 regained_at: Mutex::default(),
                 used: Mutex::default(),
                 added: Notify::new(),
@@ -144,13 +135,10 @@
 
     /// Sources of a subject in the order in which they are tried, with the addresses of peers.
     fn sources(&self, subject: Subject) -> Vec<(Source, Option<String>)> {
-        let live = (self.live)();
-        let members: Vec<(&str, f64)> = live
-            .iter()
-            .map(|(name, member)| (name.as_str(), member.capacity_cores))
-            .collect();
+        let live = self.live.view();
         let now = self.clock.now();
-        let sources = self.shard(subject).sources.lock().in_order(&members, now);
+        let shard = self.shard(subject);
+        let sources = shard.sources.lock().in_order(live.readers(), now);
         let with_address = sources.into_iter().map(|source| {
             let address = match &source {
                 Source::Store => None,
@@ -279,9 +267,14 @@
         if !peers.is_empty() {
             read = self.read_any(peers, subject, None, Duration::ZERO).await;
         }
+        let has_store = sources.iter().any(|one| !is_peer(one));
         if read.is_err() {
             read = self.read_any(sources, subject, None, PEER_WAIT).await;
         }
+        if read.is_err() && !has_store && self.may_ask_store(subject) {
+            let store = (Source::Store, None);
+            read = self.read_at(store, subject, None, Duration::ZERO).await;
+        }
         if read.is_err()
             && let Some(page) = self.read_old_words(subject).await
         {
@@ -291,6 +284,11 @@
         read
     }
 
+    fn may_ask_store(&self, subject: Subject) -> bool {
+        let sources = self.shard(subject).sources.lock();
+        sources.may_ask_store(self.clock.now())
+    }
+
     /// Reads from several sources at once; the first answer counts.
     async fn read_any(
         &self,
@@ -346,22 +344,29 @@
         }
     }
 
-    /// What any member knows, however old: an instance that starts while the store is down serves what the others serve.
+    /// What a member knows, however old: an instance that starts while the store is down serves what the others serve. A few are asked at
+    /// once: one after the other, 100 members that know as little take longer to ask than an outage lasts.
     async fn read_old_words(&self, subject: Subject) -> Option<SitePage> {
-        for (name, member) in (self.live)() {
-            if name == self.own_name {
-                continue;
-            }
-            let address = &member.peer_address;
-            let read = self.read_at_peer(address, subject, None, Duration::ZERO, true);
-            if let Ok(aged) = read.await {
-                info!("started from the words of a member", kv: {
-                    subject = subject.name(), member = name.as_str(), age_ms: = millis(aged.age),
-                });
-                return Some(self.keep(subject, None, aged));
-            }
+        let live = self.live.view();
+        let others = live.members().iter();
+        let others = others.filter(|member| member.name != self.own_name);
+        let asked = others.sample(&mut rand::rng(), OLD_WORDS_ASKED);
+        let reads = asked.into_iter().map(|member| {
+            Box::pin(async move {
+                let address = &member.peer_address;
+                let read = self.read_at_peer(address, subject, None, Duration::ZERO, true);
+                read.await.map(|aged| (member, aged))
+            })
+        });
+        let reads: Vec<_> = reads.collect();
+        if reads.is_empty() {
+            return None;
         }
-        None
+        let ((member, aged), _) = futures::future::select_ok(reads).await.ok()?;
+        info!("started from the words of a member", kv: {
+            subject = subject.name(), member = member.name.as_str(), age_ms: = millis(aged.age),
+        });
+        Some(self.keep(subject, None, aged))
     }
 
     async fn read_at_store(
@@ -370,9 +375,12 @@
         from: Option<u64>,
         wait: Duration,
     ) -> StoreResult<AgedPage> {
+        let through_relays = self.live.view().readers().reads_through_relays();
         let page = match from {
             Some(from) => self.direct.read(subject, from, wait).await?,
-            None if self.knows_nothing(subject) => self.newest_asked_often(subject).await?,
+            None if self.knows_nothing(subject) && !through_relays => {
+                self.newest_asked_often(subject).await?
+            }
             None => self.direct.newest(subject).await?,
         };
         // Where others passed on fresh words meanwhile, only this instance was turned away, and no entry lapsed.
--- a/src/kernel/membership.rs
+++ b/src/kernel/membership.rs
@@ -91,6 +91,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Members {
     peers: BTreeMap<String, Peer>,
+    /// Place of each peer on the ring, by name; the same names as in `peers`. Hashed once: with 295 members a round of heartbeats hashed
+    /// every name 24 times a second.
+    ring: BTreeMap<String, u64>,
     /// When a reporter last said that a peer is silent, by peer and reporter.
     suspicions: BTreeMap<Suspected, Duration>,
     /// Departures of instances and endpoints.
@@ -132,8 +135,15 @@
             last_heard: Some(now),
             last_listed,
         };
-        self.peers
-            .insert(peer.status.incarnation.name.clone(), peer);
+        self.put(peer);
+    }
+
+    fn put(&mut self, peer: Peer) {
+        let name = &peer.status.incarnation.name;
+        if !self.ring.contains_key(name) {
+            self.ring.insert(name.clone(), ring_place(name));
+        }
+        self.peers.insert(name.clone(), peer);
     }
 
     /// Takes what a peer says of silent ones, its own reports and those passed on.
@@ -184,18 +194,37 @@
     /// other evenly.
     #[must_use]
     pub fn watched(&self, own_name: &str, own_hall: &str) -> Vec<String> {
-        let place = |name: &str| rendezvous_weight("ring", name);
-        let own_place = place(own_name);
-        let in_hall = self.peers.values().filter(|peer| {
-            peer.status.hall == own_hall && !self.departures.contains(&peer.status.incarnation)
-        });
-        let mut ring: Vec<(u64, &str)> = in_hall
-            .map(|peer| peer.status.incarnation.name.as_str())
-            .map(|name| (place(name).wrapping_sub(own_place), name))
+        let own_place = ring_place(own_name);
+        let mut ring: Vec<(u64, &Peer)> = self
+            .peers
+            .values()
+            .zip(self.ring.values())
+            .map(|(peer, place)| (place.wrapping_sub(own_place), peer))
+            .filter(|(_, peer)| peer.status.hall == own_hall)
             .collect();
-        ring.sort_unstable();
-        let next = ring.into_iter().take(WATCHED);
-        next.map(|(_, name)| name.to_owned()).collect()
+        ring.sort_unstable_by_key(|(distance, _)| *distance);
+        let next = ring
+            .into_iter()
+            .map(|(_, peer)| &peer.status.incarnation)
+            .filter(|incarnation| !self.departures.contains(incarnation))
+            .take(WATCHED);
+        next.map(|incarnation| incarnation.name.clone()).collect()
+    }
+
+    /// A few peers anywhere that an instance tells besides those it watches, so that news crosses a large ring in a few rounds. They stay
+    /// the same for one `turn`: with new ones in each round, every instance in time holds a connection to every other.
+    #[must_use]
+    pub fn distant(&self, own_name: &str, turn: u64, count: usize) -> Vec<&Peer> {
+        let key = format!("{own_name}/{turn}");
+        let mut drawn: Vec<(u64, &Peer)> = self
+            .peers
+            .values()
+            .filter(|peer| !self.departures.contains(&peer.status.incarnation))
+            .map(|peer| (rendezvous_weight(&key, &peer.status.incarnation.name), peer))
+            .collect();
+        drawn.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        drawn.truncate(count);
+        drawn.into_iter().map(|(_, peer)| peer).collect()
     }
 
     fn is_suspected(&self, peer: &Peer, now: Duration) -> bool {
@@ -228,6 +257,7 @@
             .collect();
         for name in gone {
             self.peers.remove(&name);
+            self.ring.remove(&name);
         }
     }
 
@@ -259,7 +289,7 @@
                     last_heard: None,
                     last_listed: Some(now),
                 };
-                self.peers.insert(status.incarnation.name.clone(), peer);
+                self.put(peer);
             }
         }
     }
@@ -282,6 +312,14 @@
         })
     }
 
+    /// Whether a peer lives, as far as is known here, and is not leaving.
+    #[must_use]
+    pub fn is_live(&self, name: &str, own_hall: &str, now: Duration) -> bool {
+        self.peers.get(name).is_some_and(|peer| {
+            !self.departures.contains(&peer.status.incarnation) && self.lives(peer, own_hall, now)
+        })
+    }
+
     fn lives(&self, peer: &Peer, own_hall: &str, now: Duration) -> bool {
         if heard_within(peer, PEER_SILENT_AFTER, now) {
             return true;
@@ -323,6 +361,10 @@
     }
 }
 
+fn ring_place(name: &str) -> u64 {
+    rendezvous_weight("ring", name)
+}
+
 fn heard_within(peer: &Peer, within: Duration, now: Duration) -> bool {
     peer.last_heard
         .is_some_and(|at| now.saturating_sub(at) < within)
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod label;
 pub mod lease;
+pub mod live_view;
 pub mod membership;
 pub mod object;
 pub mod one_at_a_time;
--- a/src/kernel/store_sources.rs
+++ b/src/kernel/store_sources.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use super::backoff::Backoff;
-use super::roles::{self, MemberCapacity};
+use super::roles::ReaderPlan;
 
 /// An instance that failed as a source is left alone for about this long, and twice as long after each further failure.
 const PEER_PAUSE: Duration = Duration::from_secs(2);
@@ -21,8 +21,8 @@
 /// seconds on top of two there.
 const STORE_PAUSE_MAX: Duration = Duration::from_secs(3);
 
-/// Groups of readers that are tried before each member goes to the store itself.
-const READER_GROUPS: usize = 3;
+/// Relays that a member asks at once when the first one fails.
+const RELAYS_TOGETHER: usize = 3;
 
 /// Where records are read.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize)]
@@ -34,9 +34,8 @@
 }
 
 /// The sources of one subject, and which of them failed of late.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct StoreSources {
-    own_name: String,
     /// Sources that failed since they last answered.
     failed: HashMap<Source, Failed>,
 }
@@ -50,33 +49,23 @@
 }
 
 impl StoreSources {
-    /// The sources of an instance.
-    #[must_use]
-    pub fn new(own_name: &str) -> Self {
-        Self {
-            own_name: own_name.to_owned(),
-            failed: HashMap::new(),
-        }
-    }
-
     /// Sources in the order in which they are asked; never empty.
     ///
     /// A reader asks the store first and then the other readers: it may be turned away while they are not. The others ask their reader,
     /// the other readers, and the store last. Once all readers have failed, a few members read in their place and the others ask these:
     /// with 66 members, two readers turned away for eight seconds cost 4,900 calls when each of the others went to the store itself.
     #[must_use]
-    pub fn in_order(&self, members: &[MemberCapacity], now: Duration) -> Vec<Source> {
-        let own_name = self.own_name.as_str();
-        let groups = roles::reader_groups(own_name, members, READER_GROUPS);
-        let is_reader = groups
-            .first()
-            .is_some_and(|first| first.contains(&own_name));
+    pub fn in_order(&self, plan: &ReaderPlan, now: Duration) -> Vec<Source> {
+        if plan.reads_through_relays() {
+            return self.through_relays(plan, now);
+        }
+        let is_reader = plan.reads_store();
         let mut sources = Vec::new();
         let mut reads_itself = false;
-        for group in groups {
-            reads_itself |= group.contains(&own_name);
-            let others = group.into_iter().filter(|name| *name != own_name);
-            sources.extend(others.map(|name| Source::Peer(name.to_owned())));
+        for group in &plan.groups {
+            reads_itself |= plan.is_in(group);
+            let others = group.iter().filter(|name| **name != plan.own_name);
+            sources.extend(others.map(|name| peer(name)));
             let store_paused = !reads_itself || self.is_paused(&Source::Store, now);
             // Paused, not failed: a member that reads in place of others asks them again later.
             if !(store_paused && sources.iter().all(|source| self.is_paused(source, now))) {
@@ -99,6 +88,34 @@
         sources
     }
 
+    /// The sources of a member of a large site that is neither reader nor relay: a few relays, then the readers. It asks the store only
+    /// while none of them is sound: hundreds of such members would turn each outage into thousands of calls.
+    fn through_relays(&self, plan: &ReaderPlan, now: Duration) -> Vec<Source> {
+        let sound = |source: &Source| !self.is_paused(source, now);
+        let relays = plan.relays.iter().map(|name| peer(name)).filter(sound);
+        let readers = plan.groups.iter().take(1).flatten();
+        let readers = readers.map(|name| peer(name)).filter(sound);
+        let peers: Vec<Source> = relays.take(RELAYS_TOGETHER).chain(readers).collect();
+        if !peers.is_empty() {
+            return peers;
+        }
+        if self.may_ask_store(now) {
+            return vec![Source::Store];
+        }
+        plan.relays
+            .iter()
+            .take(RELAYS_TOGETHER)
+            .map(|name| peer(name))
+            .collect()
+    }
+
+    /// Whether the store has not failed of late.
+    #[must_use]
+    pub fn may_ask_store(&self, now: Duration) -> bool {
+        !self.is_paused(&Source::Store, now)
+    }
+
+    /// Whether a source failed of late and is left alone.
     fn is_paused(&self, source: &Source, now: Duration) -> bool {
         let failed = self.failed.get(source);
         failed.is_some_and(|failed| now < failed.paused_until)
@@ -122,3 +139,7 @@
         self.failed.remove(source);
     }
 }
+
+fn peer(name: &str) -> Source {
+    Source::Peer(name.to_owned())
+}
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -21,7 +21,14 @@
 /// Connections to peers; made lazily, reconnected by the library.
 #[derive(Default)]
 pub(crate) struct PeerClients {
-    channels: Mutex<HashMap<String, Channel>>,
+    channels: Mutex<HashMap<String, KeptChannel>>,
+}
+
+/// A connection to a peer.
+struct KeptChannel {
+    channel: Channel,
+    /// Whether a call began on it since the unused ones were last dropped.
+    used: bool,
 }
 
 impl PeerClients {
@@ -62,8 +69,9 @@
 
     fn channel(&self, address: &str) -> Result<Channel, tonic::Status> {
         let mut channels = self.channels.lock();
-        let channel = if let Some(channel) = channels.get(address) {
-            channel.clone()
+        let channel = if let Some(kept) = channels.get_mut(address) {
+            kept.used = true;
+            kept.channel.clone()
         } else {
             let endpoint = Endpoint::from_shared(format!("http://{address}"))
                 .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
@@ -74,12 +82,23 @@
                 .http2_keep_alive_interval(KEEPALIVE)
                 .keep_alive_timeout(KEEPALIVE)
                 .connect_lazy();
-            channels.insert(address.to_owned(), channel.clone());
+            let kept = KeptChannel {
+                channel: channel.clone(),
+                used: true,
+            };
+            channels.insert(address.to_owned(), kept);
             channel
         };
         Ok(channel)
     }
 
+    /// Drops connections on which no call began since the last time. Calls in flight keep theirs until they end.
+    pub(crate) fn drop_unused(&self) {
+        self.channels
+            .lock()
+            .retain(|_, kept| std::mem::replace(&mut kept.used, false));
+    }
+
     /// Drops connections to addresses that no peer has any more.
     pub(crate) fn retain(&self, known: impl Fn(&str) -> bool) {
         self.channels.lock().retain(|address, _| known(address));
--- a/tests/kernel/membership.rs
+++ b/tests/kernel/membership.rs
@@ -1,16 +1,13 @@
 //! Members, departures and leases on a clock moved by hand.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
-
 use larkwick::kernel::clock::{Clock, ManualClock};
 use larkwick::kernel::departures::Departures;
 use larkwick::kernel::lease::{LeaseFold, LeaseKeeper, LeaseStep, LeaseTimes};
 use larkwick::kernel::membership::{
-    Incarnation, Listed, Members, PEER_SILENT_AFTER, PeerStatus, rendezvous,
+    Incarnation, Listed, Members, PEER_SILENT_AFTER, PeerStatus, WATCHED, rendezvous,
 };
 use uuid::Uuid;
 
@@ -189,7 +186,6 @@
 /// A hall of the size to design for, each instance with a view of its own.
 struct Hall {
     clock: ManualClock,
-    random: SmallRng,
     statuses: Vec<PeerStatus>,
     views: Vec<Members>,
     /// Instances that say nothing any more.
@@ -201,12 +197,18 @@
 const HALL_INSTANCES: u128 = 110;
 const PERIOD: Duration = Duration::from_millis(500);
 const FANOUT: usize = 2;
+/// How long an instance tells the same distant peers.
+const TURN: Duration = Duration::from_secs(20);
 
 impl Hall {
     fn new() -> Self {
+        Self::of(HALL_INSTANCES)
+    }
+
+    fn of(instances: u128) -> Self {
         let clock = ManualClock::default();
         // Short ids are the upper half of the id.
-        let statuses: Vec<PeerStatus> = (0..HALL_INSTANCES)
+        let statuses: Vec<PeerStatus> = (0..instances)
             .map(|id| status(&format!("i{id}"), (id + 1) << 64, false))
             .collect();
         let listed: Vec<Listed> = statuses
@@ -221,7 +223,6 @@
         }
         Self {
             clock,
-            random: SmallRng::seed_from_u64(1),
             statuses,
             views,
             dead: Vec::new(),
@@ -234,14 +235,14 @@
         self.statuses.iter().position(its).expect("known")
     }
 
-    fn told(&mut self, from: usize) -> Vec<usize> {
-        let watched = self.views[from].watched(&self.statuses[from].incarnation.name, "h");
-        let mut told: Vec<usize> = watched.iter().map(|name| self.index_of(name)).collect();
-        let others: Vec<usize> = (0..self.views.len())
-            .filter(|other| *other != from)
-            .collect();
-        told.extend(others.sample(&mut self.random, FANOUT));
-        told
+    fn told(&self, from: usize) -> Vec<usize> {
+        let own_name = &self.statuses[from].incarnation.name;
+        let view = &self.views[from];
+        let turn = self.clock.now().as_secs() / TURN.as_secs();
+        let distant = view.distant(own_name, turn, FANOUT).into_iter();
+        let distant = distant.map(|peer| peer.status.incarnation.name.clone());
+        let told = view.watched(own_name, "h").into_iter().chain(distant);
+        told.map(|name| self.index_of(&name)).collect()
     }
 
     fn tell(&mut self, from: usize, to: usize) {
@@ -332,3 +333,35 @@
     // Its own watcher alone says so; the others hear it.
     assert_eq!(hall.live_in_views(&watched), 109);
 }
+
+/// With new distant peers in every round, each of 295 instances told 294 others within minutes, each over a connection of its own.
+#[test]
+fn distant_site_of_295_for_a_minute_few_connections() {
+    let hall = Hall::of(295);
+    let mut told: Vec<BTreeSet<usize>> = vec![BTreeSet::new(); 295];
+    for _ in 0..120 {
+        for (from, told) in told.iter_mut().enumerate() {
+            told.extend(hall.told(from));
+        }
+        hall.clock.advance(PERIOD);
+    }
+    let turns = 3;
+    let most = told.iter().map(BTreeSet::len).max();
+    assert!(most <= Some(WATCHED + turns * FANOUT), "{most:?}");
+}
+
+#[test]
+fn members_site_of_295_dead_peer_silent_everywhere_within_bound() {
+    const BOUND: Duration = Duration::from_secs(6);
+    let mut hall = Hall::of(295);
+    for _ in 0..6 {
+        hall.round();
+    }
+    hall.dead = vec![7];
+    let died = hall.clock.now();
+    while hall.live_in_views("i7") > 0 {
+        hall.round();
+        let since = hall.clock.now().saturating_sub(died);
+        assert!(since <= BOUND, "{}", hall.live_in_views("i7"));
+    }
+}
