Keep what engines hold with the engines; waits from the time within which a change must be in force; fewer reports and ticks

Cause: the owner counted all generations for each place, each report and each leaving engine, and copied all engines each time; reads between instances came 8.6 times a second from each member whatever the site asks for; reports came 2.5 times a second from each; every instance looked through its spare ledger ten times a second.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -23,8 +23,10 @@
 use crate::settings::Settings;
 use crate::standin::server::{Server, rocket_at, start, stop_all};
 
-/// How often old state is looked through.
-const TIDY_EVERY: Duration = Duration::from_millis(200);
+/// How often it is looked whether an endpoint that is doubted has to count as gone.
+const SETTLE_EVERY: Duration = Duration::from_millis(200);
+/// After so many of these, state of endpoints that are gone is dropped: once a second.
+const SETTLES_A_TIDY: u32 = 5;
 /// First pause before this instance's own entry is written again.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(300);
 /// Longest such pause.
@@ -231,10 +233,15 @@
 }
 
 async fn tidy(gateway: Arc<Gateway>) {
+    let mut rounds: u32 = 0;
     loop {
-        tokio::time::sleep(TIDY_EVERY).await;
+        tokio::time::sleep(SETTLE_EVERY).await;
         let changes = gateway.fleet.lock().settle(gateway.now());
         follow::tell_changes(&changes);
+        rounds = rounds.wrapping_add(1);
+        if !rounds.is_multiple_of(SETTLES_A_TIDY) {
+            continue;
+        }
         let known: std::collections::HashSet<String> = {
             let fleet = gateway.fleet.lock();
             fleet.all().map(|(entry, _)| entry.id.clone()).collect()
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -11,14 +11,12 @@
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
 
-use super::ledgers::{ServiceShard, Waiter};
+use super::ledgers::{EnginesOf, ServiceShard, Waiter};
 use super::moves;
 use super::node::{Gateway, Stage};
 use super::runs::NotTaken;
 use crate::kernel::clock::millis;
-use crate::kernel::engine_ledger::{
-    EngineEntry, EngineLedger, MoveOrder, MoveResult, ReportedRun, RunDemand,
-};
+use crate::kernel::engine_ledger::{EngineEntry, MoveOrder, MoveResult, ReportedRun, RunDemand};
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::route::EngineShape;
 use crate::peer::client::within;
@@ -27,12 +25,19 @@
 
 /// How often a ledger with waiting or leaving generations is looked through.
 const BUSY_TICK: Duration = Duration::from_millis(20);
-/// How often a quiet one is.
+/// How often a quiet one is by its owner.
 const QUIET_TICK: Duration = Duration::from_millis(100);
+/// How often one is that belongs to another instance, and is kept only for when that one cannot be reached.
+const SPARE_TICK: Duration = Duration::from_secs(1);
 /// Longest wait for a report to the owner.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Pause between reports of an entry whose generations neither begin nor end.
+/// Pause between reports of an entry whose generations do not end, at a site of up to [`REPORT_INSTANCES`] instances; also while a generation
+/// runs on an engine that leaves.
 const REPORT_EVERY: Duration = Duration::from_millis(400);
+/// Longest such pause: three reports within the time after which a silent entry counts as gone.
+const REPORT_EVERY_MAX: Duration = Duration::from_secs(1);
+/// Instances beyond which the pause grows in proportion: one owner hears them all.
+const REPORT_INSTANCES: usize = 100;
 /// Least pause between reports.
 const REPORT_PAUSE: Duration = Duration::from_millis(40);
 /// On top of the wait that was asked for, an answer of the owner may take this long.
@@ -130,7 +135,7 @@
     let now = gateway.now();
     let waiting = {
         let mut shard = shard.lock();
-        refresh_engines(gateway, service, &mut shard.ledger);
+        refresh_engines(gateway, service, &mut shard);
         let urgent_waits = shard
             .waiters
             .iter()
@@ -159,17 +164,25 @@
     waiting.await.ok().flatten()
 }
 
-fn refresh_engines(gateway: &Gateway, service: &str, ledger: &mut EngineLedger) {
+/// Takes the engines as they are listed now, where they changed since the last time.
+fn refresh_engines(gateway: &Gateway, service: &str, shard: &mut ServiceShard) {
     let Some(table) = gateway.table() else { return };
     let shape = table.service(service).and_then(|service| service.engine);
     let Some(shape) = shape else { return };
     let entries = {
         let fleet = gateway.fleet.lock();
+        let engines_of = EnginesOf {
+            config_version: table.version(),
+            fleet_version: fleet.version(),
+        };
+        if shard.engines_of.replace(engines_of) == Some(engines_of) {
+            return;
+        }
         let all = fleet.all().filter(|(entry, _)| entry.service == service);
         all.map(|(entry, _)| engine_entry(entry, &shape, !fleet.takes_work(&entry.id)))
             .collect()
     };
-    ledger.set_engines(entries);
+    shard.ledger.set_engines(entries);
 }
 
 fn engine_entry(entry: &EndpointEntry, shape: &EngineShape, leaving: bool) -> EngineEntry {
@@ -212,25 +225,29 @@
 /// leave.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     loop {
-        let mut busy = false;
-        for (service, shard) in gateway.ledgers.all() {
-            busy |= look_through(&gateway, &service, &shard);
-        }
-        let pause = if busy { BUSY_TICK } else { QUIET_TICK };
+        let ledgers = gateway.ledgers.all();
+        let pauses = ledgers
+            .iter()
+            .map(|(service, shard)| look_through(&gateway, service, shard));
+        let pause = pauses.min().unwrap_or(SPARE_TICK);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            () = gateway.ledgers.wanted.notified(), if !busy => {}
+            () = gateway.ledgers.wanted.notified(), if pause > BUSY_TICK => {}
         }
     }
 }
 
-/// Looks through one ledger; tells whether it should be looked through again soon.
-fn look_through(gateway: &Arc<Gateway>, service: &str, shard: &Arc<Mutex<ServiceShard>>) -> bool {
+/// Looks through one ledger; tells when it should be looked through again.
+fn look_through(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    shard: &Arc<Mutex<ServiceShard>>,
+) -> Duration {
     let now = gateway.now();
     let owned = owner_address(gateway, service).is_none();
     let (orders, busy) = {
         let mut shard = shard.lock();
-        refresh_engines(gateway, service, &mut shard.ledger);
+        refresh_engines(gateway, service, &mut shard);
         shard.ledger.expire(now);
         settle_waiters(&mut shard, now);
         let orders = if owned {
@@ -244,7 +261,13 @@
     for order in orders {
         tokio::spawn(carry_out(gateway.clone(), service.to_owned(), order));
     }
-    busy
+    if busy {
+        BUSY_TICK
+    } else if owned {
+        QUIET_TICK
+    } else {
+        SPARE_TICK
+    }
 }
 
 fn settle_waiters(shard: &mut ServiceShard, now: Duration) {
@@ -339,12 +362,27 @@
             report(&gateway, service, runs).await;
         }
         tokio::select! {
-            () = tokio::time::sleep(REPORT_EVERY) => {}
+            () = tokio::time::sleep(report_pause(&gateway)) => {}
             () = gateway.ledgers.changed.notified() => tokio::time::sleep(REPORT_PAUSE).await,
         }
     }
 }
 
+/// How long an entry waits before it reports what goes on as before.
+fn report_pause(gateway: &Gateway) -> Duration {
+    let is_leaving = {
+        let fleet = gateway.fleet.lock();
+        let engines = gateway.runs.endpoints();
+        engines.iter().any(|engine| !fleet.takes_work(engine))
+    };
+    if is_leaving {
+        return REPORT_EVERY;
+    }
+    let count = |instances: usize| u32::try_from(instances).unwrap_or(u32::MAX);
+    let times = f64::from(count(gateway.instances())) / f64::from(count(REPORT_INSTANCES));
+    REPORT_EVERY.mul_f64(times.max(1.0)).min(REPORT_EVERY_MAX)
+}
+
 async fn report(gateway: &Gateway, service: &str, runs: Vec<ReportedRun>) {
     let not_taken = gateway.runs.take_not_taken(service);
     let own_name = &gateway.incarnation.name;
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -13,8 +13,6 @@
 use crate::kernel::fleet::EndpointEntry;
 use crate::platform::engine::{self, EngineReport};
 
-/// The list counts as silent after this time; readers hear from the store more often.
-const LIST_SILENT_AFTER: Duration = Duration::from_millis(1_500);
 /// Between two rounds of questions. A notice is 1.5 s or more and shows in a report 0.6 s late.
 const ROUND_EVERY: Duration = Duration::from_millis(300);
 /// Longest wait for a report.
@@ -27,7 +25,9 @@
     loop {
         tokio::time::sleep(ROUND_EVERY).await;
         let age = gateway.store.word_age(Subject::Endpoints);
-        if age.is_none_or(|age| age < LIST_SILENT_AFTER) {
+        let silent_after = gateway.routing.read().freshness().silent_after();
+        let is_failing = gateway.store.is_failing(Subject::Endpoints);
+        if age.is_none_or(|age| age < silent_after && !is_failing) {
             continue;
         }
         for engine in coordinator::engines_to_ask(&gateway) {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -24,16 +24,6 @@
 /// A site that starts as a whole knows its members after about this long.
 const MEMBERS_MET_WITHIN: Duration = Duration::from_millis(300);
 
-/// How long a read waits for news: an answer without news shows that the store is there.
-const fn wait(subject: Subject) -> Duration {
-    match subject {
-        // What others read here must be fresh: a configuration has to be in force within two seconds, whoever is cut off.
-        Subject::Configuration | Subject::Endpoints => Duration::from_millis(750),
-        // Heartbeats tell of members sooner.
-        Subject::Members => Duration::from_secs(5),
-    }
-}
-
 /// After news, a read waits this long for what comes with it: endpoints leave several at a time, and a site starts as a whole. One read
 /// is one call to the store for each reader.
 const fn gather(subject: Subject) -> Duration {
@@ -120,11 +110,11 @@
 async fn follow_from(gateway: &Gateway, contact: &mut Contact, mut from: u64) {
     let subject = contact.subject;
     loop {
-        // After a failure, an answer that waits for news would not show that the store is back.
+        // An answer without news shows that the store is there; after a failure, one that waits for news would not.
         let wait = if contact.lost_since.is_some() {
             Duration::ZERO
         } else {
-            wait(subject)
+            gateway.store.wait(subject)
         };
         match gateway.store.read(subject, from, wait).await {
             Ok(page) => {
@@ -199,6 +189,13 @@
         drop(fleet);
         tell_changes(&changes);
         gateway.ledgers.wake();
+        if changes
+            .iter()
+            .any(|change| matches!(change, FleetChange::Left(_)))
+        {
+            // Owners move generations that were reported with an event.
+            gateway.ledgers.changed.notify_one();
+        }
     }
 }
 
--- a/src/gateway/ledgers.rs
+++ b/src/gateway/ledgers.rs
@@ -19,9 +19,18 @@
     pub(crate) answer: oneshot::Sender<Option<String>>,
 }
 
+/// Names a list of engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct EnginesOf {
+    pub(crate) config_version: u64,
+    pub(crate) fleet_version: u64,
+}
+
 #[derive(Default)]
 pub(crate) struct ServiceShard {
     pub(crate) ledger: EngineLedger,
+    /// Configuration and state of the fleet that the ledger's engines were taken from.
+    pub(crate) engines_of: Option<EnginesOf>,
     pub(crate) waiters: Vec<Waiter>,
 }
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -162,7 +162,14 @@
             entries,
             clock.clone(),
         ));
-        let store = SharedStore::new(own_name, store, clock.clone(), peers.clone(), live.clone());
+        let store = SharedStore::new(
+            own_name,
+            store,
+            clock.clone(),
+            peers.clone(),
+            live.clone(),
+            routing.freshness(),
+        );
         Self {
             upstream: Upstream::new(clock.clone()),
             routing: RwLock::new(routing),
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -97,6 +97,13 @@
         runs.values().map(|run| run.service.clone()).collect()
     }
 
+    /// Engines that run generations served here.
+    pub(crate) fn endpoints(&self) -> BTreeSet<String> {
+        let runs = self.runs.lock();
+        let endpoints = runs.values().map(|run| run.endpoint.lock().id.clone());
+        endpoints.collect()
+    }
+
     /// Generations of a service, as its owner is told.
     pub(crate) fn of_service(&self, service: &str) -> Vec<ReportedRun> {
         let runs = self.runs.lock();
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -20,23 +20,22 @@
 use super::site_store::{MemberEntry, SitePage, SiteStore, StoreError, StoreResult, Subject};
 use super::subject_cache::SubjectCache;
 use crate::kernel::clock::{Clock, millis};
+use crate::kernel::freshness::Freshness;
 use crate::kernel::store_sources::{Source, StoreSources};
 use crate::peer::client::PeerClients;
 use crate::peer::generated as wire;
 
-/// Longest wait of a read at another instance; its silence is noticed soon after. With the age allowed, what is read through others
-/// stays well inside the two seconds in which a configuration has to be in force.
-const PEER_WAIT: Duration = Duration::from_millis(350);
+/// Longest wait for first words at another instance that knows nothing either.
+const FIRST_WORDS_WAIT: Duration = Duration::from_millis(350);
 /// On top of its wait, the head of another instance's answer may take this long.
 const PEER_MARGIN: Duration = Duration::from_millis(200);
 
-/// How old a word of the store may be when it is taken from another instance. Longer than a reader waits for news.
-const fn age_max(subject: Subject) -> Duration {
-    match subject {
-        Subject::Configuration | Subject::Endpoints => Duration::from_millis(1_100),
-        Subject::Members => Duration::from_secs(12),
-    }
-}
+/// How long a read of the members at another instance waits for news: heartbeats tell of members sooner.
+const MEMBERS_PEER_WAIT: Duration = Duration::from_secs(2);
+/// How long a read of the members at the store waits for news.
+const MEMBERS_STORE_WAIT: Duration = Duration::from_secs(5);
+/// How old a word on the members may be when it is taken from another instance. Longer than a reader waits for news.
+const MEMBERS_AGE_MAX: Duration = Duration::from_secs(12);
 
 /// An entry lapses after three silent heartbeats of more than a second each, so that shorter outages take none away.
 const OUTAGE_MIN: Duration = Duration::from_secs(2);
@@ -97,6 +96,7 @@
     clock: Arc<dyn Clock>,
     peers: Arc<PeerClients>,
     live: Arc<LiveMembers>,
+    freshness: Freshness,
     shards: [SubjectShard; 3],
 }
 
@@ -109,9 +109,11 @@
         clock: Arc<dyn Clock>,
         peers: Arc<PeerClients>,
         live: Arc<LiveMembers>,
+        freshness: Freshness,
     ) -> Self {
         Self {
             direct,
+            freshness,
             clock,
             peers,
             live,
@@ -128,6 +130,33 @@
         }
     }
 
+    /// How long a read at another instance waits for news.
+    fn peer_wait(&self, subject: Subject) -> Duration {
+        match subject {
+            Subject::Configuration | Subject::Endpoints => self.freshness.peer_wait(),
+            Subject::Members => MEMBERS_PEER_WAIT,
+        }
+    }
+
+    /// How old a word of the store may be when it is taken from another instance.
+    fn age_max(&self, subject: Subject) -> Duration {
+        match subject {
+            Subject::Configuration | Subject::Endpoints => self.freshness.age_max(),
+            Subject::Members => MEMBERS_AGE_MAX,
+        }
+    }
+
+    /// How long a read waits for news.
+    pub(crate) fn wait(&self, subject: Subject) -> Duration {
+        match subject {
+            Subject::Configuration | Subject::Endpoints => {
+                let is_relayed = !self.live.view().readers().relays.is_empty();
+                self.freshness.store_wait(is_relayed)
+            }
+            Subject::Members => MEMBERS_STORE_WAIT,
+        }
+    }
+
     fn shard(&self, subject: Subject) -> &SubjectShard {
         let index = SUBJECTS.iter().position(|one| *one == subject);
         &self.shards[index.unwrap_or_default()]
@@ -179,7 +208,7 @@
         wait: Duration,
         any_age: bool,
     ) -> StoreResult<AgedPage> {
-        let wait = wait.min(PEER_WAIT);
+        let wait = wait.min(self.peer_wait(subject));
         let request = wire::ReadSiteRequest {
             subject: subject.name().to_owned(),
             whole: from.is_none(),
@@ -195,7 +224,7 @@
         let head_at = self.clock.now();
         let head = coming.head;
         let age = Duration::from_millis(head.age_ms);
-        if age > age_max(subject) && !any_age {
+        if age > self.age_max(subject) && !any_age {
             let why = format!("the peer heard the store {} ms ago", head.age_ms);
             return Err(StoreError::NoAnswer(why));
         }
@@ -269,7 +298,9 @@
         }
         let has_store = sources.iter().any(|one| !is_peer(one));
         if read.is_err() {
-            read = self.read_any(sources, subject, None, PEER_WAIT).await;
+            read = self
+                .read_any(sources, subject, None, FIRST_WORDS_WAIT)
+                .await;
         }
         if read.is_err() && !has_store && self.may_ask_store(subject) {
             let store = (Source::Store, None);
@@ -466,7 +497,7 @@
             .find(|subject| subject.name() == request.subject)
             .ok_or_else(|| tonic::Status::invalid_argument("unknown subject"))?;
         let shard = self.shard(subject);
-        let wait = Duration::from_millis(request.wait_ms).min(PEER_WAIT);
+        let wait = Duration::from_millis(request.wait_ms).min(self.peer_wait(subject));
         let until = tokio::time::Instant::now() + wait;
         loop {
             let added = shard.added.notified();
@@ -495,7 +526,7 @@
             .word_at
             .ok_or_else(|| tonic::Status::unavailable("nothing known yet"))?;
         let age = now.saturating_sub(word_at);
-        if age > age_max(subject) && !request.any_age {
+        if age > self.age_max(subject) && !request.any_age {
             return Err(tonic::Status::unavailable(
                 "the store was not heard of late",
             ));
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -69,6 +69,8 @@
     endpoints: BTreeMap<String, Known>,
     /// When the list last came back from an outage.
     regained_at: Option<Duration>,
+    /// Rises with every change.
+    version: u64,
 }
 
 impl Fleet {
@@ -107,6 +109,12 @@
         self.take(entries, &vanished, now)
     }
 
+    /// Rises with every change of what is known, so that what is made of it need not be made again.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     fn listed(&mut self, entry: EndpointEntry, now: Duration) -> Option<FleetChange> {
         let known = self.endpoints.get(&entry.id);
         let was_taking = known.is_some_and(|known| known.standing != Standing::Leaving);
@@ -135,6 +143,7 @@
             doubted_until: Duration::ZERO,
         };
         self.endpoints.insert(known.entry.id.clone(), known);
+        self.version += 1;
         change
     }
 
@@ -146,6 +155,7 @@
             return None;
         }
         known.since = now;
+        self.version += 1;
         if after_outage.is_some() || together {
             known.standing = Standing::Unlisted;
             let doubted_until = now + DOUBT_MAX;
@@ -189,9 +199,13 @@
                 changes.push(FleetChange::Left(known.entry.clone()));
             }
         }
+        let before = self.endpoints.len();
         self.endpoints.retain(|_, known| {
             known.standing != Standing::Leaving || now.saturating_sub(known.since) < GONE_KEPT
         });
+        if !changes.is_empty() || self.endpoints.len() < before {
+            self.version += 1;
+        }
         changes
     }
 
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -8,6 +8,7 @@
 
 use super::fault::{SettingsFault, ms};
 use crate::gateway::site_store;
+use crate::kernel::freshness::Freshness;
 use crate::kernel::roles::default_link_mbps;
 
 /// Settings of an instance that serves the routes of a site.
@@ -39,11 +40,19 @@
     pub retry_share: f64,
     /// Repeats that the site allows on top of that, in all instances together.
     pub retry_slack: f64,
+    /// Within this time a change of the configuration or of the endpoints has to be in force at every instance.
+    #[serde(default = "default_change_within_ms")]
+    pub change_within_ms: f64,
     /// Longest time that a call is held which comes before configuration and endpoints are known.
     #[serde(default = "default_hold_max_ms")]
     pub hold_max_ms: u64,
 }
 
+/// The shortest time that users have asked for.
+fn default_change_within_ms() -> f64 {
+    2_000.0
+}
+
 /// Just below the two seconds after which callers leave a generation that has not begun.
 fn default_hold_max_ms() -> u64 {
     1_900
@@ -81,6 +90,9 @@
         if !(self.retry_slack >= 0.0 && self.retry_slack.is_finite()) {
             return fault("retry_slack", "a number that is not negative");
         }
+        if !(500.0..=3_600_000.0).contains(&self.change_within_ms) {
+            return fault("change_within_ms", "a number from 500 to 3600000");
+        }
         if !(1.0..=3_600.0).contains(&self.stop_within_s) {
             return fault("stop_within_s", "a number from 1 to 3600");
         }
@@ -93,6 +105,12 @@
         Duration::from_secs_f64(self.stop_within_s)
     }
 
+    /// How fresh what the instances know must be.
+    #[must_use]
+    pub fn freshness(&self) -> Freshness {
+        Freshness::new(Duration::from_secs_f64(self.change_within_ms / 1_000.0))
+    }
+
     /// Longest time that a call is held which comes before configuration and endpoints are known.
     #[must_use]
     pub fn hold_max(&self) -> Duration {
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -6,6 +6,8 @@
 mod engine_ledger;
 #[path = "kernel/fleet.rs"]
 mod fleet;
+#[path = "kernel/freshness.rs"]
+mod freshness;
 #[path = "kernel/group.rs"]
 mod group;
 #[path = "kernel/lengths.rs"]
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -220,3 +220,46 @@
         }
     }
 }
+
+/// 1,500 generations on 128 engines: what the ledger keeps with each engine is what counting all generations gives, after any course of
+/// grants, reports, moves and losses.
+#[test]
+fn summary_large_course_same_as_counted_from_nothing() {
+    let engines: Vec<EngineEntry> = (0..128)
+        .map(|number| engine(&format!("e{number}"), ["a", "b", "c"][number % 3], false))
+        .collect();
+    let mut ledger = ledger(&engines);
+    let mut reports: std::collections::BTreeMap<String, Vec<ReportedRun>> =
+        std::collections::BTreeMap::new();
+    for number in 0..1_500_u32 {
+        let entry = format!("n{}", number % 295);
+        let name = format!("r{number}");
+        let now = Duration::from_millis(u64::from(number));
+        let granted = ledger.place(&demand(&name, 1_000), &entry, &[], now);
+        let granted = granted.expect("room");
+        let runs = reports.entry(entry.clone()).or_default();
+        runs.push(reported(&name, &granted, number % 7));
+        if number % 3 == 0 && runs.len() > 1 {
+            runs.remove(0);
+        }
+        ledger.take_report(&entry, runs.clone(), now);
+        if number % 100 == 50 {
+            let order = ledger.plan_moves(now);
+            assert!(order.is_empty(), "no engine leaves");
+        }
+    }
+    let now = Duration::from_millis(1_500);
+    ledger.expire(now);
+    let mut fresh = self::ledger(&engines);
+    for (entry, runs) in &reports {
+        fresh.take_report(entry, runs.clone(), now);
+    }
+    assert_eq!(ledger.runs(), fresh.runs());
+    for ((id, kept), (_, counted)) in ledger.summary().into_iter().zip(fresh.summary()) {
+        assert_eq!(kept.places, counted.places, "{id}");
+        assert!(
+            (kept.predicted_tokens - counted.predicted_tokens).abs() < 1e-6,
+            "{id}"
+        );
+    }
+}
