--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -15,7 +15,7 @@
 use super::node::Gateway;
 use super::peers::SiteService;
 use super::site_store::{self, SiteStore, Subject};
-use super::{coordinator, engine_reports, follow, heartbeat, operators};
+use super::{coordinator, engine_reports, follow, heartbeat, operators, tally};
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
 use crate::kernel::clock::{SystemClock, millis};
@@ -132,6 +132,7 @@
             .push(tokio::spawn(engine_reports::run(gateway.clone())));
         self.tasks.push(tokio::spawn(announce(gateway.clone())));
         self.tasks.push(tokio::spawn(tidy(gateway.clone())));
+        self.tasks.push(tokio::spawn(tell_tally(gateway.clone())));
     }
 
     /// Reads the settings file again and puts in force what can change in a running instance.
@@ -232,6 +233,13 @@
     }
 }
 
+async fn tell_tally(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(tally::TOLD_EVERY).await;
+        gateway.tally.tell();
+    }
+}
+
 async fn tidy(gateway: Arc<Gateway>) {
     let mut rounds: u32 = 0;
     loop {
--- a/src/gateway/live_members.rs
+++ b/src/gateway/live_members.rs
@@ -14,7 +14,7 @@
 use crate::kernel::membership::Members;
 
 /// How long a view is believed without a look at the members: little beside the 2.5 s after which a silent member counts as gone.
-const VIEW_KEPT: Duration = Duration::from_millis(100);
+const VIEW_KEPT: Duration = Duration::from_millis(200);
 /// What a member carries whose entry was not read yet, in cores: little, so that roles fall to others.
 const UNKNOWN_CORES: f64 = 0.01;
 
@@ -77,13 +77,39 @@
         }
         self.changed.store(false, Ordering::Relaxed);
         current.looked_at = Some(now);
-        let seen = LiveView::new(&self.own_name, self.look(now));
-        if seen.members() != current.view.members() {
-            current.view = Arc::new(seen);
+        if !self.still_holds(&current.view, now) {
+            current.view = Arc::new(LiveView::new(&self.own_name, self.look(now)));
         }
         current.view.clone()
     }
 
+    /// Whether the same members live as in a view. Compared in place: copying 295 names several times a second was most of what an idle
+    /// instance allocated.
+    fn still_holds(&self, view: &LiveView, now: Duration) -> bool {
+        let members = self.members.lock();
+        let entries = self.entries.lock();
+        let cores = |name: &str| {
+            entries
+                .get(name)
+                .map_or(UNKNOWN_CORES, MemberEntry::capacity_cores)
+        };
+        let same_cores = |member: &LiveMember| {
+            (cores(&member.name) - member.capacity_cores).abs() < f64::EPSILON
+        };
+        let mut known = view.members().iter();
+        let mut others = known.by_ref().filter(|member| member.name != self.own_name);
+        let mut live = members.live(MEMBER_RING, now);
+        let same = live.by_ref().all(|peer| {
+            let status = &peer.status;
+            others.next().is_some_and(|member| {
+                member.name == status.incarnation.name
+                    && member.peer_address == status.peer_address
+                    && same_cores(member)
+            })
+        });
+        same && others.next().is_none() && view.get(&self.own_name).is_some_and(same_cores)
+    }
+
     fn look(&self, now: Duration) -> Vec<LiveMember> {
         let mut live: Vec<LiveMember> = {
             let members = self.members.lock();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //! | `generation`, `started`, `relay` | generations: placed, then passed on event by event, also when they move |
 //! | `upstream` | connections to endpoints |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
+//! | `tally` | counts of what grows with the site |
 //! | `engine_reports` | asks engines whether they leave while the list is silent |
 //! | `ledgers`, `coordinator` | the owner of a service's engines and how entries reach it |
 
@@ -47,4 +48,5 @@
 pub mod site_store;
 pub(crate) mod started;
 pub(crate) mod subject_cache;
+pub(crate) mod tally;
 pub(crate) mod upstream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -1,7 +1,7 @@
 //! The state of an instance that serves routes, in shards each under its own lock.
 //!
-//! No lock is held across an await. Two are held at once in these orders only: a service's ledger, then the table or the fleet; the
-//! members or their entries, then the routing settings.
+//! No lock is held across an await. Several are held at once in these orders only: a service's ledger, then the table or the fleet; the
+//! view of the live members, then the members, then their entries; the members or their entries, then the routing settings.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,6 +22,7 @@
 use super::runs::RunRegistry;
 use super::shared_store::SharedStore;
 use super::site_store::{MemberEntry, SiteStore};
+use super::tally::Tally;
 use super::upstream::{Upstream, open_max};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::Clock;
@@ -130,6 +131,7 @@
     /// Whether a configuration is being taken from a peer.
     pub(crate) catch_up: OneAtATime,
     pub(crate) in_flight: InFlight,
+    pub(crate) tally: Arc<Tally>,
     pub(crate) held: HeldCalls,
     /// When this instance ends at the latest; set when it is asked to stop.
     pub(crate) ends_at: Mutex<Option<Duration>>,
@@ -162,6 +164,7 @@
             entries,
             clock.clone(),
         ));
+        let tally: Arc<Tally> = Arc::default();
         let store = SharedStore::new(
             own_name,
             store,
@@ -169,6 +172,7 @@
             peers.clone(),
             live.clone(),
             routing.freshness(),
+            tally.clone(),
         );
         Self {
             upstream: Upstream::new(clock.clone()),
@@ -191,6 +195,7 @@
             peers,
             catch_up: OneAtATime::default(),
             in_flight: InFlight::new(),
+            tally,
             held: HeldCalls::default(),
             ends_at: Mutex::default(),
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 use super::node::Gateway;
 use super::parts::EncodedPage;
 use super::runs::NotTaken;
+use super::tally::Work;
 use super::{catch_up, coordinator, heartbeat, moves};
 use crate::kernel::engine_ledger::ReportedRun;
 use crate::peer::convert::{self, BadField};
@@ -51,6 +52,7 @@
         &self,
         request: Request<wire::Beat>,
     ) -> Result<Response<wire::Beat>, Status> {
+        self.gateway.tally.count(Work::Heartbeat);
         heartbeat::take_beat(&self.gateway, request.into_inner())?;
         Ok(Response::new(heartbeat::own_beat(&self.gateway)))
     }
@@ -71,6 +73,7 @@
         &self,
         request: Request<wire::ReadSiteRequest>,
     ) -> Result<Response<PartStream>, Status> {
+        self.gateway.tally.count(Work::PassedOn);
         let (head, page) = self.gateway.store.pass_on(request.get_ref()).await?;
         Ok(Response::new(in_parts(head, &page)))
     }
@@ -79,6 +82,7 @@
         &self,
         request: Request<wire::PlaceRequest>,
     ) -> Result<Response<wire::PlaceReply>, Status> {
+        self.gateway.tally.count(Work::Place);
         let request = request.into_inner();
         let demand = request.demand.ok_or(BadField("demand"))?.into();
         let granted = coordinator::place_here(
@@ -96,6 +100,7 @@
         &self,
         request: Request<wire::RunsReport>,
     ) -> Result<Response<wire::RunsReply>, Status> {
+        self.gateway.tally.count(Work::Report);
         let report = request.into_inner();
         let runs: Result<Vec<ReportedRun>, BadField> =
             report.runs.into_iter().map(ReportedRun::try_from).collect();
@@ -116,6 +121,7 @@
         &self,
         request: Request<wire::MoveRunRequest>,
     ) -> Result<Response<wire::MoveRunReply>, Status> {
+        self.gateway.tally.count(Work::Move);
         let (result, reason) = moves::move_run(&self.gateway, &request.into_inner()).await;
         Ok(Response::new(wire::MoveRunReply {
             result: convert::move_result_number(result),
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -19,6 +19,7 @@
 use super::parts::EncodedPage;
 use super::site_store::{MemberEntry, SitePage, SiteStore, StoreError, StoreResult, Subject};
 use super::subject_cache::SubjectCache;
+use super::tally::{Tally, Work};
 use crate::kernel::clock::{Clock, millis};
 use crate::kernel::freshness::Freshness;
 use crate::kernel::store_sources::{Source, StoreSources};
@@ -97,6 +98,7 @@
     peers: Arc<PeerClients>,
     live: Arc<LiveMembers>,
     freshness: Freshness,
+    tally: Arc<Tally>,
     shards: [SubjectShard; 3],
 }
 
@@ -110,10 +112,12 @@
         peers: Arc<PeerClients>,
         live: Arc<LiveMembers>,
         freshness: Freshness,
+        tally: Arc<Tally>,
     ) -> Self {
         Self {
             direct,
             freshness,
+            tally,
             clock,
             peers,
             live,
@@ -315,6 +319,12 @@
         read
     }
 
+    /// The store itself; each use of it is a call.
+    fn direct(&self) -> &dyn SiteStore {
+        self.tally.count(Work::StoreCall);
+        self.direct.as_ref()
+    }
+
     fn may_ask_store(&self, subject: Subject) -> bool {
         let sources = self.shard(subject).sources.lock();
         sources.may_ask_store(self.clock.now())
@@ -408,11 +418,11 @@
     ) -> StoreResult<AgedPage> {
         let through_relays = self.live.view().readers().reads_through_relays();
         let page = match from {
-            Some(from) => self.direct.read(subject, from, wait).await?,
+            Some(from) => self.direct().read(subject, from, wait).await?,
             None if self.knows_nothing(subject) && !through_relays => {
                 self.newest_asked_often(subject).await?
             }
-            None => self.direct.newest(subject).await?,
+            None => self.direct().newest(subject).await?,
         };
         // Where others passed on fresh words meanwhile, only this instance was turned away, and no entry lapsed.
         let silent_for = self.word_age(subject);
@@ -429,14 +439,14 @@
     /// Asks the store again while it has not answered yet: a call that began while the store was silent is lost, and callers are waiting.
     async fn newest_asked_often(&self, subject: Subject) -> StoreResult<SitePage> {
         let mut calls = FuturesUnordered::new();
-        calls.push(self.direct.newest(subject));
+        calls.push(self.direct().newest(subject));
         for _ in 1..FIRST_WORDS_CALLS {
             match tokio::time::timeout(FIRST_WORDS_EVERY, calls.next()).await {
                 Ok(Some(Ok(page))) => return Ok(page),
                 Ok(_) => tokio::time::sleep(FIRST_WORDS_EVERY).await,
                 Err(_) => {}
             }
-            calls.push(self.direct.newest(subject));
+            calls.push(self.direct().newest(subject));
         }
         let mut last = Err(no_source());
         while let Some(read) = calls.next().await {
@@ -562,6 +572,6 @@
     }
 
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
-        self.direct.announce(member).await
+        self.direct().announce(member).await
     }
 }
--- a/src/kernel/store_sources.rs
+++ b/src/kernel/store_sources.rs
@@ -88,16 +88,19 @@
         sources
     }
 
-    /// The sources of a member of a large site that is neither reader nor relay: a few relays, then the readers. It asks the store only
-    /// while none of them is sound: hundreds of such members would turn each outage into thousands of calls.
+    /// The sources of a member of a large site that is neither reader nor relay: a few relays; while none is sound, the
+    /// readers, and after them the store: hundreds of such members would turn each outage into thousands of calls.
     fn through_relays(&self, plan: &ReaderPlan, now: Duration) -> Vec<Source> {
         let sound = |source: &Source| !self.is_paused(source, now);
         let relays = plan.relays.iter().map(|name| peer(name)).filter(sound);
+        let relays: Vec<Source> = relays.take(RELAYS_TOGETHER).collect();
+        if !relays.is_empty() {
+            return relays;
+        }
         let readers = plan.groups.iter().take(1).flatten();
-        let readers = readers.map(|name| peer(name)).filter(sound);
-        let peers: Vec<Source> = relays.take(RELAYS_TOGETHER).chain(readers).collect();
-        if !peers.is_empty() {
-            return peers;
+        let readers: Vec<Source> = readers.map(|name| peer(name)).filter(sound).collect();
+        if !readers.is_empty() {
+            return readers;
         }
         if self.may_ask_store(now) {
             return vec![Source::Store];
