Decide in the kernel who waits for room, and refuse at once what the queue will not reach in time

Cause: waiting, its order and its end stood in the coordinator beside channels; every generation that found no room was held until its first event could not be in time any more, whatever the queue before it, and one large generation at the head kept all smaller ones waiting. Change: kernel/room_queue.rs: urgent ones first, then by arrival; a large one may be passed for half of its time; who stands behind more than the queue serves in its time, by its pace of the last second, is refused at once.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -18,6 +18,7 @@
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::{EngineEntry, MoveOrder, MoveResult, ReportedRun, RunDemand};
 use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::room_queue::{Answer, RoomRequest};
 use crate::kernel::route::EngineShape;
 use crate::peer::client::within;
 use crate::peer::convert;
@@ -133,31 +134,31 @@
 ) -> Option<String> {
     let shard = gateway.ledgers.shard(service);
     let now = gateway.now();
+    let request = RoomRequest {
+        demand: demand.clone(),
+        entry: entry.to_owned(),
+        excluded: excluded.to_vec(),
+        until: now + wait,
+    };
     let waiting = {
         let mut shard = shard.lock();
         refresh_engines(gateway, service, &mut shard);
-        let urgent_waits = shard
-            .waiters
-            .iter()
-            .any(|waiter| waiter.demand.priority <= demand.priority);
-        let granted = if urgent_waits {
-            None
-        } else {
-            shard.ledger.place(demand, entry, excluded, now)
-        };
-        if granted.is_some() || wait.is_zero() {
-            return granted;
+        let ServiceShard {
+            ledger,
+            queue,
+            waiters,
+            ..
+        } = &mut *shard;
+        match queue.ask(ledger, request, now) {
+            Answer::Granted(engine) => return Some(engine),
+            Answer::Refused => return None,
+            Answer::Waits(ticket) => {
+                let (answer, waiting) = oneshot::channel();
+                let run = demand.run.clone();
+                waiters.insert(ticket, Waiter { run, answer });
+                waiting
+            }
         }
-        let (answer, waiting) = oneshot::channel();
-        shard.waiters.push(Waiter {
-            demand: demand.clone(),
-            entry: entry.to_owned(),
-            excluded: excluded.to_vec(),
-            until: now + wait,
-            arrived: now,
-            answer,
-        });
-        waiting
     };
     gateway.ledgers.wake();
     // The sender is dropped only with the instance.
@@ -271,25 +272,25 @@
 }
 
 fn settle_waiters(shard: &mut ServiceShard, now: Duration) {
-    let mut waiters = std::mem::take(&mut shard.waiters);
-    waiters.retain(|waiter| !waiter.answer.is_closed());
-    waiters.sort_by_key(|waiter| (waiter.demand.priority, waiter.arrived));
-    let mut blocked = false;
-    for waiter in waiters {
-        let granted = if blocked {
-            None
-        } else {
-            let ledger = &mut shard.ledger;
-            ledger.place(&waiter.demand, &waiter.entry, &waiter.excluded, now)
+    let ServiceShard {
+        ledger,
+        queue,
+        waiters,
+        ..
+    } = shard;
+    waiters.retain(|ticket, waiter| {
+        let has_gone = waiter.answer.is_closed();
+        if has_gone {
+            queue.forget(*ticket);
+        }
+        !has_gone
+    });
+    for settled in queue.settle(ledger, now) {
+        let Some(waiter) = waiters.remove(&settled.ticket) else {
+            continue;
         };
-        if granted.is_some() || now >= waiter.until {
-            if let Err(Some(_)) = waiter.answer.send(granted) {
-                shard.ledger.release(&waiter.demand.run);
-            }
-        } else {
-            // A large generation at the head is not passed by smaller ones for ever.
-            blocked = true;
-            shard.waiters.push(waiter);
+        if let Err(Some(_)) = waiter.answer.send(settled.granted) {
+            ledger.release(&waiter.run);
         }
     }
 }
--- a/src/gateway/ledgers.rs
+++ b/src/gateway/ledgers.rs
@@ -2,20 +2,17 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
-use crate::kernel::engine_ledger::{EngineLedger, EngineSummary, RunDemand};
+use crate::kernel::engine_ledger::{EngineLedger, EngineSummary};
+use crate::kernel::room_queue::{RoomQueue, Ticket};
 
-/// A generation that waits for room.
+/// Where a generation that waits for room is answered.
 pub(crate) struct Waiter {
-    pub(crate) demand: RunDemand,
-    pub(crate) entry: String,
-    pub(crate) excluded: Vec<String>,
-    pub(crate) until: Duration,
-    pub(crate) arrived: Duration,
+    /// Names it to the engines.
+    pub(crate) run: String,
     pub(crate) answer: oneshot::Sender<Option<String>>,
 }
 
@@ -31,7 +28,9 @@
     pub(crate) ledger: EngineLedger,
     /// Configuration and state of the fleet that the ledger's engines were taken from.
     pub(crate) engines_of: Option<EnginesOf>,
-    pub(crate) waiters: Vec<Waiter>,
+    pub(crate) queue: RoomQueue,
+    /// Those that wait in the queue.
+    pub(crate) waiters: HashMap<Ticket, Waiter>,
 }
 
 /// The ledgers of all services with engines.
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -95,6 +95,14 @@
     }
 }
 
+impl RunDemand {
+    /// Tokens in memory within the horizon after the start.
+    pub(super) fn predicted_at_start(&self) -> f64 {
+        let growth = MADE_TOKENS_PER_S * HORIZON.as_secs_f64();
+        f64::from(self.prompt_tokens) + self.expected_made().min(growth)
+    }
+}
+
 impl ReportedRun {
     /// Tokens in memory now.
     pub(super) fn held(&self) -> f64 {
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -28,6 +28,7 @@
 pub mod policy;
 pub mod retry;
 pub mod roles;
+pub mod room_queue;
 pub mod route;
 pub mod rules;
 pub mod store_sources;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -20,6 +20,8 @@
 mod parsers;
 #[path = "kernel/placement.rs"]
 mod placement;
+#[path = "kernel/room_queue.rs"]
+mod room_queue;
 #[path = "kernel/routes.rs"]
 mod routes;
 #[path = "kernel/site_rules.rs"]
--- /dev/null
+++ b/tests/kernel/room_queue.rs
@@ -0,0 +1,197 @@
+//! Waiting for room: loads at their worst, replayed on a clock moved by hand.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use larkwick::kernel::engine_ledger::{EngineEntry, EngineLedger, ReportedRun, RunDemand};
+use larkwick::kernel::room_queue::{Answer, RoomQueue, RoomRequest, Ticket};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn engine(number: usize) -> EngineEntry {
+    EngineEntry {
+        id: format!("e{number}"),
+        hall: "h".to_owned(),
+        slots: 24,
+        memory_tokens: 33_000,
+        leaving: false,
+        moves: true,
+    }
+}
+
+fn request(run: &str, prompt_tokens: u32, priority: u32, until: Duration) -> RoomRequest {
+    RoomRequest {
+        demand: RunDemand {
+            run: run.to_owned(),
+            prompt_tokens,
+            made_max_tokens: 400,
+            made_hint_tokens: None,
+            priority,
+        },
+        entry: "n".to_owned(),
+        excluded: Vec::new(),
+        until,
+    }
+}
+
+/// One engine filled with generations of 2,900 tokens, which are reported as running.
+fn full_engine() -> (EngineLedger, Vec<ReportedRun>) {
+    let mut ledger = EngineLedger::default();
+    ledger.set_engines(vec![engine(0)]);
+    let mut running = Vec::new();
+    loop {
+        let run = format!("old{}", running.len());
+        let demand = request(&run, 2_900, 1, ms(0)).demand;
+        let Some(endpoint) = ledger.place(&demand, "n", &[], ms(0)) else {
+            break;
+        };
+        running.push(ReportedRun {
+            demand,
+            endpoint,
+            made_tokens: 40,
+        });
+    }
+    ledger.take_report("n", running.clone(), ms(0));
+    (ledger, running)
+}
+
+fn waits(answer: &Answer) -> Ticket {
+    match answer {
+        Answer::Waits(ticket) => *ticket,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn ask_no_time_to_wait_refused_at_once() {
+    let (mut ledger, _) = full_engine();
+    let mut queue = RoomQueue::default();
+    let answer = queue.ask(&mut ledger, request("a", 2_900, 1, ms(5)), ms(5));
+    assert_eq!(answer, Answer::Refused);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn settle_urgent_one_first_then_by_arrival() {
+    let (mut ledger, mut running) = full_engine();
+    let mut queue = RoomQueue::default();
+    let mut tickets = Vec::new();
+    for (run, priority) in [("late", 2), ("first", 1), ("second", 1), ("urgent", 0)] {
+        let answer = queue.ask(&mut ledger, request(run, 2_900, priority, ms(900)), ms(1));
+        tickets.push(waits(&answer));
+    }
+    let mut order = Vec::new();
+    for step in 2..6 {
+        running.pop();
+        ledger.take_report("n", running.clone(), ms(step));
+        let settled = queue.settle(&mut ledger, ms(step));
+        order.extend(settled.iter().map(|one| one.ticket));
+    }
+    assert_eq!(order, [tickets[3], tickets[1], tickets[2], tickets[0]]);
+}
+
+/// A large one is passed by small ones that fit for half of its time; then what becomes free is kept for it.
+#[test]
+fn settle_large_one_passed_for_half_of_its_time() {
+    let (mut ledger, mut running) = full_engine();
+    let mut queue = RoomQueue::default();
+    let large = queue.ask(&mut ledger, request("large", 5_800, 1, ms(1_000)), ms(0));
+    let small = queue.ask(&mut ledger, request("small", 2_800, 1, ms(1_000)), ms(0));
+    running.pop();
+    ledger.take_report("n", running.clone(), ms(100));
+    let settled = queue.settle(&mut ledger, ms(100));
+    assert_eq!(settled.len(), 1);
+    assert_eq!(settled[0].ticket, waits(&small));
+    let next = queue.ask(&mut ledger, request("next", 2_800, 1, ms(2_000)), ms(550));
+    running.pop();
+    ledger.take_report("n", running.clone(), ms(600));
+    assert!(queue.settle(&mut ledger, ms(600)).is_empty());
+    running.pop();
+    ledger.take_report("n", running.clone(), ms(700));
+    let settled = queue.settle(&mut ledger, ms(700));
+    assert_eq!(settled.first().map(|one| one.ticket), Some(waits(&large)));
+    assert!(settled.iter().all(|one| one.ticket != waits(&next)));
+}
+
+/// What became of a load, and how long the refused were held.
+#[derive(Debug, Default)]
+struct Outcome {
+    served: usize,
+    refused: usize,
+    refused_held: Duration,
+}
+
+/// Callers come at this many a second for ten seconds to a dozen engines whose generations last 4 s; each waits 900 ms at most.
+fn replay(callers_per_s: u64) -> Outcome {
+    const ENGINES: usize = 12;
+    const LASTS: Duration = Duration::from_secs(4);
+    let mut ledger = EngineLedger::default();
+    ledger.set_engines((0..ENGINES).map(engine).collect());
+    let mut queue = RoomQueue::default();
+    let mut outcome = Outcome::default();
+    let mut waiting: BTreeMap<Ticket, (String, Duration)> = BTreeMap::new();
+    let mut running: Vec<(Duration, ReportedRun)> = Vec::new();
+    let begin =
+        |run: &str, endpoint: String, now: Duration, running: &mut Vec<(Duration, ReportedRun)>| {
+            let demand = request(run, 2_900, 1, ms(0)).demand;
+            let reported = ReportedRun {
+                demand,
+                endpoint,
+                made_tokens: 40,
+            };
+            running.push((now + LASTS, reported));
+        };
+    let mut callers = 0;
+    for tick in 0..500_u64 {
+        let now = ms(tick * 20);
+        running.retain(|(ends, _)| *ends > now);
+        let reported = running.iter().map(|(_, run)| run.clone()).collect();
+        ledger.take_report("n", reported, now);
+        for settled in queue.settle(&mut ledger, now) {
+            let (run, arrived) = waiting.remove(&settled.ticket).expect("it waits");
+            if let Some(endpoint) = settled.granted {
+                outcome.served += 1;
+                begin(&run, endpoint, now, &mut running);
+            } else {
+                outcome.refused += 1;
+                outcome.refused_held += now.saturating_sub(arrived);
+            }
+        }
+        while callers * 1_000 < tick * 20 * callers_per_s {
+            callers += 1;
+            let run = format!("r{callers}");
+            match queue.ask(&mut ledger, request(&run, 2_900, 1, now + ms(900)), now) {
+                Answer::Granted(endpoint) => {
+                    outcome.served += 1;
+                    begin(&run, endpoint, now, &mut running);
+                }
+                Answer::Refused => outcome.refused += 1,
+                Answer::Waits(ticket) => {
+                    waiting.insert(ticket, (run, now));
+                }
+            }
+        }
+    }
+    outcome
+}
+
+#[test]
+fn ask_load_within_what_engines_hold_nobody_refused() {
+    let outcome = replay(25);
+    assert_eq!(outcome.refused, 0, "{outcome:?}");
+}
+
+/// 2.5 times what the engines hold: as many are served as without a queue's limit, and those that cannot be are told so soon. Held until
+/// their time was over, as before, each of them waited 900 ms.
+#[test]
+fn ask_load_two_and_a_half_times_refused_are_told_soon() {
+    let outcome = replay(75);
+    let refused = u32::try_from(outcome.refused).expect("few");
+    assert!(outcome.refused > 200, "{outcome:?}");
+    let held = outcome.refused_held / refused;
+    assert!(held < ms(200), "{held:?} {outcome:?}");
+    // Twelve engines with ten generations of 4 s each end 30 a second.
+    assert!(outcome.served > 300, "{outcome:?}");
+}
