Ask starting peers again for as long as the store is asked; split off the first words of a subject

Change: peers are asked again, 50 ms apart, until the calls to the store end (gateway/shared_store/first_words.rs, split off). site_calls 31, site_generations 15 passed.

--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -4,14 +4,14 @@
 //! source at any record. Every answer carries the age of the last word of the store, so that two instances that read from each
 //! other notice when neither hears the store any more.
 
+mod first_words;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use futures::stream::{FuturesUnordered, StreamExt};
 use parking_lot::Mutex;
 use rand::RngExt;
-use rand::seq::IteratorRandom;
 use spdlog::info;
 use tokio::sync::Notify;
 
@@ -26,8 +26,6 @@
 use crate::peer::client::PeerClients;
 use crate::peer::generated as wire;
 
-/// Longest wait for first words at another instance that knows nothing either.
-const FIRST_WORDS_WAIT: Duration = Duration::from_millis(350);
 /// On top of its wait, the head of another instance's answer may take this long.
 const PEER_MARGIN: Duration = Duration::from_millis(200);
 
@@ -42,14 +40,6 @@
 const OUTAGE_MIN: Duration = Duration::from_secs(2);
 /// That the store came back from an outage is told for this long.
 const REGAINED_TOLD: Duration = Duration::from_secs(5);
-/// Pause between calls to the store while nothing is known of a subject and none was answered; five times what a sound store takes on a day
-/// on which it is ten times as slow.
-const FIRST_WORDS_EVERY: Duration = Duration::from_millis(200);
-/// Members asked at once for words of any age.
-const OLD_WORDS_ASKED: usize = 8;
-/// Calls before the instances that start, too, are asked once more.
-const FIRST_WORDS_CALLS: u32 = 4;
-
 /// A page, and how fresh it is.
 #[derive(Debug)]
 struct AgedPage {
@@ -286,50 +276,12 @@
         read
     }
 
-    /// Reads a subject of which nothing is known: from what other instances know, else from the store and from those that are starting,
-    /// too, together. Gain: 0.008 of worth (+-0.0035) on a day that ends with a loss of all instances in an outage of the store, mean of six
-    /// paired seeds.
-    async fn read_first_words(
-        &self,
-        subject: Subject,
-        sources: Vec<(Source, Option<String>)>,
-    ) -> StoreResult<SitePage> {
-        let is_peer = |(source, _): &(Source, Option<String>)| *source != Source::Store;
-        let peers: Vec<_> = sources.iter().filter(|one| is_peer(one)).cloned().collect();
-        let mut read = Err(no_source());
-        if !peers.is_empty() {
-            read = self.read_any(peers, subject, None, Duration::ZERO).await;
-        }
-        let has_store = sources.iter().any(|one| !is_peer(one));
-        if read.is_err() {
-            read = self
-                .read_any(sources, subject, None, FIRST_WORDS_WAIT)
-                .await;
-        }
-        if read.is_err() && !has_store && self.may_ask_store(subject) {
-            let store = (Source::Store, None);
-            read = self.read_at(store, subject, None, Duration::ZERO).await;
-        }
-        if read.is_err()
-            && let Some(page) = self.read_old_words(subject).await
-        {
-            read = Ok(page);
-        }
-        self.note_outcome(subject, &read);
-        read
-    }
-
     /// The store itself; each use of it is a call.
     fn direct(&self) -> &dyn SiteStore {
         self.tally.count(Work::StoreCall);
         self.direct.as_ref()
     }
 
-    fn may_ask_store(&self, subject: Subject) -> bool {
-        let sources = self.shard(subject).sources.lock();
-        sources.may_ask_store(self.clock.now())
-    }
-
     /// Reads from several sources at once; the first answer counts.
     async fn read_any(
         &self,
@@ -385,31 +337,6 @@
         }
     }
 
-    /// What a member knows, however old: an instance that starts while the store is down serves what the others serve. A few are asked at
-    /// once: one after the other, 100 members that know as little take longer to ask than an outage lasts.
-    async fn read_old_words(&self, subject: Subject) -> Option<SitePage> {
-        let live = self.live.view();
-        let others = live.members().iter();
-        let others = others.filter(|member| member.name != self.own_name);
-        let asked = others.sample(&mut rand::rng(), OLD_WORDS_ASKED);
-        let reads = asked.into_iter().map(|member| {
-            Box::pin(async move {
-                let address = &member.peer_address;
-                let read = self.read_at_peer(address, subject, None, Duration::ZERO, true);
-                read.await.map(|aged| (member, aged))
-            })
-        });
-        let reads: Vec<_> = reads.collect();
-        if reads.is_empty() {
-            return None;
-        }
-        let ((member, aged), _) = futures::future::select_ok(reads).await.ok()?;
-        info!("started from the words of a member", kv: {
-            subject = subject.name(), member = member.name.as_str(), age_ms: = millis(aged.age),
-        });
-        Some(self.keep(subject, None, aged))
-    }
-
     async fn read_at_store(
         &self,
         subject: Subject,
@@ -436,28 +363,6 @@
         })
     }
 
-    /// Asks the store again while it has not answered yet: a call that began while the store was silent is lost, and callers are waiting.
-    async fn newest_asked_often(&self, subject: Subject) -> StoreResult<SitePage> {
-        let mut calls = FuturesUnordered::new();
-        calls.push(self.direct().newest(subject));
-        for _ in 1..FIRST_WORDS_CALLS {
-            match tokio::time::timeout(FIRST_WORDS_EVERY, calls.next()).await {
-                Ok(Some(Ok(page))) => return Ok(page),
-                Ok(_) => tokio::time::sleep(FIRST_WORDS_EVERY).await,
-                Err(_) => {}
-            }
-            calls.push(self.direct().newest(subject));
-        }
-        let mut last = Err(no_source());
-        while let Some(read) = calls.next().await {
-            last = read;
-            if last.is_ok() {
-                break;
-            }
-        }
-        last
-    }
-
     fn note_regained(&self, subject: Subject, at: Duration) {
         let mut regained = self.shard(subject).regained_at.lock();
         *regained = Some(at).max(*regained);
