--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -30,9 +30,9 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(400);
 /// An engine at whose address nobody listens takes none for this time; the list tells of its end or of its return.
 const DEAD_PAUSE: Duration = Duration::from_secs(4);
-/// Engines that differ by less than this in fill are alike. Instances that place alone know only their own generations: without an order of its
-/// own, each of a hundred would begin with the same engine.
-const TIE_SPREAD: f64 = 0.02;
+/// Engines that differ by less than this in fill are alike; less than a token. Instances that place alone know only their own generations:
+/// without an order of its own among engines that look empty, each of a hundred would begin with the same one.
+const TIE_SPREAD: f64 = 1e-5;
 
 /// The place of an engine among those that are alike, as one instance sees it.
 fn tie(own_name: &str, engine: &str) -> f64 {
