Tell at once that the store fails, so that engines are asked before its words are old

Readers know of the failure at once. Change: kernel/store_contact.rs; the head of each page tells how long ago the store failed somebody without a word since, and a read that waits for news ends with it. Words that are older than a failure never hide it, so that two readers that read from each other stay sure.

--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -26,8 +26,8 @@
         tokio::time::sleep(ROUND_EVERY).await;
         let age = gateway.store.word_age(Subject::Endpoints);
         let silent_after = gateway.routing.read().freshness().silent_after();
-        let is_failing = gateway.store.is_failing(Subject::Endpoints);
-        if age.is_none_or(|age| age < silent_after && !is_failing) {
+        let is_away = gateway.store.is_store_away(Subject::Endpoints);
+        if age.is_none_or(|age| age < silent_after && !is_away) {
             continue;
         }
         for engine in coordinator::engines_to_ask(&gateway) {
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -22,6 +22,7 @@
 use super::tally::{Tally, Work};
 use crate::kernel::clock::{Clock, millis};
 use crate::kernel::freshness::Freshness;
+use crate::kernel::store_contact::StoreContact;
 use crate::kernel::store_sources::{Source, StoreSources};
 use crate::peer::client::PeerClients;
 use crate::peer::generated as wire;
@@ -55,6 +56,8 @@
     sources: Mutex<StoreSources>,
     /// When the store came back from its last outage.
     regained_at: Mutex<Option<Duration>>,
+    /// When the store last failed somebody, here or elsewhere.
+    contact: Mutex<StoreContact>,
     /// Source last used, for the log.
     used: Mutex<Option<Source>>,
     added: Notify,
@@ -115,6 +118,7 @@
                 cache: Mutex::new(SubjectCache::new(subject)),
                 sources: Mutex::new(StoreSources::default()),
                 regained_at: Mutex::default(),
+                contact: Mutex::default(),
                 used: Mutex::default(),
                 added: Notify::new(),
                 receiving: AtomicUsize::new(0),
@@ -180,11 +184,30 @@
             let mut sources = self.shard(subject).sources.lock();
             sources.failed(source, now, drawn);
         }
+        if *source == Source::Store {
+            self.note_store_failed(subject, self.clock.now());
+        }
         if crate::log::admits("store source failed") {
             info!("store source failed", kv: { subject = subject.name(), source:?, why: = error });
         }
     }
 
+    /// The store failed at this time, here or elsewhere. Who waits for news here is told at once.
+    fn note_store_failed(&self, subject: Subject, at: Duration) {
+        let was_away = self.is_store_away(subject);
+        self.shard(subject).contact.lock().failed(at);
+        if !was_away && self.is_store_away(subject) {
+            self.shard(subject).added.notify_waiters();
+        }
+    }
+
+    /// Whether nobody is known to have heard the store since it last failed.
+    pub(crate) fn is_store_away(&self, subject: Subject) -> bool {
+        let shard = self.shard(subject);
+        let word_at = shard.cache.lock().word_at;
+        shard.contact.lock().is_away(word_at)
+    }
+
     fn note_answered(&self, subject: Subject, source: &Source) {
         let shard = self.shard(subject);
         shard.sources.lock().answered(source);
@@ -222,6 +245,10 @@
             let why = format!("the peer heard the store {} ms ago", head.age_ms);
             return Err(StoreError::NoAnswer(why));
         }
+        if head.store_failed_ms_ago > 0 {
+            let ago = Duration::from_millis(head.store_failed_ms_ago);
+            self.note_store_failed(subject, head_at.saturating_sub(ago));
+        }
         let receiving = Receiving::begin(&self.shard(subject).receiving);
         let page = coming.rest().await.map_err(StoreError::NoAnswer)?;
         drop(receiving);
@@ -414,6 +441,7 @@
         let shard = self.shard(subject);
         let wait = Duration::from_millis(request.wait_ms).min(self.peer_wait(subject));
         let until = tokio::time::Instant::now() + wait;
+        let was_away = self.is_store_away(subject);
         loop {
             let added = shard.added.notified();
             let has_news = {
@@ -421,6 +449,7 @@
                 let has_words = request.whole && cache.word_at.is_some();
                 has_words || cache.next_offset > request.from_offset
             };
+            let has_news = has_news || (!was_away && self.is_store_away(subject));
             if has_news || tokio::time::timeout_at(until, added).await.is_err() {
                 return self.page_for(subject, request);
             }
@@ -436,6 +465,8 @@
         let regained_at = self.regained_at(subject);
         let regained_ago = regained_at.map(|at| now.saturating_sub(at));
         let regained_ago = regained_ago.filter(|ago| *ago < REGAINED_TOLD);
+        let failed_ago = self.shard(subject).contact.lock().failed_ago(now);
+        let failed_ago = failed_ago.filter(|_| self.is_store_away(subject));
         let mut cache = self.shard(subject).cache.lock();
         let word_at = cache
             .word_at
@@ -457,6 +488,7 @@
             age_ms: millis(age),
             regained_ms_ago: regained_ago.map_or(0, |ago| millis(ago).max(1)),
             compressed: page.compressed,
+            store_failed_ms_ago: failed_ago.map_or(0, |ago| millis(ago).max(1)),
         };
         Ok((head, page))
     }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -32,6 +32,7 @@
 pub mod room_queue;
 pub mod route;
 pub mod rules;
+pub mod store_contact;
 pub mod store_sources;
 pub mod stream;
 pub mod ticket;
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -183,6 +183,9 @@
     /// Time since the store came back from an outage, where that was of late; else 0.
     #[prost(uint64, tag = "3")]
     pub regained_ms_ago: u64,
+    /// Time since the store last failed somebody, where no word of it came since; else 0.
+    #[prost(uint64, tag = "5")]
+    pub store_failed_ms_ago: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Demand {
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -28,5 +28,7 @@
 mod routes;
 #[path = "kernel/site_rules.rs"]
 mod site_rules;
+#[path = "kernel/store_contact.rs"]
+mod store_contact;
 #[path = "kernel/store_sources.rs"]
 mod store_sources;
