--- a/tests/kernel/room_queue.rs
+++ b/tests/kernel/room_queue.rs
@@ -195,3 +195,20 @@
     // Twelve engines with ten generations of 4 s each end 30 a second.
     assert!(outcome.served > 300, "{outcome:?}");
 }
+
+/// A caller that leaves while it waits: its place goes to the next one, and nothing is granted to it.
+#[test]
+fn forget_caller_gone_next_one_gets_the_place() {
+    let (mut ledger, mut running) = full_engine();
+    let mut queue = RoomQueue::default();
+    let gone = queue.ask(&mut ledger, request("gone", 2_900, 1, ms(900)), ms(0));
+    let next = queue.ask(&mut ledger, request("next", 2_900, 1, ms(900)), ms(0));
+    queue.forget(waits(&gone));
+    running.pop();
+    ledger.take_report("n", running, ms(20));
+    let settled = queue.settle(&mut ledger, ms(20));
+    assert_eq!(settled.len(), 1);
+    assert_eq!(settled[0].ticket, waits(&next));
+    assert!(settled[0].granted.is_some());
+    assert!(queue.is_empty());
+}
