--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -15,7 +15,7 @@
 use super::node::Gateway;
 use super::peers::SiteService;
 use super::site_store::{self, SiteStore, Subject};
-use super::{coordinator, engine_reports, follow, heartbeat, operators, tally};
+use super::{coordinator, engine_reports, follow, heartbeat, operators, run_reports, tally};
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
 use crate::kernel::clock::{SystemClock, millis};
@@ -127,7 +127,7 @@
         self.tasks
             .push(tokio::spawn(coordinator::run(gateway.clone())));
         self.tasks
-            .push(tokio::spawn(coordinator::run_reports(gateway.clone())));
+            .push(tokio::spawn(run_reports::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(engine_reports::run(gateway.clone())));
         self.tasks.push(tokio::spawn(announce(gateway.clone())));
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -13,7 +13,8 @@
 
 use super::ledgers::{EnginesOf, ServiceShard, Waiter};
 use super::moves;
-use super::node::{Gateway, Stage};
+use super::node::Gateway;
+use super::ownership::{acts_as_owner, note_owner, owner_address};
 use super::runs::NotTaken;
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::{EngineEntry, MoveOrder, MoveResult, ReportedRun, RunDemand};
@@ -30,43 +31,11 @@
 const QUIET_TICK: Duration = Duration::from_millis(100);
 /// How often one is that belongs to another instance, and is kept only for when that one cannot be reached.
 const SPARE_TICK: Duration = Duration::from_secs(1);
-/// Longest wait for a report to the owner.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Pause between reports of an entry whose generations do not end, at a site of up to [`REPORT_INSTANCES`] instances; also while a generation
-/// runs on an engine that leaves.
-const REPORT_EVERY: Duration = Duration::from_millis(400);
-/// Longest such pause: three reports within the time after which a silent entry counts as gone.
-const REPORT_EVERY_MAX: Duration = Duration::from_secs(1);
-/// Instances beyond which the pause grows in proportion: one owner hears them all.
-const REPORT_INSTANCES: usize = 100;
-/// Least pause between reports.
-const REPORT_PAUSE: Duration = Duration::from_millis(40);
 /// On top of the wait that was asked for, an answer of the owner may take this long.
 const PLACE_MARGIN: Duration = Duration::from_millis(150);
 /// Longest time for a copy of memory; a whole memory takes half of it.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Peer address of the owner of a service's engines; nothing where it is this instance.
-fn owner_address(gateway: &Gateway, service: &str) -> Option<String> {
-    let live = gateway.live.view();
-    let owner = match gateway.in_flight.stage() {
-        Stage::Leaving => live.owner_among_others(service),
-        Stage::Serving => live.owner(service),
-    }?;
-    let is_other = owner.name != gateway.incarnation.name;
-    is_other.then(|| owner.peer_address.clone())
-}
-
-/// Whether this instance decides on a service's engines: as their owner, or alone since it cannot reach the owner.
-fn acts_as_owner(gateway: &Gateway, service: &str) -> bool {
-    owner_address(gateway, service).is_none()
-        || gateway
-            .ledgers
-            .owners
-            .lock()
-            .is_cut_off(service, gateway.now())
-}
-
 /// Engines that this instance owns and that run generations and are not known to leave.
 pub(crate) fn engines_to_ask(gateway: &Gateway) -> Vec<EndpointEntry> {
     let mut running = BTreeSet::new();
@@ -121,17 +90,6 @@
     }
 }
 
-/// Takes whether the owner of a service answered. An instance that is cut off from it acts alone until it does: a wait for the owner at each
-/// generation makes all of them late, and nobody else moves what it serves off engines that leave.
-fn note_owner(gateway: &Gateway, service: &str, answered: bool) {
-    let now = gateway.now();
-    let is_news = gateway.ledgers.owners.lock().note(service, answered, now);
-    if is_news {
-        info!("owner", kv: { service, answered: });
-        gateway.ledgers.wake();
-    }
-}
-
 async fn place_at(
     gateway: &Gateway,
     address: &str,
@@ -376,66 +334,3 @@
         Err(status) => (MoveResult::Failed, status.message().to_owned()),
     }
 }
-
-/// Reports this instance's generations to the owners for the life of the instance.
-pub(crate) async fn run_reports(gateway: Arc<Gateway>) {
-    let mut reported: BTreeSet<String> = BTreeSet::new();
-    loop {
-        let mut services: BTreeSet<String> = gateway.runs.services();
-        // A service whose last generation has ended is reported once more.
-        services.append(&mut reported);
-        for service in &services {
-            let runs = gateway.runs.of_service(service);
-            if !runs.is_empty() {
-                reported.insert(service.clone());
-            }
-            report(&gateway, service, runs).await;
-        }
-        tokio::select! {
-            () = tokio::time::sleep(report_pause(&gateway)) => {}
-            () = gateway.ledgers.changed.notified() => tokio::time::sleep(REPORT_PAUSE).await,
-        }
-    }
-}
-
-/// How long an entry waits before it reports what goes on as before.
-fn report_pause(gateway: &Gateway) -> Duration {
-    let is_leaving = {
-        let fleet = gateway.fleet.lock();
-        let engines = gateway.runs.endpoints();
-        engines.iter().any(|engine| !fleet.takes_work(engine))
-    };
-    if is_leaving {
-        return REPORT_EVERY;
-    }
-    let count = |instances: usize| u32::try_from(instances).unwrap_or(u32::MAX);
-    let times = f64::from(count(gateway.instances())) / f64::from(count(REPORT_INSTANCES));
-    REPORT_EVERY.mul_f64(times.max(1.0)).min(REPORT_EVERY_MAX)
-}
-
-async fn report(gateway: &Gateway, service: &str, runs: Vec<ReportedRun>) {
-    let not_taken = gateway.runs.take_not_taken(service);
-    let own_name = &gateway.incarnation.name;
-    // Kept here too, for the time when no owner can be reached.
-    take_report(gateway, service, own_name, runs.clone(), &not_taken);
-    let Some(address) = owner_address(gateway, service) else {
-        return;
-    };
-    let report = wire::RunsReport {
-        service: service.to_owned(),
-        entry: own_name.clone(),
-        runs: runs.iter().map(wire::Run::from).collect(),
-        refused: not_taken.refused.into_iter().collect(),
-        dead: not_taken.dead.into_iter().collect(),
-    };
-    let called = match gateway.peers.site_at(&address) {
-        Ok(mut client) => within(REPORT_TIMEOUT, client.report_runs(report)).await,
-        Err(status) => Err(status),
-    };
-    note_owner(gateway, service, called.is_ok());
-    if let Err(status) = called
-        && crate::log::admits("report not taken")
-    {
-        warn!("report not taken", kv: { service, owner = address.as_str(), why = status.message() });
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,7 +19,9 @@
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
 //! | `tally` | counts of what grows with the site |
 //! | `engine_reports` | asks engines whether they leave while the list is silent |
-//! | `ledgers`, `coordinator` | the owner of a service's engines and how entries reach it |
+//! | `ownership` | who owns a service's engines |
+//! | `ledgers`, `coordinator` | places and moves, by the owner or alone |
+//! | `run_reports` | what the owners are told |
 
 pub(crate) mod answer_body;
 pub mod app;
@@ -39,10 +41,12 @@
 pub(crate) mod moves;
 pub(crate) mod node;
 pub(crate) mod operators;
+pub(crate) mod ownership;
 pub mod parts;
 pub(crate) mod peers;
 pub(crate) mod plain_call;
 pub(crate) mod relay;
+pub(crate) mod run_reports;
 pub(crate) mod runs;
 pub(crate) mod shared_store;
 pub mod site_store;
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -5,6 +5,7 @@
 //! other notice when neither hears the store any more.
 
 mod first_words;
+mod pass_on;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -16,7 +17,6 @@
 use tokio::sync::Notify;
 
 use super::live_members::LiveMembers;
-use super::parts::EncodedPage;
 use super::site_store::{MemberEntry, SitePage, SiteStore, StoreError, StoreResult, Subject};
 use super::subject_cache::SubjectCache;
 use super::tally::{Tally, Work};
@@ -39,8 +39,6 @@
 
 /// An entry lapses after three silent heartbeats of more than a second each, so that shorter outages take none away.
 const OUTAGE_MIN: Duration = Duration::from_secs(2);
-/// That the store came back from an outage is told for this long.
-const REGAINED_TOLD: Duration = Duration::from_secs(5);
 /// A page, and how fresh it is.
 #[derive(Debug)]
 struct AgedPage {
@@ -428,70 +426,6 @@
         }
         page
     }
-
-    /// Answers another instance from what is known here; waits for news as it asks.
-    pub(crate) async fn pass_on(
-        &self,
-        request: &wire::ReadSiteRequest,
-    ) -> Result<(wire::PageHead, EncodedPage), tonic::Status> {
-        let subject = SUBJECTS
-            .into_iter()
-            .find(|subject| subject.name() == request.subject)
-            .ok_or_else(|| tonic::Status::invalid_argument("unknown subject"))?;
-        let shard = self.shard(subject);
-        let wait = Duration::from_millis(request.wait_ms).min(self.peer_wait(subject));
-        let until = tokio::time::Instant::now() + wait;
-        let was_away = self.is_store_away(subject);
-        loop {
-            let added = shard.added.notified();
-            let has_news = {
-                let cache = shard.cache.lock();
-                let has_words = request.whole && cache.word_at.is_some();
-                has_words || cache.next_offset > request.from_offset
-            };
-            let has_news = has_news || (!was_away && self.is_store_away(subject));
-            if has_news || tokio::time::timeout_at(until, added).await.is_err() {
-                return self.page_for(subject, request);
-            }
-        }
-    }
-
-    fn page_for(
-        &self,
-        subject: Subject,
-        request: &wire::ReadSiteRequest,
-    ) -> Result<(wire::PageHead, EncodedPage), tonic::Status> {
-        let now = self.clock.now();
-        let regained_at = self.regained_at(subject);
-        let regained_ago = regained_at.map(|at| now.saturating_sub(at));
-        let regained_ago = regained_ago.filter(|ago| *ago < REGAINED_TOLD);
-        let failed_ago = self.shard(subject).contact.lock().failed_ago(now);
-        let failed_ago = failed_ago.filter(|_| self.is_store_away(subject));
-        let mut cache = self.shard(subject).cache.lock();
-        let word_at = cache
-            .word_at
-            .ok_or_else(|| tonic::Status::unavailable("nothing known yet"))?;
-        let age = now.saturating_sub(word_at);
-        if age > self.age_max(subject) && !request.any_age {
-            return Err(tonic::Status::unavailable(
-                "the store was not heard of late",
-            ));
-        }
-        let page = if request.whole {
-            cache.encoded_whole()
-        } else {
-            cache.encoded_since(request.from_offset)
-        };
-        let page = page.ok_or_else(|| tonic::Status::out_of_range("records are not kept here"))?;
-        let head = wire::PageHead {
-            next_offset: cache.next_offset.max(request.from_offset),
-            age_ms: millis(age),
-            regained_ms_ago: regained_ago.map_or(0, |ago| millis(ago).max(1)),
-            compressed: page.compressed,
-            store_failed_ms_ago: failed_ago.map_or(0, |ago| millis(ago).max(1)),
-        };
-        Ok((head, page))
-    }
 }
 
 fn no_source() -> StoreError {
