Give readers a head start for first words

Cause (work done by all 295 instances in their first 10 s): 1,231 calls to the store, 886 of them by others than readers, three each: own entry, list of the members, and configuration or endpoints, since an instance that knows nothing asked store and peers together.

--- a/src/gateway/shared_store/first_words.rs
+++ b/src/gateway/shared_store/first_words.rs
@@ -16,6 +16,9 @@
 /// Pause between calls to the store while nothing is known of a subject and none was answered; five times what a sound store takes on a day
 /// on which it is ten times as slow.
 const FIRST_WORDS_EVERY: Duration = Duration::from_millis(200);
+/// How much later than the readers others ask the store: a store that is there has answered them by then. At 295 instances, 886 calls of others
+/// than readers came with each start of all, a third of them for this.
+const READERS_HEAD_START: Duration = Duration::from_millis(60);
 /// Pause before peers that know nothing are asked again: some of them may not have been listening yet.
 const FIRST_WORDS_PAUSE: Duration = Duration::from_millis(50);
 /// Members asked at once for words of any age.
@@ -71,7 +74,15 @@
         if store.is_empty() {
             return self.read_any(peers, subject, None, FIRST_WORDS_WAIT).await;
         }
-        let at_store = self.read_any(store, subject, None, Duration::ZERO);
+        let head_start = if self.live.view().readers().reads_store() {
+            Duration::ZERO
+        } else {
+            READERS_HEAD_START
+        };
+        let at_store = async {
+            tokio::time::sleep(head_start).await;
+            self.read_any(store, subject, None, Duration::ZERO).await
+        };
         let at_peers = self.read_again(peers, subject, FIRST_WORDS_EVERY * FIRST_WORDS_CALLS);
         let reads: [futures::future::BoxFuture<'_, _>; 2] =
             [Box::pin(at_store), Box::pin(at_peers)];
