--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -81,7 +81,7 @@
 }
 
 /// Waits a moment for the list of the members, or in an outage of the store for a first one that lives: what they know need not be read at
-/// the store. An instance that has met one member only takes itself for a reader: at 295 instances, 590 calls at each start of all.
+/// the store. An instance that has met one member only takes itself for a reader, and so would each of hundreds that start together.
 async fn members_met(gateway: &Gateway) {
     const CHECK_EVERY: Duration = Duration::from_millis(15);
     let begun = gateway.now();
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -58,21 +58,19 @@
     let address = status.peer_address.clone();
     let name = status.incarnation.name.clone();
     let now = gateway.now();
-    let (was_live, lives, departures) = {
+    let (was_live, lives, has_departed) = {
         let mut members = gateway.members.lock();
         let was_live = members.is_live(&name, MEMBER_RING, now);
         members.heard(status, now);
         members.take_suspicions(&suspicions, now);
-        let departed = departed.iter();
-        let news = departed.filter(|gone| members.departures.record(gone, now));
-        let departures = news.count();
-        (
-            was_live,
-            members.is_live(&name, MEMBER_RING, now),
-            departures,
-        )
+        let mut has_departed = false;
+        for gone in &departed {
+            has_departed |= members.departures.record(gone, now);
+        }
+        let lives = members.is_live(&name, MEMBER_RING, now);
+        (was_live, lives, has_departed)
     };
-    if was_live != lives || departures > 0 {
+    if was_live != lives || has_departed {
         gateway.live.note_changed();
     }
     if !was_live && lives {
