--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -12,13 +12,14 @@
 use tokio::task::JoinHandle;
 
 use super::listener::{self, Surface};
-use super::node::Gateway;
+use super::node::{Gateway, MEMBER_RING};
 use super::peers::SiteService;
 use super::site_store::{self, SiteStore, Subject};
 use super::{coordinator, engine_reports, follow, heartbeat, operators, run_reports, tally};
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
 use crate::kernel::clock::{SystemClock, millis};
+use crate::kernel::membership::Evidence;
 use crate::peer::generated::site_server::SiteServer;
 use crate::settings::Settings;
 use crate::standin::server::{Server, rocket_at, start, stop_all};
@@ -237,6 +238,32 @@
     loop {
         tokio::time::sleep(tally::TOLD_EVERY).await;
         gateway.tally.tell();
+        tell_evidence(&gateway);
+    }
+}
+
+/// Tells on what grounds members count as live: whoever is live without having been heard is so because nobody has said otherwise.
+fn tell_evidence(gateway: &Gateway) {
+    let evidence = {
+        let members = gateway.members.lock();
+        members.evidence(MEMBER_RING, gateway.now())
+    };
+    let Evidence {
+        heard,
+        unreported,
+        reported,
+        silent,
+    } = evidence;
+    info!("members by evidence", kv: { heard:, unreported:, reported:, silent: });
+    let counts = [
+        ("heard", heard),
+        ("unreported", unreported),
+        ("reported", reported),
+        ("silent", silent),
+    ];
+    for (evidence, count) in counts {
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        metrics::gauge!("larkwick_members", "evidence" => evidence).set(f64::from(count));
     }
 }
 
--- a/src/gateway/live_members.rs
+++ b/src/gateway/live_members.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use spdlog::info;
 
 use super::node::MEMBER_RING;
 use super::site_store::MemberEntry;
@@ -18,6 +19,9 @@
 /// What a member carries whose entry was not read yet, in cores: little, so that roles fall to others.
 const UNKNOWN_CORES: f64 = 0.01;
 
+/// Names of members in one line of the log.
+const NAMES_TOLD: usize = 32;
+
 /// The view in use, and when the members were last looked at for it.
 struct Current {
     view: Arc<LiveView>,
@@ -78,7 +82,9 @@
         }
         current.looked_at = Some(now);
         if !self.still_holds(&current.view, now) {
-            current.view = Arc::new(LiveView::new(&self.own_name, self.look(now)));
+            let view = Arc::new(LiveView::new(&self.own_name, self.look(now)));
+            tell_change(&current.view, &view);
+            current.view = view;
         }
         current.view.clone()
     }
@@ -135,3 +141,22 @@
         live
     }
 }
+
+/// Logs which members came and went: with the lines of all instances it shows who held which member for live, and for how long.
+fn tell_change(before: &LiveView, after: &LiveView) {
+    if !crate::log::admits("members live") {
+        return;
+    }
+    let came = names_missing(after, before);
+    let went = names_missing(before, after);
+    let members = after.members().len();
+    info!("members live", kv: { members:, came = came.as_str(), went = went.as_str() });
+}
+
+/// The first few names in one view that are not in the other.
+fn names_missing(view: &LiveView, other: &LiveView) -> String {
+    let names = view.members().iter().map(|member| member.name.as_str());
+    let missing = names.filter(|name| other.get(name).is_none());
+    let few: Vec<&str> = missing.take(NAMES_TOLD).collect();
+    few.join(" ")
+}
--- a/src/kernel/membership.rs
+++ b/src/kernel/membership.rs
@@ -78,6 +78,19 @@
     }
 }
 
+/// On what grounds the members of a site count as live or not, as counts of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Heard directly of late.
+    pub heard: usize,
+    /// Live since nobody says otherwise.
+    pub unreported: usize,
+    /// Live although some instances, too few to count, say that it is silent.
+    pub reported: usize,
+    /// Silent.
+    pub silent: usize,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Suspected {
     peer: u64,
@@ -227,7 +240,32 @@
         drawn.into_iter().map(|(_, peer)| peer).collect()
     }
 
+    /// On what grounds the members count as live or not.
+    #[must_use]
+    pub fn evidence(&self, own_hall: &str, now: Duration) -> Evidence {
+        let mut evidence = Evidence::default();
+        let staying = self.peers.values();
+        for peer in staying.filter(|peer| !self.departures.contains(&peer.status.incarnation)) {
+            let count = if heard_within(peer, PEER_SILENT_AFTER, now) {
+                &mut evidence.heard
+            } else if !self.lives(peer, own_hall, now) {
+                &mut evidence.silent
+            } else if self.reporters(peer, now) > 0 {
+                &mut evidence.reported
+            } else {
+                &mut evidence.unreported
+            };
+            *count += 1;
+        }
+        evidence
+    }
+
     fn is_suspected(&self, peer: &Peer, now: Duration) -> bool {
+        self.reporters(peer, now) >= REPORTERS_NEEDED
+    }
+
+    /// How many instances say that a peer is silent.
+    fn reporters(&self, peer: &Peer, now: Duration) -> usize {
         let id = peer.status.incarnation.short_id();
         let of_peer = Suspected {
             peer: id,
@@ -238,7 +276,7 @@
         };
         let counting = self.suspicions.range(of_peer);
         let counting = counting.filter(|(_, said)| now.saturating_sub(**said) < SUSPICION_KEPT);
-        counting.count() >= REPORTERS_NEEDED
+        counting.count()
     }
 
     /// Takes the platform's list. It adds peers and departures; it never overrules what was heard directly.
