--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -205,7 +205,7 @@
         let path = request.uri().path().to_owned();
         match path.as_str() {
             names::MOVE_PATH => return self.copy_run(request).await,
-            names::REPORT_PATH => return answer(200, json!({"state": "ready"}).to_string()),
+            names::REPORT_PATH => return answer(200, self.report().to_string()),
             _ => {}
         }
         let headers = request.headers().clone();
@@ -254,6 +254,15 @@
         }
     }
 
+    fn report(&self) -> Value {
+        let running = self.running.lock();
+        let runs = running.iter();
+        let runs: Vec<Value> = runs
+            .map(|(id, run)| json!([id, 1_000, run.made.load(Ordering::Relaxed), 5]))
+            .collect();
+        json!({"state": "ready", "runs": runs})
+    }
+
     fn plain(id: &str, fault: ServerFault, body: &Bytes) -> Response<StandinBody> {
         let status = if fault == ServerFault::Fails {
             500
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -29,6 +30,9 @@
 pub struct Proxy {
     pub address: SocketAddr,
     link: watch::Sender<Link>,
+    /// Connections that were opened before this one are silent for good.
+    silent_before: watch::Sender<u64>,
+    opened: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<tokio::task::AbortHandle>>>,
     accepting: tokio::task::JoinHandle<()>,
 }
@@ -48,6 +52,10 @@
         let link = watch::Sender::new(Link::Sound);
         let connections: Arc<Mutex<Vec<tokio::task::AbortHandle>>> = Arc::default();
         let (links, open) = (link.clone(), connections.clone());
+        let silent_before = watch::Sender::new(0);
+        let silences = silent_before.clone();
+        let opened: Arc<AtomicU64> = Arc::default();
+        let numbers = opened.clone();
         let accepting = tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 let Ok(server) = TcpStream::connect(target).await else {
@@ -55,13 +63,21 @@
                 };
                 let (from_caller, to_caller) = caller.into_split();
                 let (from_server, to_server) = server.into_split();
+                let number = numbers.fetch_add(1, Ordering::SeqCst);
+                let mut silences = silences.subscribe();
                 let there = pass(from_caller, to_server, links.subscribe(), false);
                 let back = pass(from_server, to_caller, links.subscribe(), true);
                 let both = async move {
+                    let silenced = async {
+                        let _ = silences.wait_for(|before| number < *before).await;
+                    };
+                    tokio::pin!(there, back);
                     // Where one direction ends, the connection ends: HTTP does without half-closed ones.
                     tokio::select! {
-                        () = there => {}
-                        () = back => {}
+                        () = &mut there => {}
+                        () = &mut back => {}
+                        // Nothing is read any more, and both ends stay open.
+                        () = silenced => std::future::pending().await,
                     }
                 };
                 open.lock().push(tokio::spawn(both).abort_handle());
@@ -70,6 +86,8 @@
         Self {
             address,
             link,
+            silent_before,
+            opened,
             connections,
             accepting,
         }
@@ -80,6 +98,12 @@
         self.link.send_replace(link);
     }
 
+    /// The connections that are open now go silent for good, without being closed; those opened from now on are sound.
+    pub fn silence_open(&self) {
+        let opened = self.opened.load(Ordering::SeqCst);
+        self.silent_before.send_replace(opened);
+    }
+
     /// Closes all connections.
     pub fn reset(&self) {
         for connection in self.connections.lock().drain(..) {
