Leave all connections to the store after a call without an answer

Cause: connections that are open may go silent together; the store's client kept the others and lost a call to each. Change: a call without an answer in time gives the client's other connections up; the next one opens a new one.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,8 +8,10 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use parking_lot::Mutex;
 use reqwest::StatusCode;
 use serde::Deserialize;
+use spdlog::warn;
 
 use super::names::{STORE_APPEND_PATH, STORE_NEWEST_PATH, STORE_READ_PATH};
 use super::{operator_config, servers};
@@ -37,10 +39,18 @@
 /// Client of the log at one address.
 #[derive(Debug)]
 pub struct Store {
-    client: reqwest::Client,
+    client: Mutex<Pooled>,
     base: String,
 }
 
+/// A client with the connections that it keeps.
+#[derive(Debug, Clone)]
+struct Pooled {
+    client: reqwest::Client,
+    /// Rises with each client that takes the place of another.
+    number: u64,
+}
+
 #[derive(Deserialize)]
 struct WireNewest {
     items: Vec<WireItem>,
@@ -84,29 +94,45 @@
     /// # Errors
     /// The HTTP client cannot be built.
     pub fn new(address: SocketAddr) -> anyhow::Result<Self> {
-        let client = reqwest::Client::builder()
-            .retry(reqwest::retry::never())
-            .redirect(reqwest::redirect::Policy::none())
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .tcp_keepalive(KEEPALIVE)
-            .tcp_keepalive_interval(KEEPALIVE)
-            .tcp_keepalive_retries(2)
-            .tcp_user_timeout(USER_TIMEOUT)
-            .build()?;
+        let first = Pooled {
+            client: build_client()?,
+            number: 0,
+        };
         Ok(Self {
-            client,
+            client: Mutex::new(first),
             base: format!("http://{address}"),
         })
     }
 
+    /// Leaves the connections of a client alone on which a call had no answer: others may have gone silent with that one, and each would cost a
+    /// call. With 8 connections at rest, one call in place of 8 is lost (`store_connections_silent_one_call_lost`).
+    fn leave_connections(&self, silent: &Pooled) {
+        let mut pooled = self.client.lock();
+        if pooled.number != silent.number {
+            return;
+        }
+        match build_client() {
+            Ok(client) => {
+                *pooled = Pooled {
+                    client,
+                    number: silent.number + 1,
+                }
+            }
+            Err(error) => warn!("connections to the store kept", kv: { why: = error }),
+        }
+    }
+
     async fn call(
         &self,
-        request: reqwest::RequestBuilder,
+        request: impl FnOnce(&reqwest::Client) -> reqwest::RequestBuilder,
         answer_begins_within: Duration,
     ) -> StoreResult<reqwest::Response> {
-        let sent = tokio::time::timeout(answer_begins_within, request.send()).await;
-        let sent = sent.map_err(|_| StoreError::NoAnswer("no answer in time".to_owned()))?;
+        let pooled = self.client.lock().clone();
+        let sending = request(&pooled.client).send();
+        let Ok(sent) = tokio::time::timeout(answer_begins_within, sending).await else {
+            self.leave_connections(&pooled);
+            return Err(StoreError::NoAnswer("no answer in time".to_owned()));
+        };
         let response = sent.map_err(|error| {
             if error.is_connect() {
                 StoreError::Refused(error.to_string())
@@ -136,11 +162,24 @@
             .map(|(name, value)| format!("{name}={value}"))
             .collect();
         let url = format!("{url}?{}", query.join("&"));
-        let response = self.call(self.client.get(url), CALL_TIMEOUT).await?;
+        let response = self.call(|client| client.get(url), CALL_TIMEOUT).await?;
         json(response).await
     }
 }
 
+fn build_client() -> reqwest::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .retry(reqwest::retry::never())
+        .redirect(reqwest::redirect::Policy::none())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .tcp_keepalive(KEEPALIVE)
+        .tcp_keepalive_interval(KEEPALIVE)
+        .tcp_keepalive_retries(2)
+        .tcp_user_timeout(USER_TIMEOUT)
+        .build()
+}
+
 /// The body of an answer, however long it takes, as long as it keeps coming.
 async fn body(response: reqwest::Response) -> StoreResult<Bytes> {
     let body = parts::collect(response.bytes_stream(), parts::SILENCE_MAX).await;
@@ -186,7 +225,9 @@
             topic(subject),
             wait.as_millis()
         );
-        let response = self.call(self.client.get(url), wait + CALL_TIMEOUT).await?;
+        let response = self
+            .call(|client| client.get(url), wait + CALL_TIMEOUT)
+            .await?;
         let body = body(response).await?;
         let keyed = split_records(&body).map_err(StoreError::Malformed)?;
         let count = u64::try_from(keyed.len()).unwrap_or(u64::MAX);
@@ -209,7 +250,7 @@
         let value =
             serde_json::to_vec(member).map_err(|error| StoreError::Malformed(error.to_string()))?;
         let record = keyed_record(&member.name, &value).map_err(StoreError::Malformed)?;
-        let request = self.client.post(url).body(record);
+        let request = |client: &reqwest::Client| client.post(url).body(record);
         self.call(request, CALL_TIMEOUT).await?;
         Ok(())
     }
