Keep generations and calls off connections that went silent

Cause: a connection that went silent for good tells it by nothing but the answer that does not come. Change: generations and orders to engines go out on connections of their own; the second attempt of a call, too; a call without an answer on a connection that had rested has the others of its service left alone, once it is overdue by four times, before its end where it may not be repeated. An engine whose stream is silent for a second is asked whether it has made events that did not come; then, and where a stream breaks off, it is asked to stop the generation, which goes on with its memory. Not covered: a generation whose request went out and whose first event had not come when its connection went silent.

--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -60,7 +60,11 @@
     }
 }
 
-async fn report(gateway: &Gateway, engine: &EndpointEntry) -> Result<EngineReport, String> {
+/// What an engine says of itself.
+pub(super) async fn report(
+    gateway: &Gateway,
+    engine: &EndpointEntry,
+) -> Result<EngineReport, String> {
     let request = engine::report_request(engine.address).map_err(|error| error.to_string())?;
     metrics::counter!("larkwick_engine_reports_total").increment(1);
     let upstream = &gateway.upstream;
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use http::Response;
-use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use rand::RngExt;
 use spdlog::info;
@@ -18,7 +17,7 @@
 use super::relay;
 use super::runs::{RunCommand, RunHandle};
 use super::started::{Offers, RunGuard, Source, Started, tell_end};
-use super::upstream::{NoConnection, SendFailure};
+use super::upstream::{NoConnection, Reuse, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::RunDemand;
@@ -296,7 +295,11 @@
         run,
     };
     let open_max = gateway.connections_max(&call.table, &call.service);
-    let connection = gateway.upstream.connection(&endpoint, open_max).await;
+    // A generation is sent once: on a silent connection it would be lost. A new connection takes a round trip of its goal.
+    let connection = gateway
+        .upstream
+        .connection(&endpoint, open_max, Reuse::Never)
+        .await;
     let connection = connection.map_err(|none| NotStarted::Unsent {
         why: none.to_string(),
         dead: matches!(none, NoConnection::Refused(_)),
@@ -339,7 +342,6 @@
     }
     if answer.head.not_run {
         let status = answer.head.status;
-        drain_refusal(call, answer).await;
         return Err(NotStarted::Refused(format!("engine refused: {status}")));
     }
     let sound = answer.head.sealed && !answer.head.encoded && answer.head.request_id.is_some();
@@ -390,13 +392,3 @@
     let service = &call.service;
     Error::new(kind, format!("service {service}: {why}; it may have run"))
 }
-
-/// Reads a refusal to its end, so that the connection can be used again.
-async fn drain_refusal(call: &Call, answer: super::upstream::Answer) {
-    const REFUSAL_READ: Duration = Duration::from_millis(100);
-    let read = tokio::time::timeout(REFUSAL_READ, answer.body.collect()).await;
-    if matches!(read, Ok(Ok(_))) {
-        let upstream = &call.gateway.upstream;
-        upstream.give_back(answer.connection, &answer.head);
-    }
-}
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -54,28 +54,39 @@
     target: &EndpointEntry,
 ) {
     send(run, RunCommand::Stopping);
-    let continuation = |target: &EndpointEntry, copy| {
-        RunCommand::Continue(Continuation {
-            target: target.clone(),
-            copy_address: source.address,
-            copy,
-        })
-    };
-    match copy(gateway, run, source, target, true).await {
-        Ok(Copied::Done(copy)) => send(run, continuation(target, copy)),
-        // It was stopped, and its engine still has its memory: it goes on there.
-        Ok(Copied::NoRoom(Some(kept))) => send(run, continuation(source, kept)),
-        other => {
+    match stop(gateway, run, source, target).await {
+        Ok(continuation) => send(run, RunCommand::Continue(continuation)),
+        Err(why) => {
             send(run, RunCommand::NotStopped);
             if crate::log::admits("generation not stopped") {
                 warn!("generation not stopped", kv: {
-                    request_id = run.demand.run.as_str(), source = source.id.as_str(), why:? = other,
+                    request_id = run.demand.run.as_str(), source = source.id.as_str(), why = why.as_str(),
                 });
             }
         }
     }
 }
 
+/// Has an engine stop a generation and copy its memory. Gives where it goes on.
+pub(super) async fn stop(
+    gateway: &Gateway,
+    run: &RunHandle,
+    source: &EndpointEntry,
+    target: &EndpointEntry,
+) -> Result<Continuation, String> {
+    let goes_on_at = |target: &EndpointEntry, copy| Continuation {
+        target: target.clone(),
+        copy_address: source.address,
+        copy,
+    };
+    match copy(gateway, run, source, target, true).await? {
+        Copied::Done(copy) => Ok(goes_on_at(target, copy)),
+        // It was stopped, and its engine still has its memory: it goes on there.
+        Copied::NoRoom(Some(kept)) => Ok(goes_on_at(source, kept)),
+        other => Err(format!("{other:?}")),
+    }
+}
+
 fn not_copied(copied: Result<Copied, String>) -> (MoveResult, String) {
     match copied {
         Ok(Copied::NoRoom(_)) => (MoveResult::NoRoom, "no room".to_owned()),
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -14,7 +14,7 @@
 use super::call::SendHead;
 use super::inbound_call::Call;
 use super::node::Gateway;
-use super::upstream::{Answer, SendFailure};
+use super::upstream::{Answer, RestedWith, Reuse, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::fleet::EndpointEntry;
@@ -30,6 +30,8 @@
 const ANSWER: Pace = Pace::expecting(0.06, 0.03);
 /// An answer that was not waited for counts as having taken this many times as long, so that patience grows with a slower service.
 const LATE_TIMES: u32 = 2;
+/// An answer is overdue after this many times what all but a few take.
+const OVERDUE_TIMES: u32 = 4;
 /// Below this much time left, nothing new is sent.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(3);
 
@@ -259,7 +261,14 @@
 async fn attempt(call: &Call, endpoint: &EndpointEntry, attempts: &mut Attempts) -> Attempt {
     let gateway = &call.gateway;
     let open_max = gateway.connections_max(&call.table, &call.service);
-    let connection = match gateway.upstream.connection(endpoint, open_max).await {
+    // A first attempt without an answer may have gone out on a connection that went silent while it rested; the next one must not.
+    let reuse = if attempts.may_have_run > 0 {
+        Reuse::Never
+    } else {
+        Reuse::Allowed
+    };
+    let connection = gateway.upstream.connection(endpoint, open_max, reuse);
+    let connection = match connection.await {
         Ok(connection) => connection,
         Err(none) => return Attempt::NotRun(none.to_string()),
     };
@@ -282,9 +291,14 @@
     attempts.sends += 1;
     let patience = patience(call, attempts);
     let is_given_up = patience < call.time_left();
+    let rested = connection.rested_with();
+    let overdue_after = gateway.pace(&call.service, ANSWER).late() * OVERDUE_TIMES;
     let answered = tokio::time::timeout(patience, async {
-        let answer = connection.send(request).await?;
-        read_whole(gateway, &call.head.request_id, answer).await
+        let answered = async {
+            let answer = connection.send(request).await?;
+            read_whole(gateway, &call.head.request_id, answer).await
+        };
+        distrusting(rested.as_ref(), overdue_after, answered).await
     });
     let sent_at = gateway.now();
     let attempt = match answered.await {
@@ -299,6 +313,9 @@
             if is_given_up {
                 gateway.note_pace(&call.service, ANSWER, patience * LATE_TIMES);
             }
+            if let Some(rested) = &rested {
+                rested.distrust();
+            }
             Attempt::TimedOut
         }
     };
@@ -308,6 +325,24 @@
     attempt
 }
 
+/// Waits for an answer. Where it is overdue on a connection that had rested, other calls need not go out on those that rested with it: a call that
+/// cannot be sent again waits for its answer to the end.
+async fn distrusting<T>(
+    rested: Option<&RestedWith>,
+    overdue_after: Duration,
+    answered: impl Future<Output = T>,
+) -> T {
+    let Some(rested) = rested else {
+        return answered.await;
+    };
+    tokio::pin!(answered);
+    if let Ok(answered) = tokio::time::timeout(overdue_after, &mut answered).await {
+        return answered;
+    }
+    rested.distrust();
+    answered.await
+}
+
 /// How long this attempt may take: all that is left, unless another one can follow in time.
 fn patience(call: &Call, attempts: &Attempts) -> Duration {
     let left = call.time_left();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,16 +9,19 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use rand::seq::IteratorRandom;
 use spdlog::info;
 use tokio::sync::mpsc;
 
 use super::answer_body::{AnswerBody, BodyBroken};
 use super::call::{ContinueFrom, SendHead};
+use super::engine_reports;
 use super::generation;
 use super::inbound_call::Call;
+use super::moves;
 use super::runs::{Continuation, RunCommand};
 use super::started::{Offers, RunGuard, Source, Started, tell_end};
-use super::upstream::Answer;
+use super::upstream::{Answer, Reuse};
 use crate::kernel::clock::millis;
 use crate::kernel::fleet::{EndpointEntry, Standing};
 use crate::platform::engine;
@@ -27,6 +30,13 @@
 const STOP_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Longest wait for the stream of a stopped generation to close.
 const CLOSE_PATIENCE: Duration = Duration::from_millis(120);
+/// An engine that has sent no event for this long is asked whether it has made some, and again after twice the time: a connection that has gone
+/// silent looks like a generation that waits for memory. Callers leave after two seconds of silence or more.
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+/// Longest wait for an engine's report.
+const REPORT_PATIENCE: Duration = Duration::from_millis(400);
+/// How often a generation is taken over from an engine whose stream broke off.
+const TAKEN_OVER_MAX: u32 = 2;
 /// Longest wait for the first event after a move.
 const RESUME_PATIENCE: Duration = Duration::from_millis(2_500);
 
@@ -48,6 +58,10 @@
     events: u32,
     last_event_id: Option<String>,
     moves: u32,
+    /// When the source is asked whether it has made events that did not come; more than the time since the last event came.
+    silent_after: Duration,
+    /// How often it was taken over from an engine whose stream broke off.
+    taken_over: u32,
     /// The engines so far, in case it has to begin anew.
     offers: Offers,
     ended: bool,
@@ -59,6 +73,8 @@
     Events(Bytes),
     /// The generation is whole.
     End,
+    /// No event has come for some time.
+    Silent,
     /// The source broke off.
     Broken(String),
     /// It goes on elsewhere.
@@ -89,6 +105,8 @@
         events: 0,
         last_event_id: generation::last_event_id(&call).map(str::to_owned),
         moves: 0,
+        silent_after: SILENT_AFTER,
+        taken_over: 0,
         offers: started.offers,
         ended: false,
         call,
@@ -107,12 +125,15 @@
         }
         loop {
             let mut step = self.step().await;
+            if let Step::Silent = step {
+                step = self.ask_source().await;
+            }
             if let Step::Broken(why) = step {
                 step = self.after_break(why).await;
             }
             match step {
                 Step::Events(bytes) => return Some(Ok(Frame::data(bytes))),
-                Step::Again => {}
+                Step::Again | Step::Silent => {}
                 Step::Continue(continuation) => {
                     if let Err(why) = self.go_on_or_begin_anew(continuation).await {
                         return Some(Err(self.fail(&why)));
@@ -138,10 +159,12 @@
             return Step::Broken("no source".to_owned());
         };
         let left = self.call.time_left();
-        let patience = if self.pending.is_some() {
-            CLOSE_PATIENCE
+        let (patience, silent) = if self.pending.is_some() {
+            (CLOSE_PATIENCE, None)
+        } else if self.silent_after < left && !self.stopping {
+            (self.silent_after, Some(Step::Silent))
         } else {
-            left
+            (left, None)
         };
         tokio::select! {
             biased;
@@ -155,7 +178,9 @@
                 None => Step::Broken("the stream ended inside an event".to_owned()),
             },
             Some(command) = self.commands.recv() => self.take_command(command),
-            () = tokio::time::sleep(patience) => Step::Broken("silent for too long".to_owned()),
+            () = tokio::time::sleep(patience) => {
+                silent.unwrap_or_else(|| Step::Broken("silent for too long".to_owned()))
+            }
         }
     }
 
@@ -181,6 +206,7 @@
             }
             bytes.extend_from_slice(&event.bytes);
         }
+        self.silent_after = SILENT_AFTER;
         let made = self.events.saturating_mul(self.event_tokens);
         let handle = &self.handle.run;
         handle.made_tokens.store(made, Ordering::Relaxed);
@@ -248,12 +274,56 @@
             }
         }
         if generation::may_begin_anew(&self.call, &self.offers) {
-            Step::BeginAnew(why)
+            return Step::BeginAnew(why);
+        }
+        let taken_over = self.take_over(&why).await;
+        taken_over.map_or(Step::Broken(why), Step::Continue)
+    }
+
+    /// Asks the engine of a silent stream whether it has made events that did not come: then the connection is dead, and the engine goes on.
+    async fn ask_source(&mut self) -> Step {
+        self.silent_after *= 2;
+        let gateway = &self.call.gateway;
+        let engine = self.handle.run.endpoint.lock().clone();
+        let asked = engine_reports::report(gateway, &engine);
+        let report = tokio::time::timeout(REPORT_PATIENCE, asked).await;
+        let Ok(Ok(report)) = report else {
+            return Step::Again;
+        };
+        let made = report.made(&self.call.head.request_id);
+        if made.is_some_and(|made| made > self.last_number().unwrap_or_default()) {
+            Step::Broken("the engine has made events that did not come".to_owned())
         } else {
-            Step::Broken(why)
+            Step::Again
         }
     }
 
+    /// Has an engine whose stream broke off stop the generation, if it still runs it, and gives where it goes on. A generation whose connection
+    /// went silent goes on with its memory; it was cut at its deadline (`generation_connections_silent_each_event_once`).
+    async fn take_over(&mut self, why: &str) -> Option<Continuation> {
+        let source = self.handle.run.endpoint.lock().clone();
+        if self.taken_over >= TAKEN_OVER_MAX || self.left_long_ago(&source) {
+            return None;
+        }
+        self.taken_over += 1;
+        let gateway = &self.call.gateway;
+        let target = {
+            let fleet = gateway.fleet.lock();
+            let others = fleet.ready(&self.call.service);
+            let others = others.filter(|engine| engine.id != source.id);
+            others.choose(&mut rand::rng()).cloned()
+        }?;
+        let taken = moves::stop(gateway, &self.handle.run, &source, &target).await;
+        if crate::log::admits("generation taken over") {
+            let outcome = taken.as_ref().err().map_or("stopped", String::as_str);
+            info!("generation taken over", kv: {
+                request_id = self.call.head.request_id.as_str(), source = source.id.as_str(), why, outcome,
+                last_event_id:? = self.last_event_id,
+            });
+        }
+        taken.ok()
+    }
+
     async fn go_on_or_begin_anew(&mut self, continuation: Continuation) -> Result<(), String> {
         match self.go_on(continuation).await {
             Err(why) if generation::may_begin_anew(&self.call, &self.offers) => {
@@ -355,7 +425,8 @@
         if self.left_long_ago(target) {
             return Err("the engine that has its memory left too long ago".to_owned());
         }
-        let connection = gateway.upstream.connection(target, usize::MAX).await;
+        let upstream = &gateway.upstream;
+        let connection = upstream.connection(target, usize::MAX, Reuse::Never).await;
         let connection = connection.map_err(|none| none.to_string())?;
         let send = SendHead {
             endpoint_id: &target.id,
@@ -384,12 +455,7 @@
     fn finish(&mut self) {
         self.ended = true;
         tell_end(&self.call, "whole", "", self.events, self.moves);
-        if let Some(source) = self.source.take() {
-            let Answer {
-                head, connection, ..
-            } = source.answer;
-            self.call.gateway.upstream.give_back(connection, &head);
-        }
+        self.source = None;
     }
 
     fn fail(&mut self, why: &str) -> BodyBroken {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -37,8 +37,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
 /// Idle connections kept for each endpoint; more than one instance uses at once on an even day.
 const IDLE_MAX: usize = 8;
-/// After an endpoint of a service closed a connection that had rested in place of an answer, the service's connections are used again for
-/// this long only after a short rest: its endpoints may forget them sooner than they say.
+/// After an endpoint of a service closed a connection that had rested in place of an answer, or gave none, the service's connections are used again
+/// for this long only after a short rest: its endpoints may forget them sooner than they say, and all may have gone silent.
 const DISTRUSTED_FOR: Duration = Duration::from_secs(10);
 /// The short rest; the shortest time after which the users' servers forget a connection is 300 ms.
 const DISTRUSTED_REST_MAX: Duration = Duration::from_millis(200);
@@ -67,6 +67,16 @@
     MayHaveRun(String),
 }
 
+/// Whether a request may go out on a connection that rested. It may have gone silent for good, and tells it by nothing but the answer that does
+/// not come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// A call that is short, or that can be sent again.
+    Allowed,
+    /// What would be lost is worth more than a new connection.
+    Never,
+}
+
 /// Ends the task that drives a connection when dropped, and with it the connection.
 #[derive(Debug)]
 struct Driver(AbortHandle);
@@ -102,6 +112,19 @@
     pub(crate) reused: bool,
 }
 
+/// The connections of a service that rested beside one in use.
+pub(crate) struct RestedWith {
+    service: String,
+    pools: Arc<Pools>,
+}
+
+impl RestedWith {
+    /// The one in use gave no answer, or not in time: the others may have gone silent with it.
+    pub(crate) fn distrust(&self) {
+        self.pools.distrust_rest(&self.service);
+    }
+}
+
 /// An answer whose head has come.
 pub(crate) struct Answer {
     pub(crate) parts: Parts,
@@ -176,8 +199,11 @@
         &self,
         endpoint: &EndpointEntry,
         open_max: usize,
+        reuse: Reuse,
     ) -> Result<Connection, NoConnection> {
-        if let Some(connection) = self.take_idle(endpoint) {
+        if reuse == Reuse::Allowed
+            && let Some(connection) = self.take_idle(endpoint)
+        {
             return Ok(connection);
         }
         let count = self.count_open(endpoint, open_max)?;
@@ -203,6 +229,8 @@
         endpoint: &EndpointEntry,
         open_max: usize,
     ) -> Result<OpenCount, NoConnection> {
+        // Closing takes the pools' lock, so it comes before.
+        drop(self.surplus(endpoint, open_max));
         let mut pools = self.pools.by_endpoint.lock();
         let pool = pools.entry(endpoint.id.clone()).or_default();
         if pool.open >= open_max {
@@ -217,6 +245,14 @@
         })
     }
 
+    /// A connection at rest that has to make room for a new one.
+    fn surplus(&self, endpoint: &EndpointEntry, open_max: usize) -> Option<Idle> {
+        let mut pools = self.pools.by_endpoint.lock();
+        let pool = pools.get_mut(&endpoint.id)?;
+        let is_full = pool.open >= open_max && !pool.idle.is_empty();
+        is_full.then(|| pool.idle.remove(0))
+    }
+
     fn take_idle(&self, endpoint: &EndpointEntry) -> Option<Connection> {
         let now = self.clock.now();
         let rest_max = self.pools.rest_max(&endpoint.service);
@@ -245,20 +281,20 @@
         taken
     }
 
-    /// Sends a request that belongs to no caller, and reads the whole answer.
+    /// Sends a request that belongs to no caller on a connection of its own, and reads the whole answer: a generation that has to move off its
+    /// engine is lost with an order that goes out on a silent connection.
     pub(crate) async fn ask(
         &self,
         endpoint: &EndpointEntry,
         request: Request<Bytes>,
         body_max_bytes: usize,
     ) -> Result<(u16, Bytes), String> {
-        let connection = self.connection(endpoint, usize::MAX).await;
+        let connection = self.connection(endpoint, usize::MAX, Reuse::Never).await;
         let connection = connection.map_err(|none| none.to_string())?;
         let answer = connection.send(request).await;
         let answer = answer.map_err(|failure| failure.to_string())?;
         let body = Limited::new(answer.body, body_max_bytes).collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
-        self.give_back(answer.connection, &answer.head);
         Ok((answer.head.status, body))
     }
 
@@ -348,6 +384,14 @@
 }
 
 impl Connection {
+    /// The other connections at rest, where this one rested, too.
+    pub(crate) fn rested_with(&self) -> Option<RestedWith> {
+        self.reused.then(|| RestedWith {
+            service: self.count.service.clone(),
+            pools: self.count.pools.clone(),
+        })
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(crate) async fn send(mut self, request: Request<Bytes>) -> Result<Answer, SendFailure> {
         if let Err(error) = self.sender.ready().await {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,5 +1,6 @@
 //! What endpoints get and what they answer.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -213,13 +214,26 @@
     state: String,
     /// Milliseconds until the end, where it is known.
     leaves_ms: Option<f64>,
+    /// Each one a list: its request, tokens in memory, events made, priority.
+    #[serde(default)]
+    runs: Vec<serde_json::Value>,
 }
 
 /// What an engine says of itself, half a second late.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Events that its generations have made, by request.
+    runs: HashMap<String, u64>,
+}
+
+impl EngineReport {
+    /// Events that a generation has made; nothing where the engine does not run it.
+    #[must_use]
+    pub fn made(&self, request_id: &str) -> Option<u64> {
+        self.runs.get(request_id).copied()
+    }
 }
 
 /// The question for an engine's report.
@@ -240,7 +254,13 @@
 /// The text is not a report.
 pub fn decode_report(text: &[u8]) -> Result<EngineReport, String> {
     let wire: WireReport = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+    // What an engine says of its end must be read, whatever its generations look like.
+    let runs = wire.runs.iter().filter_map(|run| {
+        let (request, made) = (run.get(0)?.as_str()?, run.get(2)?.as_u64()?);
+        Some((request.to_owned(), made))
+    });
     Ok(EngineReport {
         leaving: wire.state == "draining" || wire.leaves_ms.is_some(),
+        runs: runs.collect(),
     })
 }
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -68,7 +68,7 @@
                 let there = pass(from_caller, to_server, links.subscribe(), false);
                 let back = pass(from_server, to_caller, links.subscribe(), true);
                 let both = async move {
-                    let silenced = async {
+                    let goes_silent = async {
                         let _ = silences.wait_for(|before| number < *before).await;
                     };
                     tokio::pin!(there, back);
@@ -77,7 +77,7 @@
                         () = &mut there => {}
                         () = &mut back => {}
                         // Nothing is read any more, and both ends stay open.
-                        () = silenced => std::future::pending().await,
+                        () = goes_silent => std::future::pending().await,
                     }
                 };
                 open.lock().push(tokio::spawn(both).abort_handle());
