Go on with generations whose connection goes silent before their first event; silence in the soak

Change: the engine is asked there, too (gateway/takeover.rs, taken out of the relay, which had grown). Soak: connections of the store, of engines and between instances go silent for good, one kind or all at once; peers are reached through proxies, with slow, silent and one-way links (setting peer_address_told). Tests: silent_connections, site_generations pass.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -17,7 +17,8 @@
 use super::relay;
 use super::runs::{RunCommand, RunHandle};
 use super::started::{Offers, RunGuard, Source, Started, tell_end};
-use super::upstream::{NoConnection, Reuse, SendFailure};
+use super::takeover;
+use super::upstream::{Answer, NoConnection, Reuse, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::RunDemand;
@@ -319,8 +320,9 @@
         NotStarted::Failed(Error::new(ErrorKind::BadRequest, error.to_string()))
     })?;
     let sent_at = gateway.now();
-    let answered = tokio::time::timeout(patience, connection.send(request)).await;
-    let answer = match answered {
+    let sending = connection.send(request);
+    let answered = first_answer(call, &handle.run, last_event_id, sending);
+    let answer = match tokio::time::timeout(patience, answered).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendFailure::Unsent(why))) => return Err(unsent(&why)),
         Ok(Err(SendFailure::MayHaveRun(why))) => {
@@ -366,6 +368,36 @@
     Ok(begun)
 }
 
+/// Waits for the head of an engine's answer. Where the engine has made events and none has come, the generation goes on on a new connection.
+async fn first_answer(
+    call: &Arc<Call>,
+    run: &RunHandle,
+    last_event_id: Option<&str>,
+    sending: impl Future<Output = Result<Answer, SendFailure>>,
+) -> Result<Answer, SendFailure> {
+    tokio::pin!(sending);
+    let mut silent_after = takeover::SILENT_AFTER;
+    let came = last_event_id.and_then(|id| id.parse().ok());
+    loop {
+        if let Ok(answered) = tokio::time::timeout(silent_after, &mut sending).await {
+            return answered;
+        }
+        silent_after *= 2;
+        let engine = run.endpoint.lock().clone();
+        if takeover::has_made_more(call, &engine, came.unwrap_or_default()).await {
+            break;
+        }
+    }
+    let lost = |why: String| SendFailure::MayHaveRun(why);
+    let taken_over = takeover::take_over(call, run, takeover::UNHEARD).await;
+    let continuation = taken_over.ok_or_else(|| lost(takeover::UNHEARD.to_owned()))?;
+    let answer = takeover::resume(call, &continuation, last_event_id).await;
+    let answer = answer.map_err(lost)?;
+    *run.endpoint.lock() = continuation.target;
+    call.gateway.ledgers.changed.notify_one();
+    Ok(answer)
+}
+
 /// An engine's answer, before it is known what came before it.
 struct Begun {
     source: Source,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! | `caller` | from a caller's request to its answer |
 //! | `plain_call` | calls with one answer |
 //! | `generation`, `started`, `relay` | generations: placed, then passed on event by event, also when they move |
+//! | `takeover` | generations whose connection to their engine has gone silent |
 //! | `upstream` | connections to endpoints |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
 //! | `tally` | counts of what grows with the site |
@@ -52,5 +53,6 @@
 pub mod site_store;
 pub(crate) mod started;
 pub(crate) mod subject_cache;
+pub(crate) mod takeover;
 pub(crate) mod tally;
 pub(crate) mod upstream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -157,9 +157,10 @@
         let member_entries: Arc<Mutex<HashMap<String, MemberEntry>>> = Arc::default();
         let entries = member_entries.clone();
         let own_name = settings.instance.clone();
+        let peer_address = peer_address(&settings, &routing);
         let live = Arc::new(LiveMembers::new(
             &own_name,
-            settings.peer_address.to_string(),
+            peer_address.to_string(),
             members.clone(),
             entries,
             clock.clone(),
@@ -357,7 +358,7 @@
             incarnation: self.incarnation.clone(),
             hall: MEMBER_RING.to_owned(),
             caller_address: self.settings.caller_address.to_string(),
-            peer_address: self.settings.peer_address.to_string(),
+            peer_address: peer_address(&self.settings, &self.routing.read()).to_string(),
             operator_address: self.settings.operator_address.to_string(),
             leaving: self.in_flight.stage() == Stage::Leaving,
             ticket_epoch: 0,
@@ -373,7 +374,7 @@
             incarnation: self.incarnation.id,
             hall: self.settings.hall.clone(),
             caller_address: self.settings.caller_address,
-            peer_address: self.settings.peer_address,
+            peer_address: peer_address(&self.settings, &routing),
             processor_cores: routing.processor_cores,
             link_mbps: routing.link_mbps,
         }
@@ -416,6 +417,11 @@
     }
 }
 
+/// Where peers connect.
+fn peer_address(settings: &Settings, routing: &RoutingSettings) -> SocketAddr {
+    routing.peer_address_told.unwrap_or(settings.peer_address)
+}
+
 /// Draws so many, each in proportion to its weight.
 fn sample_by_weight(weighted: Vec<(f64, SocketAddr)>, most: usize) -> Vec<(f64, SocketAddr)> {
     let mut drawn: Vec<(f64, (f64, SocketAddr))> = weighted
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,41 +9,28 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use rand::seq::IteratorRandom;
 use spdlog::info;
 use tokio::sync::mpsc;
 
 use super::answer_body::{AnswerBody, BodyBroken};
-use super::call::{ContinueFrom, SendHead};
-use super::engine_reports;
 use super::generation;
 use super::inbound_call::Call;
-use super::moves;
 use super::runs::{Continuation, RunCommand};
 use super::started::{Offers, RunGuard, Source, Started, tell_end};
-use super::upstream::{Answer, Reuse};
+use super::takeover;
+use super::upstream::Answer;
 use crate::kernel::clock::millis;
-use crate::kernel::fleet::{EndpointEntry, Standing};
 use crate::platform::engine;
 
 /// An engine that was asked to stop a generation closes its stream, and the place to go on is known, within this time.
 const STOP_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Longest wait for the stream of a stopped generation to close.
 const CLOSE_PATIENCE: Duration = Duration::from_millis(120);
-/// An engine that has sent no event for this long is asked whether it has made some, and again after twice the time: a connection that has gone
-/// silent looks like a generation that waits for memory. Callers leave after two seconds of silence or more.
-const SILENT_AFTER: Duration = Duration::from_secs(1);
-/// Longest wait for an engine's report.
-const REPORT_PATIENCE: Duration = Duration::from_millis(400);
 /// How often a generation is taken over from an engine whose stream broke off.
 const TAKEN_OVER_MAX: u32 = 2;
 /// Longest wait for the first event after a move.
 const RESUME_PATIENCE: Duration = Duration::from_millis(2_500);
 
-/// A generation goes back to an engine that stopped it for this long after the engine was heard to leave. Two seconds are allowed from
-/// when the first instance heard of it; the others hear within half a second.
-const SENT_AFTER_LEAVING_MAX: Duration = Duration::from_millis(1_300);
-
 struct Relay {
     call: Arc<Call>,
     handle: RunGuard,
@@ -105,7 +92,7 @@
         events: 0,
         last_event_id: generation::last_event_id(&call).map(str::to_owned),
         moves: 0,
-        silent_after: SILENT_AFTER,
+        silent_after: takeover::SILENT_AFTER,
         taken_over: 0,
         offers: started.offers,
         ended: false,
@@ -206,7 +193,7 @@
             }
             bytes.extend_from_slice(&event.bytes);
         }
-        self.silent_after = SILENT_AFTER;
+        self.silent_after = takeover::SILENT_AFTER;
         let made = self.events.saturating_mul(self.event_tokens);
         let handle = &self.handle.run;
         handle.made_tokens.store(made, Ordering::Relaxed);
@@ -283,45 +270,21 @@
     /// Asks the engine of a silent stream whether it has made events that did not come: then the connection is dead, and the engine goes on.
     async fn ask_source(&mut self) -> Step {
         self.silent_after *= 2;
-        let gateway = &self.call.gateway;
         let engine = self.handle.run.endpoint.lock().clone();
-        let asked = engine_reports::report(gateway, &engine);
-        let report = tokio::time::timeout(REPORT_PATIENCE, asked).await;
-        let Ok(Ok(report)) = report else {
-            return Step::Again;
-        };
-        let made = report.made(&self.call.head.request_id);
-        if made.is_some_and(|made| made > self.last_number().unwrap_or_default()) {
-            Step::Broken("the engine has made events that did not come".to_owned())
+        let last = self.last_number().unwrap_or_default();
+        if takeover::has_made_more(&self.call, &engine, last).await {
+            Step::Broken(takeover::UNHEARD.to_owned())
         } else {
             Step::Again
         }
     }
 
-    /// Has an engine whose stream broke off stop the generation, if it still runs it, and gives where it goes on. A generation whose connection
-    /// went silent goes on with its memory; it was cut at its deadline (`generation_connections_silent_each_event_once`).
     async fn take_over(&mut self, why: &str) -> Option<Continuation> {
-        let source = self.handle.run.endpoint.lock().clone();
-        if self.taken_over >= TAKEN_OVER_MAX || self.left_long_ago(&source) {
+        if self.taken_over >= TAKEN_OVER_MAX {
             return None;
         }
         self.taken_over += 1;
-        let gateway = &self.call.gateway;
-        let target = {
-            let fleet = gateway.fleet.lock();
-            let others = fleet.ready(&self.call.service);
-            let others = others.filter(|engine| engine.id != source.id);
-            others.choose(&mut rand::rng()).cloned()
-        }?;
-        let taken = moves::stop(gateway, &self.handle.run, &source, &target).await;
-        if crate::log::admits("generation taken over") {
-            let outcome = taken.as_ref().err().map_or("stopped", String::as_str);
-            info!("generation taken over", kv: {
-                request_id = self.call.head.request_id.as_str(), source = source.id.as_str(), why, outcome,
-                last_event_id:? = self.last_event_id,
-            });
-        }
-        taken.ok()
+        takeover::take_over(&self.call, &self.handle.run, why).await
     }
 
     async fn go_on_or_begin_anew(&mut self, continuation: Continuation) -> Result<(), String> {
@@ -364,15 +327,6 @@
         Ok(())
     }
 
-    /// Whether an engine has been leaving for so long that nothing may be sent to it any more.
-    fn left_long_ago(&self, endpoint: &EndpointEntry) -> bool {
-        let gateway = &self.call.gateway;
-        let standing = gateway.fleet.lock().standing(&endpoint.id, gateway.now());
-        standing.is_some_and(|(standing, since)| {
-            standing == Standing::Leaving && since > SENT_AFTER_LEAVING_MAX
-        })
-    }
-
     /// Goes on at another engine; where that one refuses, at the one that stopped it, which still has its memory.
     async fn go_on(&mut self, continuation: Continuation) -> Result<(), String> {
         self.stopping = false;
@@ -404,7 +358,9 @@
 
     async fn try_at(&self, continuation: &Continuation) -> Result<Answer, String> {
         let begun = self.call.gateway.now();
-        let resumed = tokio::time::timeout(RESUME_PATIENCE, self.resume(continuation)).await;
+        let after = self.last_event_id.as_deref();
+        let resumed = takeover::resume(&self.call, continuation, after);
+        let resumed = tokio::time::timeout(RESUME_PATIENCE, resumed).await;
         let resumed = resumed.unwrap_or_else(|_| Err("no event in time".to_owned()));
         let pause_ms = millis(self.call.gateway.now().saturating_sub(begun));
         if crate::log::admits("generation moved") {
@@ -418,40 +374,6 @@
         resumed
     }
 
-    async fn resume(&self, continuation: &Continuation) -> Result<Answer, String> {
-        let call = &self.call;
-        let gateway = &call.gateway;
-        let target = &continuation.target;
-        if self.left_long_ago(target) {
-            return Err("the engine that has its memory left too long ago".to_owned());
-        }
-        let upstream = &gateway.upstream;
-        let connection = upstream.connection(target, usize::MAX, Reuse::Never).await;
-        let connection = connection.map_err(|none| none.to_string())?;
-        let send = SendHead {
-            endpoint_id: &target.id,
-            time_left: call.time_left(),
-            account: call.account.as_deref(),
-            priority: None,
-            continue_from: Some(ContinueFrom {
-                copy_address: continuation.copy_address,
-                copy: &continuation.copy,
-            }),
-            last_event_id: Some(self.last_event_id.as_deref().unwrap_or("0")),
-        };
-        let request = engine::forward(&call.parts, call.body.clone(), &send);
-        let request = request.map_err(|error| error.to_string())?;
-        let answer = connection.send(request).await;
-        let answer = answer.map_err(|failure| failure.to_string())?;
-        if answer.parts.status != http::StatusCode::OK || !answer.head.sealed {
-            return Err(format!("engine answered {}", answer.head.status));
-        }
-        if answer.head.request_id.as_deref() != Some(call.head.request_id.as_str()) {
-            return Err("the answer belongs to another request".to_owned());
-        }
-        Ok(answer)
-    }
-
     fn finish(&mut self) {
         self.ended = true;
         tell_end(&self.call, "whole", "", self.events, self.moves);
--- /dev/null
+++ b/src/gateway/takeover.rs
@@ -0,0 +1,117 @@
+//! Generations whose engine goes on while nothing comes from it any more: a connection that is open may go silent for good. The engine is asked to stop
+//! the generation, and it goes on with its memory on a new connection. Without this it was cut at its caller's deadline, or when the caller left.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use spdlog::info;
+
+use super::call::{ContinueFrom, SendHead};
+use super::inbound_call::Call;
+use super::runs::{Continuation, RunHandle};
+use super::upstream::{Answer, Reuse};
+use super::{engine_reports, moves};
+use crate::kernel::fleet::{EndpointEntry, Standing};
+use crate::platform::engine;
+
+/// An engine that has sent no event for this long is asked whether it has made some, and again after twice the time: a connection that has gone
+/// silent looks like a generation that waits for memory. Callers leave after two seconds of silence or more.
+pub(super) const SILENT_AFTER: Duration = Duration::from_secs(1);
+/// Why a connection was given up, for the log.
+pub(super) const UNHEARD: &str = "the engine has made events that did not come";
+/// Longest wait for an engine's report.
+const REPORT_PATIENCE: Duration = Duration::from_millis(400);
+/// A generation goes back to an engine that stopped it for this long after the engine was heard to leave. Two seconds are allowed from
+/// when the first instance heard of it; the others hear within half a second.
+const SENT_AFTER_LEAVING_MAX: Duration = Duration::from_millis(1_300);
+
+/// Whether an engine has made more events of a generation than came from it.
+pub(super) async fn has_made_more(call: &Call, engine: &EndpointEntry, came: u64) -> bool {
+    let asked = engine_reports::report(&call.gateway, engine);
+    let report = tokio::time::timeout(REPORT_PATIENCE, asked).await;
+    let report = report.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    let made = match report {
+        Ok(report) => report.made(&call.head.request_id),
+        Err(why) => {
+            if crate::log::admits("report not read") {
+                info!("report not read", kv: { endpoint = engine.id.as_str(), why = why.as_str() });
+            }
+            None
+        }
+    };
+    made.is_some_and(|made| made > came)
+}
+
+/// Has the engine of a generation stop it, if it still runs it, and gives where it goes on.
+pub(super) async fn take_over(
+    call: &Arc<Call>,
+    run: &RunHandle,
+    why: &str,
+) -> Option<Continuation> {
+    let source = run.endpoint.lock().clone();
+    if left_long_ago(call, &source) {
+        return None;
+    }
+    let gateway = &call.gateway;
+    let target = {
+        let fleet = gateway.fleet.lock();
+        let others = fleet.ready(&call.service);
+        let others = others.filter(|engine| engine.id != source.id);
+        others.choose(&mut rand::rng()).cloned()
+    }?;
+    let taken = moves::stop(gateway, run, &source, &target).await;
+    if crate::log::admits("generation taken over") {
+        let outcome = taken.as_ref().err().map_or("stopped", String::as_str);
+        info!("generation taken over", kv: {
+            request_id = call.head.request_id.as_str(), source = source.id.as_str(), why, outcome,
+        });
+    }
+    taken.ok()
+}
+
+/// Whether an engine has been leaving for so long that nothing may be sent to it any more.
+fn left_long_ago(call: &Call, endpoint: &EndpointEntry) -> bool {
+    let gateway = &call.gateway;
+    let standing = gateway.fleet.lock().standing(&endpoint.id, gateway.now());
+    standing.is_some_and(|(standing, since)| {
+        standing == Standing::Leaving && since > SENT_AFTER_LEAVING_MAX
+    })
+}
+
+/// Goes on with a generation where its memory is, after the last event that came.
+pub(super) async fn resume(
+    call: &Call,
+    continuation: &Continuation,
+    last_event_id: Option<&str>,
+) -> Result<Answer, String> {
+    let target = &continuation.target;
+    if left_long_ago(call, target) {
+        return Err("the engine that has its memory left too long ago".to_owned());
+    }
+    let upstream = &call.gateway.upstream;
+    let connection = upstream.connection(target, usize::MAX, Reuse::Never).await;
+    let connection = connection.map_err(|none| none.to_string())?;
+    let send = SendHead {
+        endpoint_id: &target.id,
+        time_left: call.time_left(),
+        account: call.account.as_deref(),
+        priority: None,
+        continue_from: Some(ContinueFrom {
+            copy_address: continuation.copy_address,
+            copy: &continuation.copy,
+        }),
+        last_event_id: Some(last_event_id.unwrap_or("0")),
+    };
+    let request = engine::forward(&call.parts, call.body.clone(), &send);
+    let request = request.map_err(|error| error.to_string())?;
+    let answer = connection.send(request).await;
+    let answer = answer.map_err(|failure| failure.to_string())?;
+    if answer.parts.status != http::StatusCode::OK || !answer.head.sealed {
+        return Err(format!("engine answered {}", answer.head.status));
+    }
+    if answer.head.request_id.as_deref() != Some(call.head.request_id.as_str()) {
+        return Err("the answer belongs to another request".to_owned());
+    }
+    Ok(answer)
+}
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -27,6 +27,9 @@
     /// Peer addresses of a few members, which may be gone: the way in for a start while the store is down.
     #[serde(default)]
     pub seed_addresses: Vec<SocketAddr>,
+    /// Where peers connect, if that is not `peer_address`: a forwarder stands before this instance.
+    #[serde(default)]
+    pub peer_address_told: Option<SocketAddr>,
     /// Processor share of this instance, in cores.
     pub processor_cores: f64,
     /// Speed of this instance's link.
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -11,7 +11,8 @@
 
 use futures::future::join_all;
 use larkwick::gateway::site_store::{self, Subject};
-use support::proxy::Proxy;
+use larkwick::standin::site::server::ServerFault;
+use support::proxy::{Link, Proxy};
 use support::site::{RoutedSite, answered, event_numbers, until};
 
 /// Connections that are opened together.
@@ -97,6 +98,17 @@
     let answer = running.await.expect("answered");
     assert!(whole(&answer), "{answer:?}");
     assert_eq!(site.standin.runs_of("used").len(), 1, "not run anew");
+    // In use, before the first event came.
+    proxy.set(Link::OneWay);
+    other.set_fault(ServerFault::Refuses);
+    let begun = tokio::spawn(answered(instance.generation(EVENTS, "begun")));
+    until("begun", async || engine.running() == 1).await;
+    proxy.silence_open();
+    proxy.set(Link::Sound);
+    other.set_fault(ServerFault::None);
+    let answer = begun.await.expect("answered");
+    assert!(whole(&answer), "{answer:?}");
+    assert_eq!(site.standin.runs_of("begun").len(), 1, "not run anew");
     // At rest: what is opened before is not used again.
     proxy.silence_open();
     let together =
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -46,6 +46,8 @@
     /// Before the store.
     proxy: Arc<Proxy>,
     instances: Mutex<Vec<Instance>>,
+    /// Before the instances' peer addresses; also of those that are gone.
+    peers: Mutex<Vec<Arc<Proxy>>>,
     /// Each behind a proxy of its own.
     engines: Mutex<Vec<(Arc<Server>, Arc<Proxy>)>>,
     started: AtomicU32,
@@ -62,6 +64,7 @@
             site,
             proxy,
             instances: Mutex::default(),
+            peers: Mutex::default(),
             engines: Mutex::default(),
             started: AtomicU32::new(0),
             version: AtomicU32::new(2),
@@ -71,7 +74,7 @@
             soak.add_engine().await;
         }
         for _ in 0..number("SOAK_INSTANCES").unwrap_or(INSTANCES) {
-            soak.add_instance();
+            soak.add_instance().await;
         }
         Arc::new(soak)
     }
@@ -81,17 +84,34 @@
         self.engines.lock().push((engine, Arc::new(proxy)));
     }
 
-    fn add_instance(&self) {
+    async fn add_instance(&self) {
         let number = self.started.fetch_add(1, Ordering::Relaxed);
         let seeds: Vec<String> = {
-            let instances = self.instances.lock();
-            instances.iter().map(Instance::peer_address).collect()
+            let peers = self.peers.lock();
+            peers.iter().map(|peer| peer.address.to_string()).collect()
         };
         let name = format!("n{number}");
-        let instance = self.site.instance_seeded(&name, &seeds);
+        let (instance, peer) = self.site.instance_behind_proxy(&name, &seeds).await;
+        self.peers.lock().push(Arc::new(peer));
         self.instances.lock().push(instance);
     }
 
+    fn peer_proxy(&self, random: &mut StdRng) -> Arc<Proxy> {
+        let peers = self.peers.lock();
+        peers.choose(random).expect("instances").clone()
+    }
+
+    /// All connections that are open go silent for good: those to the store, to engines and between instances.
+    fn silence_all(&self) {
+        self.proxy.silence_open();
+        let engines = self.engines.lock();
+        let peers = self.peers.lock();
+        let engines = engines.iter().map(|(_, proxy)| proxy);
+        for proxy in engines.chain(peers.iter()) {
+            proxy.silence_open();
+        }
+    }
+
     fn caller_of_one(&self, random: &mut StdRng) -> Option<Caller> {
         let instances = self.instances.lock();
         instances.choose(random).map(Instance::caller)
@@ -100,16 +120,16 @@
     /// One fault; some end by themselves after a while, and others begin meanwhile.
     async fn fault(self: &Arc<Self>, random: &mut StdRng) {
         let lasts = Duration::from_millis(random.random_range(50..600));
-        match random.random_range(0..16) {
+        match random.random_range(0..22) {
             0 => {
                 let gone = self.take_instance(random);
                 drop(gone);
-                self.add_instance();
+                self.add_instance().await;
             }
             1 => {
                 if let Some(instance) = self.take_instance(random) {
                     instance.signal(Signal::SIGTERM);
-                    self.add_instance();
+                    self.add_instance().await;
                     tokio::spawn(end_by_itself(instance));
                 }
             }
@@ -145,6 +165,12 @@
                     instance.signal(Signal::SIGHUP);
                 }
             }
+            15 => self.proxy.silence_open(),
+            16 => self.engine_proxy(random).silence_open(),
+            17 => self.peer_proxy(random).silence_open(),
+            18 => self.silence_all(),
+            19 => link_for(&self.peer_proxy(random), a_link(random), lasts),
+            20 => self.peer_proxy(random).reset(),
             _ => {
                 let faults = [
                     ServerFault::Refuses,
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -1,8 +1,8 @@
 //! A loopback proxy whose connections can be delayed, silenced, cut one way or reset.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -29,6 +29,7 @@
 /// A proxy to one address.
 pub struct Proxy {
     pub address: SocketAddr,
+    target: Arc<OnceLock<SocketAddr>>,
     link: watch::Sender<Link>,
     /// Connections that were opened before this one are silent for good.
     silent_before: watch::Sender<u64>,
@@ -47,6 +48,13 @@
 impl Proxy {
     /// Starts a proxy on a free port.
     pub async fn start(target: SocketAddr) -> Self {
+        let proxy = Self::unaimed().await;
+        proxy.aim(target);
+        proxy
+    }
+
+    /// Starts a proxy whose target is not known yet: what connects to it until then is cut.
+    pub async fn unaimed() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let link = watch::Sender::new(Link::Sound);
@@ -56,8 +64,13 @@
         let silences = silent_before.clone();
         let opened: Arc<AtomicU64> = Arc::default();
         let numbers = opened.clone();
+        let target: Arc<OnceLock<SocketAddr>> = Arc::default();
+        let aimed = target.clone();
         let accepting = tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
+                let Some(target) = aimed.get() else {
+                    continue;
+                };
                 let Ok(server) = TcpStream::connect(target).await else {
                     continue;
                 };
@@ -85,6 +98,7 @@
         });
         Self {
             address,
+            target,
             link,
             silent_before,
             opened,
@@ -93,6 +107,11 @@
         }
     }
 
+    /// Sets the target, once.
+    pub fn aim(&self, target: SocketAddr) {
+        self.target.get_or_init(|| target);
+    }
+
     /// Changes what happens to the bytes from now on.
     pub fn set(&self, link: Link) {
         self.link.send_replace(link);
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -134,6 +134,15 @@
         self.instance_with(name, seeds, json!({}))
     }
 
+    /// Starts an instance that peers reach through a proxy.
+    pub async fn instance_behind_proxy(&self, name: &str, seeds: &[String]) -> (Instance, Proxy) {
+        let proxy = Proxy::unaimed().await;
+        let told = json!({"peer_address_told": proxy.address});
+        let instance = self.instance_with(name, seeds, told);
+        proxy.aim(instance.peer_address().parse().expect("an address"));
+        (instance, proxy)
+    }
+
     fn instance_with(&self, name: &str, seeds: &[String], routing: Value) -> Instance {
         let any = "127.0.0.1:0";
         let mut settings = json!({
