Look at short generations behind a smaller long one that does not fit

Cause: the queue skipped whatever needs as many tokens as one that did not fit, but short generations may fill engines further than long ones. Change: what did not fit is kept apart for short and long ones (finding 31).

--- a/src/kernel/room_queue.rs
+++ b/src/kernel/room_queue.rs
@@ -70,6 +70,45 @@
     }
 }
 
+/// What did not fit, of the generations that were looked at in one round. It does not fit for one that needs as much either, so that hundreds that
+/// wait cost a few looks at the engines. Short ones may fill engines further than long ones, so that one kind says nothing of the other.
+#[derive(Debug)]
+struct TooLarge {
+    /// Tokens of the smallest short one that did not fit.
+    short_tokens: f64,
+    /// Tokens of the smallest long one that did not fit.
+    long_tokens: f64,
+}
+
+impl Default for TooLarge {
+    fn default() -> Self {
+        Self {
+            short_tokens: f64::INFINITY,
+            long_tokens: f64::INFINITY,
+        }
+    }
+}
+
+impl TooLarge {
+    fn is(&self, demand: &RunDemand) -> bool {
+        let smallest = if demand.ends_within_horizon() {
+            self.short_tokens
+        } else {
+            self.long_tokens
+        };
+        demand.predicted_at_start() >= smallest
+    }
+
+    fn note(&mut self, demand: &RunDemand) {
+        let smallest = if demand.ends_within_horizon() {
+            &mut self.short_tokens
+        } else {
+            &mut self.long_tokens
+        };
+        *smallest = smallest.min(demand.predicted_at_start());
+    }
+}
+
 /// The generations of one service that wait for room.
 #[derive(Debug, Default)]
 pub struct RoomQueue {
@@ -153,18 +192,16 @@
         let mut settled = Vec::new();
         let mut kept: Vec<Waiting> = Vec::new();
         let mut blocked = false;
-        // What did not fit does not fit for one that needs as much: hundreds that wait cost a few looks at the engines.
-        let mut too_large = f64::INFINITY;
+        let mut too_large = TooLarge::default();
         for waiting in std::mem::take(&mut self.waiting) {
             let request = &waiting.request;
-            let tokens = request.demand.predicted_at_start();
-            let granted = if blocked || tokens >= too_large {
+            let granted = if blocked || too_large.is(&request.demand) {
                 None
             } else {
                 ledger.place(&request.demand, &request.entry, &request.excluded, now)
             };
             if granted.is_none() && request.excluded.is_empty() {
-                too_large = too_large.min(tokens);
+                too_large.note(&request.demand);
             }
             let ticket = waiting.ticket;
             if granted.is_some() {
--- a/tests/kernel/room_queue.rs
+++ b/tests/kernel/room_queue.rs
@@ -212,3 +212,32 @@
     assert!(settled[0].granted.is_some());
     assert!(queue.is_empty());
 }
+
+/// A short generation may fill an engine further than a long one. Behind a smaller long one that did not fit it was not looked at.
+#[test]
+fn settle_short_one_behind_a_smaller_long_one_placed() {
+    let mut ledger = EngineLedger::default();
+    ledger.set_engines(vec![engine(0)]);
+    let long = |run: &str, prompt_tokens| {
+        let mut long = request(run, prompt_tokens, 1, ms(2_000));
+        long.demand.made_max_tokens = 4_000;
+        long.demand.made_hint_tokens = Some(4_000.0);
+        long
+    };
+    for prompt_tokens in [2_900, 100] {
+        let fills = (0..).map(|number| long(&format!("{prompt_tokens}/{number}"), prompt_tokens));
+        for request in fills {
+            if ledger.place(&request.demand, "n", &[], ms(0)).is_none() {
+                break;
+            }
+        }
+    }
+    let mut short = request("short", 1_400, 1, ms(2_000));
+    short.demand.made_max_tokens = 10;
+    let mut queue = RoomQueue::default();
+    waits(&queue.ask(&mut ledger, long("long", 100), ms(0)));
+    let ticket = waits(&queue.ask(&mut ledger, short, ms(0)));
+    let settled = queue.settle(&mut ledger, ms(20));
+    let granted = settled.iter().find(|settled| settled.ticket == ticket);
+    assert!(granted.is_some_and(|settled| settled.granted.is_some()));
+}
