--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -32,6 +32,8 @@
 mod routes;
 #[path = "kernel/site_rules.rs"]
 mod site_rules;
+#[path = "kernel/standings.rs"]
+mod standings;
 #[path = "kernel/store_contact.rs"]
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
