--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -274,6 +274,7 @@
         given_up.map_or(Step::Again, |why| Step::Broken(why.to_owned()))
     }
 
+    /// Has the engine of a stream that broke off stop the generation; gives where it goes on.
     async fn take_over(&mut self, why: &str) -> Option<Continuation> {
         if self.taken_over >= TAKEN_OVER_MAX {
             return None;
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Asks the engine; gives why its connection is given up, if it is. A caller whose generation ended unheard is told so within three seconds; it
-    /// waited for its deadline, 20 s in four of fourteen calls of one run of silent connections.
+    /// Asks the engine; gives why its connection is given up, if it is. A caller whose generation ended unheard is told so within three seconds; three
+    /// of fourteen calls of a run with silent connections waited for their deadline of 20 s.
     pub(super) async fn ask(
         &mut self,
         call: &Call,
--- a/src/kernel/gossip.rs
+++ b/src/kernel/gossip.rs
@@ -11,8 +11,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::membership::{Incarnation, Members, PEER_SILENT_AFTER, Peer, PeerStatus};
-use super::membership::{heard_within, rendezvous_weight, ring_place};
+use super::membership::{
+    Incarnation, Members, PEER_SILENT_AFTER, Peer, PeerStatus, heard_within, rendezvous_weight,
+    ring_place,
+};
 #[cfg(doc)]
 use super::standings::NEWS_MAX;
 use super::standings::Standing;
@@ -28,8 +30,7 @@
 pub const DISTANT_KEPT: Duration = Duration::from_secs(20);
 /// A watched peer that was not heard for this long is watched past: two heartbeats were missed.
 const DOUBTED_AFTER: Duration = Duration::from_secs(1);
-/// A watched peer that was not heard for this long is reported: four heartbeats were missed. An instance that was heard within this time
-/// objects to the reports of others.
+/// A watched peer that was not heard for this long is reported: four heartbeats were missed.
 const SUSPECT_AFTER: Duration = Duration::from_secs(2);
 /// An instance asks a peer this often for all that were found silent: news may have passed it by, and what nobody tells any more it would
 /// never learn.
@@ -65,7 +66,9 @@
 pub(super) struct WholeAsked {
     /// Names of peers that asked.
     owed_to: BTreeSet<String>,
+    /// When this instance last asked.
     asked_at: Option<Duration>,
+    /// When it was last told.
     told_at: Option<Duration>,
 }
 
@@ -204,25 +207,26 @@
     /// Finds those silent whom enough instances report.
     fn find_silent(&mut self, own_id: u64, now: Duration) {
         for peer in self.watch.reported() {
-            let hears_nobody = || {
-                !self
-                    .all()
-                    .any(|peer| heard_within(peer, PEER_SILENT_AFTER, now))
-            };
-            let counts = |reporter: u64| !self.standings.is_silent(reporter);
-            let known = self.by_id(peer);
-            let is_unheard = known.is_some_and(|peer| !heard_within(peer, SUSPECT_AFTER, now));
-            if is_unheard
-                && !self.standings.is_silent(peer)
-                && self
-                    .watch
-                    .is_found_silent(peer, own_id, hears_nobody, counts, now)
-            {
+            if self.is_silent_by_reports(peer, own_id, now) {
                 self.standings.found_silent(peer, now);
             }
         }
     }
 
+    /// Whether a peer that is not silent yet is to be found so. What this instance heard itself of late goes before what others report.
+    fn is_silent_by_reports(&self, peer: u64, own_id: u64, now: Duration) -> bool {
+        let known = self.by_id(peer);
+        let is_unheard = known.is_some_and(|peer| !heard_within(peer, SUSPECT_AFTER, now));
+        if !is_unheard || self.standings.is_silent(peer) {
+            return false;
+        }
+        let hears = |peer: &Peer| heard_within(peer, PEER_SILENT_AFTER, now);
+        let hears_nobody = || !self.all().any(hears);
+        let counts = |reporter: u64| !self.standings.is_silent(reporter);
+        let watch = &self.watch;
+        watch.is_found_silent(peer, own_id, hears_nobody, counts, now)
+    }
+
     /// Peers that others report and that answer here.
     fn heard_though_reported(&self, now: Duration) -> Vec<u64> {
         let reported = self.watch.reported().into_iter();
