Read an engine's report in one place; make what all peers are told once a round

Cause: the wait for an engine's report and the log line for one that does not come stood in engine_reports.rs and in takeover.rs; each heartbeat of a round made the status and the recent departures anew, which it made once a round before gossip went to each peer. Change: engine_reports::read; heartbeat::told_to_all and told_to; Watch::watched gives what its caller uses. Behaviour the same.

--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -37,18 +37,27 @@
 }
 
 async fn ask(gateway: Arc<Gateway>, engine: EndpointEntry) {
-    let report = tokio::time::timeout(REPORT_TIMEOUT, report(&gateway, &engine)).await;
-    let report = report.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-    match report {
-        Ok(report) if report.leaving => take_leaving(&gateway, &engine),
-        Ok(_) => {}
-        // An engine that says nothing shows in the generations that it runs.
-        Err(why) => {
-            if crate::log::admits("report not read") {
-                info!("report not read", kv: { endpoint = engine.id.as_str(), why = why.as_str() });
-            }
-        }
+    // An engine that says nothing shows in the generations that it runs.
+    let report = read(&gateway, &engine, REPORT_TIMEOUT).await;
+    if report.is_some_and(|report| report.leaving) {
+        take_leaving(&gateway, &engine);
+    }
+}
+
+/// What an engine says of itself within a time; why it says nothing goes to the log.
+pub(super) async fn read(
+    gateway: &Gateway,
+    engine: &EndpointEntry,
+    within: Duration,
+) -> Option<EngineReport> {
+    let read = tokio::time::timeout(within, report(gateway, engine)).await;
+    let read = read.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    if let Err(why) = &read
+        && crate::log::admits("report not read")
+    {
+        info!("report not read", kv: { endpoint = engine.id.as_str(), why = why.as_str() });
     }
+    read.ok()
 }
 
 fn take_leaving(gateway: &Gateway, engine: &EndpointEntry) {
@@ -60,11 +69,7 @@
     }
 }
 
-/// What an engine says of itself.
-pub(super) async fn report(
-    gateway: &Gateway,
-    engine: &EndpointEntry,
-) -> Result<EngineReport, String> {
+async fn report(gateway: &Gateway, engine: &EndpointEntry) -> Result<EngineReport, String> {
     let request = engine::report_request(engine.address).map_err(|error| error.to_string())?;
     metrics::counter!("larkwick_engine_reports_total").increment(1);
     let upstream = &gateway.upstream;
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -25,19 +25,33 @@
 const DEPARTURES_PASSED_ON: Duration = Duration::from_secs(15);
 /// What this instance tells a peer, by name.
 pub(crate) fn own_beat(gateway: &Gateway, to: &str) -> wire::Beat {
-    let now = gateway.now();
-    let (departures, gossip) = {
-        let mut members = gateway.members.lock();
-        let since = now.saturating_sub(DEPARTURES_PASSED_ON);
+    told_to(gateway, to, told_to_all(gateway))
+}
+
+/// What this instance tells all peers alike.
+fn told_to_all(gateway: &Gateway) -> wire::Beat {
+    let departures = {
+        let members = gateway.members.lock();
+        let since = gateway.now().saturating_sub(DEPARTURES_PASSED_ON);
         let recent = members.departures.recent(since);
-        let departures = recent.map(wire::Incarnation::from).collect();
-        let gossip = members.gossip(&gateway.incarnation, MEMBER_RING, to, now);
-        (departures, gossip)
+        recent.map(wire::Incarnation::from).collect()
     };
     wire::Beat {
         status: Some((&gateway.status()).into()),
         departures,
+        gossip: None,
+    }
+}
+
+/// Adds what goes to one peer only.
+fn told_to(gateway: &Gateway, to: &str, all: wire::Beat) -> wire::Beat {
+    let gossip = {
+        let mut members = gateway.members.lock();
+        members.gossip(&gateway.incarnation, MEMBER_RING, to, gateway.now())
+    };
+    wire::Beat {
         gossip: Some(gossip.into()),
+        ..all
     }
 }
 
@@ -121,8 +135,9 @@
 
 /// Sends heartbeats now.
 pub(crate) fn beat_round(gateway: &Arc<Gateway>) {
+    let all = told_to_all(gateway);
     for peer in told(gateway) {
-        let own = own_beat(gateway, &peer.name);
+        let own = told_to(gateway, &peer.name, all.clone());
         tokio::spawn(beat(gateway.clone(), peer.address, own));
     }
 }
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -26,7 +26,7 @@
 
 /// What an engine says of a generation from which nothing comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum AtEngine {
+enum AtEngine {
     /// It has made events that did not come: the connection is dead.
     GoesOnUnheard,
     /// It has nothing to do with it any more.
@@ -37,26 +37,17 @@
 
 /// Asks an engine of a generation from which so many events came.
 async fn ask_engine(call: &Call, engine: &EndpointEntry, came: u64) -> AtEngine {
-    let asked = engine_reports::report(&call.gateway, engine);
-    let report = tokio::time::timeout(REPORT_PATIENCE, asked).await;
-    let report = report.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-    match report {
-        Ok(report) => {
-            let made = report.made(&call.head.request_id);
-            if made.is_some_and(|made| made > came) {
-                AtEngine::GoesOnUnheard
-            } else if report.is_done_with(&call.head.request_id) {
-                AtEngine::Done
-            } else {
-                AtEngine::Unknown
-            }
-        }
-        Err(why) => {
-            if crate::log::admits("report not read") {
-                info!("report not read", kv: { endpoint = engine.id.as_str(), why = why.as_str() });
-            }
-            AtEngine::Unknown
-        }
+    let report = engine_reports::read(&call.gateway, engine, REPORT_PATIENCE).await;
+    let Some(report) = report else {
+        return AtEngine::Unknown;
+    };
+    let request_id = &call.head.request_id;
+    if report.made(request_id).is_some_and(|made| made > came) {
+        AtEngine::GoesOnUnheard
+    } else if report.is_done_with(request_id) {
+        AtEngine::Done
+    } else {
+        AtEngine::Unknown
     }
 }
 
--- a/src/kernel/gossip.rs
+++ b/src/kernel/gossip.rs
@@ -195,7 +195,7 @@
     /// Reports the watched peers that do not answer.
     fn suspect(&mut self, own_id: u64, now: Duration) -> Vec<u64> {
         let watched = self.watch.watched();
-        let watched = watched.filter_map(|(id, _)| self.by_id(id));
+        let watched = watched.filter_map(|id| self.by_id(id));
         let silent = watched.filter(|peer| self.unheard_for(peer, now) >= SUSPECT_AFTER);
         let silent: Vec<u64> = silent.map(id_of).take(WATCHED_MAX).collect();
         for peer in &silent {
--- a/src/kernel/watch.rs
+++ b/src/kernel/watch.rs
@@ -58,9 +58,9 @@
         self.reports.clear();
     }
 
-    /// Peers that are watched, and since when.
-    pub fn watched(&self) -> impl Iterator<Item = (u64, Duration)> {
-        self.since.iter().map(|(peer, since)| (*peer, *since))
+    /// Peers that are watched.
+    pub fn watched(&self) -> impl Iterator<Item = u64> {
+        self.since.keys().copied()
     }
 
     /// Since when a peer is watched.
