--- a/src/bin/larkwick/flags.rs
+++ b/src/bin/larkwick/flags.rs
@@ -15,6 +15,7 @@
     ///   larkwick publish --platform 10.0.0.5:7000 objects.jsonc
     ///   larkwick status --operator 10.0.0.9:8001
     ///   larkwick logs summary entry-*.log
+    ///   larkwick logs places --name hall-1 entry-*.log
     cmd larkwick {
         /// Check files of objects or settings.
         cmd check {
@@ -99,6 +100,17 @@
                 /// Leave out lines that are no log lines, and count them.
                 optional --skip-damaged
             }
+            /// When endpoints and halls stopped taking work and took it again, and at which instances.
+            cmd places {
+                /// Log files; standard input where none is named.
+                repeated files: PathBuf
+                /// Only this endpoint or hall.
+                optional --name name: String
+                /// Leave out lines that are no log lines, and count them.
+                optional --skip-damaged
+                /// Print JSON.
+                optional --json
+            }
         }
         /// Drive load and measure it.
         cmd load {
--- a/src/bin/larkwick/logs.rs
+++ b/src/bin/larkwick/logs.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use anyhow::Context;
+use larkwick::tool::log_places::PlaceChanges;
 use larkwick::tool::logs::{Life, LogLine, Summary, read_lines};
 
 use crate::flags::{Logs, LogsCmd};
@@ -36,6 +37,23 @@
             );
             print!("{life}");
         }
+        LogsCmd::Places(wanted) => {
+            let mut places = PlaceChanges::default();
+            read_all(&wanted.files, wanted.skip_damaged, |name, line| {
+                places.take(name, &line);
+            })?;
+            let changes = places.of(wanted.name.as_deref());
+            if wanted.json {
+                print_value(&serde_json::to_value(changes)?, Format::Json);
+            } else {
+                for change in changes {
+                    println!("{change}");
+                }
+            }
+            if places.left_out() > 0 {
+                eprintln!("larkwick: {} further changes left out", places.left_out());
+            }
+        }
     }
     Ok(())
 }
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -1,10 +1,11 @@
 //! Halls that the operator empties: taken from the store or from members, and put in force.
 
+use std::time::Duration;
+
 use spdlog::info;
 
 use super::node::Gateway;
 use crate::kernel::evacuation::{EvacuatedHalls, HallChange, HallOrder};
-use crate::kernel::fleet::Fleet;
 
 impl Gateway {
     /// Takes one order of the operator.
@@ -45,10 +46,9 @@
         let lasts = |service: &str| {
             let service = table.service(service);
             let cold_start = service.and_then(|service| service.cold_start);
-            cold_start.map_or(std::time::Duration::ZERO, |cold_start| cold_start.lasts)
+            cold_start.map_or(Duration::ZERO, |cold_start| cold_start.lasts)
         };
         let now = self.now();
-        let mut fleet: parking_lot::MutexGuard<'_, Fleet> = self.fleet.lock();
-        fleet.expect_cold(hall, lasts, now);
+        self.fleet.lock().expect_cold(hall, lasts, now);
     }
 }
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -123,7 +123,7 @@
         drop(health);
         if matches!(attempt, Attempt::Misdirected) {
             let now = call.gateway.now();
-            call.gateway.health.lock().is_absent(&endpoint.id, now);
+            call.gateway.health.lock().note_absent(&endpoint.id, now);
         }
         match attempt {
             Attempt::Answered(answer) => {
--- a/src/kernel/health.rs
+++ b/src/kernel/health.rs
@@ -75,7 +75,7 @@
     }
 
     /// Another endpoint was found at its address: it counts as failing altogether until that is forgiven, or until it is listed as gone.
-    pub fn is_absent(&mut self, endpoint: &str, now: Duration) {
+    pub fn note_absent(&mut self, endpoint: &str, now: Duration) {
         let record = self.records.entry(endpoint.to_owned()).or_default();
         record.failures = 1.0;
         record.at = now;
--- a/src/tool/mod.rs
+++ b/src/tool/mod.rs
@@ -4,5 +4,6 @@
 pub mod config;
 pub mod instance;
 pub mod load;
+pub mod log_places;
 pub mod logs;
 pub mod publish;
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -2,6 +2,7 @@
 
 use std::process::{Command, Output};
 
+use larkwick::tool::log_places::PlaceChanges;
 use larkwick::tool::logs::{LogLine, Summary, read_lines};
 use serde_json::json;
 
@@ -162,3 +163,62 @@
     );
     assert!(!tool(&["logs", "request", "none", &first]).status.success());
 }
+
+/// Two instances hear of one hall twice; the tool tells who heard first and who last, each time.
+#[test]
+fn places_hall_emptied_twice_first_and_last_to_hear() {
+    let dir = tempfile::tempdir().expect("temporary directory");
+    let hall = |at_ms, payload| line(at_ms, payload, &json!({"hall": "h1", "source": "store"}));
+    let logs = [
+        (
+            "n1.log",
+            [
+                hall(1_000, "hall evacuated"),
+                hall(5_000, "hall taken back"),
+                hall(9_000, "hall evacuated"),
+            ],
+        ),
+        (
+            "n2.log",
+            [
+                hall(1_400, "hall evacuated"),
+                hall(4_900, "hall taken back"),
+                hall(9_050, "hall evacuated"),
+            ],
+        ),
+    ];
+    let mut files = Vec::new();
+    for (name, lines) in logs {
+        let path = dir.path().join(name);
+        std::fs::write(&path, lines.join("\n")).expect("log written");
+        files.push(path.display().to_string());
+    }
+    let mut arguments = vec!["logs", "places", "--name", "h1"];
+    arguments.extend(files.iter().map(String::as_str));
+    let output = tool(&arguments);
+    assert!(output.status.success(), "{output:?}");
+    let printed = String::from_utf8(output.stdout).expect("text");
+    let expected = "1000  h1  hall evacuated: first n1.log, last n2.log after 400 ms, 2 instances\n\
+        4900  h1  hall taken back: first n2.log, last n1.log after 100 ms, 2 instances\n\
+        9000  h1  hall evacuated: first n1.log, last n2.log after 50 ms, 2 instances\n";
+    assert_eq!(printed, expected);
+}
+
+#[test]
+fn places_other_names_and_lines_left_out() {
+    let mut places = PlaceChanges::default();
+    let lines = [
+        line(1, "endpoint leaving", &json!({"endpoint": "e1"})),
+        line(2, "endpoint joined", &json!({"endpoint": "e2"})),
+        call("a", "answered 200", "", 40),
+    ];
+    let text = lines.join("\n");
+    let read = read_lines("log", text.as_bytes(), false, |line: LogLine| {
+        places.take("n1", &line);
+    });
+    assert_eq!(read.expect("sound lines"), 0);
+    assert_eq!(places.of(None).len(), 2);
+    let only = places.of(Some("e1"));
+    assert_eq!(only.len(), 1);
+    assert_eq!(only[0].what, "endpoint leaving");
+}
