--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,7 +14,7 @@
 //! | `halls` | halls that the operator empties |
 //! | `held` | calls that come before anything is known |
 //! | `caller` | from a caller's request to its answer |
-//! | `plain_call` | calls with one answer |
+//! | `plain_call`, `endpoint_choice` | calls with one answer, and the endpoint that they go to |
 //! | `generation`, `started`, `relay` | generations: placed, then passed on event by event, also when they move |
 //! | `takeover` | generations whose connection to their engine has gone silent |
 //! | `upstream` | connections to endpoints |
@@ -31,6 +31,7 @@
 pub(crate) mod caller;
 pub(crate) mod catch_up;
 pub(crate) mod coordinator;
+pub(crate) mod endpoint_choice;
 pub(crate) mod engine_reports;
 pub(crate) mod follow;
 pub(crate) mod generation;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,17 +1,17 @@
 //! Calls with one answer: sent to an endpoint that fares well, and sent again only where nothing can run twice by it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
 use http_body_util::{BodyExt, Limited};
-use rand::RngExt;
 use spdlog::info;
 
 use super::answer_body::{AnswerBody, whole};
 use super::call::SendHead;
+use super::endpoint_choice::choose;
 use super::inbound_call::Call;
 use super::node::Gateway;
 use super::upstream::{Answer, RestedWith, Reuse, SendFailure};
@@ -110,7 +110,7 @@
 
 async fn run(call: &Call, attempts: &mut Attempts) -> Result<WholeAnswer, Error> {
     let repeatable = call.route.kind == CallKind::Repeatable;
-    while let Some(endpoint) = choose(call, &attempts.tried) {
+    while let Some(endpoint) = choose(call, &attempts.tried, ANSWER) {
         let is_repeat = attempts.sends > 0;
         if is_repeat && !call.gateway.take_retry(&call.service) {
             "retry budget spent".clone_into(&mut attempts.last_reason);
@@ -198,82 +198,6 @@
 /// A full endpoint has a free slot again after a few calls' time.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Draws an endpoint that was not tried, by weight; where all were tried or are cold and get no more for now, none.
-fn choose(call: &Call, tried: &HashSet<String>) -> Option<EndpointEntry> {
-    let gateway = &call.gateway;
-    let now = gateway.now();
-    let mut candidates: Vec<EndpointEntry> = {
-        let fleet = gateway.fleet.lock();
-        let ready = fleet.ready(&call.service);
-        ready
-            .filter(|entry| !tried.contains(&entry.id))
-            .cloned()
-            .collect()
-    };
-    let cold = cold_shares(call, &candidates, now);
-    {
-        let gate = gateway.cold_gate.lock();
-        candidates.retain(|entry| {
-            let share = cold.get(&entry.id);
-            share.is_none_or(|share| gate.admits(&entry.id, *share, now))
-        });
-    }
-    let chosen = draw(call, candidates, now)?;
-    if cold.contains_key(&chosen.id) {
-        gateway.cold_gate.lock().note(&chosen.id, now);
-    }
-    Some(chosen)
-}
-
-/// Calls that this instance may send in a second to each of the endpoints that are cold.
-fn cold_shares(call: &Call, candidates: &[EndpointEntry], now: Duration) -> HashMap<String, u32> {
-    let gateway = &call.gateway;
-    let service = call.table.service(&call.service);
-    let Some(cold_start) = service.and_then(|service| service.cold_start) else {
-        return HashMap::new();
-    };
-    let cold: Vec<&EndpointEntry> = {
-        let fleet = gateway.fleet.lock();
-        let all = candidates.iter();
-        all.filter(|entry| now < fleet.cold_until(&entry.id))
-            .collect()
-    };
-    if cold.is_empty() {
-        return HashMap::new();
-    }
-    let members = gateway.members.lock();
-    let counted = members.counted(now);
-    let others: Vec<&str> = counted
-        .map(|peer| peer.status.incarnation.name.as_str())
-        .collect();
-    let own_name = &gateway.incarnation.name;
-    let shares = cold.into_iter().map(|entry| {
-        let others = others.iter().copied();
-        let share = cold_start.share_by_name(own_name, others, &entry.id);
-        (entry.id.clone(), share)
-    });
-    shares.collect()
-}
-
-fn draw(call: &Call, candidates: Vec<EndpointEntry>, now: Duration) -> Option<EndpointEntry> {
-    let gateway = &call.gateway;
-    let weights: Vec<f64> = {
-        let late_after = gateway.pace(&call.service, ANSWER).late();
-        let health = gateway.health.lock();
-        let weight = |entry: &EndpointEntry| health.weight(&entry.id, entry.slots, late_after, now);
-        candidates.iter().map(weight).collect()
-    };
-    let total: f64 = weights.iter().sum();
-    let mut left = rand::rng().random_range(0.0..1.0) * total;
-    for (candidate, weight) in candidates.iter().zip(weights) {
-        left -= weight;
-        if left < 0.0 {
-            return Some(candidate.clone());
-        }
-    }
-    candidates.into_iter().next_back()
-}
-
 /// Counts a call at an endpoint, also where the caller leaves before its end.
 struct HealthGuard<'a> {
     gateway: &'a Gateway,
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod config;
 pub mod departures;
+pub mod endpoint_entry;
 pub mod engine_ledger;
 mod engine_moves;
 mod engine_run;
