The test of cold endpoints counts by the time that passed

It allowed 16 calls whatever the time: on a slow machine 50 calls take longer than four seconds, and more are rightly admitted.

--- a/tests/site_endpoints.rs
+++ b/tests/site_endpoints.rs
@@ -200,12 +200,13 @@
     site.standin
         .list_with(&cold, &json!({"cold-left-ms": 60_000}));
     let instance = site.instance("n1").await;
+    let begun = std::time::Instant::now();
     let calls = (0..50).map(|number| {
         let request = instance.request("/once/a", &format!("cold-{number}"));
         tokio::spawn(answered(request))
     });
     let calls: Vec<_> = calls.collect();
-    let mut served = 0;
+    let mut served = 0_u32;
     for call in calls {
         let answer = call.await.expect("answered");
         if answer.status == 200 {
@@ -215,8 +216,12 @@
             assert!(answer.retry_after.is_some());
         }
     }
-    // However long the machine took, the calls began within a few seconds.
-    assert!((1..=16).contains(&served), "{served} served");
+    // In any second so many, however long the machine took.
+    let most = BEARS_PER_S * (begun.elapsed().as_secs_f64() + 1.0);
+    assert!(
+        served >= 1 && f64::from(served) <= most,
+        "{served} of {most} served"
+    );
 }
 
 /// An answer that another endpoint is there is news: who was expected is not asked again by the next.
