--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -168,18 +168,11 @@
 /// Adds a record of the list to the news; a later word on an endpoint takes the place of an earlier one.
 fn take_list_record(gateway: &Gateway, news: &mut ListNews, record: SiteRecord) {
     match record {
-        SiteRecord::Endpoint(entry) => {
-            news.forget_absence(&entry.listed_id);
-            news.entries.push(entry);
-        }
-        SiteRecord::EndpointGone(listed_id) => {
-            news.forget(&listed_id);
-            news.vanished.push(listed_id);
-        }
+        SiteRecord::Endpoint(entry) => news.add(entry),
+        SiteRecord::EndpointGone(listed_id) => news.add_vanished(listed_id),
         SiteRecord::Unreadable { key, why } => {
             tell_unreadable("entry not read; its endpoint is not used", &key, &why);
-            news.forget(&key);
-            news.unreadable.push(key);
+            news.add_unreadable(key);
         }
         other => take_other(gateway, other),
     }
--- a/src/kernel/endpoint_entry.rs
+++ b/src/kernel/endpoint_entry.rs
@@ -50,15 +50,27 @@
 }
 
 impl ListNews {
-    /// An entry has come for an id of which was said that it has none.
-    pub fn forget_absence(&mut self, listed_id: &str) {
-        self.vanished.retain(|known| known != listed_id);
-        self.unreadable.retain(|known| known != listed_id);
+    /// An entry has come: what was said before of its absence no longer holds.
+    pub fn add(&mut self, entry: EndpointEntry) {
+        self.forget_absence(&entry.listed_id);
+        self.entries.push(entry);
     }
 
-    /// What was said of an id so far no longer holds.
-    pub fn forget(&mut self, listed_id: &str) {
-        self.forget_absence(listed_id);
+    /// The entry under a listed id is gone: what it said before no longer matters.
+    pub fn add_vanished(&mut self, listed_id: String) {
+        self.forget_absence(&listed_id);
         self.entries.retain(|entry| entry.listed_id != listed_id);
+        self.vanished.push(listed_id);
+    }
+
+    /// The newest entry under a listed id cannot be read. What it said before stays said: that it is leaving is final.
+    pub fn add_unreadable(&mut self, listed_id: String) {
+        self.forget_absence(&listed_id);
+        self.unreadable.push(listed_id);
+    }
+
+    fn forget_absence(&mut self, listed_id: &str) {
+        self.vanished.retain(|known| known != listed_id);
+        self.unreadable.retain(|known| known != listed_id);
     }
 }
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -50,6 +50,11 @@
     fn is_named(&self) -> bool {
         matches!(self.standing, Standing::Ready | Standing::Unlisted)
     }
+
+    /// Whether it is news that its entry is gone.
+    fn may_vanish(&self) -> bool {
+        matches!(self.standing, Standing::Ready | Standing::Unreadable)
+    }
 }
 
 /// A change that others may need to act on.
@@ -112,7 +117,7 @@
         let starts = self.newest_start.iter();
         let vanished = starts.filter(|(listed_id, id)| {
             let known = self.endpoints.get(*id);
-            known.is_some_and(Known::is_named) && !is_listed(listed_id)
+            known.is_some_and(Known::may_vanish) && !is_listed(listed_id)
         });
         let vanished = vanished.map(|(listed_id, _)| listed_id.clone()).collect();
         news.vanished = vanished;
@@ -240,19 +245,21 @@
     /// A start of an endpoint has ended: another one has its name.
     fn ended(&mut self, id: &str, now: Duration) -> Option<FleetChange> {
         let known = self.endpoints.get_mut(id)?;
-        let was_left = known.standing == Standing::Leaving;
+        if known.standing == Standing::Leaving {
+            return None;
+        }
         known.entry.leaving = true;
         known.standing = Standing::Leaving;
         known.since = now;
         self.version += 1;
-        (!was_left).then(|| FleetChange::Left(known.entry.clone()))
+        Some(FleetChange::Left(known.entry.clone()))
     }
 
     fn vanished(&mut self, id: &str, together: bool, now: Duration) -> Option<FleetChange> {
         let relisted_until = self.regained_at.map(|at| at + RELIST_WITHIN);
         let after_outage = relisted_until.filter(|until| now < *until);
         let known = self.endpoints.get_mut(id)?;
-        if !matches!(known.standing, Standing::Ready | Standing::Unreadable) {
+        if !known.may_vanish() {
             return None;
         }
         known.since = now;
--- a/tests/kernel/fleet.rs
+++ b/tests/kernel/fleet.rs
@@ -219,3 +219,45 @@
     assert_eq!(fleet.order_hall(&order(false, 6), NOW).len(), 1);
     assert_eq!(fleet.ready("s").count(), 3);
 }
+
+#[test]
+fn take_whole_unreadable_one_missing_has_left() {
+    let mut fleet = fleet(3);
+    let unreadable = ListNews {
+        unreadable: ids(&["e1"]),
+        ..ListNews::default()
+    };
+    fleet.take(unreadable, NOW);
+    let whole = ListNews {
+        entries: vec![entry("e0", false), entry("e2", false)],
+        ..ListNews::default()
+    };
+    let changes = fleet.take_whole(whole, NOW);
+    assert_eq!(changes, [FleetChange::Left(entry("e1", false))]);
+}
+
+/// What an endpoint said of its leaving stays said, though its entry cannot be read a moment later.
+#[test]
+fn take_leaving_then_unreadable_together_stays_final() {
+    let mut fleet = fleet(2);
+    let mut news = ListNews::default();
+    news.add(entry("e0", true));
+    news.add_unreadable("e0".to_owned());
+    fleet.take(news, NOW);
+    take(&mut fleet, vec![entry("e0", false)], &[], NOW);
+    assert!(!fleet.takes_work("e0"));
+    assert!(fleet.is_leaving("e0"));
+}
+
+/// The time for which nothing may reach an endpoint that left does not begin anew with its next life.
+#[test]
+fn take_start_after_the_former_life_left_closed_since_then() {
+    let mut fleet = Fleet::default();
+    take(&mut fleet, vec![born("e0", 1, true)], &[], NOW);
+    let later = NOW + Duration::from_secs(5);
+    take(&mut fleet, vec![born("e0", 2, false)], &[], later);
+    assert_eq!(
+        fleet.closed_for("e0@1", later),
+        Some(Duration::from_secs(5))
+    );
+}
