--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -8,8 +8,8 @@
 use super::unknown;
 use crate::kernel::fleet::{EndpointEntry, start_id};
 
-/// Fields of an entry that nothing is made of: an endpoint's software does not matter to its calls, only this module's own clock tells how old a word
-/// is, and models are placed by the operator.
+/// Fields of an entry that nothing is made of: the version of an endpoint's software does not matter to calls, `seq` only counts its heartbeats, whose
+/// silence the store itself notices, and which models it has is the operator's matter.
 const LEFT_ASIDE: [&str; 4] = ["version", "seq", "stage", "models"];
 
 /// An entry. What is missing or of another type makes it another writer's, and it names no endpoint to use.
