Name the content of requests that endpoints broke off, and look whether the endpoint is there

Cause looked for: whether the same content comes at each end of an engine, and whether the engine had ended. No line told either. Change: content ids (blake3 over method, host, path, account, body; bodies are read only when asked for), one look at an endpoint that broke off an answer, the line 'endpoint broke off', larkwick_broken_off_total.

--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -1,6 +1,6 @@
 //! From a caller's request to its answer: head, route, key, body, then the way that fits the route.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -133,6 +133,7 @@
         route: routed.route,
         arrived,
         deadline,
+        content: OnceLock::new(),
         _counted: counted,
     })
 }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use super::answer_body::{AnswerBody, whole};
+use super::broken_off;
 use super::call::SendHead;
 use super::coordinator;
 use super::inbound_call::Call;
@@ -339,6 +340,7 @@
         Ok(Ok(answer)) => answer,
         Ok(Err(SendFailure::Unsent(why))) => return Err(unsent(&why)),
         Ok(Err(SendFailure::MayHaveRun(why))) => {
+            broken_off::note(call, endpoint, Duration::ZERO).await;
             return Err(lost(call, ErrorKind::EndpointLost, &why));
         }
         Err(_) => return Err(lost(call, ErrorKind::AnswerTimeout, "no event in time")),
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -1,6 +1,6 @@
 //! A caller's call on its way through this instance.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +8,7 @@
 
 use super::call::CallHead;
 use super::node::{Counted, Gateway};
+use crate::kernel::content::{ContentHead, ContentId, HeadId};
 use crate::kernel::route::{Route, RouteTable};
 
 /// A call on its way.
@@ -28,11 +29,32 @@
     pub(crate) arrived: Duration,
     /// When the caller, or the route, stops waiting.
     pub(crate) deadline: Duration,
+    /// What names it by its content, once asked for: most bodies need never be read for it.
+    pub(crate) content: OnceLock<ContentId>,
     /// Keeps the instance from stopping.
     pub(crate) _counted: Counted,
 }
 
 impl Call {
+    /// What names the head of its content.
+    pub(crate) fn content_head(&self) -> HeadId {
+        let path = self.parts.uri.path_and_query();
+        let head = ContentHead {
+            method: self.parts.method.as_str(),
+            host: &self.route.host,
+            path: path.map_or("/", http::uri::PathAndQuery::as_str),
+            account: self.account.as_deref(),
+            body_bytes: self.body.len(),
+        };
+        head.id()
+    }
+
+    /// What names it by its content.
+    pub(crate) fn content(&self) -> ContentId {
+        let read = || self.content_head().with_body(&self.body);
+        *self.content.get_or_init(read)
+    }
+
     /// What is left of the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.gateway.now())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! | `listener` | connections of callers |
 //! | `inbound_call`, `answer_body` | a call on its way, and the body of its answer |
 //! | `halls` | halls that the operator empties |
+//! | `broken_off` | requests that their endpoint broke off |
 //! | `held` | calls that come before anything is known |
 //! | `caller` | from a caller's request to its answer |
 //! | `plain_call`, `endpoint_choice` | calls with one answer, and the endpoint that they go to |
@@ -27,6 +28,7 @@
 
 pub(crate) mod answer_body;
 pub mod app;
+pub(crate) mod broken_off;
 pub mod call;
 pub(crate) mod caller;
 pub(crate) mod catch_up;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use uuid::Uuid;
 
+use super::broken_off::Looks;
 use super::held::HeldCalls;
 use super::ledgers::Ledgers;
 use super::live_members::LiveMembers;
@@ -128,6 +129,8 @@
     /// How long the services take to answer, by name.
     paces: Mutex<HashMap<String, Pace>>,
     pub(crate) upstream: Upstream,
+    /// Endpoints that broke off answers of late.
+    pub(crate) looks: Looks,
     pub(crate) runs: RunRegistry,
     pub(crate) ledgers: Ledgers,
     pub(crate) peers: Arc<PeerClients>,
@@ -181,6 +184,7 @@
         let ledgers = Ledgers::of_instance(&settings.instance);
         Self {
             upstream: Upstream::new(clock.clone()),
+            looks: Looks::default(),
             routing: RwLock::new(routing),
             settings,
             clock,
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -10,6 +10,7 @@
 use spdlog::info;
 
 use super::answer_body::{AnswerBody, whole};
+use super::broken_off;
 use super::call::SendHead;
 use super::endpoint_choice::choose;
 use super::inbound_call::Call;
@@ -290,7 +291,10 @@
             attempt
         }
         Ok(Err(SendFailure::Unsent(why))) => Attempt::NotRun(why),
-        Ok(Err(SendFailure::MayHaveRun(why))) => Attempt::MayHaveRun(why),
+        Ok(Err(SendFailure::MayHaveRun(why))) => {
+            broken_off::note(call, endpoint.clone(), Duration::ZERO).await;
+            Attempt::MayHaveRun(why)
+        }
         Err(_) => {
             if is_given_up {
                 gateway.note_pace(&call.service, ANSWER, patience * LATE_TIMES);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::answer_body::{AnswerBody, BodyBroken};
+use super::broken_off;
 use super::generation;
 use super::inbound_call::Call;
 use super::runs::{Continuation, RunCommand};
@@ -43,6 +44,8 @@
     pending: Option<Continuation>,
     event_tokens: u32,
     events: u32,
+    /// When the first event came from the engine that runs it now.
+    first_event_at: Option<Duration>,
     last_event_id: Option<String>,
     moves: u32,
     silence: Silence,
@@ -89,6 +92,7 @@
         pending: None,
         event_tokens,
         events: 0,
+        first_event_at: None,
         last_event_id: generation::last_event_id(&call).map(str::to_owned),
         moves: 0,
         silence: Silence::from_now(),
@@ -115,6 +119,7 @@
                 step = self.ask_source().await;
             }
             if let Step::Broken(why) = step {
+                self.note_broken_off().await;
                 step = self.after_break(why).await;
             }
             match step {
@@ -193,6 +198,8 @@
             bytes.extend_from_slice(&event.bytes);
         }
         self.silence = Silence::from_now();
+        let now = self.call.gateway.now();
+        self.first_event_at.get_or_insert(now);
         let made = self.events.saturating_mul(self.event_tokens);
         let handle = &self.handle.run;
         handle.made_tokens.store(made, Ordering::Relaxed);
@@ -243,6 +250,17 @@
         }
     }
 
+    /// Notes that the engine broke off, unless it was asked to.
+    async fn note_broken_off(&self) {
+        if self.stopping || self.pending.is_some() {
+            return;
+        }
+        let endpoint = self.handle.run.endpoint.lock().clone();
+        let now = self.call.gateway.now();
+        let ran_for = self.first_event_at.map(|at| now.saturating_sub(at));
+        broken_off::note(&self.call, endpoint, ran_for.unwrap_or_default()).await;
+    }
+
     /// The source broke off: the place to go on is about to be known, or it may begin anew, or it is the end.
     async fn after_break(&mut self, why: String) -> Step {
         self.source = None;
@@ -320,6 +338,7 @@
         self.commands = started.commands;
         self.offers = started.offers;
         self.source = Some(started.source);
+        self.first_event_at = None;
         Ok(())
     }
 
@@ -349,6 +368,7 @@
         *self.handle.run.endpoint.lock() = target;
         self.call.gateway.ledgers.changed.notify_one();
         self.source = Some(Source::new(answer));
+        self.first_event_at = None;
         Ok(())
     }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::broken_off::Presence;
 use super::call::AnswerHead;
 use crate::kernel::clock::Clock;
 use crate::kernel::fleet::EndpointEntry;
@@ -224,6 +225,15 @@
         })
     }
 
+    /// Whether an endpoint is there, by a connection that is closed at once.
+    pub(crate) async fn presence(&self, endpoint: &EndpointEntry) -> Presence {
+        match connect(endpoint.address).await {
+            Ok(_) => Presence::Listens,
+            Err(NoConnection::Refused(_)) => Presence::Ended,
+            Err(NoConnection::Other(_)) => Presence::Unknown,
+        }
+    }
+
     fn count_open(
         &self,
         endpoint: &EndpointEntry,
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod cold;
 pub mod config;
+pub mod content;
 pub mod departures;
 pub mod endpoint_entry;
 pub mod engine_ledger;
