--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -48,6 +48,15 @@
     }
 }
 
+impl Listening {
+    /// Ends as a process does that crashes: nobody listens any more by the time its connections are cut.
+    pub async fn end(mut self) {
+        self.task.abort();
+        // An aborted task always ends, and says nothing else.
+        let _ = (&mut self.task).await;
+    }
+}
+
 /// Serves a handler on a free loopback port.
 ///
 /// # Errors
@@ -250,6 +259,17 @@
         self.store.put("keyed.op", "config", config);
     }
 
+    /// From now on each server that begins to run a request with this body crashes.
+    pub fn crash_on(&self, body: &'static [u8]) {
+        self.servers.crash_on(body);
+    }
+
+    /// Servers that crashed, in order.
+    #[must_use]
+    pub fn crashed(&self) -> Vec<String> {
+        self.servers.crashed()
+    }
+
     /// Servers on which a request ran, in order.
     #[must_use]
     pub fn runs_of(&self, request: &str) -> Vec<String> {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -97,6 +97,10 @@
     /// Copies by the address they are named after and their name: events made when the copy was taken.
     copies: Mutex<HashMap<(SocketAddr, String), u32>>,
     started: AtomicU32,
+    /// Bodies under which a server crashes.
+    crash_on: Mutex<Vec<&'static [u8]>>,
+    /// Servers that crashed, in order.
+    crashed: Mutex<Vec<String>>,
 }
 
 impl Servers {
@@ -131,6 +135,18 @@
         Ok(server)
     }
 
+    pub(super) fn crash_on(&self, body: &'static [u8]) {
+        self.crash_on.lock().push(body);
+    }
+
+    pub(super) fn crashed(&self) -> Vec<String> {
+        self.crashed.lock().clone()
+    }
+
+    fn crashes_on(&self, body: &[u8]) -> bool {
+        self.crash_on.lock().contains(&body)
+    }
+
     pub(super) fn runs_of(&self, request: &str) -> Vec<String> {
         let runs = self.runs.lock();
         let of_request = runs.iter().filter(|(_, run)| run == request);
@@ -142,6 +158,14 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// An answer with what shows that it is the server's own.
+fn sealed(mut response: Response<StandinBody>, id: &str) -> Response<StandinBody> {
+    let headers = response.headers_mut();
+    headers.insert(names::REQUEST_ID, id.parse().expect("an id"));
+    headers.insert(names::SEAL, http::HeaderValue::from_static("seal"));
+    response
+}
+
 fn not_run(status: u16) -> Response<StandinBody> {
     let mut refused = answer(status, "not run");
     let yes = http::HeaderValue::from_static("1");
@@ -245,6 +269,10 @@
         if from.is_none() {
             servers.runs.lock().push((self.id.clone(), id.clone()));
         }
+        if servers.crashes_on(&body) {
+            servers.crashed.lock().push(self.id.clone());
+            return self.crash(&id).await;
+        }
         match fault {
             ServerFault::RunsAndHangs => std::future::pending().await,
             ServerFault::RunsAndCloses => {
@@ -263,6 +291,28 @@
         }
     }
 
+    /// Ends in the middle of an answer: a plain server before its head, an engine after it.
+    async fn crash(self: Arc<Self>, id: &str) -> Response<StandinBody> {
+        if self.kind == ServerKind::Plain {
+            self.end().await;
+            return std::future::pending().await;
+        }
+        let crashing = stream::once(async move {
+            tokio::time::sleep(EVENT_EVERY).await;
+            self.end().await;
+            std::future::pending().await
+        });
+        let body = BodyExt::boxed_unsync(StreamBody::new(crashing));
+        sealed(Response::new(body), id)
+    }
+
+    async fn end(&self) {
+        let listening = self.listening.lock().take();
+        if let Some(listening) = listening {
+            listening.end().await;
+        }
+    }
+
     fn report(&self) -> Value {
         let running = self.running.lock();
         let runs = running.iter();
@@ -329,11 +379,8 @@
         let frames = stream::unfold(making, |mut making| async {
             making.event().await.map(|frame| (frame, making))
         });
-        let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
-        let headers = response.headers_mut();
-        headers.insert(names::REQUEST_ID, id.parse().expect("an id"));
-        headers.insert(names::SEAL, http::HeaderValue::from_static("seal"));
-        response
+        let body = BodyExt::boxed_unsync(StreamBody::new(frames));
+        sealed(Response::new(body), id)
     }
 
     async fn copy_run(&self, request: Request<Incoming>) -> Response<StandinBody> {
