--- a/src/daemon/member_loop.rs
+++ b/src/daemon/member_loop.rs
@@ -32,6 +32,7 @@
         (departures, gossip)
     };
     let beat = wire::Beat {
+        suspects: Vec::new(),
         status: Some((&node.status()).into()),
         departures,
         gossip: Some(gossip.into()),
--- a/src/error.rs
+++ b/src/error.rs
@@ -60,6 +60,8 @@
     EndpointLost,
     /// The endpoint did not answer within the deadline; the request may have run.
     AnswerTimeout,
+    /// Endpoints end under requests like this one, so that it is sent to none.
+    EndsEndpoints,
     /// The engines have no memory for the generation now.
     NoRoom,
     /// The generation no longer exists and cannot be continued.
@@ -83,7 +85,7 @@
 
 impl ErrorKind {
     /// All kinds, for tables and tests.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::BadRequest,
         Self::Unauthorized,
         Self::NotAllowed,
@@ -104,6 +106,7 @@
         Self::EndpointRefused,
         Self::EndpointLost,
         Self::AnswerTimeout,
+        Self::EndsEndpoints,
         Self::NoRoom,
         Self::GenerationLost,
         Self::Internal,
@@ -131,6 +134,8 @@
             Self::EndpointRefused => row(503, NotRun, Some(1_000), true),
             Self::InstanceGone | Self::EndpointLost => row(502, Unknown, None, false),
             Self::AnswerTimeout => row(504, Unknown, None, false),
+            // A release that mends the endpoints takes minutes at the least.
+            Self::EndsEndpoints => row(503, NotRun, Some(600_000), false),
             Self::NoRoom => row(503, NotRun, Some(1_000), false),
             Self::GenerationLost => row(502, RanPartly, None, false),
             Self::Internal => row(500, Unknown, None, false),
--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -15,7 +15,9 @@
 use super::node::{Gateway, MEMBER_RING};
 use super::peers::SiteService;
 use super::site_store::{self, SiteStore, Subject};
-use super::{coordinator, engine_reports, follow, heartbeat, operators, run_reports, tally};
+use super::{
+    coordinator, engine_reports, follow, heartbeat, operators, run_reports, suspects, tally,
+};
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
 use crate::kernel::clock::{SystemClock, millis};
@@ -131,6 +133,8 @@
             .push(tokio::spawn(run_reports::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(engine_reports::run(gateway.clone())));
+        self.tasks
+            .push(tokio::spawn(suspects::run(gateway.clone())));
         self.tasks.push(tokio::spawn(announce(gateway.clone())));
         self.tasks.push(tokio::spawn(tidy(gateway.clone())));
         self.tasks.push(tokio::spawn(tell_tally(gateway.clone())));
--- a/src/gateway/broken_off.rs
+++ b/src/gateway/broken_off.rs
@@ -109,6 +109,10 @@
                 ran_for_ms: = millis(self.ran_for),
             });
         }
+        if presence == Presence::Ended {
+            self.gateway
+                .note_end(self.content, &self.endpoint, self.ran_for);
+        }
     }
 
     async fn presence(&self) -> Presence {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -18,12 +18,14 @@
 use super::relay;
 use super::runs::{RunCommand, RunHandle};
 use super::started::{Offers, RunGuard, Source, Started, tell_end};
+use super::suspects::{self, Admission};
 use super::takeover::{self, Silence};
 use super::upstream::{Answer, NoConnection, Reuse, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::RunDemand;
 use crate::kernel::pace::Pace;
+use crate::kernel::suspects::Verdict;
 use crate::platform::{engine, ingress};
 
 /// Engines that one generation is offered to.
@@ -81,6 +83,8 @@
         /// Whether nobody listens at the engine's address.
         dead: bool,
     },
+    /// It was found meanwhile that endpoints end under it. Nothing was sent.
+    Withheld,
     /// The engine failed, and says so. Another engine may be asked where the route's generations may be resumed.
     Answered(Box<Begun>),
     /// It may have run. Another engine may be asked where the route's generations may be resumed.
@@ -93,6 +97,7 @@
     fn why(&self) -> String {
         match self {
             Self::Refused { why, .. } | Self::Unsent { why, .. } => why.clone(),
+            Self::Withheld => "endpoints end under it".to_owned(),
             Self::Answered(begun) => format!("engine answered {}", begun.source.answer.head.status),
             Self::Lost(error) | Self::Failed(error) => error.message.clone(),
         }
@@ -119,7 +124,7 @@
         let (sent, may_have_run) = match offered {
             Ok(_) | Err(NotStarted::Answered(_) | NotStarted::Lost(_)) => (1, 1),
             Err(NotStarted::Refused { .. }) => (1, 0),
-            Err(NotStarted::Unsent { .. } | NotStarted::Failed(_)) => (0, 0),
+            Err(NotStarted::Unsent { .. } | NotStarted::Withheld | NotStarted::Failed(_)) => (0, 0),
         };
         self.sends += sent;
         self.runs += may_have_run;
@@ -140,6 +145,7 @@
 /// Whether a generation that may have run at these engines may be begun anew at another one.
 pub(crate) fn may_begin_anew(call: &Call, offers: &Offers) -> bool {
     call.route.resumable
+        && !offers.on_trial
         && offers.runs < call.route.attempts_max
         && call.time_left() > BEGIN_ANEW_MIN
 }
@@ -155,6 +161,19 @@
     let mut reason = String::new();
     let mut tries = FailedTries::default();
     for _ in 0..OFFERS_MAX {
+        // A request that ends endpoints is sent to no more of them, whatever became of its earlier tries.
+        match suspects::admission(call, offers.on_trial) {
+            Admission::Sent => {}
+            Admission::OnTrial { excluded } => {
+                offers.on_trial = true;
+                offers.excluded.extend(excluded);
+            }
+            Admission::Refused if offers.runs == 0 => return Err(suspects::refused(call)),
+            Admission::Refused => {
+                reason.push_str("; endpoints end under it");
+                break;
+            }
+        }
         if offers.sends > 0 && !gateway.take_retry(&call.service) {
             reason.push_str("; retry budget spent");
             break;
@@ -168,10 +187,12 @@
         };
         tell_placed(call, &demand, &granted);
         let patience = patience(call, &offers);
-        let offered = offer(call, &demand, &granted, last_event_id, patience).await;
+        let on_trial = offers.on_trial;
+        let offered = offer(call, &demand, &granted, last_event_id, patience, on_trial).await;
         offers.count(&offered);
         let not_started = match offered {
             Ok(begun) => return Ok(begun.started(offers)),
+            Err(NotStarted::Withheld) => continue,
             Err(not_started) => not_started,
         };
         reason = not_started.why();
@@ -201,7 +222,7 @@
     /// Keeps what a try leaves to tell the caller; gives whether no other engine may be asked.
     fn is_final(&mut self, call: &Call, offers: &Offers, not_started: NotStarted) -> bool {
         match not_started {
-            NotStarted::Refused { .. } | NotStarted::Unsent { .. } => false,
+            NotStarted::Refused { .. } | NotStarted::Unsent { .. } | NotStarted::Withheld => false,
             NotStarted::Answered(begun) => {
                 self.answered = Some(begun);
                 !may_begin_anew(call, offers)
@@ -288,6 +309,7 @@
     granted: &str,
     last_event_id: Option<&str>,
     patience: Duration,
+    on_trial: bool,
 ) -> Result<Begun, NotStarted> {
     let gateway = &call.gateway;
     let endpoint = gateway.fleet.lock().get(granted).cloned();
@@ -322,6 +344,9 @@
     if !gateway.fleet.lock().takes_work(&endpoint.id) {
         return Err(unsent("the engine is leaving"));
     }
+    if !on_trial && suspects::verdict(call) == Verdict::Refused {
+        return Err(NotStarted::Withheld);
+    }
     let send = SendHead {
         endpoint_id: &endpoint.listed_id,
         time_left: call.time_left(),
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -41,6 +41,7 @@
         departures,
         gossip: None,
         evacuated: Some(gateway.fleet.lock().evacuated_halls().into()),
+        suspects: gateway.suspect_news(),
     }
 }
 
@@ -63,6 +64,7 @@
     if let Some(told) = beat.evacuated {
         gateway.take_halls(&told.into(), "member");
     }
+    gateway.take_suspects(beat.suspects)?;
     let departed: Result<Vec<Incarnation>, BadField> = beat
         .departures
         .into_iter()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! | `inbound_call`, `answer_body` | a call on its way, and the body of its answer |
 //! | `halls` | halls that the operator empties |
 //! | `broken_off` | requests that their endpoint broke off |
+//! | `suspects` | contents that endpoints ended under, and what may be sent |
 //! | `held` | calls that come before anything is known |
 //! | `caller` | from a caller's request to its answer |
 //! | `plain_call`, `endpoint_choice` | calls with one answer, and the endpoint that they go to |
@@ -58,6 +59,7 @@
 pub mod site_store;
 pub(crate) mod started;
 pub(crate) mod subject_cache;
+pub(crate) mod suspects;
 pub(crate) mod takeover;
 pub(crate) mod tally;
 pub(crate) mod upstream;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use serde::Serialize;
 use spdlog::info;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use uuid::Uuid;
 
 use super::broken_off::Looks;
@@ -35,6 +35,7 @@
 use crate::kernel::pace::Pace;
 use crate::kernel::retry::{RetryAllowance, RetryBudget};
 use crate::kernel::route::{RouteConfig, RouteTable};
+use crate::kernel::suspects::Suspects;
 use crate::peer::client::PeerClients;
 use crate::settings::Settings;
 use crate::settings::routing::RoutingSettings;
@@ -129,6 +130,12 @@
     /// How long the services take to answer, by name.
     paces: Mutex<HashMap<String, Pace>>,
     pub(crate) upstream: Upstream,
+    /// Contents that endpoints ended under.
+    pub(crate) suspects: Mutex<Suspects>,
+    /// Wakes the task that has them kept by the store.
+    pub(crate) suspects_changed: Notify,
+    /// When news of them last went to peers out of turn.
+    pub(crate) suspects_pushed_at: Mutex<Option<Duration>>,
     /// Endpoints that broke off answers of late.
     pub(crate) looks: Looks,
     pub(crate) runs: RunRegistry,
@@ -184,6 +191,9 @@
         let ledgers = Ledgers::of_instance(&settings.instance);
         Self {
             upstream: Upstream::new(clock.clone()),
+            suspects: Mutex::default(),
+            suspects_changed: Notify::new(),
+            suspects_pushed_at: Mutex::default(),
             looks: Looks::default(),
             routing: RwLock::new(routing),
             settings,
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -15,12 +15,14 @@
 use super::endpoint_choice::choose;
 use super::inbound_call::Call;
 use super::node::Gateway;
+use super::suspects::{self, Admission};
 use super::upstream::{Answer, RestedWith, Reuse, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::pace::Pace;
 use crate::kernel::route::CallKind;
+use crate::kernel::suspects::Verdict;
 use crate::platform::{engine, ingress};
 
 /// Largest answer that is held whole before it is passed on.
@@ -47,6 +49,8 @@
     Answered(WholeAnswer),
     /// The endpoint says that it did not run the request, or nothing was sent.
     NotRun(String),
+    /// Endpoints end under it, as was found meanwhile. Nothing was sent.
+    Withheld,
     /// Another endpoint is at its address and did not run the request.
     Misdirected,
     /// Sent, and not known whether it ran.
@@ -67,6 +71,8 @@
     failure_answer: Option<WholeAnswer>,
     timed_out: bool,
     last_reason: String,
+    /// Whether endpoints end under its content, and it is tried on other software.
+    on_trial: bool,
 }
 
 /// Answers a call.
@@ -111,6 +117,15 @@
 
 async fn run(call: &Call, attempts: &mut Attempts) -> Result<WholeAnswer, Error> {
     let repeatable = call.route.kind == CallKind::Repeatable;
+    // A request that ends endpoints is sent to no more of them.
+    match suspects::admission(call, false) {
+        Admission::Sent => {}
+        Admission::OnTrial { excluded } => {
+            attempts.on_trial = true;
+            attempts.tried.extend(excluded);
+        }
+        Admission::Refused => return Err(suspects::refused(call)),
+    }
     while let Some(endpoint) = choose(call, &attempts.tried, ANSWER) {
         let is_repeat = attempts.sends > 0;
         if is_repeat && !call.gateway.take_retry(&call.service) {
@@ -136,6 +151,13 @@
                 attempts.failure_answer = Some(answer);
             }
             Attempt::NotRun(why) => attempts.last_reason = why,
+            Attempt::Withheld => {
+                "endpoints end under it".clone_into(&mut attempts.last_reason);
+                if attempts.may_have_run == 0 && attempts.failure_answer.is_none() {
+                    return Err(suspects::refused(call));
+                }
+                break;
+            }
             Attempt::Misdirected => {
                 "another endpoint is at its address".clone_into(&mut attempts.last_reason);
             }
@@ -153,7 +175,12 @@
                 }
             }
         }
-        let out_of_runs = attempts.may_have_run >= call.route.attempts_max;
+        let runs_max = if attempts.on_trial {
+            1
+        } else {
+            call.route.attempts_max
+        };
+        let out_of_runs = attempts.may_have_run >= runs_max;
         if out_of_runs || attempts.sends >= SENDS_MAX || call.time_left() < TIME_LEFT_MIN {
             break;
         }
@@ -235,6 +262,7 @@
         // An endpoint's own failures say little: some calls fail everywhere.
         Attempt::Answered(answer) if answer.parts.status.is_server_error() => None,
         Attempt::Answered(_) => Some(false),
+        Attempt::Withheld => None,
         Attempt::NotRun(_) | Attempt::Misdirected | Attempt::MayHaveRun(_) | Attempt::TimedOut => {
             Some(true)
         }
@@ -259,6 +287,9 @@
     if !gateway.fleet.lock().takes_work(&endpoint.id) {
         return Attempt::NotRun("the endpoint is leaving".to_owned());
     }
+    if !attempts.on_trial && suspects::verdict(call) == Verdict::Refused {
+        return Attempt::Withheld;
+    }
     let send = SendHead {
         endpoint_id: &endpoint.listed_id,
         time_left: call.time_left(),
@@ -305,6 +336,9 @@
             Attempt::TimedOut
         }
     };
+    if matches!(&attempt, Attempt::Answered(answer) if answer.parts.status.is_success()) {
+        suspects::note_survived(call);
+    }
     if !matches!(attempt, Attempt::NotRun(_) | Attempt::Misdirected) {
         attempts.may_have_run += 1;
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,9 +18,11 @@
 use super::inbound_call::Call;
 use super::runs::{Continuation, RunCommand};
 use super::started::{Offers, RunGuard, Source, Started, tell_end};
+use super::suspects;
 use super::takeover::{self, Silence};
 use super::upstream::Answer;
 use crate::kernel::clock::millis;
+use crate::kernel::suspects::BEGINNING;
 use crate::platform::engine;
 
 /// An engine that was asked to stop a generation closes its stream, and the place to go on is known, within this time.
@@ -46,6 +48,8 @@
     events: u32,
     /// When the first event came from the engine that runs it now.
     first_event_at: Option<Duration>,
+    /// Whether an engine was seen to run it on past its beginning.
+    ran_on: bool,
     last_event_id: Option<String>,
     moves: u32,
     silence: Silence,
@@ -67,7 +71,7 @@
     /// The source broke off.
     Broken(String),
     /// It goes on elsewhere.
-    Continue(Continuation),
+    Continue(Box<Continuation>),
     /// It begins anew after the last event that was passed on.
     BeginAnew(String),
     /// Nothing to pass on yet.
@@ -93,6 +97,7 @@
         event_tokens,
         events: 0,
         first_event_at: None,
+        ran_on: false,
         last_event_id: generation::last_event_id(&call).map(str::to_owned),
         moves: 0,
         silence: Silence::from_now(),
@@ -126,7 +131,7 @@
                 Step::Events(bytes) => return Some(Ok(Frame::data(bytes))),
                 Step::Again | Step::Silent => {}
                 Step::Continue(continuation) => {
-                    if let Err(why) = self.go_on_or_begin_anew(continuation).await {
+                    if let Err(why) = self.go_on_or_begin_anew(*continuation).await {
                         return Some(Err(self.fail(&why)));
                     }
                 }
@@ -199,7 +204,11 @@
         }
         self.silence = Silence::from_now();
         let now = self.call.gateway.now();
-        self.first_event_at.get_or_insert(now);
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        if !self.ran_on && now.saturating_sub(first_event_at) > BEGINNING {
+            self.ran_on = true;
+            suspects::note_ran_on(&self.call);
+        }
         let made = self.events.saturating_mul(self.event_tokens);
         let handle = &self.handle.run;
         handle.made_tokens.store(made, Ordering::Relaxed);
@@ -265,13 +274,13 @@
     async fn after_break(&mut self, why: String) -> Step {
         self.source = None;
         if let Some(continuation) = self.pending.take() {
-            return Step::Continue(continuation);
+            return Step::Continue(Box::new(continuation));
         }
         while self.stopping {
             let command = tokio::time::timeout(STOP_PATIENCE, self.commands.recv()).await;
             match command {
                 Ok(Some(RunCommand::Continue(continuation))) => {
-                    return Step::Continue(*continuation);
+                    return Step::Continue(continuation);
                 }
                 Ok(Some(RunCommand::Stopping)) => {}
                 Ok(Some(RunCommand::NotStopped) | None) | Err(_) => self.stopping = false,
@@ -281,7 +290,9 @@
             return Step::BeginAnew(why);
         }
         let taken_over = self.take_over(&why).await;
-        taken_over.map_or(Step::Broken(why), Step::Continue)
+        taken_over.map_or(Step::Broken(why), |continuation| {
+            Step::Continue(Box::new(continuation))
+        })
     }
 
     /// Asks the engine of a silent stream what became of the generation.
@@ -392,6 +403,7 @@
 
     fn finish(&mut self) {
         self.ended = true;
+        suspects::note_survived(&self.call);
         tell_end(&self.call, "whole", "", self.events, self.moves);
         self.source = None;
     }
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -17,10 +17,13 @@
 use tokio::sync::Notify;
 
 use super::live_members::LiveMembers;
-use super::site_store::{MemberEntry, SitePage, SiteStore, StoreError, StoreResult, Subject};
+use super::site_store::{
+    KeptSuspect, MemberEntry, SitePage, SiteStore, StoreError, StoreResult, Subject,
+};
 use super::subject_cache::SubjectCache;
 use super::tally::{Tally, Work};
 use crate::kernel::clock::{Clock, millis};
+use crate::kernel::content::ContentId;
 use crate::kernel::freshness::Freshness;
 use crate::kernel::store_contact::StoreContact;
 use crate::kernel::store_sources::{Source, StoreSources};
@@ -445,4 +448,12 @@
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
         self.direct().announce(member).await
     }
+
+    async fn keep_suspect(&self, suspect: &KeptSuspect) -> StoreResult<()> {
+        self.direct().keep_suspect(suspect).await
+    }
+
+    async fn drop_suspect(&self, content: ContentId) -> StoreResult<()> {
+        self.direct().drop_suspect(content).await
+    }
 }
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -7,10 +7,13 @@
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
 
+use crate::kernel::clock::millis;
+use crate::kernel::content::ContentId;
 use crate::kernel::evacuation::{EvacuatedHalls, HallOrder};
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::roles::{self, default_link_mbps};
 use crate::kernel::route::RouteConfig;
+use crate::kernel::suspects::{End, Told};
 
 /// A subject that is kept and followed on its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -63,6 +66,52 @@
     }
 }
 
+/// A content that endpoints ended under, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptSuspect {
+    /// The content.
+    pub content: ContentId,
+    /// Counts how often it was found innocent or let go.
+    pub life: u32,
+    /// Whether an endpoint has finished it.
+    pub innocent: bool,
+    /// Whether an endpoint ran it on past its beginning.
+    pub ran_on: bool,
+    /// The endpoints that ended.
+    pub ends: Vec<End>,
+    /// When the last one did, in milliseconds since 1970.
+    pub last_end_unix_ms: u64,
+}
+
+impl KeptSuspect {
+    /// What is known of a content at this time of day.
+    #[must_use]
+    pub fn new(told: &Told, unix_time: Duration) -> Self {
+        Self {
+            content: told.content,
+            life: told.life,
+            innocent: told.innocent,
+            ran_on: told.ran_on,
+            ends: told.ends.clone(),
+            last_end_unix_ms: millis(unix_time.saturating_sub(told.last_end_ago)),
+        }
+    }
+
+    /// The same, as it is told at this time of day.
+    #[must_use]
+    pub fn told(&self, unix_time: Duration) -> Told {
+        let last_end = Duration::from_millis(self.last_end_unix_ms);
+        Told {
+            content: self.content,
+            life: self.life,
+            innocent: self.innocent,
+            ran_on: self.ran_on,
+            ends: self.ends.clone(),
+            last_end_ago: unix_time.saturating_sub(last_end),
+        }
+    }
+}
+
 /// A record of the store, decoded.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum SiteRecord {
@@ -78,6 +127,10 @@
     EndpointGone(String),
     /// A member's entry.
     Member(MemberEntry),
+    /// A content that endpoints ended under.
+    Suspect(KeptSuspect),
+    /// A content is kept no more.
+    SuspectGone(ContentId),
     /// A record that cannot be read.
     Unreadable {
         /// Its key.
@@ -128,6 +181,10 @@
     async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage>;
     /// Writes this instance's own entry.
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()>;
+    /// Keeps a content that endpoints ended under, in place of what was kept of it.
+    async fn keep_suspect(&self, suspect: &KeptSuspect) -> StoreResult<()>;
+    /// Drops what is kept of a content.
+    async fn drop_suspect(&self, content: ContentId) -> StoreResult<()>;
 }
 
 /// A registered way to reach a store.
--- a/src/gateway/subject_cache.rs
+++ b/src/gateway/subject_cache.rs
@@ -7,6 +7,7 @@
 
 use super::parts::EncodedPage;
 use super::site_store::{SitePage, SiteRecord, Subject};
+use crate::kernel::content::ContentId;
 use crate::kernel::evacuation::EvacuatedHalls;
 
 /// Records of a subject that are kept for others to read on from.
@@ -69,6 +70,11 @@
             }
             SiteRecord::Endpoint(entry) => entry.listed_id.clone(),
             SiteRecord::Member(entry) => entry.name.clone(),
+            SiteRecord::Suspect(kept) => suspect_key(kept.content),
+            SiteRecord::SuspectGone(content) => {
+                self.newest.remove(&suspect_key(*content));
+                return;
+            }
             // Whoever reads the list here must not use what the entry before said.
             SiteRecord::Unreadable { key, .. } if self.subject == Subject::Endpoints => key.clone(),
             SiteRecord::Unreadable { .. } => return,
@@ -149,6 +155,11 @@
     }
 }
 
+/// No member has such a name.
+fn suspect_key(content: ContentId) -> String {
+    format!("suspect/{content}")
+}
+
 fn encode(records: &[&SiteRecord]) -> Option<EncodedPage> {
     let encoded = EncodedPage::encode(&records);
     encoded
--- /dev/null
+++ b/src/gateway/suspects.rs
@@ -0,0 +1,283 @@
+//! Contents that endpoints ended under: noted where they are cut, told to peers and the store, and looked up before anything is sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use spdlog::{info, warn};
+
+use super::heartbeat;
+use super::inbound_call::Call;
+use super::node::Gateway;
+use super::ownership::owner_address;
+use super::site_store::{KeptSuspect, SiteStore};
+use crate::error::{Error, ErrorKind};
+use crate::kernel::backoff::Backoff;
+use crate::kernel::content::ContentId;
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::suspects::{BEGINNING, Change, End, Told, Verdict, short_hash, software_id};
+use crate::peer::convert::BadField;
+use crate::peer::generated as wire;
+
+/// How often it is looked whether something has lapsed or was not kept.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// First pause after the store did not take something.
+const PAUSE_MIN: Duration = Duration::from_millis(200);
+/// Longest such pause: the store is back for no longer than this before it is told.
+const PAUSE_MAX: Duration = Duration::from_secs(1);
+/// News goes to peers out of turn no more often than this, whatever ends: half of the usual time between heartbeats.
+const PUSHED_EVERY: Duration = Duration::from_millis(250);
+/// The member that looks after what others should have had kept, and drops what has lapsed, is the owner of this role.
+const KEEPER_ROLE: &str = "contents that endpoints ended under";
+
+/// Whether a request may be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// It may.
+    Sent,
+    /// Endpoints ended under it, but none with the software of some: it may be tried on these.
+    OnTrial {
+        /// Endpoints to which it must not go.
+        excluded: Vec<String>,
+    },
+    /// It must not.
+    Refused,
+}
+
+/// What is known of the content of a request. The body is read only where something is known of a request with the same head.
+pub(super) fn verdict(call: &Call) -> Verdict {
+    let gateway = &call.gateway;
+    if !is_known(call) {
+        return Verdict::Sound;
+    }
+    let content = call.content();
+    let now = gateway.now();
+    gateway.suspects.lock().verdict(content, now)
+}
+
+fn is_known(call: &Call) -> bool {
+    let suspects = &call.gateway.suspects;
+    // Most of the time nothing is known of any request, and nothing need be hashed.
+    if suspects.lock().is_empty() {
+        return false;
+    }
+    let head = call.content_head();
+    suspects.lock().knows_head(head)
+}
+
+/// Whether a request may be sent; `on_trial` tells that it was admitted for a trial before.
+pub(super) fn admission(call: &Call, on_trial: bool) -> Admission {
+    if on_trial || verdict(call) != Verdict::Refused {
+        return Admission::Sent;
+    }
+    trial(call).unwrap_or(Admission::Refused)
+}
+
+/// Admits a refused request to endpoints with software under which none ended. The service's owner alone does so, so that a release which mends
+/// nothing costs one endpoint and not one an instance.
+fn trial(call: &Call) -> Option<Admission> {
+    let gateway = &call.gateway;
+    if owner_address(gateway, &call.service).is_some() {
+        return None;
+    }
+    let ready: Vec<EndpointEntry> = {
+        let fleet = gateway.fleet.lock();
+        fleet.ready(&call.service).cloned().collect()
+    };
+    let content = call.content();
+    let now = gateway.now();
+    let mut suspects = gateway.suspects.lock();
+    let mut begun = ready.iter().map(software);
+    let software_tried = begun.find(|software| suspects.begin_trial(content, *software, now))?;
+    drop(suspects);
+    info!("crashing content on trial", kv: { content:, service = call.service.as_str() });
+    let others = ready.iter();
+    let others = others.filter(|endpoint| software(endpoint) != software_tried);
+    let excluded = others.map(|endpoint| endpoint.id.clone()).collect();
+    Some(Admission::OnTrial { excluded })
+}
+
+fn software(endpoint: &EndpointEntry) -> u64 {
+    software_id(&endpoint.service, &endpoint.software)
+}
+
+/// The error for a request that is sent to no endpoint.
+pub(super) fn refused(call: &Call) -> Error {
+    let content = call.content();
+    if crate::log::admits("crashing content refused") {
+        info!("crashing content refused", kv: {
+            request_id = call.head.request_id.as_str(), content:, service = call.service.as_str(),
+        });
+    }
+    metrics::counter!("larkwick_suspects_refused_total").increment(1);
+    let message = format!(
+        "endpoints of service {} end when they run this request; not run; ask the operators to let {content} go",
+        call.service
+    );
+    Error::new(ErrorKind::EndsEndpoints, message)
+}
+
+/// An endpoint has answered a request with success and is there: it does not end endpoints.
+pub(super) fn note_survived(call: &Call) {
+    if !is_known(call) {
+        return;
+    }
+    let gateway = &call.gateway;
+    let content = call.content();
+    let change = gateway.suspects.lock().survived(content, gateway.now());
+    if change != Change::None {
+        info!("suspected content is innocent", kv: {
+            content:, request_id = call.head.request_id.as_str(),
+        });
+        gateway.suspects_changed.notify_one();
+    }
+}
+
+/// An engine has run a generation on past its beginning.
+pub(super) fn note_ran_on(call: &Call) {
+    if !is_known(call) {
+        return;
+    }
+    let gateway = &call.gateway;
+    let content = call.content();
+    gateway.suspects.lock().ran_on(content, gateway.now());
+}
+
+impl Gateway {
+    /// An endpoint ended while it ran a content, whose first event had come so long ago.
+    pub(super) fn note_end(
+        self: &Arc<Self>,
+        content: ContentId,
+        endpoint: &EndpointEntry,
+        ran_for: Duration,
+    ) {
+        let end = End {
+            endpoint: short_hash(&endpoint.id),
+            software: software(endpoint),
+            beginning: ran_for < BEGINNING,
+        };
+        let change = self.suspects.lock().ended(content, end, self.now());
+        self.suspects_after(content, change, "seen here");
+        if change != Change::None {
+            self.push_suspects();
+        }
+    }
+
+    /// Takes what a peer tells.
+    pub(super) fn take_suspects(
+        self: &Arc<Self>,
+        suspects: Vec<wire::Suspect>,
+    ) -> Result<(), BadField> {
+        for told in suspects {
+            let told: Told = told.try_into()?;
+            let change = self.suspects.lock().take(&told, self.now());
+            self.suspects_after(told.content, change, "member");
+            if change == Change::NowRefused {
+                self.push_suspects();
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes what the store holds.
+    pub(super) fn take_kept_suspect(&self, kept: &KeptSuspect) {
+        let told = kept.told(self.clock.unix_time());
+        let change = {
+            let mut suspects = self.suspects.lock();
+            let change = suspects.take(&told, self.now());
+            suspects.kept(&told);
+            change
+        };
+        self.suspects_after(told.content, change, "store");
+    }
+
+    /// What peers are told.
+    pub(super) fn suspect_news(&self) -> Vec<wire::Suspect> {
+        let news = self.suspects.lock().news(self.now());
+        news.iter().map(Into::into).collect()
+    }
+
+    fn suspects_after(&self, content: ContentId, change: Change, source: &str) {
+        if change == Change::None {
+            return;
+        }
+        self.suspects_changed.notify_one();
+        let (known, refused) = {
+            let suspects = self.suspects.lock();
+            (suspects.len(), suspects.refused())
+        };
+        let gauge = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        metrics::gauge!("larkwick_suspects", "kind" => "known").set(gauge(known));
+        metrics::gauge!("larkwick_suspects", "kind" => "refused").set(gauge(refused));
+        if change == Change::NowRefused {
+            warn!("crashing content found", kv: { content:, source, known:, refused: });
+        }
+    }
+
+    /// Tells peers at once: the request comes again at once, anywhere. At the usual time between heartbeats it would end one endpoint more for each
+    /// instance that has not heard.
+    fn push_suspects(self: &Arc<Self>) {
+        let now = self.now();
+        {
+            let mut pushed_at = self.suspects_pushed_at.lock();
+            let is_due = pushed_at.is_none_or(|at| now.saturating_sub(at) >= PUSHED_EVERY);
+            if !is_due {
+                return;
+            }
+            *pushed_at = Some(now);
+        }
+        heartbeat::beat_round(self);
+    }
+
+    fn keeps_suspects(&self) -> bool {
+        let live = self.live.view();
+        let keeper = live.owner(KEEPER_ROLE);
+        keeper.is_some_and(|keeper| keeper.name == self.incarnation.name)
+    }
+}
+
+/// Has the store keep what outlasts a loss of all instances, for the life of the instance.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut pause = Backoff::new(PAUSE_MIN, PAUSE_MAX);
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_EVERY) => {}
+            () = gateway.suspects_changed.notified() => {}
+        }
+        match keep_all(&gateway).await {
+            Ok(()) => pause.succeeded(),
+            Err(why) => {
+                if crate::log::admits("content not kept") {
+                    warn!("content not kept", kv: { why = why.as_str() });
+                }
+                let pause = pause.failed(rand::rng().random_range(0.0..1.0));
+                tokio::time::sleep(pause).await;
+                gateway.suspects_changed.notify_one();
+            }
+        }
+    }
+}
+
+async fn keep_all(gateway: &Gateway) -> Result<(), String> {
+    let now = gateway.now();
+    let is_keeper = gateway.keeps_suspects();
+    let (due, lapsed) = {
+        let mut suspects = gateway.suspects.lock();
+        if suspects.is_empty() {
+            return Ok(());
+        }
+        let lapsed = suspects.expire(now);
+        (suspects.to_keep(is_keeper, now), lapsed)
+    };
+    for told in due {
+        let kept = KeptSuspect::new(&told, gateway.clock.unix_time());
+        let written = gateway.store.keep_suspect(&kept).await;
+        written.map_err(|error| error.to_string())?;
+        gateway.suspects.lock().kept(&told);
+    }
+    for content in lapsed.into_iter().filter(|_| is_keeper) {
+        let dropped = gateway.store.drop_suspect(content).await;
+        dropped.map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -11,8 +11,9 @@
 use super::inbound_call::Call;
 use super::runs::{Continuation, RunHandle};
 use super::upstream::{Answer, Reuse};
-use super::{engine_reports, moves};
+use super::{engine_reports, moves, suspects};
 use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::suspects::Verdict;
 use crate::platform::engine;
 
 /// An engine that has sent no event for this long is asked whether it has made some, and again after twice the time: a connection that has gone
@@ -134,6 +135,9 @@
     if left_long_ago(call, target) {
         return Err("the engine that has its memory left too long ago".to_owned());
     }
+    if suspects::verdict(call) == Verdict::Refused {
+        return Err("endpoints end under it".to_owned());
+    }
     let upstream = &call.gateway.upstream;
     let connection = upstream.connection(target, usize::MAX, Reuse::Never).await;
     let connection = connection.map_err(|none| none.to_string())?;
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -1,7 +1,7 @@
 //! Time as an interface: monotonic time since an arbitrary origin, as a `Duration`.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use parking_lot::Mutex;
 
@@ -9,6 +9,9 @@
 pub trait Clock: Send + Sync {
     /// Time since this clock's origin. Never goes back.
     fn now(&self) -> Duration;
+
+    /// Time of day, since 1970. It may jump and differs between machines: for what outlasts the process, and for nothing that is decided in seconds.
+    fn unix_time(&self) -> Duration;
 }
 
 /// The operating system's monotonic clock; its origin is the moment of construction.
@@ -29,6 +32,11 @@
     fn now(&self) -> Duration {
         self.origin.elapsed()
     }
+
+    fn unix_time(&self) -> Duration {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        since.unwrap_or_default()
+    }
 }
 
 /// A clock that a test moves by hand. Clones share the same time.
@@ -48,6 +56,10 @@
     fn now(&self) -> Duration {
         *self.now.lock()
     }
+
+    fn unix_time(&self) -> Duration {
+        self.now()
+    }
 }
 
 /// Whole milliseconds of a duration, saturating.
--- a/src/kernel/content.rs
+++ b/src/kernel/content.rs
@@ -4,6 +4,8 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 /// What makes two requests the same, but for the bytes of their bodies.
 #[derive(Debug, Clone, Copy)]
 pub struct ContentHead<'a> {
@@ -24,7 +26,8 @@
 pub struct HeadId(pub u64);
 
 /// Names the content of a request. Two requests share one by chance once in 2^64 contents; an innocent one would then be taken for the other.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
 pub struct ContentId {
     /// Its head.
     pub head: HeadId,
@@ -108,3 +111,17 @@
         })
     }
 }
+
+impl From<ContentId> for String {
+    fn from(content: ContentId) -> Self {
+        content.to_string()
+    }
+}
+
+impl TryFrom<String> for ContentId {
+    type Error = NotAContent;
+
+    fn try_from(text: String) -> Result<Self, NotAContent> {
+        text.parse()
+    }
+}
--- a/src/kernel/endpoint_entry.rs
+++ b/src/kernel/endpoint_entry.rs
@@ -25,6 +25,9 @@
     pub slots: u32,
     /// Whether it said that it is leaving.
     pub leaving: bool,
+    /// Version of its software; empty where it does not tell.
+    #[serde(default)]
+    pub software: String,
     /// How much longer it said it would be slow from its start.
     pub cold_left: Duration,
 }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -41,5 +41,6 @@
 pub mod store_contact;
 pub mod store_sources;
 pub mod stream;
+pub mod suspects;
 pub mod ticket;
 pub mod watch;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -6,12 +6,14 @@
 
 use super::generated as wire;
 use crate::kernel::clock::millis;
+use crate::kernel::content::{ContentId, HeadId};
 use crate::kernel::engine_ledger::{MoveResult, ReportedRun, RunDemand};
 use crate::kernel::evacuation::EvacuatedHalls;
 use crate::kernel::gossip::Gossip;
 use crate::kernel::group::ReserveRequest;
 use crate::kernel::membership::{Incarnation, PeerStatus};
 use crate::kernel::standings::Standing;
+use crate::kernel::suspects::{End, Told};
 
 /// A field of a message that cannot be read.
 #[derive(Debug, Clone, Copy, thiserror::Error)]
@@ -144,6 +146,49 @@
     }
 }
 
+impl From<&Told> for wire::Suspect {
+    fn from(told: &Told) -> Self {
+        let ends = told.ends.iter().map(|end| wire::EndpointEnd {
+            endpoint: end.endpoint,
+            software: end.software,
+            beginning: end.beginning,
+        });
+        Self {
+            head: told.content.head.0,
+            whole: told.content.whole.to_be_bytes().to_vec(),
+            life: told.life,
+            innocent: told.innocent,
+            ran_on: told.ran_on,
+            ends: ends.collect(),
+            last_end_ms_ago: millis(told.last_end_ago),
+        }
+    }
+}
+
+impl TryFrom<wire::Suspect> for Told {
+    type Error = BadField;
+
+    fn try_from(message: wire::Suspect) -> Result<Self, BadField> {
+        let whole = message.whole.try_into().map_err(|_| BadField("whole"))?;
+        let ends = message.ends.into_iter().map(|end| End {
+            endpoint: end.endpoint,
+            software: end.software,
+            beginning: end.beginning,
+        });
+        Ok(Self {
+            content: ContentId {
+                head: HeadId(message.head),
+                whole: u128::from_be_bytes(whole),
+            },
+            life: message.life,
+            innocent: message.innocent,
+            ran_on: message.ran_on,
+            ends: ends.collect(),
+            last_end_ago: Duration::from_millis(message.last_end_ms_ago),
+        })
+    }
+}
+
 /// A request for a place, for the owner of a group.
 pub(crate) fn reserve_to_wire(group: &str, request: &ReserveRequest) -> wire::ReserveRequest {
     wire::ReserveRequest {
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -68,6 +68,43 @@
     /// The halls that are evacuated, as far as the sender knows; absent where it never heard of any.
     #[prost(message, optional, tag = "4")]
     pub evacuated: ::core::option::Option<EvacuatedHalls>,
+    /// News of contents that endpoints ended under; a few at most.
+    #[prost(message, repeated, tag = "5")]
+    pub suspects: ::prost::alloc::vec::Vec<Suspect>,
+}
+/// The end of an endpoint while it ran a content.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EndpointEnd {
+    /// Names the start of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Names its software.
+    #[prost(fixed64, tag = "2")]
+    pub software: u64,
+    /// Whether the request had just begun there.
+    #[prost(bool, tag = "3")]
+    pub beginning: bool,
+}
+/// A content that endpoints ended under.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Suspect {
+    #[prost(fixed64, tag = "1")]
+    pub head: u64,
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub whole: ::prost::alloc::vec::Vec<u8>,
+    /// How often it was found innocent or let go; what is told of an earlier life does not count.
+    #[prost(uint32, tag = "3")]
+    pub life: u32,
+    #[prost(bool, tag = "4")]
+    pub innocent: bool,
+    /// Whether an endpoint ran it on past its beginning.
+    #[prost(bool, tag = "5")]
+    pub ran_on: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub ends: ::prost::alloc::vec::Vec<EndpointEnd>,
+    #[prost(uint64, tag = "7")]
+    pub last_end_ms_ago: u64,
 }
 /// The halls that are evacuated.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/platform/servers.rs
+++ b/src/platform/servers.rs
@@ -8,9 +8,9 @@
 use super::unknown;
 use crate::kernel::fleet::{EndpointEntry, start_id};
 
-/// Fields of an entry that nothing is made of: the version of an endpoint's software does not matter to calls, `seq` only counts its heartbeats, whose
-/// silence the store itself notices, and which models it has is the operator's matter.
-const LEFT_ASIDE: [&str; 4] = ["version", "seq", "stage", "models"];
+/// Fields of an entry that nothing is made of: `seq` only counts an endpoint's heartbeats, whose silence the store itself notices, and which models it
+/// has is the operator's matter.
+const LEFT_ASIDE: [&str; 3] = ["seq", "stage", "models"];
 
 /// An entry. What is missing or of another type makes it another writer's, and it names no endpoint to use.
 #[derive(Deserialize)]
@@ -21,6 +21,9 @@
     zone: String,
     slots: u32,
     state: WireState,
+    /// Of its software. Nothing but a trial of what ended other versions depends on it, so that any value will do.
+    #[serde(default)]
+    version: serde_json::Value,
     /// Unix milliseconds of the start; where it is told, always a whole number.
     #[serde(default, deserialize_with = "present")]
     born: Option<u64>,
@@ -63,6 +66,15 @@
         hall: wire.zone,
         slots: wire.slots,
         leaving: matches!(wire.state, WireState::Draining),
+        software: software(&wire.version),
         cold_left: cold_left.map_err(|error| error.to_string())?,
     })
 }
+
+fn software(version: &serde_json::Value) -> String {
+    match version {
+        serde_json::Value::Null => String::new(),
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,8 +17,10 @@
 use super::{operator_config, servers, unknown};
 use crate::gateway::parts;
 use crate::gateway::site_store::{
-    MemberEntry, SitePage, SiteRecord, SiteStore, SiteStorePlugin, StoreError, StoreResult, Subject,
+    KeptSuspect, MemberEntry, SitePage, SiteRecord, SiteStore, SiteStorePlugin, StoreError,
+    StoreResult, Subject,
 };
+use crate::kernel::content::{ContentId, NotAContent};
 use crate::kernel::evacuation::{EvacuatedHalls, HallOrder};
 
 /// Longest time until an answer begins, beside what the call waits by itself. The store answers in 4 ms; slow days take sixty times that.
@@ -32,6 +34,8 @@
 const CONFIG_KEY: &str = "config";
 /// Keys of the records that ask for a hall to be emptied begin so; the hall's name follows. Their values say nothing.
 const EVACUATE_KEY_PREFIX: &str = "evacuate/";
+/// Keys of the contents that endpoints ended under begin so; the content's name follows. No instance has such a name.
+const SUSPECT_KEY_PREFIX: &str = "suspect/";
 /// Most that one read returns.
 const READ_MAX_KB: u32 = 1_024;
 
@@ -156,6 +160,16 @@
         Err(StoreError::Refused(status.to_string()))
     }
 
+    /// Writes a record of our own; without a value it drops the key.
+    async fn put(&self, key: &str, value: &[u8]) -> StoreResult<()> {
+        let topic = topic(Subject::Members);
+        let url = format!("{}{STORE_APPEND_PATH}?topic={topic}&part=0", self.base);
+        let record = keyed_record(key, value).map_err(StoreError::Malformed)?;
+        let request = |client: &reqwest::Client| client.post(url).body(record);
+        self.call(request, CALL_TIMEOUT).await?;
+        Ok(())
+    }
+
     async fn newest_page(&self, subject: Subject, since: Option<&str>) -> StoreResult<WireNewest> {
         let url = format!("{}{STORE_NEWEST_PATH}", self.base);
         let mut query = vec![("topic", topic(subject)), ("part", "0")];
@@ -249,20 +263,27 @@
     }
 
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
-        let url = format!(
-            "{}{STORE_APPEND_PATH}?topic={}&part=0",
-            self.base,
-            topic(Subject::Members)
-        );
-        let value =
-            serde_json::to_vec(member).map_err(|error| StoreError::Malformed(error.to_string()))?;
-        let record = keyed_record(&member.name, &value).map_err(StoreError::Malformed)?;
-        let request = |client: &reqwest::Client| client.post(url).body(record);
-        self.call(request, CALL_TIMEOUT).await?;
-        Ok(())
+        self.put(&member.name, &to_json(member)?).await
+    }
+
+    async fn keep_suspect(&self, suspect: &KeptSuspect) -> StoreResult<()> {
+        let key = suspect_key(suspect.content);
+        self.put(&key, &to_json(suspect)?).await
+    }
+
+    async fn drop_suspect(&self, content: ContentId) -> StoreResult<()> {
+        self.put(&suspect_key(content), &[]).await
     }
 }
 
+fn to_json(value: &impl serde::Serialize) -> StoreResult<Vec<u8>> {
+    serde_json::to_vec(value).map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
+fn suspect_key(content: ContentId) -> String {
+    format!("{SUSPECT_KEY_PREFIX}{content}")
+}
+
 /// A record as it is appended: its length, the key's length, the key, the value.
 fn keyed_record(key: &str, value: &[u8]) -> Result<Vec<u8>, String> {
     let key_length = u8::try_from(key.len()).map_err(|_| format!("key {key:?} is too long"))?;
@@ -344,10 +365,25 @@
         (Subject::Configuration, value) => return decode_operators(key, value, next_offset),
         (Subject::Endpoints, Some(value)) => servers::decode(key, value).map(SiteRecord::Endpoint),
         (Subject::Endpoints, None) => Ok(SiteRecord::EndpointGone(key.to_owned())),
-        (Subject::Members, Some(value)) => serde_json::from_slice(value)
-            .map(SiteRecord::Member)
+        (Subject::Members, value) => return decode_own(key, value),
+    };
+    Some(readable(key, decoded))
+}
+
+/// Decodes a record that an instance wrote.
+fn decode_own(key: &str, value: Option<&[u8]>) -> Option<SiteRecord> {
+    let Some(content) = key.strip_prefix(SUSPECT_KEY_PREFIX) else {
+        let member = serde_json::from_slice(value?).map(SiteRecord::Member);
+        return Some(readable(key, member.map_err(|error| error.to_string())));
+    };
+    let decoded = match value {
+        Some(value) => serde_json::from_slice(value)
+            .map(SiteRecord::Suspect)
             .map_err(|error| error.to_string()),
-        (Subject::Members, None) => return None,
+        None => content
+            .parse()
+            .map(SiteRecord::SuspectGone)
+            .map_err(|error: NotAContent| error.to_string()),
     };
     Some(readable(key, decoded))
 }
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -42,3 +42,5 @@
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
 mod store_sources;
+#[path = "kernel/suspects.rs"]
+mod suspects;
--- a/tests/kernel/fleet.rs
+++ b/tests/kernel/fleet.rs
@@ -19,6 +19,7 @@
         hall: "h".to_owned(),
         slots: 6,
         leaving,
+        software: String::new(),
         cold_left: Duration::ZERO,
     }
 }
--- /dev/null
+++ b/tests/kernel/suspects.rs
@@ -0,0 +1,333 @@
+//! Contents that endpoints ended under: who is refused, who is innocent, what is told, kept and forgotten.
+
+use std::time::Duration;
+
+use larkwick::kernel::content::{ContentHead, ContentId};
+use larkwick::kernel::suspects::{Change, End, NEWS_MAX, Suspects, Told, Verdict, software_id};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn content(body: &str) -> ContentId {
+    let head = ContentHead {
+        method: "POST",
+        host: "site.example",
+        path: "/chat/1?a=b",
+        account: Some("account-1"),
+        body_bytes: body.len(),
+    };
+    head.id().with_body(body.as_bytes())
+}
+
+fn end(endpoint: u64) -> End {
+    End {
+        endpoint,
+        software: software_id("llm", "v1"),
+        beginning: true,
+    }
+}
+
+fn late_end(endpoint: u64) -> End {
+    End {
+        beginning: false,
+        ..end(endpoint)
+    }
+}
+
+/// What one instance knows after these ends.
+fn after(content: ContentId, ends: &[End]) -> Suspects {
+    let mut suspects = Suspects::default();
+    for end in ends {
+        suspects.ended(content, *end, SECOND);
+    }
+    suspects
+}
+
+fn told(suspects: &Suspects) -> Vec<Told> {
+    suspects.news(SECOND)
+}
+
+#[test]
+fn content_id_each_part_changed_another_one() {
+    let head = ContentHead {
+        method: "POST",
+        host: "site.example",
+        path: "/a/",
+        account: Some("one"),
+        body_bytes: 4,
+    };
+    let id = |head: &ContentHead<'_>, body: &str| head.id().with_body(body.as_bytes());
+    let first = id(&head, "body");
+    let others = [
+        id(
+            &ContentHead {
+                method: "GET",
+                ..head
+            },
+            "body",
+        ),
+        id(
+            &ContentHead {
+                host: "b.example",
+                ..head
+            },
+            "body",
+        ),
+        id(
+            &ContentHead {
+                path: "/a/?b",
+                ..head
+            },
+            "body",
+        ),
+        id(
+            &ContentHead {
+                account: None,
+                ..head
+            },
+            "body",
+        ),
+        id(
+            &ContentHead {
+                account: Some("on"),
+                path: "/a/e",
+                ..head
+            },
+            "body",
+        ),
+        id(&head, "bodz"),
+    ];
+    assert!(!others.contains(&first));
+    assert_eq!(first, id(&head, "body"));
+}
+
+#[test]
+fn content_id_as_text_and_back() {
+    let id = content("x");
+    assert_eq!(id.to_string().parse(), Ok(id));
+    for wrong in [
+        "",
+        "suspect",
+        "+00000000000000000000000000000000000000000000000",
+    ] {
+        assert!(wrong.parse::<ContentId>().is_err(), "{wrong:?}");
+    }
+}
+
+#[test]
+fn verdict_three_ends_at_its_beginning_refused() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1), end(2)]);
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Suspected);
+    assert_eq!(
+        suspects.ended(id, end(2), SECOND),
+        Change::None,
+        "the same endpoint"
+    );
+    assert_eq!(suspects.ended(id, end(3), SECOND), Change::NowRefused);
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
+    assert_eq!(suspects.verdict(content("y"), SECOND), Verdict::Sound);
+}
+
+#[test]
+fn verdict_ends_while_it_ran_on_six_needed() {
+    let id = content("x");
+    let mut suspects = after(id, &[1, 2, 3, 4, 5].map(late_end));
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Suspected);
+    suspects.ended(id, late_end(6), SECOND);
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
+}
+
+/// Equal requests that run at each endpoint are cut with each that ends: seen to run on at another one, it is not their beginning that ends endpoints.
+#[test]
+fn verdict_seen_to_run_on_elsewhere_three_ends_do_not_refuse() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1)]);
+    suspects.ran_on(id, SECOND);
+    suspects.ended(id, end(2), SECOND);
+    suspects.ended(id, end(3), SECOND);
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Suspected);
+}
+
+#[test]
+fn survived_later_ends_do_not_count_any_more() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1), end(2), end(3)]);
+    assert_eq!(suspects.survived(id, SECOND), Change::News);
+    for endpoint in 4..12 {
+        suspects.ended(id, end(endpoint), SECOND);
+    }
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Sound);
+}
+
+#[test]
+fn survived_peers_that_refuse_it_let_it_go() {
+    let id = content("x");
+    let mut one = after(id, &[end(1), end(2), end(3)]);
+    let mut other = Suspects::default();
+    other.take(&told(&one)[0], SECOND);
+    assert_eq!(other.verdict(id, SECOND), Verdict::Refused);
+    one.survived(id, SECOND);
+    other.take(&told(&one)[0], SECOND);
+    assert_eq!(other.verdict(id, SECOND), Verdict::Sound);
+    // An older word comes late.
+    let late = told(&after(id, &[end(7), end(8), end(9)]));
+    assert_eq!(other.take(&late[0], SECOND), Change::None);
+}
+
+#[test]
+fn let_go_counted_from_nothing() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1), end(2), end(3)]);
+    assert!(suspects.let_go(id, SECOND));
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Sound);
+    for endpoint in [4, 5, 6] {
+        suspects.ended(id, end(endpoint), SECOND);
+    }
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
+    assert!(!suspects.let_go(content("never seen"), SECOND));
+}
+
+#[test]
+fn verdict_long_after_the_last_end_sound_again() {
+    let id = content("x");
+    let suspected = after(id, &[end(1), end(2)]);
+    let refused = after(id, &[end(1), end(2), end(3)]);
+    let in_two_hours = Duration::from_hours(2);
+    assert_eq!(suspected.verdict(id, in_two_hours), Verdict::Sound);
+    assert_eq!(refused.verdict(id, in_two_hours), Verdict::Refused);
+    assert_eq!(
+        refused.verdict(id, Duration::from_hours(25)),
+        Verdict::Sound
+    );
+}
+
+#[test]
+fn begin_trial_new_software_one_at_a_time_and_two_in_all() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1), end(2), end(3)]);
+    let version = |version: &str| software_id("llm", version);
+    assert!(
+        !suspects.begin_trial(id, version("v1"), SECOND),
+        "it ended these"
+    );
+    assert!(suspects.begin_trial(id, version("v2"), SECOND));
+    assert!(
+        !suspects.begin_trial(id, version("v3"), SECOND),
+        "one is under way"
+    );
+    let ended = |endpoint, of: &str| End {
+        software: version(of),
+        ..end(endpoint)
+    };
+    suspects.ended(id, ended(4, "v2"), SECOND);
+    let later = Duration::from_mins(10);
+    assert!(!suspects.begin_trial(id, version("v2"), later));
+    assert!(suspects.begin_trial(id, version("v3"), later));
+    suspects.ended(id, ended(5, "v3"), later);
+    assert!(
+        !suspects.begin_trial(id, version("v4"), later * 2),
+        "two trials were made"
+    );
+}
+
+#[test]
+fn to_keep_from_the_second_end_on_by_who_saw_it() {
+    let id = content("x");
+    let mut saw = after(id, &[end(1)]);
+    assert!(
+        saw.to_keep(false, SECOND).is_empty(),
+        "one end is not worth a call"
+    );
+    saw.ended(id, end(2), SECOND);
+    let due = saw.to_keep(false, SECOND);
+    assert_eq!(due.len(), 1);
+    saw.kept(&due[0]);
+    assert!(saw.to_keep(false, SECOND).is_empty());
+    let mut heard = Suspects::default();
+    heard.take(&due[0], SECOND);
+    assert!(heard.to_keep(false, SECOND * 5).is_empty());
+    assert!(
+        heard.to_keep(true, SECOND).is_empty(),
+        "who saw it may still tell"
+    );
+    assert_eq!(heard.to_keep(true, SECOND * 5).len(), 1);
+}
+
+#[test]
+fn to_keep_found_innocent_told_to_the_store_that_holds_it() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1), end(2)]);
+    let due = suspects.to_keep(false, SECOND);
+    suspects.kept(&due[0]);
+    suspects.survived(id, SECOND);
+    let due = suspects.to_keep(false, SECOND);
+    assert!(due[0].innocent && due[0].ends.is_empty(), "{due:?}");
+}
+
+/// Ever new contents, each under one end: memory stays bounded, and what is refused stays known.
+#[test]
+fn ended_a_million_contents_bounded_and_the_refused_one_kept() {
+    let refused = content("refused");
+    let mut suspects = after(refused, &[end(1), end(2), end(3)]);
+    let head = refused.head;
+    for number in 0..1_000_000_u64 {
+        let id = ContentId {
+            head,
+            whole: u128::from(number),
+        };
+        suspects.ended(id, end(number), SECOND);
+    }
+    assert!(suspects.len() <= 4_096, "{}", suspects.len());
+    assert_eq!(suspects.verdict(refused, SECOND), Verdict::Refused);
+    assert_eq!(suspects.news(SECOND).len(), NEWS_MAX);
+    assert_eq!(
+        suspects.news(SECOND)[0].content,
+        refused,
+        "most points first"
+    );
+}
+
+#[test]
+fn knows_head_no_content_with_it_nothing_to_read() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1)]);
+    assert!(suspects.knows_head(id.head));
+    assert!(!suspects.knows_head(content("longer").head));
+    suspects.expire(Duration::from_hours(2));
+    assert!(!suspects.knows_head(id.head));
+    assert!(suspects.is_empty());
+}
+
+proptest! {
+    /// Whoever hears of the same ends, in whatever order and however often, comes to the same verdict.
+    #[test]
+    fn take_any_order_same_verdict(
+        ends in prop::collection::vec((0..6_u64, any::<bool>()), 1..12),
+        order in any::<u64>(),
+    ) {
+        let id = content("x");
+        let apart: Vec<Told> = ends
+            .iter()
+            .flat_map(|(endpoint, beginning)| {
+                told(&after(id, &[End { beginning: *beginning, ..end(*endpoint) }]))
+            })
+            .collect();
+        let mut one = Suspects::default();
+        for told in &apart {
+            one.take(told, SECOND);
+        }
+        let mut other = Suspects::default();
+        let mut mixed = apart.clone();
+        mixed.extend(apart.iter().cloned());
+        let places = mixed.len();
+        let turn = usize::try_from(order).unwrap_or_default() % places;
+        mixed.rotate_left(turn);
+        mixed.reverse();
+        for told in &mixed {
+            other.take(told, SECOND);
+        }
+        prop_assert_eq!(one.verdict(id, SECOND), other.verdict(id, SECOND));
+        prop_assert_eq!(&told(&one)[0].ends, &told(&other)[0].ends);
+    }
+}
