--- a/src/bin/larkwick/controller.rs
+++ b/src/bin/larkwick/controller.rs
@@ -8,7 +8,7 @@
 use larkwick::tool::publish::{PublishWanted, Published};
 use larkwick::tool::{check, config, instance, publish};
 
-use crate::flags::{self, ConfigCmd, LarkwickCmd};
+use crate::flags::{self, ConfigCmd, LarkwickCmd, SuspectsCmd};
 use crate::printer::{Format, print_published, print_value};
 
 const EXIT_REJECTED: u8 = 2;
@@ -32,6 +32,7 @@
             print_value(&value, Format::Json);
         }
         LarkwickCmd::Drain(drain) => instance::drain(&drain.operator).await?,
+        LarkwickCmd::Suspects(command) => suspects(command).await?,
         LarkwickCmd::Entries(entries) => {
             let value = instance::get(&entries.entry, "/v1/entries").await?;
             print_value(&value, Format::of(entries.json));
@@ -43,6 +44,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn suspects(flags: flags::Suspects) -> anyhow::Result<()> {
+    match flags.subcommand {
+        SuspectsCmd::List(list) => {
+            let value = instance::get(&list.operator, "/suspects").await?;
+            print_value(&value, Format::of(list.json));
+        }
+        SuspectsCmd::LetGo(let_go) => {
+            instance::let_suspect_go(&let_go.operator, &let_go.content).await?;
+        }
+    }
+    Ok(())
+}
+
 fn check_files(flags: &flags::Check) -> anyhow::Result<()> {
     anyhow::ensure!(!flags.files.is_empty(), "no file to check");
     for file in &flags.files {
--- a/src/bin/larkwick/flags.rs
+++ b/src/bin/larkwick/flags.rs
@@ -73,6 +73,23 @@
             /// Operators' address of the instance.
             required --operator operator: String
         }
+        /// Requests that endpoints ended under, by their content.
+        cmd suspects {
+            /// Those that an instance knows.
+            cmd list {
+                /// Operators' address of any instance.
+                required --operator operator: String
+                /// Print JSON.
+                optional --json
+            }
+            /// Count one from nothing, at all instances: its endpoints were mended.
+            cmd let-go {
+                /// The content, as the list and the log name it.
+                required content: String
+                /// Operators' address of any instance.
+                required --operator operator: String
+            }
+        }
         /// Addresses for callers.
         cmd entries {
             /// Callers' address of any instance.
--- a/src/bin/larkwick/printer.rs
+++ b/src/bin/larkwick/printer.rs
@@ -27,6 +27,11 @@
                 print_field(name, field);
             }
         }
+        (Format::Text, Value::Array(items)) => {
+            for item in items {
+                println!("{item}");
+            }
+        }
         _ => println!("{value:#}"),
     }
 }
--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -20,7 +20,7 @@
 };
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
-use crate::kernel::clock::{SystemClock, millis};
+use crate::kernel::clock::{Clock, SystemClock, millis};
 use crate::kernel::membership::Evidence;
 use crate::peer::generated::site_server::SiteServer;
 use crate::settings::Settings;
@@ -55,6 +55,19 @@
     /// # Errors
     /// The settings are wrong or an address cannot be bound.
     pub async fn start(settings: Settings, settings_file: Option<&Path>) -> anyhow::Result<Self> {
+        let clock = Arc::new(SystemClock::default());
+        Self::start_by_clock(settings, settings_file, clock).await
+    }
+
+    /// Starts an instance that reads the time from a given clock.
+    ///
+    /// # Errors
+    /// The settings are wrong or an address cannot be bound.
+    pub async fn start_by_clock(
+        settings: Settings,
+        settings_file: Option<&Path>,
+        clock: Arc<dyn Clock>,
+    ) -> anyhow::Result<Self> {
         settings.check()?;
         let mut settings = settings;
         let listeners = Listeners::bind(&mut settings).await?;
@@ -64,7 +77,6 @@
             .context("the settings have no \"routing\"")?;
         let store = site_store::connect(&routing.store_plugin, routing.store_address)?;
         let metrics = metrics_handle()?;
-        let clock = Arc::new(SystemClock::default());
         let gateway = Arc::new(Gateway::new(settings, routing.clone(), store, clock));
         let mut app = Self {
             gateway: gateway.clone(),
@@ -140,6 +152,18 @@
         self.tasks.push(tokio::spawn(tell_tally(gateway.clone())));
     }
 
+    /// Where callers connect.
+    #[must_use]
+    pub fn caller_address(&self) -> SocketAddr {
+        self.gateway.settings.caller_address
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.gateway.is_ready()
+    }
+
     /// Reads the settings file again and puts in force what can change in a running instance.
     pub fn reload(&self) {
         let Some(path) = &self.settings_file else {
@@ -275,6 +299,7 @@
     let mut rounds: u32 = 0;
     loop {
         tokio::time::sleep(SETTLE_EVERY).await;
+        gateway.look_for_suspension();
         let changes = gateway.fleet.lock().settle(gateway.now());
         follow::tell_changes(&changes);
         rounds = rounds.wrapping_add(1);
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -24,6 +24,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::RunDemand;
+use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::pace::Pace;
 use crate::kernel::suspects::Verdict;
 use crate::platform::{engine, ingress};
@@ -161,6 +162,10 @@
     let mut reason = String::new();
     let mut tries = FailedTries::default();
     for _ in 0..OFFERS_MAX {
+        if call.time_left().is_zero() {
+            reason.push_str("; no time left");
+            break;
+        }
         // A request that ends endpoints is sent to no more of them, whatever became of its earlier tries.
         match suspects::admission(call, offers.on_trial) {
             Admission::Sent => {}
@@ -341,12 +346,7 @@
         why: none.to_string(),
         dead: matches!(none, NoConnection::Refused(_)),
     })?;
-    if !gateway.fleet.lock().takes_work(&endpoint.id) {
-        return Err(unsent("the engine is leaving"));
-    }
-    if !on_trial && suspects::verdict(call) == Verdict::Refused {
-        return Err(NotStarted::Withheld);
-    }
+    may_still_be_sent(call, &endpoint, on_trial)?;
     let send = SendHead {
         endpoint_id: &endpoint.listed_id,
         time_left: call.time_left(),
@@ -361,14 +361,14 @@
     let sent_at = gateway.now();
     let sending = connection.send(request);
     let answered = first_answer(call, &handle.run, last_event_id, sending);
-    let answer = match tokio::time::timeout(patience, answered).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(SendFailure::Unsent(why))) => return Err(unsent(&why)),
-        Ok(Err(SendFailure::MayHaveRun(why))) => {
+    let answer = match gateway.wait_for(patience, answered).await {
+        Some(Ok(answer)) => answer,
+        Some(Err(SendFailure::Unsent(why))) => return Err(unsent(&why)),
+        Some(Err(SendFailure::MayHaveRun(why))) => {
             broken_off::note(call, endpoint, Duration::ZERO).await;
             return Err(lost(call, ErrorKind::EndpointLost, &why));
         }
-        Err(_) => return Err(lost(call, ErrorKind::AnswerTimeout, "no event in time")),
+        None => return Err(lost(call, ErrorKind::AnswerTimeout, "no event in time")),
     };
     if answer
         .head
@@ -411,6 +411,28 @@
     Ok(begun)
 }
 
+/// Looks last before a generation is sent: news may have come since it was placed, and the machine may have been suspended.
+fn may_still_be_sent(
+    call: &Call,
+    engine: &EndpointEntry,
+    on_trial: bool,
+) -> Result<(), NotStarted> {
+    let unsent = |why: &str| NotStarted::Unsent {
+        why: why.to_owned(),
+        dead: false,
+    };
+    if !call.gateway.fleet.lock().takes_work(&engine.id) {
+        return Err(unsent("the engine is leaving"));
+    }
+    if !on_trial && suspects::verdict(call) == Verdict::Refused {
+        return Err(NotStarted::Withheld);
+    }
+    if call.time_left().is_zero() {
+        return Err(unsent("no time left"));
+    }
+    Ok(())
+}
+
 /// Waits for the head of an engine's answer. Where the engine has made events and none has come, the generation goes on on a new connection.
 async fn first_answer(
     call: &Arc<Call>,
@@ -422,7 +444,8 @@
     let mut silence = Silence::from_now();
     let came = last_event_id.and_then(|id| id.parse().ok());
     let why = loop {
-        if let Ok(answered) = tokio::time::timeout(silence.ask_after, &mut sending).await {
+        let answered = call.gateway.wait_for(silence.ask_after, &mut sending);
+        if let Some(answered) = answered.await {
             return answered;
         }
         let engine = run.endpoint.lock().clone();
--- a/src/gateway/held.rs
+++ b/src/gateway/held.rs
@@ -65,10 +65,10 @@
     }
 
     /// Waits until the instance can serve, for no longer than given.
-    async fn wait(&self, most: Duration) {
+    async fn wait(&self, gateway: &Gateway, most: Duration) {
         let Some(_held) = self.begin() else { return };
         let mut able = self.able.subscribe();
-        let waited = tokio::time::timeout(most, able.wait_for(|able| *able));
+        let waited = gateway.wait_for(most, able.wait_for(|able| *able));
         // Whether it came or not shows in what is known afterwards.
         let _ = waited.await;
     }
@@ -88,7 +88,7 @@
         return;
     }
     let begun = gateway.now();
-    gateway.held.wait(most).await;
+    gateway.held.wait(gateway, most).await;
     let waited = gateway.now().saturating_sub(begun);
     metrics::histogram!("larkwick_call_held_seconds").record(waited.as_secs_f64());
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! | `takeover` | generations whose connection to their engine has gone silent |
 //! | `upstream` | connections to endpoints |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
+//! | `waits` | waits that end in time, also where the machine was suspended |
 //! | `tally` | counts of what grows with the site |
 //! | `engine_reports` | asks engines whether they leave while the list is silent |
 //! | `ownership` | who owns a service's engines |
@@ -63,3 +64,4 @@
 pub(crate) mod takeover;
 pub(crate) mod tally;
 pub(crate) mod upstream;
+pub(crate) mod waits;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -25,6 +25,7 @@
 use super::site_store::{MemberEntry, SiteStore};
 use super::tally::Tally;
 use super::upstream::{Upstream, open_max};
+use super::waits::Suspensions;
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::Clock;
 use crate::kernel::cold::ColdGate;
@@ -130,6 +131,7 @@
     /// How long the services take to answer, by name.
     paces: Mutex<HashMap<String, Pace>>,
     pub(crate) upstream: Upstream,
+    pub(crate) suspensions: Suspensions,
     /// Contents that endpoints ended under.
     pub(crate) suspects: Mutex<Suspects>,
     /// Wakes the task that has them kept by the store.
@@ -191,6 +193,7 @@
         let ledgers = Ledgers::of_instance(&settings.instance);
         Self {
             upstream: Upstream::new(clock.clone()),
+            suspensions: Suspensions::default(),
             suspects: Mutex::default(),
             suspects_changed: Notify::new(),
             suspects_pushed_at: Mutex::default(),
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -5,19 +5,22 @@
 use std::sync::Arc;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use rocket::http::Status;
 use rocket::serde::json::Json;
-use rocket::{Build, Rocket, State, get, routes};
+use rocket::{Build, Rocket, State, get, post, routes};
 use serde::Serialize;
 
 use super::node::{Gateway, Stage};
 use crate::kernel::clock::millis;
+use crate::kernel::content::ContentId;
 use crate::kernel::engine_ledger::EngineSummary;
 use crate::kernel::fleet::{EndpointEntry, Standing};
 use crate::kernel::membership::PeerStatus;
+use crate::kernel::suspects::Verdict;
 
 /// Adds the operators' routes.
 pub(crate) fn mount(rocket: Rocket<Build>) -> Rocket<Build> {
-    rocket.mount("/", routes![state, metrics])
+    rocket.mount("/", routes![state, metrics, suspects, let_go])
 }
 
 #[derive(Serialize)]
@@ -109,3 +112,42 @@
 fn metrics(handle: &State<PrometheusHandle>) -> String {
     handle.render()
 }
+
+/// A content that endpoints ended under.
+#[derive(Serialize)]
+struct SuspectDump {
+    content: ContentId,
+    verdict: Verdict,
+    /// Whether an endpoint has finished it.
+    innocent: bool,
+    /// Endpoints that ended under it.
+    ends: usize,
+    last_end_ms_ago: u64,
+}
+
+#[get("/suspects")]
+fn suspects(gateway: &State<Arc<Gateway>>) -> Json<Vec<SuspectDump>> {
+    let now = gateway.now();
+    let suspects = gateway.suspects.lock();
+    let dumped = suspects.all(now).map(|told| SuspectDump {
+        content: told.content,
+        verdict: suspects.verdict(told.content, now),
+        innocent: told.innocent,
+        ends: told.ends.len(),
+        last_end_ms_ago: millis(told.last_end_ago),
+    });
+    Json(dumped.collect())
+}
+
+/// Lets a content go: at all instances it is counted from nothing.
+#[post("/suspects/<content>/let-go")]
+fn let_go(gateway: &State<Arc<Gateway>>, content: &str) -> Status {
+    let Ok(content) = content.parse() else {
+        return Status::BadRequest;
+    };
+    if gateway.let_suspect_go(content) {
+        Status::NoContent
+    } else {
+        Status::NotFound
+    }
+}
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -290,6 +290,10 @@
     if !attempts.on_trial && suspects::verdict(call) == Verdict::Refused {
         return Attempt::Withheld;
     }
+    // Its time may be over since the choice: the machine may have been suspended.
+    if call.time_left() < TIME_LEFT_MIN {
+        return Attempt::NotRun("no time left".to_owned());
+    }
     let send = SendHead {
         endpoint_id: &endpoint.listed_id,
         time_left: call.time_left(),
@@ -307,7 +311,7 @@
     let is_given_up = patience < call.time_left();
     let rested = connection.rested_with();
     let overdue_after = gateway.pace(&call.service, ANSWER).late() * OVERDUE_TIMES;
-    let answered = tokio::time::timeout(patience, async {
+    let answered = gateway.wait_for(patience, async {
         let answered = async {
             let answer = connection.send(request).await?;
             read_whole(gateway, &call.head.request_id, answer).await
@@ -316,17 +320,17 @@
     });
     let sent_at = gateway.now();
     let attempt = match answered.await {
-        Ok(Ok(attempt)) => {
+        Some(Ok(attempt)) => {
             let took = gateway.now().saturating_sub(sent_at);
             gateway.note_pace(&call.service, ANSWER, took);
             attempt
         }
-        Ok(Err(SendFailure::Unsent(why))) => Attempt::NotRun(why),
-        Ok(Err(SendFailure::MayHaveRun(why))) => {
+        Some(Err(SendFailure::Unsent(why))) => Attempt::NotRun(why),
+        Some(Err(SendFailure::MayHaveRun(why))) => {
             broken_off::note(call, endpoint.clone(), Duration::ZERO).await;
             Attempt::MayHaveRun(why)
         }
-        Err(_) => {
+        None => {
             if is_given_up {
                 gateway.note_pace(&call.service, ANSWER, patience * LATE_TIMES);
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -162,6 +162,7 @@
         } else {
             (left, None)
         };
+        let gateway = self.call.gateway.clone();
         tokio::select! {
             biased;
             frame = source.answer.body.frame() => match frame {
@@ -174,7 +175,8 @@
                 None => Step::Broken("the stream ended inside an event".to_owned()),
             },
             Some(command) = self.commands.recv() => self.take_command(command),
-            () = tokio::time::sleep(patience) => {
+            // Nothing is awaited but the time.
+            _ = gateway.wait_for(patience, std::future::pending::<()>()) => {
                 silent.unwrap_or_else(|| Step::Broken("silent for too long".to_owned()))
             }
         }
@@ -277,13 +279,14 @@
             return Step::Continue(Box::new(continuation));
         }
         while self.stopping {
-            let command = tokio::time::timeout(STOP_PATIENCE, self.commands.recv()).await;
-            match command {
-                Ok(Some(RunCommand::Continue(continuation))) => {
+            let commands = &mut self.commands;
+            let command = self.call.gateway.wait_for(STOP_PATIENCE, commands.recv());
+            match command.await {
+                Some(Some(RunCommand::Continue(continuation))) => {
                     return Step::Continue(continuation);
                 }
-                Ok(Some(RunCommand::Stopping)) => {}
-                Ok(Some(RunCommand::NotStopped) | None) | Err(_) => self.stopping = false,
+                Some(Some(RunCommand::Stopping)) => {}
+                Some(Some(RunCommand::NotStopped) | None) | None => self.stopping = false,
             }
         }
         if generation::may_begin_anew(&self.call, &self.offers) {
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -42,6 +42,8 @@
 
 /// An entry lapses after three silent heartbeats of more than a second each, so that shorter outages take none away.
 const OUTAGE_MIN: Duration = Duration::from_secs(2);
+/// Beside its wait, a call to the store that takes longer than this was not answered late but read late: calls are given up sooner.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
 /// A page, and how fresh it is.
 #[derive(Debug)]
 struct AgedPage {
@@ -227,6 +229,7 @@
         any_age: bool,
     ) -> StoreResult<AgedPage> {
         let wait = wait.min(self.peer_wait(subject));
+        let asked_at = self.clock.now();
         let request = wire::ReadSiteRequest {
             subject: subject.name().to_owned(),
             whole: from.is_none(),
@@ -241,7 +244,8 @@
             .map_err(StoreError::NoAnswer)?;
         let head_at = self.clock.now();
         let head = coming.head;
-        let age = Duration::from_millis(head.age_ms);
+        let lay_unread = head_at.saturating_sub(asked_at + wait + PEER_MARGIN);
+        let age = Duration::from_millis(head.age_ms) + lay_unread;
         if age > self.age_max(subject) && !any_age {
             let why = format!("the peer heard the store {} ms ago", head.age_ms);
             return Err(StoreError::NoAnswer(why));
@@ -371,6 +375,7 @@
         from: Option<u64>,
         wait: Duration,
     ) -> StoreResult<AgedPage> {
+        let asked_at = self.clock.now();
         let through_relays = self.live.view().readers().reads_through_relays();
         let page = match from {
             Some(from) => self.direct().read(subject, from, wait).await?,
@@ -384,9 +389,17 @@
         if silent_for.is_some_and(|silent| silent >= OUTAGE_MIN) {
             self.note_regained(subject, self.clock.now());
         }
+        // An answer that lay unread while this process stood still is as old as that: taken for new, it would be passed on to all as the store's word
+        // of now.
+        let took = self.clock.now().saturating_sub(asked_at);
+        let lay_unread = match from {
+            Some(_) => took.saturating_sub(wait + ANSWERED_WITHIN),
+            // Several calls, which may take their time.
+            None => Duration::ZERO,
+        };
         Ok(AgedPage {
             page,
-            age: Duration::ZERO,
+            age: lay_unread,
             regained_ago: None,
         })
     }
--- a/src/gateway/shared_store/pass_on.rs
+++ b/src/gateway/shared_store/pass_on.rs
@@ -22,7 +22,7 @@
             .ok_or_else(|| tonic::Status::invalid_argument("unknown subject"))?;
         let shard = self.shard(subject);
         let wait = Duration::from_millis(request.wait_ms).min(self.peer_wait(subject));
-        let until = tokio::time::Instant::now() + wait;
+        let until = self.clock.now() + wait;
         let was_away = self.is_store_away(subject);
         loop {
             let added = shard.added.notified();
@@ -32,7 +32,8 @@
                 has_words || cache.next_offset > request.from_offset
             };
             let has_news = has_news || (!was_away && self.is_store_away(subject));
-            if has_news || tokio::time::timeout_at(until, added).await.is_err() {
+            let left = until.saturating_sub(self.clock.now());
+            if has_news || tokio::time::timeout(left, added).await.is_err() {
                 return self.page_for(subject, request);
             }
         }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -163,6 +163,17 @@
         }
     }
 
+    /// An operator lets a content go, here and, with the news of it, everywhere; gives whether it was known.
+    pub(super) fn let_suspect_go(self: &Arc<Self>, content: ContentId) -> bool {
+        let was_known = self.suspects.lock().let_go(content, self.now());
+        if was_known {
+            info!("content let go by an operator", kv: { content: });
+            self.suspects_changed.notify_one();
+            self.push_suspects();
+        }
+        was_known
+    }
+
     /// Takes what a peer tells.
     pub(super) fn take_suspects(
         self: &Arc<Self>,
--- a/src/kernel/suspects.rs
+++ b/src/kernel/suspects.rs
@@ -81,7 +81,8 @@
 }
 
 /// What may be done with a content.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// Nothing speaks against it.
     Sound,
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -213,6 +213,12 @@
         self.publish_value(&Self::config(version, keys, more));
     }
 
+    /// The configuration of [`SiteStandin::publish`], to be changed and published.
+    #[must_use]
+    pub fn usual_config(&self, version: u64, keys: &[&str]) -> Value {
+        Self::config(version, keys, 0)
+    }
+
     fn config(version: u64, keys: &[&str], more: u32) -> Value {
         let route = |name: &str, kind: &str, service: &str, attempts: u32| {
             let timeout_ms = if kind == "stream" { 20_000 } else { 4_000 };
--- a/src/tool/instance.rs
+++ b/src/tool/instance.rs
@@ -1,4 +1,4 @@
-//! Talks to one instance: status, dump, drain and entries.
+//! Talks to one instance: status, dump, drain, entries and the contents that endpoints ended under.
 
 use anyhow::Context;
 use serde_json::Value;
@@ -27,3 +27,24 @@
         .error_for_status()?;
     Ok(())
 }
+
+/// Has a content that endpoints ended under counted from nothing, at all instances.
+///
+/// # Errors
+/// The instance cannot be reached, or knows no such content.
+pub async fn let_suspect_go(operator_address: &str, content: &str) -> anyhow::Result<()> {
+    let url = format!("http://{operator_address}/suspects/{content}/let-go");
+    let response = reqwest::Client::new().post(url).send().await;
+    let response = response.with_context(|| format!("{operator_address} cannot be reached"))?;
+    match response.status() {
+        reqwest::StatusCode::NOT_FOUND => {
+            anyhow::bail!(
+                "{operator_address} knows no content {content:?}; see `larkwick suspects list`"
+            )
+        }
+        reqwest::StatusCode::BAD_REQUEST => {
+            anyhow::bail!("{content:?} names no content; 48 hexadecimal digits are wanted")
+        }
+        _ => Ok(response.error_for_status().map(drop)?),
+    }
+}
