Software that finishes what other software ends under gets it, and only that

A request that a mended release finishes was taken for innocent everywhere, so that the older software would have ended under it for as long as a release lasts.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -146,7 +146,7 @@
 /// Whether a generation that may have run at these engines may be begun anew at another one.
 pub(crate) fn may_begin_anew(call: &Call, offers: &Offers) -> bool {
     call.route.resumable
-        && !offers.on_trial
+        && !offers.restricted
         && offers.runs < call.route.attempts_max
         && call.time_left() > BEGIN_ANEW_MIN
 }
@@ -167,10 +167,10 @@
             break;
         }
         // A request that ends endpoints is sent to no more of them, whatever became of its earlier tries.
-        match suspects::admission(call, offers.on_trial) {
+        match suspects::admission(call, offers.restricted) {
             Admission::Sent => {}
-            Admission::OnTrial { excluded } => {
-                offers.on_trial = true;
+            Admission::Restricted { excluded } => {
+                offers.restricted = true;
                 offers.excluded.extend(excluded);
             }
             Admission::Refused if offers.runs == 0 => return Err(suspects::refused(call)),
@@ -192,8 +192,8 @@
         };
         tell_placed(call, &demand, &granted);
         let patience = patience(call, &offers);
-        let on_trial = offers.on_trial;
-        let offered = offer(call, &demand, &granted, last_event_id, patience, on_trial).await;
+        let restricted = offers.restricted;
+        let offered = offer(call, &demand, &granted, last_event_id, patience, restricted).await;
         offers.count(&offered);
         let not_started = match offered {
             Ok(begun) => return Ok(begun.started(offers)),
@@ -314,7 +314,7 @@
     granted: &str,
     last_event_id: Option<&str>,
     patience: Duration,
-    on_trial: bool,
+    restricted: bool,
 ) -> Result<Begun, NotStarted> {
     let gateway = &call.gateway;
     let endpoint = gateway.fleet.lock().get(granted).cloned();
@@ -346,7 +346,7 @@
         why: none.to_string(),
         dead: matches!(none, NoConnection::Refused(_)),
     })?;
-    may_still_be_sent(call, &endpoint, on_trial)?;
+    may_still_be_sent(call, &endpoint, restricted)?;
     let send = SendHead {
         endpoint_id: &endpoint.listed_id,
         time_left: call.time_left(),
@@ -415,7 +415,7 @@
 fn may_still_be_sent(
     call: &Call,
     engine: &EndpointEntry,
-    on_trial: bool,
+    restricted: bool,
 ) -> Result<(), NotStarted> {
     let unsent = |why: &str| NotStarted::Unsent {
         why: why.to_owned(),
@@ -424,7 +424,7 @@
     if !call.gateway.fleet.lock().takes_work(&engine.id) {
         return Err(unsent("the engine is leaving"));
     }
-    if !on_trial && suspects::verdict(call) == Verdict::Refused {
+    if !restricted && suspects::verdict(call) == Verdict::Refused {
         return Err(NotStarted::Withheld);
     }
     if call.time_left().is_zero() {
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -71,8 +71,8 @@
     failure_answer: Option<WholeAnswer>,
     timed_out: bool,
     last_reason: String,
-    /// Whether endpoints end under its content, and it is tried on other software.
-    on_trial: bool,
+    /// Whether endpoints end under its content, and only those with other software may run it.
+    restricted: bool,
 }
 
 /// Answers a call.
@@ -120,8 +120,8 @@
     // A request that ends endpoints is sent to no more of them.
     match suspects::admission(call, false) {
         Admission::Sent => {}
-        Admission::OnTrial { excluded } => {
-            attempts.on_trial = true;
+        Admission::Restricted { excluded } => {
+            attempts.restricted = true;
             attempts.tried.extend(excluded);
         }
         Admission::Refused => return Err(suspects::refused(call)),
@@ -175,7 +175,7 @@
                 }
             }
         }
-        let runs_max = if attempts.on_trial {
+        let runs_max = if attempts.restricted {
             1
         } else {
             call.route.attempts_max
@@ -287,7 +287,7 @@
     if !gateway.fleet.lock().takes_work(&endpoint.id) {
         return Attempt::NotRun("the endpoint is leaving".to_owned());
     }
-    if !attempts.on_trial && suspects::verdict(call) == Verdict::Refused {
+    if !attempts.restricted && suspects::verdict(call) == Verdict::Refused {
         return Attempt::Withheld;
     }
     // Its time may be over since the choice: the machine may have been suspended.
@@ -341,7 +341,7 @@
         }
     };
     if matches!(&attempt, Attempt::Answered(answer) if answer.parts.status.is_success()) {
-        suspects::note_survived(call);
+        suspects::note_survived(call, endpoint);
     }
     if !matches!(attempt, Attempt::NotRun(_) | Attempt::Misdirected) {
         attempts.may_have_run += 1;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -406,7 +406,8 @@
 
     fn finish(&mut self) {
         self.ended = true;
-        suspects::note_survived(&self.call);
+        let engine = self.handle.run.endpoint.lock().clone();
+        suspects::note_survived(&self.call, &engine);
         tell_end(&self.call, "whole", "", self.events, self.moves);
         self.source = None;
     }
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -77,6 +77,8 @@
     pub innocent: bool,
     /// Whether an endpoint ran it on past its beginning.
     pub ran_on: bool,
+    /// Software that has finished it, where other software ended under it.
+    pub sound_on: Vec<u64>,
     /// The endpoints that ended.
     pub ends: Vec<End>,
     /// When the last one did, in milliseconds since 1970.
@@ -92,6 +94,7 @@
             life: told.life,
             innocent: told.innocent,
             ran_on: told.ran_on,
+            sound_on: told.sound_on.clone(),
             ends: told.ends.clone(),
             last_end_unix_ms: millis(unix_time.saturating_sub(told.last_end_ago)),
         }
@@ -106,6 +109,7 @@
             life: self.life,
             innocent: self.innocent,
             ran_on: self.ran_on,
+            sound_on: self.sound_on.clone(),
             ends: self.ends.clone(),
             last_end_ago: unix_time.saturating_sub(last_end),
         }
--- a/src/gateway/started.rs
+++ b/src/gateway/started.rs
@@ -59,8 +59,8 @@
     pub(crate) sends: u32,
     /// Engines that may have run it. Never above one where the route's generations may not be resumed.
     pub(crate) runs: u32,
-    /// Whether endpoints end under its content, and it is tried on other software.
-    pub(crate) on_trial: bool,
+    /// Whether endpoints end under its content, and only those with other software may run it.
+    pub(crate) restricted: bool,
 }
 
 /// Keeps a generation registered for as long as it lives.
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -35,8 +35,8 @@
 pub(super) enum Admission {
     /// It may.
     Sent,
-    /// Endpoints ended under it, but none with the software of some: it may be tried on these.
-    OnTrial {
+    /// Endpoints ended under it. Those with other software have finished it, or it may be tried on them once.
+    Restricted {
         /// Endpoints to which it must not go.
         excluded: Vec<String>,
     },
@@ -65,36 +65,48 @@
     suspects.lock().knows_head(head)
 }
 
-/// Whether a request may be sent; `on_trial` tells that it was admitted for a trial before.
-pub(super) fn admission(call: &Call, on_trial: bool) -> Admission {
-    if on_trial || verdict(call) != Verdict::Refused {
+/// Whether a request may be sent; `restricted` tells that it was admitted to some endpoints before.
+pub(super) fn admission(call: &Call, restricted: bool) -> Admission {
+    if restricted || verdict(call) != Verdict::Refused {
         return Admission::Sent;
     }
-    trial(call).unwrap_or(Admission::Refused)
+    let ready: Vec<EndpointEntry> = {
+        let fleet = call.gateway.fleet.lock();
+        fleet.ready(&call.service).cloned().collect()
+    };
+    let Some(sound) = sound_software(call, &ready).or_else(|| software_to_try(call, &ready)) else {
+        return Admission::Refused;
+    };
+    let others = ready.iter();
+    let others = others.filter(|endpoint| software(endpoint) != sound);
+    let excluded = others.map(|endpoint| endpoint.id.clone()).collect();
+    Admission::Restricted { excluded }
 }
 
-/// Admits a refused request to endpoints with software under which none ended. The service's owner alone does so, so that a release which mends
-/// nothing costs one endpoint and not one an instance.
-fn trial(call: &Call) -> Option<Admission> {
+/// Software that has finished the request.
+fn sound_software(call: &Call, ready: &[EndpointEntry]) -> Option<u64> {
+    let content = call.content();
+    let suspects = call.gateway.suspects.lock();
+    let mut sound = ready.iter().map(software);
+    sound.find(|software| suspects.is_sound_on(content, *software))
+}
+
+/// Software on which the request is tried from now on. The service's owner alone does so, so that a release which mends nothing costs one endpoint and
+/// not one an instance.
+fn software_to_try(call: &Call, ready: &[EndpointEntry]) -> Option<u64> {
     let gateway = &call.gateway;
     if owner_address(gateway, &call.service).is_some() {
         return None;
     }
-    let ready: Vec<EndpointEntry> = {
-        let fleet = gateway.fleet.lock();
-        fleet.ready(&call.service).cloned().collect()
-    };
     let content = call.content();
     let now = gateway.now();
-    let mut suspects = gateway.suspects.lock();
-    let mut begun = ready.iter().map(software);
-    let software_tried = begun.find(|software| suspects.begin_trial(content, *software, now))?;
-    drop(suspects);
+    let tried = {
+        let mut suspects = gateway.suspects.lock();
+        let mut all = ready.iter().map(software);
+        all.find(|software| suspects.begin_trial(content, *software, now))
+    }?;
     info!("crashing content on trial", kv: { content:, service = call.service.as_str() });
-    let others = ready.iter();
-    let others = others.filter(|endpoint| software(endpoint) != software_tried);
-    let excluded = others.map(|endpoint| endpoint.id.clone()).collect();
-    Some(Admission::OnTrial { excluded })
+    Some(tried)
 }
 
 fn software(endpoint: &EndpointEntry) -> u64 {
@@ -118,16 +130,19 @@
 }
 
 /// An endpoint has answered a request with success and is there: it does not end endpoints.
-pub(super) fn note_survived(call: &Call) {
+pub(super) fn note_survived(call: &Call, endpoint: &EndpointEntry) {
     if !is_known(call) {
         return;
     }
     let gateway = &call.gateway;
     let content = call.content();
-    let change = gateway.suspects.lock().survived(content, gateway.now());
+    let change = gateway
+        .suspects
+        .lock()
+        .survived(content, software(endpoint), gateway.now());
     if change != Change::None {
-        info!("suspected content is innocent", kv: {
-            content:, request_id = call.head.request_id.as_str(),
+        info!("suspected content finished", kv: {
+            content:, endpoint = endpoint.id.as_str(), request_id = call.head.request_id.as_str(),
         });
         gateway.suspects_changed.notify_one();
     }
--- a/src/kernel/suspects.rs
+++ b/src/kernel/suspects.rs
@@ -49,6 +49,8 @@
 /// How often a refused content is tried on endpoints with software under which none has ended: a release may have mended them. The first three ends
 /// and these are as many as users accept.
 const TRIALS_MAX: usize = 2;
+/// Software that is remembered as finishing what other software ends under; one is the usual case, in a release that mends it.
+const SOUND_ON_MAX: usize = 4;
 /// A trial that nothing was heard of for so long has ended: longer than a generation lasts.
 const TRIAL_LASTS: Duration = Duration::from_mins(1);
 
@@ -74,6 +76,8 @@
     pub innocent: bool,
     /// Whether an endpoint ran it on past its beginning in this life.
     pub ran_on: bool,
+    /// Software that has finished it, where other software ended under it; sorted.
+    pub sound_on: Vec<u64>,
     /// Ends in this life, each endpoint once; sorted.
     pub ends: Vec<End>,
     /// How long ago the last end was told first.
@@ -108,6 +112,8 @@
     life: u32,
     innocent: bool,
     ran_on: bool,
+    /// Software that has finished it, where other software ended under it. Sorted, at most [`SOUND_ON_MAX`].
+    sound_on: Vec<u64>,
     /// Sorted, each endpoint once; at most [`ENDS_MAX`].
     ends: Vec<End>,
     /// When the last end became known, on this instance's clock; earlier by what others say of its age.
@@ -128,6 +134,7 @@
     life: u32,
     innocent: bool,
     points: u32,
+    sound_on: usize,
 }
 
 /// The contents that endpoints ended under.
@@ -159,6 +166,7 @@
             life: 0,
             innocent: false,
             ran_on: false,
+            sound_on: Vec::new(),
             ends: Vec::new(),
             last_end_at: now,
             changed_at: now,
@@ -201,10 +209,20 @@
         true
     }
 
+    fn add_sound(&mut self, software: u64) -> bool {
+        if self.sound_on.contains(&software) || self.sound_on.len() >= SOUND_ON_MAX {
+            return false;
+        }
+        self.sound_on.push(software);
+        self.sound_on.sort_unstable();
+        true
+    }
+
     fn begin_life(&mut self, life: u32, innocent: bool, now: Duration) {
         self.life = life;
         self.innocent = innocent;
         self.ran_on = false;
+        self.sound_on.clear();
         self.ends.clear();
         self.trial_at = None;
         self.changed_at = now;
@@ -225,6 +243,7 @@
             life: self.life,
             innocent: self.innocent,
             ran_on: self.ran_on,
+            sound_on: self.sound_on.clone(),
             ends: self.ends.clone(),
             last_end_ago: now.saturating_sub(self.last_end_at),
         }
@@ -235,6 +254,7 @@
             life: self.life,
             innocent: self.innocent,
             points: self.points(),
+            sound_on: self.sound_on.len(),
         }
     }
 
@@ -338,16 +358,31 @@
         }
     }
 
-    /// An endpoint has run a content to an end of its own and is still there.
-    pub fn survived(&mut self, content: ContentId, now: Duration) -> Change {
+    /// An endpoint with this software has run a content to an end of its own and is still there. Where others with it had ended, the content was not why;
+    /// where only other software had, it may be sent to this one, and the rest stays as it is.
+    pub fn survived(&mut self, content: ContentId, software: u64, now: Duration) -> Change {
         let suspect = self.by_content.get_mut(&content);
         let Some(suspect) = suspect.filter(|suspect| !suspect.innocent) else {
             return Change::None;
         };
-        suspect.begin_life(suspect.life + 1, true, now);
+        if suspect.ends.is_empty() || suspect.has_ended(software) {
+            suspect.begin_life(suspect.life + 1, true, now);
+            return Change::News;
+        }
+        if !suspect.add_sound(software) {
+            return Change::None;
+        }
+        suspect.changed_at = now;
         Change::News
     }
 
+    /// Software that has finished a content under which other software ended.
+    #[must_use]
+    pub fn is_sound_on(&self, content: ContentId, software: u64) -> bool {
+        let suspect = self.by_content.get(&content);
+        suspect.is_some_and(|suspect| suspect.sound_on.contains(&software))
+    }
+
     /// An endpoint runs a content on past its beginning. What others ended under then was not its beginning: callers send equal requests by the hundred, and
     /// one that runs at each endpoint is cut with each that ends.
     pub fn ran_on(&mut self, content: ContentId, now: Duration) -> Change {
@@ -386,6 +421,9 @@
         }
         is_news |= told.ran_on && !suspect.ran_on;
         suspect.ran_on |= told.ran_on;
+        for software in &told.sound_on {
+            is_news |= suspect.add_sound(*software);
+        }
         for end in &told.ends {
             is_news |= suspect.add(*end);
         }
@@ -408,6 +446,7 @@
                 life: told.life,
                 innocent: told.innocent,
                 ran_on: told.ran_on,
+                sound_on: told.sound_on.clone(),
                 ends: told.ends.clone(),
                 ..Suspect::new(Duration::ZERO)
             };
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -161,6 +161,7 @@
             ran_on: told.ran_on,
             ends: ends.collect(),
             last_end_ms_ago: millis(told.last_end_ago),
+            sound_on: told.sound_on.clone(),
         }
     }
 }
@@ -185,6 +186,7 @@
             ran_on: message.ran_on,
             ends: ends.collect(),
             last_end_ago: Duration::from_millis(message.last_end_ms_ago),
+            sound_on: message.sound_on,
         })
     }
 }
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -105,6 +105,9 @@
     pub ends: ::prost::alloc::vec::Vec<EndpointEnd>,
     #[prost(uint64, tag = "7")]
     pub last_end_ms_ago: u64,
+    /// Software that has finished it, where other software ended under it.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub sound_on: ::prost::alloc::vec::Vec<u64>,
 }
 /// The halls that are evacuated.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -67,7 +67,7 @@
     /// Events made; shared with its stream.
     made: AtomicU32,
     stopped: Notify,
-    stop: std::sync::atomic::AtomicBool,
+    stop: AtomicBool,
 }
 
 /// A server.
@@ -78,6 +78,8 @@
     pub service: String,
     kind: ServerKind,
     fault: Mutex<ServerFault>,
+    /// Whether it survives what others crash on.
+    mended: AtomicBool,
     listening: Mutex<Option<Listening>>,
     address: std::sync::OnceLock<SocketAddr>,
     /// Where callers find it, where that is not where it listens: a proxy stands before it.
@@ -115,6 +117,7 @@
             service: service.to_owned(),
             kind,
             fault: Mutex::default(),
+            mended: AtomicBool::new(false),
             listening: Mutex::default(),
             address: std::sync::OnceLock::new(),
             listed: std::sync::OnceLock::new(),
@@ -216,6 +219,11 @@
         *self.fault.lock() = fault;
     }
 
+    /// Has it survive what others crash on.
+    pub fn mend(&self) {
+        self.mended.store(true, Ordering::Relaxed);
+    }
+
     /// Ends it: its address refuses connections, and the open ones are cut.
     pub fn kill(&self) {
         self.listening.lock().take();
@@ -269,7 +277,7 @@
         if from.is_none() {
             servers.runs.lock().push((self.id.clone(), id.clone()));
         }
-        if servers.crashes_on(&body) {
+        if servers.crashes_on(&body) && !self.mended.load(Ordering::Relaxed) {
             servers.crashed.lock().push(self.id.clone());
             return self.crash(&id).await;
         }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -13,8 +13,9 @@
 use std::sync::Arc;
 
 use larkwick::standin::site::server::Server;
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::site::{Answered, Instance, RoutedSite, answered, until};
+use support::tool;
 
 /// The body that ends each endpoint.
 const CRASHING: &[u8] = b"a body that no endpoint survives";
@@ -122,6 +123,101 @@
     assert_eq!(ended.count(), 3, "{lines:?}");
 }
 
+/// A release that mends the endpoints: one instance tries the request there, and what it finishes all instances send there, and
+/// only there.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_new_software_tried_there_and_served_again() {
+    let crashing = CrashingSite::start(0, 8, 3).await;
+    crashing.call_in_turn("/chat/2", TRIES).await;
+    let ended = crashing.ended();
+    let mended = crashing.site.engine().await;
+    mended.mend();
+    let standin = &crashing.site.standin;
+    standin.list_with(&mended, &json!({"version": "v2"}));
+    for (number, instance) in crashing.instances.iter().enumerate() {
+        let mut tries = 0;
+        until("served again", async || {
+            tries += 1;
+            let id = format!("again-{number}-{tries}");
+            let answer = call(instance, "/chat/2", &id).await;
+            answer.status == 200 && answer.whole
+        })
+        .await;
+    }
+    assert_eq!(crashing.ended(), ended, "none of the older software ended");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_new_software_not_mended_ends_one_more() {
+    let crashing = CrashingSite::start(0, 8, 3).await;
+    crashing.call_in_turn("/chat/2", TRIES).await;
+    let ended = crashing.ended();
+    for _ in 0..3 {
+        let engine = crashing.site.engine().await;
+        let standin = &crashing.site.standin;
+        standin.list_with(&engine, &json!({"version": "v2"}));
+    }
+    crashing.call_in_turn("/chat/2", TRIES).await;
+    let more = crashing.ended() - ended;
+    assert!(more <= 1, "{more} engines of the new software ended");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn let_go_by_an_operator_sent_again_at_all_instances() {
+    let crashing = CrashingSite::start(0, 12, 2).await;
+    crashing.call_in_turn("/chat/2", TRIES).await;
+    let operator = crashing.instances[0].operator_address();
+    let listed = tool(&["suspects", "list", "--operator", &operator, "--json"]);
+    let listed: Value = serde_json::from_slice(&listed.stdout).expect("a list");
+    assert_eq!(listed[0]["verdict"], "refused", "{listed}");
+    let content = listed[0]["content"].as_str().expect("a content");
+    for engine in &crashing.engines {
+        engine.mend();
+    }
+    let let_go = tool(&["suspects", "let-go", content, "--operator", &operator]);
+    assert!(let_go.status.success(), "{let_go:?}");
+    let mut tries = 0;
+    until("served at the other instance", async || {
+        tries += 1;
+        let answer = call(&crashing.instances[1], "/chat/2", &format!("l{tries}")).await;
+        answer.status == 200 && answer.whole
+    })
+    .await;
+    let unknown = "0".repeat(48);
+    let not_known = tool(&["suspects", "let-go", &unknown, "--operator", &operator]);
+    assert!(!not_known.status.success());
+}
+
+/// Equal requests run at every engine and are cut with each that ends; they are served all the same once one of them is seen to run on.
+#[tokio::test(flavor = "multi_thread")]
+async fn equal_requests_cut_beside_the_crashing_one_served() {
+    let crashing = CrashingSite::start(0, 12, 3).await;
+    let instances = || crashing.instances.iter().cycle();
+    let beside: Vec<_> = instances()
+        .take(24)
+        .enumerate()
+        .map(|(number, instance)| {
+            let request = instance.generation(60, &format!("beside-{number}"));
+            tokio::spawn(answered(request))
+        })
+        .collect();
+    crashing.call_in_turn("/chat/2", 4).await;
+    assert!(crashing.ended() >= 3);
+    for (number, instance) in crashing.instances.iter().enumerate() {
+        let mut tries = 0;
+        until("served", async || {
+            tries += 1;
+            let id = format!("equal-{number}-{tries}");
+            let answer = answered(instance.generation(60, &id)).await;
+            answer.status == 200 && answer.whole
+        })
+        .await;
+    }
+    for running in beside {
+        running.await.expect("answered");
+    }
+}
+
 /// What an instance told of endpoints that broke off.
 fn told(instance: &Instance) -> Vec<Value> {
     let lines = instance.lines.lock().expect("lines");
--- a/tests/kernel/suspects.rs
+++ b/tests/kernel/suspects.rs
@@ -153,7 +153,10 @@
 fn survived_later_ends_do_not_count_any_more() {
     let id = content("x");
     let mut suspects = after(id, &[end(1), end(2), end(3)]);
-    assert_eq!(suspects.survived(id, SECOND), Change::News);
+    assert_eq!(
+        suspects.survived(id, software_id("llm", "v1"), SECOND),
+        Change::News
+    );
     for endpoint in 4..12 {
         suspects.ended(id, end(endpoint), SECOND);
     }
@@ -167,7 +170,7 @@
     let mut other = Suspects::default();
     other.take(&told(&one)[0], SECOND);
     assert_eq!(other.verdict(id, SECOND), Verdict::Refused);
-    one.survived(id, SECOND);
+    one.survived(id, software_id("llm", "v1"), SECOND);
     other.take(&told(&one)[0], SECOND);
     assert_eq!(other.verdict(id, SECOND), Verdict::Sound);
     // An older word comes late.
@@ -260,7 +263,7 @@
     let mut suspects = after(id, &[end(1), end(2)]);
     let due = suspects.to_keep(false, SECOND);
     suspects.kept(&due[0]);
-    suspects.survived(id, SECOND);
+    suspects.survived(id, software_id("llm", "v1"), SECOND);
     let due = suspects.to_keep(false, SECOND);
     assert!(due[0].innocent && due[0].ends.is_empty(), "{due:?}");
 }
@@ -331,3 +334,18 @@
         prop_assert_eq!(&told(&one)[0].ends, &told(&other)[0].ends);
     }
 }
+
+/// Software that finishes what other software ends under says nothing of that one.
+#[test]
+fn survived_on_other_software_refused_where_others_ended() {
+    let id = content("x");
+    let mut suspects = after(id, &[end(1), end(2), end(3)]);
+    let mended = software_id("llm", "v2");
+    assert_eq!(suspects.survived(id, mended, SECOND), Change::News);
+    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
+    assert!(suspects.is_sound_on(id, mended));
+    assert!(!suspects.is_sound_on(id, software_id("llm", "v1")));
+    let mut other = Suspects::default();
+    other.take(&told(&suspects)[0], SECOND);
+    assert!(other.is_sound_on(id, mended));
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -258,6 +258,10 @@
         serde_json::from_value(answer["addrs"].clone()).unwrap_or_default()
     }
 
+    pub fn operator_address(&self) -> String {
+        self.address("operator")
+    }
+
     pub fn caller_address(&self) -> String {
         self.address("caller")
     }
