Soak: requests that end endpoints, in series, and an instance that is suspended now and then

The suspended instance runs in the test's process by a clock that is put forward; once all is calm, the crashing request may end six endpoints at most before all instances refuse it.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -47,6 +47,7 @@
     servers: Vec<Server>,
     tasks: Vec<JoinHandle<()>>,
     settings_file: Option<PathBuf>,
+    operator_address: SocketAddr,
 }
 
 impl GatewayApp {
@@ -78,19 +79,19 @@
         let store = site_store::connect(&routing.store_plugin, routing.store_address)?;
         let metrics = metrics_handle()?;
         let gateway = Arc::new(Gateway::new(settings, routing.clone(), store, clock));
-        let mut app = Self {
-            gateway: gateway.clone(),
-            servers: Vec::new(),
-            tasks: Vec::new(),
-            settings_file: settings_file.map(Path::to_owned),
-        };
         let rocket = rocket_at(gateway.settings.operator_address)
             .manage(gateway.clone())
             .manage(metrics);
         let operators = start(operators::mount(rocket)).await;
         let operators = operators.context("operator_address")?;
         let operator_address = operators.address;
-        app.servers.push(operators);
+        let mut app = Self {
+            gateway: gateway.clone(),
+            servers: vec![operators],
+            tasks: Vec::new(),
+            settings_file: settings_file.map(Path::to_owned),
+            operator_address,
+        };
         app.serve(listeners);
         app.spawn_loops();
         info!("instance started", kv: {
@@ -158,6 +159,12 @@
         self.gateway.settings.caller_address
     }
 
+    /// Where operators connect.
+    #[must_use]
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -20,6 +20,7 @@
 use serde_json::json;
 use support::proxy::{Link, Proxy};
 use support::site::{Caller, Instance, RoutedSite, event_numbers, until};
+use support::suspension::Suspendable;
 
 /// Seeds that failed once, each with its cause.
 const REGRESSIONS: [u64; 0] = [];
@@ -42,7 +43,19 @@
     whole: bool,
 }
 
+/// A body under which each endpoint ends that begins to run it.
+const CRASHING: &[u8] = b"a body that no endpoint survives";
+/// Endpoints that such a request may end once all is calm: three until it is known for what it is, and three more sends.
+const ENDED_MAX: usize = 6;
+/// How often it comes in a row.
+const CRASHING_TRIES: u32 = 6;
+/// Longest suspension of the instance whose clock is put forward.
+const SUSPENDED_MAX_MS: u64 = 6_000;
+
 struct Soak {
+    /// The instance whose machine is suspended now and then.
+    suspendable: Suspendable,
+    crashing_tries: AtomicU32,
     site: RoutedSite,
     /// Before the store.
     proxy: Arc<Proxy>,
@@ -63,7 +76,11 @@
         let mut site = RoutedSite::start(3).await;
         let proxy = Arc::new(Proxy::start(site.standin.store_address()).await);
         site.store_through(proxy.address);
+        site.standin.crash_on(CRASHING);
+        let suspendable = Suspendable::start(&site, "suspended").await;
         let soak = Self {
+            suspendable,
+            crashing_tries: AtomicU32::new(0),
             site,
             proxy,
             instances: Mutex::default(),
@@ -80,7 +97,85 @@
         for _ in 0..number("SOAK_INSTANCES").unwrap_or(INSTANCES) {
             soak.add_instance().await;
         }
-        Arc::new(soak)
+        let soak = Arc::new(soak);
+        tokio::spawn(soak.clone().replace_ended());
+        soak
+    }
+
+    /// Puts new endpoints in the place of those that ended under a request. What stands before an endpoint ends with it.
+    async fn replace_ended(self: Arc<Self>) {
+        const LOOK_EVERY: Duration = Duration::from_millis(3);
+        let mut replaced = 0;
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let ended = self.site.standin.crashed();
+            for id in &ended[replaced..] {
+                let gone = {
+                    let mut engines = self.engines.lock();
+                    let place = engines.iter().position(|(engine, _)| engine.id == *id);
+                    place.map(|place| engines.remove(place))
+                };
+                if let Some((engine, proxy)) = gone {
+                    drop(proxy);
+                    let soak = self.clone();
+                    tokio::spawn(async move {
+                        soak.add_engine().await;
+                        tokio::time::sleep(Duration::from_millis(300)).await;
+                        soak.site.standin.unlist(&engine);
+                    });
+                }
+            }
+            replaced = ended.len();
+        }
+    }
+
+    /// Sends the request that ends endpoints to an instance; gives the status of its answer, where there is one.
+    async fn call_crashing(&self, caller: &Caller) -> Option<u16> {
+        let number = self.crashing_tries.fetch_add(1, Ordering::Relaxed);
+        let id = format!("crashing-{number}");
+        let request = caller.generation(2, &id).body(CRASHING);
+        let seen = ask(request, id, None).await;
+        if seen.status == Some(503) {
+            let ran = self.site.standin.runs_of(&seen.id);
+            assert!(ran.is_empty(), "{} was answered 503 and ran", seen.id);
+        }
+        seen.status
+    }
+
+    /// The request that ends endpoints comes again and again, anywhere.
+    fn come_crashing(self: &Arc<Self>, random: &mut StdRng) {
+        let callers: Vec<Caller> = (0..CRASHING_TRIES)
+            .filter_map(|_| self.caller_of_one(random))
+            .collect();
+        let soak = self.clone();
+        tokio::spawn(async move {
+            for caller in callers {
+                soak.call_crashing(&caller).await;
+            }
+        });
+    }
+
+    /// With all faults over, no instance sends it any more after a few endpoints at the most.
+    async fn check_crashing(&self) {
+        let before = self.site.standin.crashed().len();
+        for caller in self.callers() {
+            until("the crashing request refused", async || {
+                self.call_crashing(&caller).await == Some(503)
+            })
+            .await;
+        }
+        let more = self.site.standin.crashed().len() - before;
+        assert!(
+            more <= ENDED_MAX,
+            "{more} endpoints ended once all was calm"
+        );
+    }
+
+    /// Callers of all instances that live.
+    fn callers(&self) -> Vec<Caller> {
+        let instances = self.instances.lock();
+        let callers = instances.iter().map(Instance::caller);
+        callers.chain([self.suspendable.caller()]).collect()
     }
 
     async fn add_engine(&self) {
@@ -117,14 +212,13 @@
     }
 
     fn caller_of_one(&self, random: &mut StdRng) -> Option<Caller> {
-        let instances = self.instances.lock();
-        instances.choose(random).map(Instance::caller)
+        self.callers().choose(random).cloned()
     }
 
     /// One fault; some end by themselves after a while, and others begin meanwhile.
     async fn fault(self: &Arc<Self>, random: &mut StdRng) {
         let lasts = Duration::from_millis(random.random_range(50..600));
-        match random.random_range(0..25) {
+        match random.random_range(0..28) {
             0 => {
                 let gone = self.take_instance(random);
                 drop(gone);
@@ -178,6 +272,12 @@
             21 => self.evacuate_for(lasts),
             22 => self.start_again(random),
             23 => self.garble_entry(random, lasts),
+            24 | 25 => self.come_crashing(random),
+            26 => {
+                let lasted_ms = random.random_range(500..SUSPENDED_MAX_MS);
+                let clock = &self.suspendable.clock;
+                clock.suspend(Duration::from_millis(lasted_ms));
+            }
             _ => {
                 let faults = [
                     ServerFault::Refuses,
@@ -328,10 +428,7 @@
 
     /// With all faults over, everything comes back.
     async fn check_recovery(&self) {
-        let callers: Vec<Caller> = {
-            let instances = self.instances.lock();
-            instances.iter().map(Instance::caller).collect()
-        };
+        let callers = self.callers();
         let version = self.version.load(Ordering::Relaxed);
         for caller in &callers {
             until(
@@ -431,6 +528,7 @@
     }
     println!("soak seed {seed}: {served} of {asked} served");
     soak.check_recovery().await;
+    soak.check_crashing().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod proxy;
 pub mod site;
+pub mod suspension;
 
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -123,6 +123,11 @@
         self.store = address;
     }
 
+    /// Where instances that start from now on find the store.
+    pub fn store_seen(&self) -> SocketAddr {
+        self.store
+    }
+
     /// Starts an instance that holds calls for so long until it can serve.
     pub fn instance_holding(&self, name: &str, hold_max: Duration) -> Instance {
         let millis = u64::try_from(hold_max.as_millis()).expect("a short time");
@@ -325,6 +330,13 @@
 }
 
 impl Caller {
+    pub fn new(address: SocketAddr, operator: SocketAddr) -> Self {
+        Self {
+            address: address.to_string(),
+            operator: operator.to_string(),
+        }
+    }
+
     /// The dump of the instance's state; null where it does not answer.
     pub async fn state(&self) -> Value {
         let url = format!("http://{}/debug/state", self.operator);
@@ -336,13 +348,18 @@
 
     /// A call with the usual headers.
     pub fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
+        self.request_within(path, id, "20000")
+    }
+
+    /// A call whose caller waits for so many milliseconds.
+    pub fn request_within(&self, path: &str, id: &str, ms: &str) -> reqwest::RequestBuilder {
         let url = format!("http://{}{path}", self.address);
         reqwest::Client::new()
             .post(url)
             .header("host", HOST)
             .header("api-key", KEY)
             .header("larkwick-request-id", id)
-            .header("larkwick-deadline-ms", "20000")
+            .header("larkwick-deadline-ms", ms)
             .body("hello")
     }
 
