--- a/src/kernel/suspects.rs
+++ b/src/kernel/suspects.rs
@@ -18,16 +18,34 @@
 /// What runs for longer than this after its first event did not end its endpoint by beginning. Of nine ends that one request brought about, each came
 /// 0.05 to 0.08 s after it had begun to run; the slowest engine that was measured makes ten events in this time.
 pub const BEGINNING: Duration = Duration::from_secs(1);
-/// Points of an end under a request that had just begun.
-const POINTS_BEGINNING: u32 = 2;
-/// Points of an end under a request that had run for longer: it takes six of these, so that a request that ends endpoints late is found, too.
-const POINTS_RUNNING: u32 = 1;
-/// A content with so many points is sent no more: three ends under its beginnings. With two, a request that twice came beside the one at fault would be
-/// refused: those that are cut together come back together.
-const POINTS_REFUSED: u32 = 3 * POINTS_BEGINNING;
-/// From so many points on a content is kept by the store, so that it is known after a loss of all instances. One end alone is not worth a call: most
+/// What the ends of endpoints count, and how much it takes.
+///
+/// Of 30 s with a crashing request and two thirds of the callers sending one of ten equal requests, simulated: see `cargo bench --bench crashing`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rules {
+    /// Points of an end under a request that had just begun.
+    pub points_beginning: u32,
+    /// Points of an end under a request that had run for longer.
+    pub points_running: u32,
+    /// A content with so many points is sent no more.
+    pub points_refused: u32,
+}
+
+impl Default for Rules {
+    /// Three ends under its beginnings, or six under what had run on: a request that ends endpoints late is found, too. With two, a request that twice came
+    /// beside the one at fault would be refused: those that are cut together come back together.
+    fn default() -> Self {
+        Self {
+            points_beginning: 2,
+            points_running: 1,
+            points_refused: 6,
+        }
+    }
+}
+
+/// From so many ends on a content is kept by the store, so that it is known after a loss of all instances. One end alone is not worth a call: most
 /// that are cut once never are again.
-const POINTS_KEPT: u32 = 2 * POINTS_BEGINNING;
+const ENDS_KEPT: usize = 2;
 /// Ends that are remembered of one content; more than it takes to refuse it.
 const ENDS_MAX: usize = 8;
 /// Contents that are remembered: 0.5 MB. An engine with 24 places leaves 24 at each end, so that this is 170 ends within [`SUSPECTED_FOR`].
@@ -46,6 +64,8 @@
 const NEWS_TOLD: Duration = Duration::from_secs(10);
 /// Contents told in one message; those with most points come first. About 60 bytes each.
 pub const NEWS_MAX: usize = 16;
+/// Ends after which users expect a request to be sent no more, but for a few times.
+const ENDS_REFUSED: usize = 3;
 /// How often a refused content is tried on endpoints with software under which none has ended: a release may have mended them. The first three ends
 /// and these are as many as users accept.
 const TRIALS_MAX: usize = 2;
@@ -109,6 +129,7 @@
 
 #[derive(Debug, Clone)]
 struct Suspect {
+    rules: Rules,
     life: u32,
     innocent: bool,
     ran_on: bool,
@@ -140,6 +161,7 @@
 /// The contents that endpoints ended under.
 #[derive(Debug, Default)]
 pub struct Suspects {
+    rules: Rules,
     /// At most [`CONTENTS_MAX`].
     by_content: BTreeMap<ContentId, Suspect>,
     /// How many of them share a head; no entry where none does.
@@ -161,8 +183,9 @@
 }
 
 impl Suspect {
-    fn new(now: Duration) -> Self {
+    fn new(rules: Rules, now: Duration) -> Self {
         Self {
+            rules,
             life: 0,
             innocent: false,
             ran_on: false,
@@ -179,16 +202,16 @@
     fn points(&self) -> u32 {
         let points = self.ends.iter().map(|end| {
             if end.beginning && !self.ran_on {
-                POINTS_BEGINNING
+                self.rules.points_beginning
             } else {
-                POINTS_RUNNING
+                self.rules.points_running
             }
         });
         points.sum()
     }
 
     fn is_refused(&self) -> bool {
-        !self.innocent && self.points() >= POINTS_REFUSED
+        !self.innocent && self.points() >= self.rules.points_refused
     }
 
     fn add(&mut self, end: End) -> bool {
@@ -262,7 +285,7 @@
     fn wants_keeping(&self) -> bool {
         match self.kept {
             Some(kept) => kept != self.as_kept(),
-            None => !self.innocent && self.points() >= POINTS_KEPT,
+            None => !self.innocent && self.ends.len() >= ENDS_KEPT,
         }
     }
 
@@ -275,12 +298,20 @@
         let running = self
             .trial_at
             .filter(|at| now.saturating_sub(*at) < TRIAL_LASTS);
-        let needed = (POINTS_REFUSED / POINTS_BEGINNING) as usize;
-        running.is_none() && self.ends.len() < needed + TRIALS_MAX
+        running.is_none() && self.ends.len() < ENDS_REFUSED + TRIALS_MAX
     }
 }
 
 impl Suspects {
+    /// Counts by other rules than the usual ones.
+    #[must_use]
+    pub fn by_rules(rules: Rules) -> Self {
+        Self {
+            rules,
+            ..Self::default()
+        }
+    }
+
     /// Whether nothing is known of any content.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -448,7 +479,7 @@
                 ran_on: told.ran_on,
                 sound_on: told.sound_on.clone(),
                 ends: told.ends.clone(),
-                ..Suspect::new(Duration::ZERO)
+                ..Suspect::new(suspect.rules, Duration::ZERO)
             };
             suspect.kept = Some(held.as_kept());
         }
@@ -523,7 +554,7 @@
     fn entry(&mut self, content: ContentId, now: Duration) -> &mut Suspect {
         self.by_content.entry(content).or_insert_with(|| {
             *self.heads.entry(content.head).or_default() += 1;
-            Suspect::new(now)
+            Suspect::new(self.rules, now)
         })
     }
 
