Tell placers at once of an engine that was found to have ended; what leaves as asked says nothing of what ran there

The look at an endpoint that broke off already knows. engine_ended_under_a_request_offered_to_no_other failed before (2 in place of 1).

--- a/src/gateway/broken_off.rs
+++ b/src/gateway/broken_off.rs
@@ -110,16 +110,33 @@
             });
         }
         if presence == Presence::Ended {
+            self.tell_placers();
             self.gateway
                 .note_end(self.content, &self.endpoint, self.ran_for);
         }
     }
 
+    /// Whoever places is told at once: of 185 generations of one run twelve were offered to engines that had ended before, each at the price of a repeat.
+    fn tell_placers(&self) {
+        let gateway = &self.gateway;
+        let EndpointEntry { id, service, .. } = &self.endpoint;
+        let has_engines = gateway
+            .table()
+            .and_then(|table| table.service(service)?.engine)
+            .is_some();
+        if has_engines {
+            gateway.runs.note_not_taken(service, id, true);
+            gateway.ledgers.changed.notify_one();
+        } else {
+            gateway.health.lock().note_absent(id, gateway.now());
+        }
+    }
+
     async fn presence(&self) -> Presence {
         let gateway = &self.gateway;
         let endpoint = &self.endpoint;
-        let was_leaving = gateway.fleet.lock().is_leaving(&endpoint.id);
-        if was_leaving {
+        // One that leaves, or whose hall is emptied, ends as it was asked to.
+        if !gateway.fleet.lock().takes_work(&endpoint.id) {
             return Presence::Unknown;
         }
         let now = gateway.now();
--- a/src/kernel/suspects.rs
+++ b/src/kernel/suspects.rs
@@ -18,9 +18,9 @@
 /// What runs for longer than this after its first event did not end its endpoint by beginning. Of nine ends that one request brought about, each came
 /// 0.05 to 0.08 s after it had begun to run; the slowest engine that was measured makes ten events in this time.
 pub const BEGINNING: Duration = Duration::from_secs(1);
-/// What the ends of endpoints count, and how much it takes.
-///
-/// Of 30 s with a crashing request and two thirds of the callers sending one of ten equal requests, simulated: see `cargo bench --bench crashing`.
+/// What the ends of endpoints count, and how much it takes. Of some 330 generations in 30 s in which an engine a second ends for reasons of its own,
+/// the usual ones refuse 0.03 to 0.07 in error, three ends that count alike 3.4 to 4.3, two ends 0.8 to 3.3; where a request ends the engines, 3.4 of
+/// them end in place of 45 (simulated, `cargo bench --bench crashing`, mean of 40 seeds).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rules {
     /// Points of an end under a request that had just begun.
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -218,6 +218,26 @@
     }
 }
 
+/// An engine that was found to have ended is offered to nobody before the list tells of its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_ended_under_a_request_offered_to_no_other() {
+    let crashing = CrashingSite::start(0, 2, 1).await;
+    let instance = &crashing.instances[0];
+    crashing.call_in_turn("/chat/2", 1).await;
+    let ended = crashing.site.standin.crashed();
+    // The first one lasts until the engine's last generation is forgotten there: it looks emptiest then.
+    for (number, events) in [80, 2, 2, 2].into_iter().enumerate() {
+        let answer = answered(instance.generation(events, &format!("after-{number}"))).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let lines = instance.lines.lock().expect("lines");
+    let placed = lines
+        .iter()
+        .filter(|line| line["payload"] == "generation placed")
+        .filter(|line| line["kv"]["endpoint"] == ended[0].as_str());
+    assert_eq!(placed.count(), 1, "only the one that ended it");
+}
+
 /// What an instance told of endpoints that broke off.
 fn told(instance: &Instance) -> Vec<Value> {
     let lines = instance.lines.lock().expect("lines");
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -97,9 +97,7 @@
         for _ in 0..number("SOAK_INSTANCES").unwrap_or(INSTANCES) {
             soak.add_instance().await;
         }
-        let soak = Arc::new(soak);
-        tokio::spawn(soak.clone().replace_ended());
-        soak
+        Arc::new(soak)
     }
 
     /// Puts new endpoints in the place of those that ended under a request. What stands before an endpoint ends with it.
@@ -507,6 +505,7 @@
 async fn play(seed: u64) {
     println!("soak seed {seed}");
     let soak = Soak::start().await;
+    let replacing = tokio::spawn(soak.clone().replace_ended());
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| tokio::spawn(soak.clone().call_until_over(seed, number)))
         .collect();
@@ -529,6 +528,8 @@
     println!("soak seed {seed}: {served} of {asked} served");
     soak.check_recovery().await;
     soak.check_crashing().await;
+    replacing.abort();
+    soak.suspendable.end().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/suspension.rs
+++ b/tests/support/suspension.rs
@@ -41,7 +41,9 @@
 
 /// An instance with such a clock.
 pub struct Suspendable {
-    app: GatewayApp,
+    /// Absent once it was ended.
+    app: Mutex<Option<GatewayApp>>,
+    caller: Caller,
     pub clock: Arc<SuspendedClock>,
 }
 
@@ -62,11 +64,23 @@
         let app = GatewayApp::start_by_clock(settings, None, clock.clone()).await;
         let app = app.expect("instance starts");
         until("ready", async || app.is_ready()).await;
-        Self { app, clock }
+        let caller = Caller::new(app.caller_address(), app.operator_address());
+        Self {
+            app: Mutex::new(Some(app)),
+            caller,
+            clock,
+        }
     }
 
     pub fn caller(&self) -> Caller {
-        let operator = self.app.operator_address();
-        Caller::new(self.app.caller_address(), operator)
+        self.caller.clone()
+    }
+
+    /// Ends it at once; its tasks would else run on in this process.
+    pub async fn end(&self) {
+        let app = self.app.lock().take();
+        if let Some(app) = app {
+            app.abort().await;
+        }
     }
 }
