--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -238,6 +238,52 @@
     assert_eq!(placed.count(), 1, "only the one that ended it");
 }
 
+/// A site that is too large for each instance to tell all others: what one has seen comes to all the same. By hand with more instances, for the time
+/// that it takes: `KNOWN_INSTANCES=100 cargo test --test crashing_requests known_at_all -- --nocapture`.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_content_large_site_known_at_all() {
+    let wanted = std::env::var("KNOWN_INSTANCES");
+    let count = wanted.map_or(16, |count| count.parse().expect("a number"));
+    let site = RoutedSite::start(0).await;
+    site.standin.crash_on(CRASHING);
+    for _ in 0..ENDED_MAX {
+        site.engine().await;
+    }
+    let first = site.instance("n0").await;
+    let seed = first.peer_address();
+    let instances: Vec<Instance> = (1..count)
+        .map(|number| site.instance_seeded(&format!("n{number}"), std::slice::from_ref(&seed)))
+        .collect();
+    for instance in &instances {
+        instance.until_ready().await;
+    }
+    until("all members known", async || {
+        let members = first.state().await["members"].clone();
+        members.as_array().map_or(0, Vec::len) + 1 >= count
+    })
+    .await;
+    let mut tries = 0;
+    until("refused where it was seen", async || {
+        tries += 1;
+        call(&first, "/chat/2", &format!("t{tries}")).await.status == 503
+    })
+    .await;
+    let begun = std::time::Instant::now();
+    for instance in &instances {
+        until("known", async || {
+            let known = instance.operators("/suspects").await;
+            known[0]["verdict"] == "refused"
+        })
+        .await;
+    }
+    println!(
+        "{count} instances knew {} ms after the first",
+        begun.elapsed().as_millis()
+    );
+    let ended = site.standin.crashed().len();
+    assert_eq!(ended, 3, "all of them under the first three tries");
+}
+
 /// What an instance told of endpoints that broke off.
 fn told(instance: &Instance) -> Vec<Value> {
     let lines = instance.lines.lock().expect("lines");
--- a/tests/kernel/suspects.rs
+++ b/tests/kernel/suspects.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use larkwick::kernel::clock::Clock;
 use larkwick::kernel::content::{ContentHead, ContentId};
 use larkwick::kernel::suspects::{Change, End, NEWS_MAX, Suspects, Told, Verdict, software_id};
 use proptest::prelude::*;
 
+use super::hall::{Hall, PERIOD};
+
 const SECOND: Duration = Duration::from_secs(1);
 
 fn content(body: &str) -> ContentId {
@@ -349,3 +352,47 @@
     other.take(&told(&suspects)[0], SECOND);
     assert!(other.is_sound_on(id, mended));
 }
+
+/// Time until all of a site know what one instance has seen, by heartbeats alone: the worst case, in which nothing is passed on within a round, out of
+/// turn or by the store.
+fn known_by_all_after(instances: usize) -> Duration {
+    let id = content("x");
+    let mut hall = Hall::of(instances);
+    hall.play(SECOND);
+    let mut suspects: Vec<Suspects> = (0..instances).map(|_| Suspects::default()).collect();
+    let seen_at = hall.clock.now();
+    for endpoint in [1, 2, 3] {
+        suspects[0].ended(id, end(endpoint), seen_at);
+    }
+    let refuses = |suspects: &Suspects, now| suspects.verdict(id, now) == Verdict::Refused;
+    while !suspects.iter().all(|one| refuses(one, seen_at)) {
+        let now = hall.clock.now();
+        let news: Vec<Vec<Told>> = suspects.iter().map(|one| one.news(now)).collect();
+        for from in 0..instances {
+            for to in hall.told(from) {
+                for told in &news[from] {
+                    suspects[to].take(told, now);
+                }
+                for told in &news[to] {
+                    suspects[from].take(told, now);
+                }
+            }
+        }
+        hall.clock.advance(PERIOD);
+    }
+    hall.clock.now().saturating_sub(seen_at)
+}
+
+#[test]
+fn news_site_of_300_known_by_all_within_three_seconds() {
+    let took = known_by_all_after(300);
+    println!("300 instances know after {took:?}");
+    assert!(took <= SECOND * 3, "{took:?}");
+}
+
+#[test]
+fn news_site_of_2300_known_by_all_within_four_seconds() {
+    let took = known_by_all_after(2_300);
+    println!("2,300 instances know after {took:?}");
+    assert!(took <= SECOND * 4, "{took:?}");
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -263,6 +263,15 @@
         serde_json::from_value(answer["addrs"].clone()).unwrap_or_default()
     }
 
+    /// What operators read at a path; null where it does not answer.
+    pub async fn operators(&self, path: &str) -> Value {
+        let url = format!("http://{}{path}", self.operator_address());
+        let Ok(answer) = reqwest::get(url).await else {
+            return Value::Null;
+        };
+        answer.json().await.unwrap_or_default()
+    }
+
     pub fn operator_address(&self) -> String {
         self.address("operator")
     }
