--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -175,8 +175,7 @@
                 None => Step::Broken("the stream ended inside an event".to_owned()),
             },
             Some(command) = self.commands.recv() => self.take_command(command),
-            // Nothing is awaited but the time.
-            _ = gateway.wait_for(patience, std::future::pending::<()>()) => {
+            () = gateway.sleep_for(patience) => {
                 silent.unwrap_or_else(|| Step::Broken("silent for too long".to_owned()))
             }
         }
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -13,7 +13,7 @@
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::roles::{self, default_link_mbps};
 use crate::kernel::route::RouteConfig;
-use crate::kernel::suspects::{End, Told};
+use crate::kernel::suspects::Told;
 
 /// A subject that is kept and followed on its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -69,49 +69,35 @@
 /// A content that endpoints ended under, as the store keeps it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptSuspect {
-    /// The content.
-    pub content: ContentId,
-    /// Counts how often it was found innocent or let go.
-    pub life: u32,
-    /// Whether an endpoint has finished it.
-    pub innocent: bool,
-    /// Whether an endpoint ran it on past its beginning.
-    pub ran_on: bool,
-    /// Software that has finished it, where other software ended under it.
-    pub sound_on: Vec<u64>,
-    /// The endpoints that ended.
-    pub ends: Vec<End>,
-    /// When the last one did, in milliseconds since 1970.
-    pub last_end_unix_ms: u64,
+    /// What was known of it.
+    told: Told,
+    /// When, in milliseconds since 1970.
+    at_unix_ms: u64,
 }
 
 impl KeptSuspect {
     /// What is known of a content at this time of day.
     #[must_use]
-    pub fn new(told: &Told, unix_time: Duration) -> Self {
+    pub fn new(told: Told, unix_time: Duration) -> Self {
         Self {
-            content: told.content,
-            life: told.life,
-            innocent: told.innocent,
-            ran_on: told.ran_on,
-            sound_on: told.sound_on.clone(),
-            ends: told.ends.clone(),
-            last_end_unix_ms: millis(unix_time.saturating_sub(told.last_end_ago)),
+            told,
+            at_unix_ms: millis(unix_time),
         }
     }
 
+    /// The content.
+    #[must_use]
+    pub fn content(&self) -> ContentId {
+        self.told.content
+    }
+
     /// The same, as it is told at this time of day.
     #[must_use]
     pub fn told(&self, unix_time: Duration) -> Told {
-        let last_end = Duration::from_millis(self.last_end_unix_ms);
+        let kept_for = unix_time.saturating_sub(Duration::from_millis(self.at_unix_ms));
         Told {
-            content: self.content,
-            life: self.life,
-            innocent: self.innocent,
-            ran_on: self.ran_on,
-            sound_on: self.sound_on.clone(),
-            ends: self.ends.clone(),
-            last_end_ago: unix_time.saturating_sub(last_end),
+            last_end_ago: self.told.last_end_ago.saturating_add(kept_for),
+            ..self.told.clone()
         }
     }
 }
--- a/src/gateway/subject_cache.rs
+++ b/src/gateway/subject_cache.rs
@@ -70,7 +70,7 @@
             }
             SiteRecord::Endpoint(entry) => entry.listed_id.clone(),
             SiteRecord::Member(entry) => entry.name.clone(),
-            SiteRecord::Suspect(kept) => suspect_key(kept.content),
+            SiteRecord::Suspect(kept) => suspect_key(kept.content()),
             SiteRecord::SuspectGone(content) => {
                 self.newest.remove(&suspect_key(*content));
                 return;
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -296,7 +296,7 @@
         (suspects.to_keep(is_keeper, now), lapsed)
     };
     for told in due {
-        let kept = KeptSuspect::new(&told, gateway.clock.unix_time());
+        let kept = KeptSuspect::new(told.clone(), gateway.clock.unix_time());
         let written = gateway.store.keep_suspect(&kept).await;
         written.map_err(|error| error.to_string())?;
         gateway.suspects.lock().kept(&told);
--- a/src/gateway/waits.rs
+++ b/src/gateway/waits.rs
@@ -56,6 +56,13 @@
             .await
     }
 
+    /// Lets time pass by this instance's clock.
+    pub(crate) async fn sleep_for(&self, most: Duration) {
+        let never = std::future::pending::<()>();
+        // Only the time ends it.
+        let _ = self.wait_for(most, never).await;
+    }
+
     /// Looks whether the machine was suspended since the last look, and has all waits look at the clock then.
     pub(crate) fn look_for_suspension(&self) {
         let suspended = self.clock.suspended();
--- a/src/kernel/suspects.rs
+++ b/src/kernel/suspects.rs
@@ -18,6 +18,7 @@
 /// What runs for longer than this after its first event did not end its endpoint by beginning. Of nine ends that one request brought about, each came
 /// 0.05 to 0.08 s after it had begun to run; the slowest engine that was measured makes ten events in this time.
 pub const BEGINNING: Duration = Duration::from_secs(1);
+
 /// What the ends of endpoints count, and how much it takes. Of some 330 generations in 30 s in which an engine a second ends for reasons of its own,
 /// the usual ones refuse 0.03 to 0.07 in error, three ends that count alike 3.4 to 4.3, two ends 0.8 to 3.3; where a request ends the engines, 3.4 of
 /// them end in place of 45 (simulated, `cargo bench --bench crashing`, mean of 40 seeds).
@@ -60,7 +61,7 @@
 const REFUSED_FOR: Duration = Duration::from_hours(24);
 /// Whoever saw an end has told the store of it by then; where not, another instance does.
 const KEPT_BY_THEN: Duration = Duration::from_secs(1);
-/// A change is told to peers for this long: a site of 300 passes news on to all within 2.5 s.
+/// A change is told to peers for this long: all of a site of 2,300 know after 2 s (`news_site_of_2300_*`).
 const NEWS_TOLD: Duration = Duration::from_secs(10);
 /// Contents told in one message; those with most points come first. About 60 bytes each.
 pub const NEWS_MAX: usize = 16;
@@ -86,7 +87,7 @@
 }
 
 /// All that is told of one content.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
     /// The content.
     pub content: ContentId,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -267,7 +267,7 @@
     }
 
     async fn keep_suspect(&self, suspect: &KeptSuspect) -> StoreResult<()> {
-        let key = suspect_key(suspect.content);
+        let key = suspect_key(suspect.content());
         self.put(&key, &to_json(suspect)?).await
     }
 
