--- a/benches/crashing.rs
+++ b/benches/crashing.rs
@@ -6,9 +6,10 @@
 //! row is the mean of the seeds.
 
 use std::collections::{BTreeMap, HashMap};
-use std::time::Duration;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
 
-use larkwick::kernel::content::{ContentId, HeadId};
+use larkwick::kernel::content::{ContentHead, ContentId, HeadId};
 use larkwick::kernel::engine_ledger::{EngineEntry, EngineLedger, ReportedRun, RunDemand};
 use larkwick::kernel::suspects::{BEGINNING, End, Rules, Suspects, Verdict};
 use rand::rngs::SmallRng;
@@ -355,7 +356,36 @@
     }
 }
 
+/// What it takes to name a content, by the length of its body.
+fn naming() {
+    const TIMES: u32 = 200;
+    let head = ContentHead {
+        method: "POST",
+        host: "site.example",
+        path: "/chat/1",
+        account: Some("account-1"),
+        body_bytes: 3_000,
+    };
+    let begun = Instant::now();
+    for _ in 0..TIMES {
+        black_box(black_box(&head).id());
+    }
+    println!("head: {:.2?}", begun.elapsed() / TIMES);
+    for bytes in [3_000, 4 << 20] {
+        let body = vec![7_u8; bytes];
+        let begun = Instant::now();
+        for _ in 0..TIMES {
+            black_box(head.id().with_body(black_box(&body)));
+        }
+        println!(
+            "head and body of {bytes} bytes: {:.2?}",
+            begun.elapsed() / TIMES
+        );
+    }
+}
+
 fn main() {
+    naming();
     let usual = Rules::default();
     let never = Rules {
         points_refused: u32::MAX,
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -240,8 +240,8 @@
         }
     }
 
-    /// Tells peers at once: the request comes again at once, anywhere. At the usual time between heartbeats it would end one endpoint more for each
-    /// instance that has not heard.
+    /// Tells peers at once: the request comes again at once, anywhere. Told with the usual heartbeats each 0.5 s, nine engines ended in place of three
+    /// under 14 tries at three instances, 28 ms apart (six runs).
     fn push_suspects(self: &Arc<Self>) {
         let now = self.now();
         {
