--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, response};
 use serde::{Deserialize, Serialize};
 
-use super::names;
+use super::{names, unknown};
 use crate::gateway::call::{AnswerHead, SendHead};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -32,6 +32,17 @@
     CONTENT_LENGTH,
 ];
 
+/// Headers of an endpoint's answer that are read, or left aside: the id of who answers is told by a 421 without its service, and how cold an endpoint
+/// is stands in its entry.
+const OF_ANSWERS: [HeaderName; 6] = [
+    names::REQUEST_ID,
+    names::SEAL,
+    names::NOT_RUN,
+    names::ENDPOINT_ID,
+    names::COLD_MS,
+    names::VERSIONS,
+];
+
 /// Drops what belongs to one connection, also what the `Connection` header names, but never a header that the request depends on.
 fn strip_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -98,6 +109,7 @@
 #[must_use]
 pub fn decode_answer(parts: &response::Parts) -> AnswerHead {
     let headers = &parts.headers;
+    unknown::note_headers("endpoint's header", headers, &OF_ANSWERS);
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     let not_run = headers.contains_key(names::NOT_RUN) || misdirected;
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -27,6 +27,12 @@
     NOT_RUN = "larkwick-not-executed";
     /// The start of the endpoint that answers.
     ENDPOINT_ID = "larkwick-instance-id";
+    /// How much longer the endpoint that answers is cold.
+    COLD_MS = "larkwick-cold-ms";
+    /// An endpoint's word that it is leaving, in each of its answers.
+    LEAVING = "server-leaving";
+    /// Version of the weights that answer.
+    VERSIONS = "versions";
     /// Model of a generation.
     MODEL = "larkwick-model";
     /// Tokens of the prompt, and the most that may be made.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -147,6 +147,7 @@
                 StoreError::NoAnswer(error.to_string())
             }
         })?;
+        unknown::note_headers("store's header", response.headers(), &[]);
         let status = response.status();
         if status.is_success() {
             return Ok(response);
--- a/src/platform/unknown.rs
+++ b/src/platform/unknown.rs
@@ -2,6 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use http::header::{
+    ACCEPT_RANGES, ALLOW, CACHE_CONTROL, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH,
+    CONTENT_TYPE, DATE, SERVER, TRAILER, TRANSFER_ENCODING, VARY,
+};
+use http::{HeaderMap, HeaderName};
 use parking_lot::Mutex;
 use spdlog::warn;
 
@@ -10,6 +15,23 @@
 /// Longest part of a name that is logged, in characters.
 const NAME_CHARS_MAX: usize = 64;
 
+/// Headers of answers that belong to HTTP itself; what matters of them is read by the HTTP library.
+const OF_HTTP: [HeaderName; 13] = [
+    ACCEPT_RANGES,
+    ALLOW,
+    CACHE_CONTROL,
+    CONNECTION,
+    CONTENT_ENCODING,
+    CONTENT_LENGTH,
+    CONTENT_TYPE,
+    DATE,
+    HeaderName::from_static("keep-alive"),
+    SERVER,
+    TRAILER,
+    TRANSFER_ENCODING,
+    VARY,
+];
+
 static LOGGED: Mutex<BTreeSet<(&'static str, String)>> = Mutex::new(BTreeSet::new());
 
 /// Notes a name that is not known, of one kind of record or field.
@@ -25,6 +47,15 @@
     }
 }
 
+/// Notes the headers of an answer that nothing is made of.
+pub(super) fn note_headers(kind: &'static str, headers: &HeaderMap, known: &[HeaderName]) {
+    let names = headers.keys();
+    let unknown = names.filter(|name| !known.contains(name) && !OF_HTTP.contains(name));
+    for name in unknown {
+        note(kind, name.as_str());
+    }
+}
+
 /// Reads a JSON text and notes the fields that nothing is made of, but for those that are left aside on purpose.
 pub(super) fn read<'a, T: serde::Deserialize<'a>>(
     kind: &'static str,
