Failing tests: endpoints that say in answers that they leave, or ask for rest

Calls and generations go on to one that leaves, at the instance that read its word and at others; engines that ask for rest get 11 requests from two instances in place of 6 at most.

--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures::stream;
+use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName, Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -58,6 +59,28 @@
     Misdirects,
 }
 
+/// What a server says of itself in its answers.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+struct Word {
+    /// Text of the header that tells that it leaves, where it tells.
+    leaving: Option<&'static str>,
+    /// For how long it asks those that it refuses to send it nothing, as it stands in the header.
+    rest: Option<&'static str>,
+}
+
+impl Word {
+    fn add_to(&self, response: &mut Response<StandinBody>) {
+        let refused = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
+        let headers = response.headers_mut();
+        if let Some(text) = self.leaving {
+            headers.insert(names::LEAVING, http::HeaderValue::from_static(text));
+        }
+        if let Some(text) = self.rest.filter(|_| refused) {
+            headers.insert(RETRY_AFTER, http::HeaderValue::from_static(text));
+        }
+    }
+}
+
 /// A generation should go on from a copy that is not there.
 struct NoSuchCopy;
 
@@ -80,6 +103,8 @@
     fault: Mutex<ServerFault>,
     /// Whether it survives what others crash on.
     mended: AtomicBool,
+    /// What all its answers say of it, beside the matter asked.
+    word: Mutex<Word>,
     listening: Mutex<Option<Listening>>,
     address: std::sync::OnceLock<SocketAddr>,
     /// Where callers find it, where that is not where it listens: a proxy stands before it.
@@ -118,6 +143,7 @@
             kind,
             fault: Mutex::default(),
             mended: AtomicBool::new(false),
+            word: Mutex::default(),
             listening: Mutex::default(),
             address: std::sync::OnceLock::new(),
             listed: std::sync::OnceLock::new(),
@@ -128,7 +154,7 @@
         let handled_by = server.clone();
         let listening = listen(move |request| {
             let server = handled_by.clone();
-            async move { server.answer(request).await }
+            async move { server.answer_with_word(request).await }
         })
         .await?;
         let address = listening.address;
@@ -224,6 +250,16 @@
         self.mended.store(true, Ordering::Relaxed);
     }
 
+    /// Has all its answers say that it leaves, whatever its entry says.
+    pub fn say_leaving(&self, text: &'static str) {
+        self.word.lock().leaving = Some(text);
+    }
+
+    /// Has each refusal ask for so many seconds without a request; nothing takes it back.
+    pub fn ask_for_rest(&self, seconds: Option<&'static str>) {
+        self.word.lock().rest = seconds;
+    }
+
     /// Ends it: its address refuses connections, and the open ones are cut.
     pub fn kill(&self) {
         self.listening.lock().take();
@@ -241,6 +277,15 @@
         self.heads.lock().get(request).cloned()
     }
 
+    async fn answer_with_word(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<StandinBody> {
+        let mut answered = self.clone().answer(request).await;
+        self.word.lock().add_to(&mut answered);
+        answered
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<StandinBody> {
         let path = request.uri().path().to_owned();
         match path.as_str() {
--- a/tests/site_endpoints.rs
+++ b/tests/site_endpoints.rs
@@ -21,18 +21,9 @@
     (site, first, second)
 }
 
-/// How an instance takes an endpoint.
-async fn standing(instance: &Instance, server: &Server) -> Value {
-    let state = instance.state().await;
-    let endpoints = state["endpoints"].as_object().cloned().unwrap_or_default();
-    let is_of = |endpoint: &&Value| endpoint["entry"]["address"] == json!(server.address());
-    let found = endpoints.values().find(is_of);
-    found.map_or(Value::Null, |endpoint| endpoint["standing"].clone())
-}
-
 async fn until_standing(instance: &Instance, server: &Server, expected: &str) {
     until(expected, async || {
-        standing(instance, server).await == expected
+        instance.standing(server).await == expected
     })
     .await;
 }
@@ -97,7 +88,7 @@
     site.standin.store.set_mood(StoreMood::Busy);
     let started = site.instance_with_seeds("n2", &[&known]);
     started.until_ready().await;
-    assert_eq!(standing(&started, &first).await, "evacuated");
+    assert_eq!(started.standing(&first).await, "evacuated");
     let only = [second.id.clone()];
     assert_eq!(ran_on(&site, &started, "started").await, only);
 }
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -326,6 +326,15 @@
         self.caller().state().await
     }
 
+    /// How it takes an endpoint; null where it does not know it.
+    pub async fn standing(&self, server: &Server) -> Value {
+        let state = self.state().await;
+        let endpoints = state["endpoints"].as_object().cloned().unwrap_or_default();
+        let is_of = |endpoint: &&Value| endpoint["entry"]["address"] == json!(server.address());
+        let found = endpoints.values().find(is_of);
+        found.map_or(Value::Null, |endpoint| endpoint["standing"].clone())
+    }
+
     pub async fn call(&self, path: &str, id: &str) -> Answered {
         answered(self.request(path, id)).await
     }
