Leave alone for as long as it asks an endpoint that turned a request away

Callers were refused for want of repeats (NoRoom, "engine refused: 503; retry budget spent") while eight of twelve engines had room: four engines turned away all that they got and asked for three seconds of rest with each refusal, and each instance sent on to them, one of them three times in a rest.

Cause: the refusal was kept with its request alone, its Retry-After was dropped, and the owner, who passes an engine over for 0.4 s, granted it again for looking empty.

The time is decoded with the rest of an endpoint's word and kept by start, by the clock that counts through suspensions, the later end of two. Nothing new is chosen, granted, moved or taken over to an endpoint that rests, the last look is right before the send, and reports wait; two requests, which users allow, are left for what runs there. Where all endpoints of a service rest, the call waits if the first one is to be had within its goal, and is refused at once otherwise and told when. What an endpoint asked of us is not passed on as if the caller were meant.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -321,6 +321,9 @@
             fleet.all().map(|(entry, _)| entry.id.clone()).collect()
         };
         gateway.cold_gate.lock().tidy(gateway.now());
+        let now = gateway.now();
+        let is_known = |endpoint: &str| known.contains(endpoint);
+        gateway.words.rests.lock().tidy(is_known, now);
         gateway.upstream.tidy(|endpoint| known.contains(endpoint));
         gateway
             .health
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -216,6 +216,7 @@
         shard.ledger.found_dead(endpoint, now);
     }
     shard.ledger.take_report(entry, runs, now);
+    shard.ledger.rest_for(entry, not_taken.resting.clone());
     let wanted = !shard.waiters.is_empty() || shard.ledger.has_leaving_runs();
     drop(shard);
     if wanted {
--- a/src/gateway/endpoint_words.rs
+++ b/src/gateway/endpoint_words.rs
@@ -1,6 +1,7 @@
 //! Takes up what endpoints say of themselves in their answers: once, where answers are read, whichever call they belong to.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use spdlog::info;
@@ -10,13 +11,16 @@
 use super::follow::tell_changes;
 use super::heartbeat;
 use super::node::Gateway;
-use crate::kernel::clock::Clock;
+use crate::kernel::clock::{Clock, millis};
 use crate::kernel::fleet::{Fleet, FleetChange};
+use crate::kernel::rest::Rests;
 
 /// What endpoints say of themselves, on its way to whom it concerns.
 pub(crate) struct EndpointWords {
     clock: Arc<dyn Clock>,
     fleet: Arc<Mutex<Fleet>>,
+    /// Endpoints that asked this instance for rest. No other lock is taken while it is held.
+    pub(super) rests: Mutex<Rests>,
     /// Wakes the task that tells the owners and the members.
     news: Notify,
 }
@@ -26,6 +30,7 @@
         Self {
             clock,
             fleet,
+            rests: Mutex::default(),
             news: Notify::new(),
         }
     }
@@ -39,6 +44,21 @@
         if head.word.leaving {
             self.told_leaving(endpoint, "answer");
         }
+        if let Some(rest) = head.word.rest {
+            self.told_rest(endpoint, rest);
+        }
+    }
+
+    fn told_rest(&self, endpoint: &str, rest: Duration) {
+        let now = self.clock.now();
+        let is_news = self.rests.lock().ask(endpoint, rest, now);
+        if is_news {
+            metrics::counter!("larkwick_endpoint_rests_total").increment(1);
+            if crate::log::admits("endpoint asks for rest") {
+                info!("endpoint asks for rest", kv: { endpoint, rest_ms: = millis(rest) });
+            }
+            self.news.notify_one();
+        }
     }
 
     /// An endpoint itself said that it leaves; `source` tells where.
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -53,6 +53,10 @@
     engine: &EndpointEntry,
     within: Duration,
 ) -> Option<EngineReport> {
+    if gateway.rests(&engine.id) {
+        // A question can wait, and tells nothing that could not come later.
+        return None;
+    }
     let read = tokio::time::timeout(within, report(gateway, engine)).await;
     let read = read.unwrap_or_else(|_| Err("no answer in time".to_owned()));
     if let Err(why) = &read
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -16,6 +16,7 @@
 use super::coordinator;
 use super::inbound_call::Call;
 use super::relay;
+use super::rests;
 use super::runs::{RunCommand, RunHandle};
 use super::started::{Offers, RunGuard, Source, Started, tell_end};
 use super::suspects::{self, Admission};
@@ -26,6 +27,7 @@
 use crate::kernel::engine_ledger::RunDemand;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::pace::Pace;
+use crate::kernel::rest::Outlook;
 use crate::kernel::suspects::Verdict;
 use crate::platform::{engine, ingress};
 
@@ -86,6 +88,8 @@
     },
     /// It was found meanwhile that endpoints end under it. Nothing was sent.
     Withheld,
+    /// The engine has asked for rest meanwhile. Nothing was sent.
+    Rests,
     /// The engine failed, and says so. Another engine may be asked where the route's generations may be resumed.
     Answered(Box<Begun>),
     /// It may have run. Another engine may be asked where the route's generations may be resumed.
@@ -99,6 +103,7 @@
         match self {
             Self::Refused { why, .. } | Self::Unsent { why, .. } => why.clone(),
             Self::Withheld => "endpoints end under it".to_owned(),
+            Self::Rests => "the engine rests".to_owned(),
             Self::Answered(begun) => format!("engine answered {}", begun.source.answer.head.status),
             Self::Lost(error) | Self::Failed(error) => error.message.clone(),
         }
@@ -125,7 +130,12 @@
         let (sent, may_have_run) = match offered {
             Ok(_) | Err(NotStarted::Answered(_) | NotStarted::Lost(_)) => (1, 1),
             Err(NotStarted::Refused { .. }) => (1, 0),
-            Err(NotStarted::Unsent { .. } | NotStarted::Withheld | NotStarted::Failed(_)) => (0, 0),
+            Err(
+                NotStarted::Unsent { .. }
+                | NotStarted::Withheld
+                | NotStarted::Rests
+                | NotStarted::Failed(_),
+            ) => (0, 0),
         };
         self.sends += sent;
         self.runs += may_have_run;
@@ -184,8 +194,13 @@
             break;
         }
         let wait = wait_for_room(call, &offers);
-        let excluded = &offers.excluded;
-        let placed = coordinator::place(gateway, &call.service, &demand, excluded, wait).await;
+        if !opens_in_time(call, &offers, wait).await {
+            reason.push_str("; all engines ask for rest");
+            break;
+        }
+        let wait = wait_for_room(call, &offers);
+        let excluded = excluded_now(call, &offers);
+        let placed = coordinator::place(gateway, &call.service, &demand, &excluded, wait).await;
         let Some(granted) = placed else {
             reason.push_str("; no room");
             break;
@@ -197,7 +212,7 @@
         offers.count(&offered);
         let not_started = match offered {
             Ok(begun) => return Ok(begun.started(offers)),
-            Err(NotStarted::Withheld) => continue,
+            Err(NotStarted::Withheld | NotStarted::Rests) => continue,
             Err(not_started) => not_started,
         };
         reason = not_started.why();
@@ -227,7 +242,10 @@
     /// Keeps what a try leaves to tell the caller; gives whether no other engine may be asked.
     fn is_final(&mut self, call: &Call, offers: &Offers, not_started: NotStarted) -> bool {
         match not_started {
-            NotStarted::Refused { .. } | NotStarted::Unsent { .. } | NotStarted::Withheld => false,
+            NotStarted::Refused { .. }
+            | NotStarted::Unsent { .. }
+            | NotStarted::Withheld
+            | NotStarted::Rests => false,
             NotStarted::Answered(begun) => {
                 self.answered = Some(begun);
                 !may_begin_anew(call, offers)
@@ -270,6 +288,29 @@
     until.saturating_sub(usual)
 }
 
+/// Whether some engine that it may go to does not rest, or none did and one that is to be had within the wait has been waited for.
+async fn opens_in_time(call: &Call, offers: &Offers, wait: Duration) -> bool {
+    let gateway = &call.gateway;
+    let waits_until = gateway.now().saturating_add(wait);
+    let is_excluded = |engine: &EndpointEntry| offers.excluded.contains(&engine.id);
+    match rests::outlook(call, is_excluded, waits_until) {
+        Outlook::Open => true,
+        Outlook::Opens { at } => {
+            gateway.sleep_until(at).await;
+            true
+        }
+        Outlook::Closed { .. } => false,
+    }
+}
+
+/// Engines that are not to be granted: those that did not take it, and those that ask this instance for rest. The owner, whom they did not ask, would
+/// grant them for as long as they look empty.
+fn excluded_now(call: &Call, offers: &Offers) -> Vec<String> {
+    let mut excluded = call.gateway.resting();
+    excluded.extend(offers.excluded.iter().cloned());
+    excluded.into_iter().collect()
+}
+
 /// How long an engine may take to begin: all that is left, but for what another one needs where one can be asked. Not sooner: what was read
 /// of the prompt is lost with it (left when a repeat could only just meet the goal, 8.7 of 295 short generations came late and 0 with this;
 /// mean of six seeds of a quiet day).
@@ -289,7 +330,7 @@
         ErrorKind::NoRoom,
         format!("service {}: {reason}; not run", call.service),
     )
-    .with_retry_after(room_expected(call))
+    .with_retry_after(rests::come_back_after(call).unwrap_or_else(|| room_expected(call)))
 }
 
 /// When to come back to full engines. A caller comes back once: too soon, it meets the same crowd.
@@ -424,6 +465,9 @@
     if !call.gateway.fleet.lock().takes_work(&engine.id) {
         return Err(unsent("the engine is leaving"));
     }
+    if call.gateway.rests(&engine.id) {
+        return Err(NotStarted::Rests);
+    }
     if !restricted && suspects::verdict(call) == Verdict::Refused {
         return Err(NotStarted::Withheld);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 //! | `generation`, `started`, `relay` | generations: placed, then passed on event by event, also when they move |
 //! | `takeover` | generations whose connection to their engine has gone silent |
 //! | `upstream` | connections to endpoints |
-//! | `endpoint_words` | what endpoints say of themselves in any answer |
+//! | `endpoint_words`, `rests` | what endpoints say of themselves in any answer; what it means to calls that they ask for rest |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
 //! | `waits` | waits that end in time, also where the machine was suspended |
 //! | `tally` | counts of what grows with the site |
@@ -56,6 +56,7 @@
 pub(crate) mod peers;
 pub(crate) mod plain_call;
 pub(crate) mod relay;
+pub(crate) mod rests;
 pub(crate) mod run_reports;
 pub(crate) mod runs;
 pub(crate) mod shared_store;
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -35,6 +35,9 @@
     let (Some(source), Some(target)) = (source, target) else {
         return (MoveResult::NoRoom, "engine unknown or leaving".to_owned());
     };
+    if gateway.rests(&target.id) {
+        return (MoveResult::NoRoom, "the target rests".to_owned());
+    }
     if run.endpoint.lock().id != source.id {
         return (MoveResult::Failed, "it runs elsewhere".to_owned());
     }
@@ -107,6 +110,9 @@
     target: &EndpointEntry,
     stop: bool,
 ) -> Result<Copied, String> {
+    if !gateway.admits_relief(&source.id) {
+        return Err("the engine rests".to_owned());
+    }
     let request = engine::move_request(source.address, &run.demand.run, target.address, stop)
         .map_err(|error| error.to_string())?;
     let called = async {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -112,6 +112,7 @@
             &NotTaken {
                 refused: report.refused.into_iter().collect(),
                 dead: report.dead.into_iter().collect(),
+                resting: report.resting.into_iter().collect(),
             },
         );
         Ok(Response::new(wire::RunsReply {}))
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -15,12 +15,14 @@
 use super::endpoint_choice::choose;
 use super::inbound_call::Call;
 use super::node::Gateway;
+use super::rests;
 use super::suspects::{self, Admission};
 use super::upstream::{Answer, RestedWith, Reuse, SendFailure};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::pace::Pace;
+use crate::kernel::rest::Outlook;
 use crate::kernel::route::CallKind;
 use crate::kernel::suspects::Verdict;
 use crate::platform::{engine, ingress};
@@ -51,6 +53,8 @@
     NotRun(String),
     /// Endpoints end under it, as was found meanwhile. Nothing was sent.
     Withheld,
+    /// The endpoint has asked for rest meanwhile. Nothing was sent.
+    Rests,
     /// Another endpoint is at its address and did not run the request.
     Misdirected,
     /// Sent, and not known whether it ran.
@@ -126,7 +130,7 @@
         }
         Admission::Refused => return Err(suspects::refused(call)),
     }
-    while let Some(endpoint) = choose(call, &attempts.tried, ANSWER) {
+    while let Some(endpoint) = next_endpoint(call, &attempts.tried).await {
         let is_repeat = attempts.sends > 0;
         if is_repeat && !call.gateway.take_retry(&call.service) {
             "retry budget spent".clone_into(&mut attempts.last_reason);
@@ -158,6 +162,7 @@
                 }
                 break;
             }
+            Attempt::Rests => "the endpoint rests".clone_into(&mut attempts.last_reason),
             Attempt::Misdirected => {
                 "another endpoint is at its address".clone_into(&mut attempts.last_reason);
             }
@@ -191,6 +196,24 @@
     }
 }
 
+/// The endpoint to try next. Where all rest, the first one that is to be had within the goal is waited for.
+async fn next_endpoint(call: &Call, tried: &HashSet<String>) -> Option<EndpointEntry> {
+    let gateway = &call.gateway;
+    loop {
+        let chosen = choose(call, tried, ANSWER);
+        if chosen.is_some() {
+            return chosen;
+        }
+        let usual = gateway.pace(&call.service, ANSWER).usual();
+        let waits_until = (call.arrived + call.route.goal).saturating_sub(usual);
+        let is_tried = |endpoint: &EndpointEntry| tried.contains(&endpoint.id);
+        match rests::outlook(call, is_tried, waits_until) {
+            Outlook::Opens { at } => gateway.sleep_until(at).await,
+            Outlook::Open | Outlook::Closed { .. } => return None,
+        }
+    }
+}
+
 fn may_repeat(call: &Call, attempts: &Attempts) -> bool {
     attempts.may_have_run < call.route.attempts_max
         && attempts.sends < SENDS_MAX
@@ -211,14 +234,20 @@
             format!("service {}: {reason}; it may have run", call.service),
         );
     }
-    if attempts.tried.is_empty() {
+    let all_rest_for = rests::come_back_after(call);
+    if attempts.tried.is_empty() && all_rest_for.is_none() {
         return Gateway::no_endpoint(&call.service).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
     }
+    let reason = if attempts.tried.is_empty() {
+        "all endpoints ask for rest"
+    } else {
+        reason
+    };
     Error::new(
         ErrorKind::EndpointRefused,
         format!("service {}: {reason}; not run", call.service),
     )
-    .with_retry_after(REFUSED_RETRY_AFTER)
+    .with_retry_after(all_rest_for.unwrap_or(REFUSED_RETRY_AFTER))
 }
 
 /// Endpoints that left are replaced within seconds.
@@ -262,7 +291,7 @@
         // An endpoint's own failures say little: some calls fail everywhere.
         Attempt::Answered(answer) if answer.parts.status.is_server_error() => None,
         Attempt::Answered(_) => Some(false),
-        Attempt::Withheld => None,
+        Attempt::Withheld | Attempt::Rests => None,
         Attempt::NotRun(_) | Attempt::Misdirected | Attempt::MayHaveRun(_) | Attempt::TimedOut => {
             Some(true)
         }
@@ -287,6 +316,9 @@
     if !gateway.fleet.lock().takes_work(&endpoint.id) {
         return Attempt::NotRun("the endpoint is leaving".to_owned());
     }
+    if gateway.rests(&endpoint.id) {
+        return Attempt::Rests;
+    }
     if !attempts.restricted && suspects::verdict(call) == Verdict::Refused {
         return Attempt::Withheld;
     }
--- /dev/null
+++ b/src/gateway/rests.rs
@@ -0,0 +1,61 @@
+//! What rests that endpoints asked for mean to calls: where they may go, whether they wait, and when their callers are to come back.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::inbound_call::Call;
+use super::node::Gateway;
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::rest::{COME_BACK_SPREAD, Outlook};
+
+impl Gateway {
+    /// Whether an endpoint asked this instance for rest that is not over.
+    pub(crate) fn rests(&self, endpoint: &str) -> bool {
+        self.words.rests.lock().is_resting(endpoint, self.now())
+    }
+
+    /// Whether a request may go to an endpoint for what runs there already; it may not be sent later than at once.
+    pub(crate) fn admits_relief(&self, endpoint: &str) -> bool {
+        let now = self.now();
+        self.words.rests.lock().admits_relief(endpoint, now)
+    }
+
+    /// Endpoints that rest.
+    pub(crate) fn resting(&self) -> BTreeSet<String> {
+        let now = self.now();
+        let rests = self.words.rests.lock();
+        rests.resting(now).map(str::to_owned).collect()
+    }
+}
+
+/// What a call's service can do for it, as far as rests go: `is_excluded` tells which endpoints it may not go to.
+pub(super) fn outlook(
+    call: &Call,
+    is_excluded: impl Fn(&EndpointEntry) -> bool,
+    waits_until: Duration,
+) -> Outlook {
+    let gateway = &call.gateway;
+    let ready: Vec<String> = {
+        let fleet = gateway.fleet.lock();
+        let ready = fleet.ready(&call.service);
+        let ready = ready.filter(|endpoint| !is_excluded(endpoint));
+        ready.map(|endpoint| endpoint.id.clone()).collect()
+    };
+    let now = gateway.now();
+    let rests = gateway.words.rests.lock();
+    let rests_until = ready.iter().map(|endpoint| rests.until(endpoint, now));
+    Outlook::of(rests_until, waits_until)
+}
+
+/// When a caller is to come back where all endpoints of the service rest; nothing where some do not.
+pub(super) fn come_back_after(call: &Call) -> Option<Duration> {
+    match outlook(call, |_| false, Duration::ZERO) {
+        Outlook::Open => None,
+        Outlook::Opens { at: until } | Outlook::Closed { until } => {
+            let left = until.saturating_sub(call.gateway.now());
+            Some(left.mul_f64(rand::rng().random_range(1.0..COME_BACK_SPREAD)))
+        }
+    }
+}
--- a/src/gateway/run_reports.rs
+++ b/src/gateway/run_reports.rs
@@ -9,6 +9,7 @@
 use super::coordinator::take_report;
 use super::node::Gateway;
 use super::ownership::{note_owner, owner_address};
+use super::runs::NotTaken;
 use crate::kernel::engine_ledger::ReportedRun;
 use crate::peer::client::within;
 use crate::peer::generated as wire;
@@ -62,7 +63,10 @@
 }
 
 async fn report(gateway: &Gateway, service: &str, runs: Vec<ReportedRun>) {
-    let not_taken = gateway.runs.take_not_taken(service);
+    let not_taken = NotTaken {
+        resting: gateway.resting(),
+        ..gateway.runs.take_not_taken(service)
+    };
     let own_name = &gateway.incarnation.name;
     // Kept here too, for the time when no owner can be reached.
     take_report(gateway, service, own_name, runs.clone(), &not_taken);
@@ -75,6 +79,7 @@
         runs: runs.iter().map(wire::Run::from).collect(),
         refused: not_taken.refused.into_iter().collect(),
         dead: not_taken.dead.into_iter().collect(),
+        resting: not_taken.resting.into_iter().collect(),
     };
     let called = match gateway.peers.site_at(&address) {
         Ok(mut client) => within(REPORT_TIMEOUT, client.report_runs(report)).await,
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -60,6 +60,8 @@
     pub(crate) refused: BTreeSet<String>,
     /// Nobody listens at their address.
     pub(crate) dead: BTreeSet<String>,
+    /// They asked the entry for rest that is not over.
+    pub(crate) resting: BTreeSet<String>,
 }
 
 /// All generations served here.
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -102,10 +102,12 @@
         return None;
     }
     let gateway = &call.gateway;
+    let resting = gateway.resting();
     let target = {
         let fleet = gateway.fleet.lock();
         let others = fleet.ready(&call.service);
-        let others = others.filter(|engine| engine.id != source.id);
+        let others =
+            others.filter(|engine| engine.id != source.id && !resting.contains(&engine.id));
         others.choose(&mut rand::rng()).cloned()
     }?;
     let taken = moves::stop(gateway, run, &source, &target).await;
@@ -138,6 +140,9 @@
     if suspects::verdict(call) == Verdict::Refused {
         return Err("endpoints end under it".to_owned());
     }
+    if !call.gateway.admits_relief(&target.id) {
+        return Err("the engine that has its memory rests".to_owned());
+    }
     let upstream = &call.gateway.upstream;
     let connection = upstream.connection(target, usize::MAX, Reuse::Never).await;
     let connection = connection.map_err(|none| none.to_string())?;
--- a/src/gateway/waits.rs
+++ b/src/gateway/waits.rs
@@ -56,11 +56,16 @@
             .await
     }
 
-    /// Lets time pass by this instance's clock.
-    pub(crate) async fn sleep_for(&self, most: Duration) {
+    /// Lets time pass until a time on this instance's clock.
+    pub(crate) async fn sleep_until(&self, until: Duration) {
         let never = std::future::pending::<()>();
         // Only the time ends it.
-        let _ = self.wait_for(most, never).await;
+        let _ = self.wait_until(until, never).await;
+    }
+
+    /// Lets time pass by this instance's clock.
+    pub(crate) async fn sleep_for(&self, most: Duration) {
+        self.sleep_until(self.now().saturating_add(most)).await;
     }
 
     /// Looks whether the machine was suspended since the last look, and has all waits look at the clock then.
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -97,6 +97,8 @@
     reported_at: Option<Duration>,
     /// Its generations.
     runs: BTreeSet<String>,
+    /// Engines that asked it for rest, as it reported last: nothing is moved there for it.
+    resting: BTreeSet<String>,
 }
 
 /// The engines of one service.
@@ -345,6 +347,19 @@
         }
     }
 
+    /// Takes the engines that asked an entry for rest, in place of what it reported before.
+    pub fn rest_for(&mut self, entry: &str, resting: BTreeSet<String>) {
+        if let Some(entry) = self.entries.get_mut(entry) {
+            entry.resting = resting;
+        }
+    }
+
+    /// Whether an engine asked an entry for rest.
+    pub(super) fn rests_for(&self, entry: &str, engine: &str) -> bool {
+        let entry = self.entries.get(entry);
+        entry.is_some_and(|entry| entry.resting.contains(engine))
+    }
+
     /// Whether a generation was granted a place so lately that no report need have it yet.
     fn is_young(&self, name: &str, now: Duration) -> bool {
         let run = self.runs.get(name);
--- a/src/kernel/engine_moves.rs
+++ b/src/kernel/engine_moves.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::engine_ledger::{Engine, EngineLedger, MOVED_RUN_FILL_MAX, Run};
-use super::engine_run::{EngineEntry, MoveOrder, ReportedRun};
+use super::engine_run::{EngineEntry, MoveOrder};
 
 /// Copies between halls take about twice as long as inside one.
 const OTHER_HALL_COST: f64 = 0.6;
@@ -53,7 +53,7 @@
     /// The engine with most room for a generation of another one; inside the hall before elsewhere.
     fn best_target(
         &self,
-        run: &ReportedRun,
+        run: &Run,
         source: &EngineEntry,
         busy: &BTreeSet<String>,
         now: Duration,
@@ -64,10 +64,10 @@
             if entry.id == source.id || !engine.is_open() || busy.contains(&entry.id) {
                 return None;
             }
-            if !self.bears_one_more(entry, now) {
+            if !self.bears_one_more(entry, now) || self.rests_for(&run.entry, &entry.id) {
                 return None;
             }
-            let fill = engine.fill_with(entry, run, MOVED_RUN_FILL_MAX)?;
+            let fill = engine.fill_with(entry, &run.reported, MOVED_RUN_FILL_MAX)?;
             let elsewhere = if entry.hall == source.hall {
                 0.0
             } else {
@@ -101,7 +101,7 @@
             ends_soon.then(move_worth(other).total_cmp(&move_worth(one)))
         });
         candidates.into_iter().find_map(|run| {
-            let target = self.best_target(&run.reported, source, busy, now)?;
+            let target = self.best_target(run, source, busy, now)?;
             Some(MoveOrder {
                 run: run.reported.demand.run.clone(),
                 entry: run.entry.clone(),
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -319,6 +319,9 @@
     /// Engines at whose address nobody listens.
     #[prost(string, repeated, tag = "5")]
     pub dead: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Engines that asked the entry for rest: nothing is to be moved to them for it.
+    #[prost(string, repeated, tag = "6")]
+    pub resting: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RunsReply {}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use http::header::{
-    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue,
+    RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, StatusCode, response};
@@ -35,12 +35,13 @@
 
 /// Headers of an endpoint's answer that are read, or left aside: the id of who answers is told by a 421 without its service, and how cold an endpoint
 /// is stands in its entry.
-const OF_ANSWERS: [HeaderName; 7] = [
+const OF_ANSWERS: [HeaderName; 8] = [
     names::REQUEST_ID,
     names::SEAL,
     names::NOT_RUN,
     names::ENDPOINT_ID,
     names::LEAVING,
+    RETRY_AFTER,
     names::COLD_MS,
     names::VERSIONS,
 ];
@@ -124,29 +125,58 @@
         encoded: headers.contains_key(CONTENT_ENCODING),
         closes: connection_closes(headers),
         kept_for: kept_for(headers),
-        word: decode_word(headers),
+        word: decode_word(parts.status, headers),
     }
 }
 
 /// Reads what an endpoint says of itself, whatever it answers.
-fn decode_word(headers: &HeaderMap) -> EndpointWord {
+fn decode_word(status: StatusCode, headers: &HeaderMap) -> EndpointWord {
     EndpointWord {
         leaving: says_leaving(headers),
+        rest: rest_asked(status, headers),
     }
 }
 
+/// For how long an endpoint that turns a request away asks us to send it nothing. With other answers the same header is for the caller. Of several
+/// values the longest counts.
+fn rest_asked(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let values = headers.get_all(RETRY_AFTER).iter();
+    let rests = values.filter_map(|value| {
+        let rest = value.to_str().ok().and_then(seconds);
+        if rest.is_none() {
+            unknown::note(
+                "value of retry-after",
+                &String::from_utf8_lossy(value.as_bytes()),
+            );
+        }
+        rest
+    });
+    rests.max()
+}
+
+/// A time in seconds, fractions included; the longest one there is where it fits no clock.
+fn seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    if seconds.is_nan() || seconds < 0.0 {
+        return None;
+    }
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 fn says_leaving(headers: &HeaderMap) -> bool {
     let values = headers.get_all(names::LEAVING).iter();
-    let says_so = values.map(|value| match value.as_bytes().trim_ascii() {
-        b"1" => true,
-        b"0" => false,
-        other => {
-            unknown::note("value of server-leaving", &String::from_utf8_lossy(other));
-            false
+    let mut leaving = false;
+    for value in values {
+        match value.as_bytes().trim_ascii() {
+            b"1" => leaving = true,
+            b"0" => {}
+            other => unknown::note("value of server-leaving", &String::from_utf8_lossy(other)),
         }
-    });
-    // Each value is looked at, so that none goes unnoticed.
-    says_so.fold(false, |leaving, says_so| leaving || says_so)
+    }
+    leaving
 }
 
 fn connection_closes(headers: &HeaderMap) -> bool {
@@ -163,12 +193,15 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// The head of the answer to the caller: the endpoint's own, but for what it says to us of itself. The caller has nothing to do with its leaving.
+/// The head of the answer to the caller: the endpoint's own, but for what it says to us of itself: that it leaves, and for how long we are to leave it alone.
 #[must_use]
 pub fn answer_headers(parts: &response::Parts) -> HeaderMap {
     let mut headers = parts.headers.clone();
     strip_connection_headers(&mut headers);
     headers.remove(names::LEAVING);
+    if parts.status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.remove(RETRY_AFTER);
+    }
     headers
 }
 
--- a/tests/endpoint_words.rs
+++ b/tests/endpoint_words.rs
@@ -12,6 +12,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Response;
 use larkwick::kernel::endpoint_word::EndpointWord;
@@ -123,7 +124,7 @@
         let answer = answered(instance.generation(2, &format!("g-{number}"))).await;
         assert_eq!(answer.status, 200, "{answer:?}");
         // Longer than the owner passes over an engine that has refused.
-        tokio::time::sleep(std::time::Duration::from_millis(450)).await;
+        tokio::time::sleep(Duration::from_millis(450)).await;
     }
     let got = resting.requests();
     assert!(
@@ -151,6 +152,22 @@
         let got = app.requests();
         assert!(got <= REQUESTS_MAX, "{got} requests reached one");
     }
+    let told = instance.call("/calls/a", "last").await.retry_after;
+    assert!(told.is_some_and(|told_s| told_s > 500.0), "told {told:?}");
+}
+
+/// A rest that ends while the call can still come within its goal of a second is waited for; the caller need not come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn rest_asked_by_all_ends_within_the_goal_waited_for() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    let app = &site.apps[0];
+    app.set_fault(ServerFault::Refuses);
+    app.ask_for_rest(Some("0.4"));
+    assert_eq!(instance.call("/calls/a", "refused").await.status, 503);
+    app.set_fault(ServerFault::None);
+    let answer = instance.call("/calls/a", "waits").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
 }
 
 /// What is read of the head of an answer with these headers.
@@ -176,3 +193,38 @@
     }
     assert!(!word_of(200, &[]).leaving);
 }
+
+#[test]
+fn decode_answer_rest_of_a_refusal_alone() {
+    let rest_of = |status, text| word_of(status, &[("retry-after", text)]).rest;
+    let seconds = |seconds| Some(Duration::from_secs_f64(seconds));
+    assert_eq!(rest_of(503, "3"), seconds(3.0));
+    assert_eq!(rest_of(503, " 0.25 "), seconds(0.25));
+    assert_eq!(rest_of(503, "0"), seconds(0.0));
+    assert_eq!(rest_of(503, "1e300"), Some(Duration::MAX));
+    for text in ["-1", "nan", "", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"] {
+        assert_eq!(rest_of(503, text), None, "{text}");
+    }
+    for status in [200, 429, 500, 504] {
+        assert_eq!(rest_of(status, "3"), None, "{status} is for the caller");
+    }
+    let said_twice = [("retry-after", "2"), ("retry-after", "5")];
+    assert_eq!(word_of(503, &said_twice).rest, seconds(5.0));
+}
+
+#[test]
+fn answer_headers_what_endpoints_say_to_us_not_passed_on() {
+    let passed_on = |status: u16| {
+        let answer = Response::builder().status(status).header("x-own", "1");
+        let answer = answer
+            .header("retry-after", "7")
+            .header("server-leaving", "1");
+        let (parts, ()) = answer.body(()).expect("an answer").into_parts();
+        let headers = engine::answer_headers(&parts);
+        assert!(headers.contains_key("x-own"));
+        assert!(!headers.contains_key("server-leaving"));
+        headers.contains_key("retry-after")
+    };
+    assert!(passed_on(429), "asked of the caller");
+    assert!(!passed_on(503), "asked of us");
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -30,6 +30,8 @@
 mod parsers;
 #[path = "kernel/placement.rs"]
 mod placement;
+#[path = "kernel/rest.rs"]
+mod rest;
 #[path = "kernel/room_queue.rs"]
 mod room_queue;
 #[path = "kernel/routes.rs"]
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -308,3 +308,20 @@
     };
     assert!(ledger.place(&short, "n", &[], Duration::ZERO).is_some());
 }
+
+/// An engine that asked the entry of a generation for rest refuses what is moved there; the next best one takes it.
+#[test]
+fn plan_moves_target_rests_for_the_entry_another_one_chosen() {
+    let engines = [
+        engine("leaves", "h", true),
+        engine("near", "h", false),
+        engine("far", "other", false),
+    ];
+    for (entry, expected) in [("asked", "far"), ("not-asked", "near")] {
+        let mut ledger = ledger(&engines);
+        ledger.take_report(entry, vec![reported("r", "leaves", 100)], NOW);
+        ledger.rest_for("asked", ["near".to_owned()].into());
+        let orders = ledger.plan_moves(NOW);
+        assert_eq!(orders[0].target, expected, "for {entry}");
+    }
+}
