Soak: engines that leave and say so in answers alone, endpoints that ask for rest

What a server said in an answer that came through an instance is checked against all that was asked of that instance afterwards: nothing reaches one that leaves, two requests at most one that rests.

--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use server::{Server, ServerKind, Servers};
+use server::{Arrival, Server, ServerKind, Servers};
 use store::LogStore;
 
 /// Body of an answer; an error closes the connection.
@@ -276,6 +276,12 @@
         self.servers.crashed()
     }
 
+    /// Requests that servers have answered, in order.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.servers.arrivals()
+    }
+
     /// Servers on which a request ran, in order.
     #[must_use]
     pub fn runs_of(&self, request: &str) -> Vec<String> {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream;
@@ -81,6 +81,21 @@
     }
 }
 
+/// A request that reached a server, and what the answer said of the server.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The server.
+    pub server: String,
+    /// The request.
+    pub request: String,
+    /// When it came.
+    pub at: Instant,
+    /// Whether the answer said that the server leaves.
+    pub said_leaving: bool,
+    /// Until when the answer asked for rest, where it did.
+    pub rest_until: Option<Instant>,
+}
+
 /// A generation should go on from a copy that is not there.
 struct NoSuchCopy;
 
@@ -124,6 +139,8 @@
     /// Copies by the address they are named after and their name: events made when the copy was taken.
     copies: Mutex<HashMap<(SocketAddr, String), u32>>,
     started: AtomicU32,
+    /// Requests in the order in which they were answered.
+    arrivals: Mutex<Vec<Arrival>>,
     /// Bodies under which a server crashes.
     crash_on: Mutex<Vec<&'static [u8]>>,
     /// Servers that crashed, in order.
@@ -172,6 +189,10 @@
         self.crashed.lock().clone()
     }
 
+    pub(super) fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().clone()
+    }
+
     fn crashes_on(&self, body: &[u8]) -> bool {
         self.crash_on.lock().contains(&body)
     }
@@ -281,8 +302,22 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Response<StandinBody> {
+        let id = text(request.headers(), &names::REQUEST_ID).map(str::to_owned);
+        let at = Instant::now();
         let mut answered = self.clone().answer(request).await;
-        self.word.lock().add_to(&mut answered);
+        let word = self.word.lock().clone();
+        word.add_to(&mut answered);
+        if let (Some(request), Some(servers)) = (id, self.servers.upgrade()) {
+            let rest = text(answered.headers(), &RETRY_AFTER);
+            let rest = rest.and_then(|text| text.parse().ok());
+            servers.arrivals.lock().push(Arrival {
+                server: self.id.clone(),
+                request,
+                at,
+                said_leaving: word.leaving.is_some(),
+                rest_until: rest.map(|seconds| Instant::now() + Duration::from_secs_f64(seconds)),
+            });
+        }
         answered
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,9 +5,10 @@
 
 mod support;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use larkwick::standin::site::KEY;
 use larkwick::standin::site::server::{Server, ServerFault};
@@ -41,6 +42,18 @@
     status: Option<u16>,
     body: String,
     whole: bool,
+    /// The instance that was called; empty where nobody asks.
+    instance: String,
+    sent_at: Instant,
+    ended_at: Instant,
+}
+
+impl Seen {
+    /// Whether the answer is this server's own, passed on to the caller.
+    fn is_answer_of(&self, server: &str) -> bool {
+        let made_by = format!(" of {server}\n");
+        self.status == Some(200) && self.body.contains(&made_by)
+    }
 }
 
 /// A body under which each endpoint ends that begins to run it.
@@ -49,6 +62,8 @@
 const ENDED_MAX: usize = 6;
 /// How often it comes in a row.
 const CRASHING_TRIES: u32 = 6;
+/// Requests that may reach a server within a rest that it asked for.
+const RELIEF_MAX: usize = 2;
 /// Longest suspension of the instance whose clock is put forward.
 const SUSPENDED_MAX_MS: u64 = 6_000;
 
@@ -216,7 +231,7 @@
     /// One fault; some end by themselves after a while, and others begin meanwhile.
     async fn fault(self: &Arc<Self>, random: &mut StdRng) {
         let lasts = Duration::from_millis(random.random_range(50..600));
-        match random.random_range(0..28) {
+        match random.random_range(0..31) {
             0 => {
                 let gone = self.take_instance(random);
                 drop(gone);
@@ -271,6 +286,8 @@
             22 => self.start_again(random),
             23 => self.garble_entry(random, lasts),
             24 | 25 => self.come_crashing(random),
+            27 | 28 => self.leave_unlisted(random).await,
+            29 => self.ask_for_rest(random, lasts),
             26 => {
                 let lasted_ms = random.random_range(500..SUSPENDED_MAX_MS);
                 let clock = &self.suspendable.clock;
@@ -381,6 +398,68 @@
         });
     }
 
+    /// An engine leaves and says so in its answers alone: its entry stays as it was until it has ended.
+    async fn leave_unlisted(&self, random: &mut StdRng) {
+        self.add_engine().await;
+        let (leaving, proxy) = {
+            let mut engines = self.engines.lock();
+            let index = random.random_range(0..engines.len());
+            engines.remove(index)
+        };
+        leaving.say_leaving("1");
+        let site = self.site.standin.store.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            leaving.kill();
+            drop(proxy);
+            site.drop_key("keyed.servers", &leaving.id);
+        });
+    }
+
+    /// A plain endpoint refuses for a while and asks for rest each time.
+    fn ask_for_rest(&self, random: &mut StdRng, lasts: Duration) {
+        let app = self.any_app(random);
+        app.set_fault(ServerFault::Refuses);
+        app.ask_for_rest(Some("0.7"));
+        tokio::spawn(async move {
+            tokio::time::sleep(lasts).await;
+            app.set_fault(ServerFault::None);
+            app.ask_for_rest(None);
+        });
+    }
+
+    /// What a server said of itself in an answer that came through an instance holds for what was asked of that instance afterwards.
+    fn check_words(&self, all: &[Seen]) {
+        let arrivals = self.site.standin.arrivals();
+        let suspended = self.suspendable.caller().address;
+        let asked: HashMap<&str, &Seen> = all.iter().map(|seen| (seen.id.as_str(), seen)).collect();
+        for told in &arrivals {
+            let Some(heard) = asked.get(told.request.as_str()) else {
+                continue;
+            };
+            // Through the same instance, by a caller that asked after the answer had come.
+            let later = arrivals.iter().filter(|arrival| {
+                let seen = asked.get(arrival.request.as_str());
+                arrival.server == told.server
+                    && seen.is_some_and(|seen| {
+                        seen.instance == heard.instance && seen.sent_at > heard.ended_at
+                    })
+            });
+            if told.said_leaving && heard.is_answer_of(&told.server) {
+                let late: Vec<&str> = later.clone().map(|one| one.request.as_str()).collect();
+                assert!(late.is_empty(), "{late:?} reached {}", told.server);
+            }
+            // The clock of the one that is suspended runs ahead of the servers'.
+            if let Some(until) = told.rest_until
+                && heard.instance != suspended
+                && matches!(heard.status, Some(200 | 503))
+            {
+                let in_rest = later.filter(|arrival| arrival.at < until).count();
+                assert!(in_rest <= RELIEF_MAX, "{in_rest} reached {}", told.server);
+            }
+        }
+    }
+
     async fn call_until_over(self: Arc<Self>, random_seed: u64, number: usize) -> Vec<Seen> {
         let mut random = StdRng::seed_from_u64(random_seed ^ (number as u64) << 32);
         let mut seen = Vec::new();
@@ -395,7 +474,9 @@
                 Some(events) => caller.generation(events, &id),
                 None => caller.request("/once/1", &id),
             };
-            seen.push(ask(request, id, events).await);
+            let asked = ask(request, id, events).await;
+            let instance = caller.address.clone();
+            seen.push(Seen { instance, ..asked });
         }
         seen
     }
@@ -485,6 +566,9 @@
         status: None,
         body: String::new(),
         whole: false,
+        instance: String::new(),
+        sent_at: Instant::now(),
+        ended_at: Instant::now(),
     };
     let Ok(mut answer) = request.timeout(Duration::from_secs(20)).send().await else {
         return seen;
@@ -499,6 +583,7 @@
         }
     };
     seen.body = String::from_utf8_lossy(&body).into_owned();
+    seen.ended_at = Instant::now();
     seen
 }
 
@@ -516,16 +601,22 @@
     }
     tokio::time::sleep(Duration::from_millis(700)).await;
     soak.over.store(true, Ordering::Relaxed);
-    let mut served = 0;
-    let mut asked = 0;
+    let mut all = Vec::new();
     for caller in callers {
-        for seen in caller.await.expect("a caller ended") {
-            asked += 1;
-            served += u32::from(seen.status == Some(200) && seen.whole);
-            soak.check(&seen);
-        }
+        all.extend(caller.await.expect("a caller ended"));
+    }
+    let served = all
+        .iter()
+        .filter(|seen| seen.status == Some(200) && seen.whole);
+    println!(
+        "soak seed {seed}: {} of {} served",
+        served.count(),
+        all.len()
+    );
+    for seen in &all {
+        soak.check(seen);
     }
-    println!("soak seed {seed}: {served} of {asked} served");
+    soak.check_words(&all);
     soak.check_recovery().await;
     soak.check_crashing().await;
     replacing.abort();
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -343,7 +343,7 @@
 /// Calls an instance that another owns.
 #[derive(Debug, Clone)]
 pub struct Caller {
-    address: String,
+    pub address: String,
     operator: String,
 }
 
