Failing tests: a store that comes back from an older copy

The stand-in's store can do so and counts it in each answer. Records under offsets that were given out before are never heard of, an order to empty a hall that is written again at a lower offset is dropped, and what instances wrote of themselves stays lost.

--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -33,6 +33,7 @@
 pub mod pace;
 pub mod placement;
 pub mod policy;
+pub mod position;
 pub mod rest;
 pub mod retry;
 pub mod roles;
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -31,6 +31,8 @@
     COLD_MS = "larkwick-cold-ms";
     /// An endpoint's word that it is leaving, in each of its answers.
     LEAVING = "server-leaving";
+    /// How often the store has come back from an older copy.
+    STORE_ERA = "store-era";
     /// Version of the weights that answer.
     VERSIONS = "versions";
     /// Model of a generation.
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -172,6 +172,13 @@
 
     /// Writes a server's entry with other fields than usual; a field that is null is left out.
     pub fn list_with(&self, server: &Server, fields: &Value) {
+        let entry = Self::entry(server, fields);
+        self.store.put("keyed.servers", &server.id, &entry);
+    }
+
+    /// A server's entry with other fields than usual; a field that is null is left out.
+    #[must_use]
+    pub fn entry(server: &Server, fields: &Value) -> Value {
         let mut entry = json!({
             "service": server.service, "addr": server.address(), "zone": "hall-1", "version": "v1",
             "slots": server.slots(), "state": "ready", "cold-left-ms": 0, "seq": 1,
@@ -183,7 +190,7 @@
         if let Some(entry) = entry.as_object_mut() {
             entry.retain(|_, value| !value.is_null());
         }
-        self.store.put("keyed.servers", &server.id, &entry);
+        entry
     }
 
     /// Asks that nothing more be sent to the servers of a hall.
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -1,6 +1,7 @@
 //! The stand-in's store: topics whose newest record of each key is kept, with long reads and faults.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -13,7 +14,7 @@
 use tokio::sync::Notify;
 
 use super::{StandinBody, answer};
-use crate::platform::names::{STORE_APPEND_PATH, STORE_NEWEST_PATH, STORE_READ_PATH};
+use crate::platform::names::{STORE_APPEND_PATH, STORE_ERA, STORE_NEWEST_PATH, STORE_READ_PATH};
 
 /// What the store does with calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -35,18 +36,37 @@
     value: Vec<u8>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Topic {
     records: Vec<Record>,
     /// Records before this offset are gone from reads.
     first: usize,
 }
 
+/// What the store held at some time.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    topics: HashMap<String, Topic>,
+}
+
+impl StoreCopy {
+    /// Adds the record of a key: written again right after the return, before anybody reads.
+    pub fn put(&mut self, topic: &str, key: &str, value: &Value) {
+        let topic = self.topics.entry(topic.to_owned()).or_default();
+        topic.records.push(Record {
+            key: key.to_owned(),
+            value: value.to_string().into_bytes(),
+        });
+    }
+}
+
 /// The store.
 #[derive(Debug, Default)]
 pub struct LogStore {
     topics: Mutex<HashMap<String, Topic>>,
     mood: Mutex<StoreMood>,
+    /// Times it came back from a copy.
+    era: AtomicU64,
     calls: Mutex<BTreeMap<String, u32>>,
     added: Notify,
 }
@@ -95,6 +115,21 @@
         self.added.notify_waiters();
     }
 
+    /// A copy of all that it holds.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            topics: self.topics.lock().clone(),
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its offsets are given out again.
+    pub fn come_back_from(&self, copy: StoreCopy) {
+        *self.topics.lock() = copy.topics;
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.added.notify_waiters();
+    }
+
     /// Calls so far, by path.
     #[must_use]
     pub fn calls(&self, path: &str) -> u32 {
@@ -123,6 +158,14 @@
 
     /// Answers a call.
     pub async fn answer(&self, request: Request<Incoming>) -> Response<StandinBody> {
+        let mut answered = self.answer_call(request).await;
+        let era = self.era.load(Ordering::Relaxed).to_string();
+        let headers = answered.headers_mut();
+        headers.insert(STORE_ERA, era.parse().expect("a number"));
+        answered
+    }
+
+    async fn answer_call(&self, request: Request<Incoming>) -> Response<StandinBody> {
         let path = request.uri().path().to_owned();
         *self.calls.lock().entry(path.clone()).or_default() += 1;
         let mood = *self.mood.lock();
@@ -169,7 +212,7 @@
             {
                 let mut topics = self.topics.lock();
                 let topic = topics.entry(name.clone()).or_default();
-                if from < topic.first {
+                if from < topic.first || from > topic.records.len() {
                     return answer(410, json!({"first": topic.first}).to_string());
                 }
                 if topic.records.len() > from {
