A place in the store's log is its era and its offset, compared as one

Callers were sent on to endpoints that were never heard of again, and a hall that the operator emptied once more went on to get work: after the store came back from an older copy, readers went on from their old offsets, under which other records stood now, and an order at a lower offset was taken for an older one. What instances had written of themselves stayed lost.

One type holds both, from the wire to the kernel and between instances, so that offsets of two eras cannot be compared. A reader that meets another era reads the newest of each key; an answer or a member's word of an earlier era is dropped with a line of log, and nobody passes one on as fresh. Vanished entries are doubted as after an outage. An instance writes its own entry again where the list of members lacks it, and contents that endpoints ended under are kept anew by whoever looks after them.

Left: endpoints that were gone and that the copy still has are tried again until their entries lapse.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -265,10 +265,15 @@
     let entry = gateway.member_entry();
     gateway.take_member_entry(entry.clone());
     let mut pause = Backoff::new(ANNOUNCE_PAUSE, ANNOUNCE_PAUSE_MAX);
-    while let Err(error) = gateway.store.announce(&entry).await {
-        warn!("own entry not written", kv: { why: = error });
-        let pause = pause.failed(rand::rng().random_range(0.0..1.0));
-        tokio::time::sleep(pause).await;
+    loop {
+        while let Err(error) = gateway.store.announce(&entry).await {
+            warn!("own entry not written", kv: { why: = error });
+            let pause = pause.failed(rand::rng().random_range(0.0..1.0));
+            tokio::time::sleep(pause).await;
+        }
+        pause.succeeded();
+        // The store may come back from a copy that lacks it.
+        gateway.entry_lost.notified().await;
     }
 }
 
@@ -312,6 +317,7 @@
         gateway.look_for_suspension();
         let changes = gateway.fleet.lock().settle(gateway.now());
         follow::tell_changes(&changes);
+        gateway.settle_halls();
         rounds = rounds.wrapping_add(1);
         if !rounds.is_multiple_of(SETTLES_A_TIDY) {
             continue;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps configuration, endpoints and members in step with the store: the newest records first, then whatever is added.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,8 +11,10 @@
 use super::node::{Gateway, MEMBER_RING};
 use super::site_store::{MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, Subject};
 use crate::kernel::backoff::Backoff;
+use crate::kernel::content::ContentId;
 use crate::kernel::fleet::{FleetChange, ListNews};
 use crate::kernel::membership::{Incarnation, Listed, PeerStatus};
+use crate::kernel::position::Position;
 
 /// First pause after a failed call.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
@@ -106,9 +109,9 @@
         match gateway.store.newest(subject).await {
             Ok(page) => {
                 contact.answered(&gateway);
-                let next_offset = page.next_offset;
+                let next = page.next;
                 take_newest(&gateway, subject, page);
-                follow_from(&gateway, &mut contact, next_offset).await;
+                follow_from(&gateway, &mut contact, next).await;
             }
             Err(error) => contact.failed(&gateway, &error).await,
         }
@@ -116,7 +119,7 @@
 }
 
 /// Reads on until records have expired or an answer cannot be read.
-async fn follow_from(gateway: &Gateway, contact: &mut Contact, mut from: u64) {
+async fn follow_from(gateway: &Gateway, contact: &mut Contact, mut from: Position) {
     let subject = contact.subject;
     loop {
         // An answer without news shows that the store is there; after a failure, one that waits for news would not.
@@ -128,16 +131,18 @@
         match gateway.store.read(subject, from, wait).await {
             Ok(page) => {
                 contact.answered(gateway);
-                let is_news = page.next_offset > from;
-                from = page.next_offset;
+                let is_news = page.next > from;
+                from = page.next;
                 take_records(gateway, subject, page.records);
                 if is_news {
                     tokio::time::sleep(gather(subject)).await;
                 }
             }
+            // Noted where it was found.
+            Err(StoreError::AnotherEra { .. }) => return,
             Err(error @ (StoreError::Expired { .. } | StoreError::Malformed(_))) => {
                 warn!("records cannot be followed; reading the newest", kv: {
-                    subject = subject.name(), from:, why: = error,
+                    subject = subject.name(), from: = from, why: = error,
                 });
                 contact.failed(gateway, &error).await;
                 return;
@@ -149,6 +154,9 @@
 
 fn take_newest(gateway: &Arc<Gateway>, subject: Subject, page: SitePage) {
     if subject != Subject::Endpoints {
+        if subject == Subject::Members {
+            look_for_own_records(gateway, &page.records);
+        }
         take_records(gateway, subject, page.records);
         if subject == Subject::Members {
             heartbeat::beat_round(gateway);
@@ -165,6 +173,26 @@
     tell_changes(&changes);
 }
 
+/// Has what this instance wrote written again where the store holds it no more: it may have come back from an older copy.
+fn look_for_own_records(gateway: &Gateway, records: &[SiteRecord]) {
+    let own = &gateway.incarnation;
+    let is_own = |record: &SiteRecord| match record {
+        SiteRecord::Member(entry) => entry.name == own.name && entry.incarnation == own.id,
+        _ => false,
+    };
+    if !records.iter().any(is_own) {
+        gateway.entry_lost.notify_one();
+    }
+    let kept = records.iter().filter_map(|record| match record {
+        SiteRecord::Suspect(kept) => Some(kept.content()),
+        _ => None,
+    });
+    let kept: BTreeSet<ContentId> = kept.collect();
+    if gateway.suspects.lock().keep_only(&kept) {
+        gateway.suspects_changed.notify_one();
+    }
+}
+
 /// Adds a record of the list to the news; a later word on an endpoint takes the place of an earlier one.
 fn take_list_record(gateway: &Gateway, news: &mut ListNews, record: SiteRecord) {
     match record {
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -6,13 +6,14 @@
 
 use super::node::Gateway;
 use crate::kernel::evacuation::{EvacuatedHalls, HallChange, HallOrder};
+use crate::kernel::position::Position;
 
 impl Gateway {
     /// Takes one order of the operator.
     pub(crate) fn order_hall(&self, order: &HallOrder) {
         let now = self.now();
         let changes = self.fleet.lock().order_hall(order, now);
-        self.put_halls_in_force(&changes, order.next_offset, "store");
+        self.put_halls_in_force(&changes, order.next, "store");
     }
 
     /// Takes all halls that are evacuated, as they were told.
@@ -22,7 +23,18 @@
         self.put_halls_in_force(&changes, told.complete_to, source);
     }
 
-    fn put_halls_in_force(&self, changes: &[HallChange], complete_to: u64, source: &str) {
+    /// Lets time pass for what is held since the store came back from an older copy.
+    pub(crate) fn settle_halls(&self) {
+        let now = self.now();
+        let (changes, complete_to) = {
+            let mut fleet = self.fleet.lock();
+            let changes = fleet.settle_halls(now);
+            (changes, fleet.evacuated_halls().complete_to)
+        };
+        self.put_halls_in_force(&changes, complete_to, "held until now");
+    }
+
+    fn put_halls_in_force(&self, changes: &[HallChange], complete_to: Position, source: &str) {
         for change in changes {
             let (what, hall) = match change {
                 HallChange::Evacuated(hall) => ("hall evacuated", hall.as_str()),
@@ -32,7 +44,7 @@
                 }
             };
             metrics::counter!("larkwick_hall_changes_total", "what" => what).increment(1);
-            info!("{}", what, kv: { hall, complete_to:, source });
+            info!("{}", what, kv: { hall, complete_to: = complete_to, source });
         }
         if !changes.is_empty() {
             self.ledgers.wake();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -129,6 +129,8 @@
     /// The members that live, with what they can carry.
     pub(crate) live: Arc<LiveMembers>,
     pub(crate) member_entries: Arc<Mutex<HashMap<String, MemberEntry>>>,
+    /// Wakes the task that writes this instance's own entry.
+    pub(crate) entry_lost: Notify,
     pub(crate) health: Mutex<EndpointHealth>,
     /// What plain calls from here have sent to cold endpoints of late.
     pub(crate) cold_gate: Mutex<ColdGate>,
@@ -202,6 +204,7 @@
             suspects: Mutex::default(),
             suspects_changed: Notify::new(),
             beaten_soon_at: Mutex::default(),
+            entry_lost: Notify::new(),
             looks: Looks::default(),
             routing: RwLock::new(routing),
             settings,
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -8,12 +8,12 @@
 mod pass_on;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use rand::RngExt;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::sync::Notify;
 
 use super::live_members::LiveMembers;
@@ -25,6 +25,7 @@
 use crate::kernel::clock::{Clock, millis};
 use crate::kernel::content::ContentId;
 use crate::kernel::freshness::Freshness;
+use crate::kernel::position::Position;
 use crate::kernel::store_contact::StoreContact;
 use crate::kernel::store_sources::{Source, StoreSources};
 use crate::peer::client::PeerClients;
@@ -95,6 +96,8 @@
     live: Arc<LiveMembers>,
     freshness: Freshness,
     tally: Arc<Tally>,
+    /// The latest era of the store that was heard of.
+    era: AtomicU64,
     shards: [SubjectShard; 3],
 }
 
@@ -112,6 +115,7 @@
     ) -> Self {
         Self {
             direct,
+            era: AtomicU64::new(0),
             freshness,
             tally,
             clock,
@@ -211,6 +215,27 @@
         shard.contact.lock().is_away(word_at)
     }
 
+    /// The latest era of the store that was heard of.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
+    /// An era was heard of, from the store or another instance. In a new one entries may be missing that are written again in a moment, as after an
+    /// outage.
+    fn note_era(&self, era: u64, source: &Source) {
+        let before = self.era.fetch_max(era, Ordering::Relaxed);
+        let has_heard = SUBJECTS.iter().any(|one| !self.knows_nothing(*one));
+        if era <= before || !has_heard {
+            return;
+        }
+        let now = self.clock.now();
+        for subject in SUBJECTS {
+            self.note_regained(subject, now);
+        }
+        metrics::counter!("larkwick_store_returns_total").increment(1);
+        warn!("store came back from an older copy", kv: { era:, before:, source:? });
+    }
+
     fn note_answered(&self, subject: Subject, source: &Source) {
         let shard = self.shard(subject);
         shard.sources.lock().answered(source);
@@ -224,7 +249,7 @@
         &self,
         address: &str,
         subject: Subject,
-        from: Option<u64>,
+        from: Option<Position>,
         wait: Duration,
         any_age: bool,
     ) -> StoreResult<AgedPage> {
@@ -233,7 +258,8 @@
         let request = wire::ReadSiteRequest {
             subject: subject.name().to_owned(),
             whole: from.is_none(),
-            from_offset: from.unwrap_or_default(),
+            from_offset: from.unwrap_or_default().offset(),
+            from_era: from.unwrap_or_default().era(),
             wait_ms: millis(wait),
             any_age,
         };
@@ -250,6 +276,13 @@
             let why = format!("the peer heard the store {} ms ago", head.age_ms);
             return Err(StoreError::NoAnswer(why));
         }
+        if head.era < self.era() && !any_age {
+            let why = format!("the peer's word is of the store's era {}", head.era);
+            return Err(StoreError::NoAnswer(why));
+        }
+        if from.is_some_and(|from| head.era > from.era()) {
+            return Err(StoreError::AnotherEra { era: head.era });
+        }
         if head.store_failed_ms_ago > 0 {
             let ago = Duration::from_millis(head.store_failed_ms_ago);
             self.note_store_failed(subject, head_at.saturating_sub(ago));
@@ -263,7 +296,7 @@
         Ok(AgedPage {
             page: SitePage {
                 records,
-                next_offset: head.next_offset,
+                next: Position::new(head.era, head.next_offset),
             },
             // The transfer may have taken its time, too.
             age: age + self.clock.now().saturating_sub(head_at),
@@ -281,7 +314,7 @@
     async fn read_anywhere(
         &self,
         subject: Subject,
-        from: Option<u64>,
+        from: Option<Position>,
         wait: Duration,
     ) -> StoreResult<SitePage> {
         let sources = self.sources(subject);
@@ -293,7 +326,10 @@
             return Err(no_source());
         };
         let first = self.read_at(first, subject, from, wait).await;
-        if matches!(first, Ok(_) | Err(StoreError::Expired { .. })) {
+        if matches!(
+            first,
+            Ok(_) | Err(StoreError::Expired { .. } | StoreError::AnotherEra { .. })
+        ) {
             return first;
         }
         let (store, peers): (Vec<_>, Vec<_>) =
@@ -319,7 +355,7 @@
         &self,
         sources: Vec<(Source, Option<String>)>,
         subject: Subject,
-        from: Option<u64>,
+        from: Option<Position>,
         wait: Duration,
     ) -> StoreResult<SitePage> {
         let reads = sources
@@ -348,20 +384,25 @@
         &self,
         (source, address): (Source, Option<String>),
         subject: Subject,
-        from: Option<u64>,
+        from: Option<Position>,
         wait: Duration,
     ) -> StoreResult<SitePage> {
         let read = match &address {
             Some(address) => self.read_at_peer(address, subject, from, wait, false).await,
             None => self.read_at_store(subject, from, wait).await,
         };
+        match &read {
+            Ok(aged) => self.note_era(aged.page.next.era(), &source),
+            Err(StoreError::AnotherEra { era }) => self.note_era(*era, &source),
+            Err(_) => {}
+        }
         match read {
             Ok(aged) => {
                 self.note_answered(subject, &source);
                 Ok(self.keep(subject, from, aged))
             }
             // Only the store itself knows which records are gone for good.
-            Err(error @ StoreError::Expired { .. }) => Err(error),
+            Err(error @ (StoreError::Expired { .. } | StoreError::AnotherEra { .. })) => Err(error),
             Err(error) => {
                 self.note_failed(subject, &source, &error);
                 Err(error)
@@ -372,7 +413,7 @@
     async fn read_at_store(
         &self,
         subject: Subject,
-        from: Option<u64>,
+        from: Option<Position>,
         wait: Duration,
     ) -> StoreResult<AgedPage> {
         let asked_at = self.clock.now();
@@ -421,7 +462,7 @@
     }
 
     /// Keeps a page for others to read.
-    fn keep(&self, subject: Subject, from: Option<u64>, aged: AgedPage) -> SitePage {
+    fn keep(&self, subject: Subject, from: Option<Position>, aged: AgedPage) -> SitePage {
         let now = self.clock.now();
         if let Some(ago) = aged.regained_ago {
             self.note_regained(subject, now.saturating_sub(ago));
@@ -434,7 +475,11 @@
             let mut cache = shard.cache.lock();
             match from {
                 Some(from) => cache.extend(from, &page, word_at),
-                None => cache.replace(&page, word_at),
+                None if page.next.era() >= cache.next.era() => cache.replace(&page, word_at),
+                // On its way while the store came back; whoever asked goes on from there and is told so.
+                None => {
+                    info!("page of an earlier era left aside", kv: { subject = subject.name(), next: = page.next })
+                }
             }
         }
         if !page.records.is_empty() || from.is_none() {
@@ -454,7 +499,12 @@
         self.read_anywhere(subject, None, Duration::ZERO).await
     }
 
-    async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage> {
+    async fn read(
+        &self,
+        subject: Subject,
+        from: Position,
+        wait: Duration,
+    ) -> StoreResult<SitePage> {
         self.read_anywhere(subject, Some(from), wait).await
     }
 
--- a/src/gateway/shared_store/pass_on.rs
+++ b/src/gateway/shared_store/pass_on.rs
@@ -6,6 +6,7 @@
 use crate::gateway::parts::EncodedPage;
 use crate::gateway::site_store::Subject;
 use crate::kernel::clock::millis;
+use crate::kernel::position::Position;
 use crate::peer::generated as wire;
 
 /// That the store came back from an outage is told for this long.
@@ -24,12 +25,13 @@
         let wait = Duration::from_millis(request.wait_ms).min(self.peer_wait(subject));
         let until = self.clock.now() + wait;
         let was_away = self.is_store_away(subject);
+        let from = Position::new(request.from_era, request.from_offset);
         loop {
             let added = shard.added.notified();
             let has_news = {
                 let cache = shard.cache.lock();
                 let has_words = request.whole && cache.word_at.is_some();
-                has_words || cache.next_offset > request.from_offset
+                has_words || cache.next > from
             };
             let has_news = has_news || (!was_away && self.is_store_away(subject));
             let left = until.saturating_sub(self.clock.now());
@@ -60,14 +62,24 @@
                 "the store was not heard of late",
             ));
         }
+        // What is known here of an earlier era is not passed on as the store's word of now.
+        let is_outdated = cache.next.era() < self.era().max(request.from_era);
+        if is_outdated && !request.any_age {
+            return Err(tonic::Status::unavailable(
+                "the store came back from an older copy that was not read yet",
+            ));
+        }
+        let from = Position::new(request.from_era, request.from_offset);
         let page = if request.whole {
             cache.encoded_whole()
         } else {
-            cache.encoded_since(request.from_offset)
+            cache.encoded_since(from)
         };
         let page = page.ok_or_else(|| tonic::Status::out_of_range("records are not kept here"))?;
+        let next = cache.next.max(from);
         let head = wire::PageHead {
-            next_offset: cache.next_offset.max(request.from_offset),
+            next_offset: next.offset(),
+            era: next.era(),
             age_ms: millis(age),
             regained_ms_ago: regained_ago.map_or(0, |ago| millis(ago).max(1)),
             compressed: page.compressed,
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -11,6 +11,7 @@
 use crate::kernel::content::ContentId;
 use crate::kernel::evacuation::{EvacuatedHalls, HallOrder};
 use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::position::Position;
 use crate::kernel::roles::{self, default_link_mbps};
 use crate::kernel::route::RouteConfig;
 use crate::kernel::suspects::Told;
@@ -135,8 +136,8 @@
 pub struct SitePage {
     /// The records.
     pub records: Vec<SiteRecord>,
-    /// Offset from which to read on.
-    pub next_offset: u64,
+    /// Place from which to read on.
+    pub next: Position,
 }
 
 /// A call to the store that did not succeed.
@@ -154,6 +155,12 @@
         /// The first offset that is kept.
         first_offset: u64,
     },
+    /// The store has come back from an older copy since: the records under the offset asked for are others.
+    #[error("the store came back from an older copy; its era is {era} now")]
+    AnotherEra {
+        /// The era now.
+        era: u64,
+    },
     /// An answer that cannot be read.
     #[error("the store's answer cannot be read: {0}")]
     Malformed(String),
@@ -167,8 +174,9 @@
 pub trait SiteStore: Send + Sync {
     /// The newest record of each key.
     async fn newest(&self, subject: Subject) -> StoreResult<SitePage>;
-    /// Records from an offset on; waits up to `wait` for the first one.
-    async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage>;
+    /// Records from a place on; waits up to `wait` for the first one.
+    async fn read(&self, subject: Subject, from: Position, wait: Duration)
+    -> StoreResult<SitePage>;
     /// Writes this instance's own entry.
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()>;
     /// Keeps a content that endpoints ended under, in place of what was kept of it.
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -165,6 +165,13 @@
         changes
     }
 
+    /// Lets time pass for the halls; gives what changed.
+    pub fn settle_halls(&mut self, now: Duration) -> Vec<HallChange> {
+        let changes = self.halls.settle(now);
+        self.version += u64::from(!changes.is_empty());
+        changes
+    }
+
     /// The halls that are evacuated, as others are told.
     #[must_use]
     pub fn evacuated_halls(&self) -> &EvacuatedHalls {
--- a/src/kernel/suspects.rs
+++ b/src/kernel/suspects.rs
@@ -8,7 +8,7 @@
 //! Each content has a life: what is told of an earlier life no longer counts. A content gets a new life when it is found innocent, and when an operator
 //! lets it go.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -493,6 +493,18 @@
         }
     }
 
+    /// The store holds just these contents: the others are to be kept anew. Gives whether there are any.
+    pub fn keep_only(&mut self, kept: &BTreeSet<ContentId>) -> bool {
+        let mut any_lost = false;
+        for (content, suspect) in &mut self.by_content {
+            if suspect.kept.is_some() && !kept.contains(content) {
+                suspect.kept = None;
+                any_lost = true;
+            }
+        }
+        any_lost
+    }
+
     /// What peers are to be told, for some time after each change: those with most points first, [`NEWS_MAX`] at most.
     #[must_use]
     pub fn news(&self, now: Duration) -> Vec<Told> {
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -12,6 +12,7 @@
 use crate::kernel::gossip::Gossip;
 use crate::kernel::group::ReserveRequest;
 use crate::kernel::membership::{Incarnation, PeerStatus};
+use crate::kernel::position::Position;
 use crate::kernel::standings::Standing;
 use crate::kernel::suspects::{End, Told};
 
@@ -88,7 +89,8 @@
     fn from(evacuated: &EvacuatedHalls) -> Self {
         Self {
             halls: evacuated.halls.iter().cloned().collect(),
-            complete_to: evacuated.complete_to,
+            complete_to: evacuated.complete_to.offset(),
+            era: evacuated.complete_to.era(),
         }
     }
 }
@@ -97,7 +99,7 @@
     fn from(message: wire::EvacuatedHalls) -> Self {
         Self {
             halls: message.halls.into_iter().collect(),
-            complete_to: message.complete_to,
+            complete_to: Position::new(message.era, message.complete_to),
         }
     }
 }
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -117,9 +117,11 @@
 pub struct EvacuatedHalls {
     #[prost(string, repeated, tag = "1")]
     pub halls: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// All orders of the operator before this offset are in it; of two sets the later one counts.
+    /// All orders of the operator before this offset of its era are in it; of two sets the later one counts.
     #[prost(uint64, tag = "2")]
     pub complete_to: u64,
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchConfigRequest {
@@ -243,6 +245,9 @@
     /// Old words are better than none: the asker knows nothing yet and cannot reach the store.
     #[prost(bool, tag = "5")]
     pub any_age: bool,
+    /// Era of the offset.
+    #[prost(uint64, tag = "6")]
+    pub from_era: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PageHead {
@@ -261,6 +266,9 @@
     /// Time since the store last failed somebody, where no word of it came since; else 0.
     #[prost(uint64, tag = "5")]
     pub store_failed_ms_ago: u64,
+    /// Era of the offset. Another one than was asked for: the records of that one are no more, and the newest of each key are to be read.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Demand {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,19 +2,21 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use http::{HeaderMap, HeaderName};
 use parking_lot::Mutex;
 use reqwest::StatusCode;
 use serde::Deserialize;
 use spdlog::warn;
 
 use super::names::{STORE_APPEND_PATH, STORE_NEWEST_PATH, STORE_READ_PATH};
-use super::{operator_config, servers, unknown};
+use super::{names, operator_config, servers, unknown};
 use crate::gateway::parts;
 use crate::gateway::site_store::{
     KeptSuspect, MemberEntry, SitePage, SiteRecord, SiteStore, SiteStorePlugin, StoreError,
@@ -22,6 +24,7 @@
 };
 use crate::kernel::content::{ContentId, NotAContent};
 use crate::kernel::evacuation::{EvacuatedHalls, HallOrder};
+use crate::kernel::position::Position;
 
 /// Longest time until an answer begins, beside what the call waits by itself. The store answers in 4 ms; slow days take sixty times that.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,6 +39,8 @@
 const EVACUATE_KEY_PREFIX: &str = "evacuate/";
 /// Keys of the contents that endpoints ended under begin so; the content's name follows. No instance has such a name.
 const SUSPECT_KEY_PREFIX: &str = "suspect/";
+/// Headers of an answer that are read.
+const OF_ANSWERS: [HeaderName; 1] = [names::STORE_ERA];
 /// Most that one read returns.
 const READ_MAX_KB: u32 = 1_024;
 
@@ -48,6 +53,15 @@
 pub struct Store {
     client: Mutex<Pooled>,
     base: String,
+    /// The last sound era that an answer told; 0 where none does.
+    era: AtomicU64,
+}
+
+/// An answer of the store.
+struct Answered {
+    response: reqwest::Response,
+    /// The era that it is of.
+    era: u64,
 }
 
 /// A client with the connections that it keeps.
@@ -108,6 +122,7 @@
         Ok(Self {
             client: Mutex::new(first),
             base: format!("http://{address}"),
+            era: AtomicU64::new(0),
         })
     }
 
@@ -133,7 +148,7 @@
         &self,
         request: impl FnOnce(&reqwest::Client) -> reqwest::RequestBuilder,
         answer_begins_within: Duration,
-    ) -> StoreResult<reqwest::Response> {
+    ) -> StoreResult<Answered> {
         let pooled = self.client.lock().clone();
         let sending = request(&pooled.client).send();
         let Ok(sent) = tokio::time::timeout(answer_begins_within, sending).await else {
@@ -147,10 +162,12 @@
                 StoreError::NoAnswer(error.to_string())
             }
         })?;
-        unknown::note_headers("store's header", response.headers(), &[]);
+        let headers = response.headers();
+        unknown::note_headers("store's header", headers, &OF_ANSWERS);
+        let era = self.take_era(headers)?;
         let status = response.status();
         if status.is_success() {
-            return Ok(response);
+            return Ok(Answered { response, era });
         }
         if status == StatusCode::GONE {
             let expired: WireExpired = json(response).await?;
@@ -161,6 +178,30 @@
         Err(StoreError::Refused(status.to_string()))
     }
 
+    /// The era of an answer. One that tells none, or something else than a number, is taken to be of the last that was told.
+    ///
+    /// # Errors
+    /// The answer is of an earlier era: it was on its way while the store came back from an older copy, and what it says is gone.
+    fn take_era(&self, headers: &HeaderMap) -> StoreResult<u64> {
+        let told = headers.get(names::STORE_ERA);
+        let era = told.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let Some(era) = era else {
+            if let Some(value) = told {
+                unknown::note(
+                    "value of store-era",
+                    &String::from_utf8_lossy(value.as_bytes()),
+                );
+            }
+            return Ok(self.era.load(Ordering::Relaxed));
+        };
+        let latest = self.era.fetch_max(era, Ordering::Relaxed);
+        if era < latest {
+            warn!("answer of an earlier era of the store dropped", kv: { era:, latest: });
+            return Err(StoreError::NoAnswer(format!("an answer of era {era}")));
+        }
+        Ok(era)
+    }
+
     /// Writes a record of our own; without a value it drops the key.
     async fn put(&self, key: &str, value: &[u8]) -> StoreResult<()> {
         let topic = topic(Subject::Members);
@@ -171,7 +212,12 @@
         Ok(())
     }
 
-    async fn newest_page(&self, subject: Subject, since: Option<&str>) -> StoreResult<WireNewest> {
+    /// A page of the newest records, and its era.
+    async fn newest_page(
+        &self,
+        subject: Subject,
+        since: Option<&str>,
+    ) -> StoreResult<(WireNewest, u64)> {
         let url = format!("{}{STORE_NEWEST_PATH}", self.base);
         let mut query = vec![("topic", topic(subject)), ("part", "0")];
         query.extend(since.map(|key| ("since-rev", key)));
@@ -180,8 +226,8 @@
             .map(|(name, value)| format!("{name}={value}"))
             .collect();
         let url = format!("{url}?{}", query.join("&"));
-        let response = self.call(|client| client.get(url), CALL_TIMEOUT).await?;
-        json(response).await
+        let answered = self.call(|client| client.get(url), CALL_TIMEOUT).await?;
+        Ok((json(answered.response).await?, answered.era))
     }
 }
 
@@ -213,45 +259,55 @@
 impl SiteStore for Store {
     async fn newest(&self, subject: Subject) -> StoreResult<SitePage> {
         let mut records = Vec::new();
-        let mut next_offset = None;
+        let mut first_end = None;
         let mut since: Option<String> = None;
         loop {
-            let page = self.newest_page(subject, since.as_deref()).await?;
+            let (page, era) = self.newest_page(subject, since.as_deref()).await?;
+            let end = Position::new(era, page.end);
             // Pages are no snapshot: reading on from the end of the first one misses nothing.
-            next_offset = next_offset.or(Some(page.end));
+            let first_end: Position = *first_end.get_or_insert(end);
+            if era != first_end.era() {
+                return Err(StoreError::AnotherEra { era });
+            }
             since = page.items.last().map(|item| item.key.clone());
             for item in page.items {
-                records.extend(decode_newest(subject, &item, page.end));
+                records.extend(decode_newest(subject, &item, end));
             }
             if !page.more || since.is_none() {
                 break;
             }
         }
-        let next_offset = next_offset.unwrap_or_default();
+        let next = first_end.unwrap_or_default();
         if subject == Subject::Configuration {
-            records = with_halls(records, next_offset);
+            records = with_halls(records, next);
         }
-        Ok(SitePage {
-            records,
-            next_offset,
-        })
+        Ok(SitePage { records, next })
     }
 
-    async fn read(&self, subject: Subject, from: u64, wait: Duration) -> StoreResult<SitePage> {
+    async fn read(
+        &self,
+        subject: Subject,
+        from: Position,
+        wait: Duration,
+    ) -> StoreResult<SitePage> {
         let url = format!(
-            "{}{STORE_READ_PATH}?topic={}&part=0&from={from}&max_kb={READ_MAX_KB}&wait-ms={}",
+            "{}{STORE_READ_PATH}?topic={}&part=0&from={}&max_kb={READ_MAX_KB}&wait-ms={}",
             self.base,
             topic(subject),
+            from.offset(),
             wait.as_millis()
         );
-        let response = self
+        let answered = self
             .call(|client| client.get(url), wait + CALL_TIMEOUT)
             .await?;
-        let body = body(response).await?;
+        if answered.era > from.era() {
+            return Err(StoreError::AnotherEra { era: answered.era });
+        }
+        let body = body(answered.response).await?;
         let keyed = split_records(&body).map_err(StoreError::Malformed)?;
         let count = u64::try_from(keyed.len()).unwrap_or(u64::MAX);
-        let offsets = from.saturating_add(1)..;
-        let records = offsets
+        let places = (1..).map(|records| from.plus(records));
+        let records = places
             .zip(&keyed)
             .filter_map(|(next, record)| {
                 decode(subject, &record.key, record.value.as_deref(), next)
@@ -259,7 +315,7 @@
             .collect();
         Ok(SitePage {
             records,
-            next_offset: from.saturating_add(count),
+            next: from.plus(count),
         })
     }
 
@@ -325,7 +381,7 @@
 }
 
 /// Decodes an item of the newest records; nothing where its key was dropped.
-fn decode_newest(subject: Subject, item: &WireItem, end: u64) -> Option<SiteRecord> {
+fn decode_newest(subject: Subject, item: &WireItem, end: Position) -> Option<SiteRecord> {
     let text = item.value.as_ref().filter(|text| !text.is_empty())?;
     match STANDARD.decode(text) {
         Ok(value) => decode(subject, &item.key, Some(&value), end),
@@ -337,7 +393,7 @@
 }
 
 /// Puts the halls that a whole reading names into one record: a hall that it does not name is not evacuated.
-fn with_halls(records: Vec<SiteRecord>, end: u64) -> Vec<SiteRecord> {
+fn with_halls(records: Vec<SiteRecord>, end: Position) -> Vec<SiteRecord> {
     let mut evacuated = EvacuatedHalls {
         complete_to: end,
         ..EvacuatedHalls::default()
@@ -355,15 +411,10 @@
     others
 }
 
-/// Decodes a record of a subject, after which the next one has the given offset; gives nothing for keys that are not ours to read.
-fn decode(
-    subject: Subject,
-    key: &str,
-    value: Option<&[u8]>,
-    next_offset: u64,
-) -> Option<SiteRecord> {
+/// Decodes a record of a subject, after which the next one has the given place; gives nothing for keys that are not ours to read.
+fn decode(subject: Subject, key: &str, value: Option<&[u8]>, next: Position) -> Option<SiteRecord> {
     let decoded = match (subject, value) {
-        (Subject::Configuration, value) => return decode_operators(key, value, next_offset),
+        (Subject::Configuration, value) => return decode_operators(key, value, next),
         (Subject::Endpoints, Some(value)) => servers::decode(key, value).map(SiteRecord::Endpoint),
         (Subject::Endpoints, None) => Ok(SiteRecord::EndpointGone(key.to_owned())),
         (Subject::Members, value) => return decode_own(key, value),
@@ -390,12 +441,12 @@
 }
 
 /// Decodes a record that the operator wrote.
-fn decode_operators(key: &str, value: Option<&[u8]>, next_offset: u64) -> Option<SiteRecord> {
+fn decode_operators(key: &str, value: Option<&[u8]>, next: Position) -> Option<SiteRecord> {
     if let Some(hall) = key.strip_prefix(EVACUATE_KEY_PREFIX) {
         return Some(SiteRecord::HallOrder(HallOrder {
             hall: hall.to_owned(),
             evacuate: value.is_some(),
-            next_offset,
+            next,
         }));
     }
     if key != CONFIG_KEY {
--- a/tests/kernel/fleet.rs
+++ b/tests/kernel/fleet.rs
@@ -7,6 +7,7 @@
     EndpointEntry, Fleet, FleetChange, LEAVING_NEWS_MAX, ListNews, RELIST_WITHIN, Standing,
     start_id,
 };
+use larkwick::kernel::position::Position;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -204,7 +205,7 @@
     let order = |evacuate, next_offset| HallOrder {
         hall: "h".to_owned(),
         evacuate,
-        next_offset,
+        next: Position::new(1, next_offset),
     };
     assert_eq!(fleet.order_hall(&order(true, 5), NOW).len(), 1);
     assert_eq!(fleet.ready("s").count(), 0);
