--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -478,7 +478,7 @@
                 None if page.next.era() >= cache.next.era() => cache.replace(&page, word_at),
                 // On its way while the store came back; whoever asked goes on from there and is told so.
                 None => {
-                    info!("page of an earlier era left aside", kv: { subject = subject.name(), next: = page.next })
+                    info!("page of an earlier era left aside", kv: { subject = subject.name(), next: = page.next });
                 }
             }
         }
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -6,7 +6,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -159,9 +159,9 @@
     /// Answers a call.
     pub async fn answer(&self, request: Request<Incoming>) -> Response<StandinBody> {
         let mut answered = self.answer_call(request).await;
-        let era = self.era.load(Ordering::Relaxed).to_string();
+        let era = self.era.load(Ordering::Relaxed);
         let headers = answered.headers_mut();
-        headers.insert(STORE_ERA, era.parse().expect("a number"));
+        headers.insert(STORE_ERA, HeaderValue::from(era));
         answered
     }
 
