--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -92,6 +92,15 @@
     })
 }
 
+/// Adds a header that no page names to an answer, where a test wants one.
+fn add_unknown(header: Option<&'static str>, response: &mut Response<StandinBody>) {
+    if let Some(name) = header {
+        let name = http::HeaderName::from_static(name);
+        let headers = response.headers_mut();
+        headers.insert(name, http::HeaderValue::from_static("1"));
+    }
+}
+
 /// A body that is at hand.
 #[must_use]
 pub fn whole(body: impl Into<Bytes>) -> StandinBody {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use super::{Listening, StandinBody, answer, listen};
+use super::{Listening, StandinBody, add_unknown, answer, listen};
 use crate::platform::names;
 
 /// Pause between two events of an engine, short so that tests need not wait.
@@ -66,10 +66,13 @@
     leaving: Option<&'static str>,
     /// For how long it asks those that it refuses to send it nothing, as it stands in the header.
     rest: Option<&'static str>,
+    /// A header that no page names.
+    unknown: Option<&'static str>,
 }
 
 impl Word {
     fn add_to(&self, response: &mut Response<StandinBody>) {
+        add_unknown(self.unknown, response);
         let refused = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
         let headers = response.headers_mut();
         if let Some(text) = self.leaving {
@@ -281,6 +284,11 @@
         self.word.lock().rest = seconds;
     }
 
+    /// Has all its answers carry a header that no page names.
+    pub fn say_unknown(&self, header: &'static str) {
+        self.word.lock().unknown = Some(header);
+    }
+
     /// Ends it: its address refuses connections, and the open ones are cut.
     pub fn kill(&self) {
         self.listening.lock().take();
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use super::{StandinBody, answer};
+use super::{StandinBody, add_unknown, answer};
 use crate::platform::names::{STORE_APPEND_PATH, STORE_ERA, STORE_NEWEST_PATH, STORE_READ_PATH};
 
 /// What the store does with calls.
@@ -69,6 +69,8 @@
     mood: Mutex<StoreMood>,
     /// Times it came back from a copy.
     era: AtomicU64,
+    /// A header that no page names, in all answers.
+    unknown: Mutex<Option<&'static str>>,
     calls: Mutex<BTreeMap<String, u32>>,
     added: Notify,
 }
@@ -87,6 +89,11 @@
 }
 
 impl LogStore {
+    /// Has all its answers carry a header that no page names.
+    pub fn say_unknown(&self, header: &'static str) {
+        *self.unknown.lock() = Some(header);
+    }
+
     /// Changes what the store does with calls from now on.
     pub fn set_mood(&self, mood: StoreMood) {
         *self.mood.lock() = mood;
@@ -187,6 +194,7 @@
         let era = self.era.load(Ordering::Relaxed);
         let headers = answered.headers_mut();
         headers.insert(STORE_ERA, HeaderValue::from(era));
+        add_unknown(*self.unknown.lock(), &mut answered);
         answered
     }
 
--- a/tests/endpoint_words.rs
+++ b/tests/endpoint_words.rs
@@ -11,6 +11,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -228,3 +229,41 @@
     assert!(passed_on(429), "asked of the caller");
     assert!(!passed_on(503), "asked of us");
 }
+
+/// Names of headers that an instance has told once that nothing is made of, by whose they are.
+fn unknown_headers(instance: &Instance, kind: &str) -> BTreeSet<String> {
+    let lines = instance.lines.lock().expect("lines");
+    let unknown = lines
+        .iter()
+        .filter(|line| line["payload"] == "unknown on the platform")
+        .filter(|line| line["kv"]["kind"] == kind);
+    unknown
+        .filter_map(|line| line["kv"]["name"].as_str().map(str::to_owned))
+        .collect()
+}
+
+/// A header that is new on the platform's pages shows in the logs whichever answer it came with: a call's, a refusal, a generation's, the store's. Reports and
+/// orders to move are read by the same function.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_header_unknown_told_once_whatever_the_answer() {
+    let site = RoutedSite::start(2).await;
+    site.apps[0].say_unknown("x-of-a-call");
+    site.apps[1].say_unknown("x-of-a-refusal");
+    site.apps[1].set_fault(ServerFault::Refuses);
+    let (source, target) = (site.engine().await, site.engine().await);
+    for engine in [&source, &target] {
+        engine.say_unknown("x-of-an-engine");
+    }
+    site.standin.store.say_unknown("x-of-the-store");
+    let instance = site.instance("n1").await;
+    let known = async || {
+        instance.call("/calls/a", "any").await;
+        answered(instance.generation(2, "any-2")).await;
+        unknown_headers(&instance, "endpoint's header")
+    };
+    let expected = ["x-of-a-call", "x-of-a-refusal", "x-of-an-engine"];
+    let expected: BTreeSet<String> = expected.into_iter().map(str::to_owned).collect();
+    until("told", async || known().await == expected).await;
+    let of_store = unknown_headers(&instance, "store's header");
+    assert_eq!(of_store, BTreeSet::from(["x-of-the-store".to_owned()]));
+}
