Refuse at once, and until the list is back, where all of a service leave while it is away

Callers of a service whose endpoints all said that they leave waited for room up to their goal, or were told to come back in half a second, while no endpoint that takes their place can be heard of before the list is back. They are refused at once and told some three seconds, as callers are where no configuration is known; leaving_said_by_all_while_the_list_is_away_refused_at_once failed with 0.5 s.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -195,7 +195,7 @@
         }
         let wait = wait_for_room(call, &offers);
         if !opens_in_time(call, &offers, wait).await {
-            reason.push_str("; all engines ask for rest");
+            reason.push_str("; all engines rest or leave");
             break;
         }
         let wait = wait_for_room(call, &offers);
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -234,12 +234,12 @@
             format!("service {}: {reason}; it may have run", call.service),
         );
     }
-    let all_rest_for = rests::come_back_after(call);
-    if attempts.tried.is_empty() && all_rest_for.is_none() {
+    let closed_for = rests::come_back_after(call);
+    if attempts.tried.is_empty() && closed_for.is_none() {
         return Gateway::no_endpoint(&call.service).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
     }
     let reason = if attempts.tried.is_empty() {
-        "all endpoints ask for rest"
+        "all endpoints rest or leave"
     } else {
         reason
     };
@@ -247,7 +247,7 @@
         ErrorKind::EndpointRefused,
         format!("service {}: {reason}; not run", call.service),
     )
-    .with_retry_after(all_rest_for.unwrap_or(REFUSED_RETRY_AFTER))
+    .with_retry_after(closed_for.unwrap_or(REFUSED_RETRY_AFTER))
 }
 
 /// Endpoints that left are replaced within seconds.
--- a/src/gateway/rests.rs
+++ b/src/gateway/rests.rs
@@ -1,4 +1,4 @@
-//! What rests that endpoints asked for mean to calls: where they may go, whether they wait, and when their callers are to come back.
+//! What endpoints that ask for rest, or that all leave, mean to calls: where they may go, whether they wait, and when their callers are to come back.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -7,6 +7,7 @@
 
 use super::inbound_call::Call;
 use super::node::Gateway;
+use super::site_store::Subject;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::rest::{COME_BACK_SPREAD, Outlook};
 
@@ -30,26 +31,36 @@
     }
 }
 
-/// What a call's service can do for it, as far as rests go: `is_excluded` tells which endpoints it may not go to.
+/// While the list is away nobody hears of new endpoints. Callers heed a third of the time that they have left, so that a longer time is mostly cut.
+const LIST_AWAY: Duration = Duration::from_secs(3);
+
+/// What a call's service can do for it, as far as rests go: `is_excluded` tells which endpoints it may not go to. Where all have left while the list of
+/// endpoints is away, others are not heard of before it is back.
 pub(super) fn outlook(
     call: &Call,
     is_excluded: impl Fn(&EndpointEntry) -> bool,
     waits_until: Duration,
 ) -> Outlook {
     let gateway = &call.gateway;
-    let ready: Vec<String> = {
+    let now = gateway.now();
+    let (all_have_left, ready) = {
         let fleet = gateway.fleet.lock();
+        let all_have_left = fleet.ready(&call.service).next().is_none();
         let ready = fleet.ready(&call.service);
         let ready = ready.filter(|endpoint| !is_excluded(endpoint));
-        ready.map(|endpoint| endpoint.id.clone()).collect()
+        let ready: Vec<String> = ready.map(|endpoint| endpoint.id.clone()).collect();
+        (all_have_left, ready)
     };
-    let now = gateway.now();
+    if all_have_left && gateway.store.is_store_away(Subject::Endpoints) {
+        let until = now + LIST_AWAY;
+        return Outlook::Closed { until };
+    }
     let rests = gateway.words.rests.lock();
     let rests_until = ready.iter().map(|endpoint| rests.until(endpoint, now));
     Outlook::of(rests_until, waits_until)
 }
 
-/// When a caller is to come back where all endpoints of the service rest; nothing where some do not.
+/// When a caller is to come back where no endpoint of the service is to be had for now; nothing where some are, or may be heard of at any moment.
 pub(super) fn come_back_after(call: &Call) -> Option<Duration> {
     match outlook(call, |_| false, Duration::ZERO) {
         Outlook::Open => None,
--- a/tests/endpoint_words.rs
+++ b/tests/endpoint_words.rs
@@ -19,6 +19,7 @@
 use larkwick::kernel::endpoint_word::EndpointWord;
 use larkwick::platform::engine;
 use larkwick::standin::site::server::{Server, ServerFault};
+use larkwick::standin::site::store::StoreMood;
 use support::site::{Instance, RoutedSite, answered, event_numbers, until};
 
 /// Calls that show where calls go; with two endpoints that both take work, all at one of them is rarer than one in a billion.
@@ -264,6 +265,30 @@
     assert!(other.head_of("long").is_some(), "it went on there");
 }
 
+/// While the list is away nobody hears of the endpoints that take the place of those that leave: their callers need not come back before it is.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_said_by_all_while_the_list_is_away_refused_at_once() {
+    let site = RoutedSite::start(1).await;
+    let engine = site.engine().await;
+    let instance = site.instance("n1").await;
+    for server in [&site.apps[0], &engine] {
+        server.say_leaving("1");
+    }
+    assert_eq!(instance.call("/calls/a", "first").await.status, 200);
+    assert_eq!(
+        answered(instance.generation(2, "first-2")).await.status,
+        200
+    );
+    site.standin.store.set_mood(StoreMood::Busy);
+    until("told to come back once the list is back", async || {
+        let call = instance.call("/calls/a", "second").await;
+        let generation = answered(instance.generation(2, "second-2")).await;
+        assert_eq!((call.status, generation.status), (503, 503));
+        call.retry_after >= Some(2.0) && generation.retry_after >= Some(2.0)
+    })
+    .await;
+}
+
 /// Names of headers that an instance has told once that nothing is made of, by whose they are.
 fn unknown_headers(instance: &Instance, kind: &str) -> BTreeSet<String> {
     let lines = instance.lines.lock().expect("lines");
