--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -24,6 +24,9 @@
 /// How long a copy of memory takes.
 const COPY_TAKES: Duration = Duration::from_millis(40);
 
+/// How late an answer is that comes late: many times what an answer takes otherwise.
+pub const LATE_BY: Duration = Duration::from_millis(700);
+
 /// What a server is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerKind {
@@ -45,6 +48,8 @@
     RunsAndCloses,
     /// Runs each request and says nothing.
     RunsAndHangs,
+    /// Takes [`LATE_BY`] before each answer.
+    AnswersLate,
     /// Answers with the id of another request.
     Crosses,
     /// Answers 500.
@@ -371,6 +376,7 @@
         }
         match fault {
             ServerFault::RunsAndHangs => std::future::pending().await,
+            ServerFault::AnswersLate => tokio::time::sleep(LATE_BY).await,
             ServerFault::RunsAndCloses => {
                 let cut = futures::future::ready(Err(std::io::Error::other("cut")));
                 let frames = stream::once(cut);
--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -13,6 +13,21 @@
 use support::site::{Instance, PATIENCE, RoutedSite, answered, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+/// A call was given up after a few milliseconds, since quick answers had been learnt, and answered with a time-out although nobody else was there to ask:
+/// its only endpoint took longer once, on a busy machine.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_answered_late_nobody_else_to_ask_waited_for() {
+    let site = RoutedSite::start(1).await;
+    let instance = site.instance("n1").await;
+    for number in 0..60 {
+        let answer = instance.call("/calls/a", &format!("quick-{number}")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    site.apps[0].set_fault(ServerFault::AnswersLate);
+    let answer = instance.call("/calls/a", "late").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn call_through_one_instance_answered_unchanged() {
     let site = RoutedSite::start(2).await;
