Wait for a late answer where nobody else is there to ask

A caller's call was answered 504 a few milliseconds after it was sent, though its only endpoint was about to answer: patience is cut short so that another endpoint can follow in time, whether or not there is one.

--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -402,8 +402,10 @@
 /// How long this attempt may take: all that is left, unless another one can follow in time.
 fn patience(call: &Call, attempts: &Attempts) -> Duration {
     let left = call.time_left();
+    // With nobody else to ask, an answer that comes late is better than none.
     let another = call.route.kind == CallKind::Repeatable
-        && attempts.may_have_run + 1 < call.route.attempts_max;
+        && attempts.may_have_run + 1 < call.route.attempts_max
+        && rests::has_another(call, &attempts.tried);
     if another {
         let pace = call.gateway.pace(&call.service, ANSWER);
         left.min(pace.patience(call.route.goal.saturating_sub(call.age())))
--- a/src/gateway/rests.rs
+++ b/src/gateway/rests.rs
@@ -1,6 +1,6 @@
 //! What endpoints that ask for rest, or that all leave, mean to calls: where they may go, whether they wait, and when their callers are to come back.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::time::Duration;
 
 use rand::RngExt;
@@ -60,6 +60,14 @@
     Outlook::of(rests_until, waits_until)
 }
 
+/// Whether another endpoint may be asked than those that were tried.
+pub(super) fn has_another(call: &Call, tried: &HashSet<String>) -> bool {
+    let resting = call.gateway.resting();
+    let fleet = call.gateway.fleet.lock();
+    let mut ready = fleet.ready(&call.service);
+    ready.any(|endpoint| !tried.contains(&endpoint.id) && !resting.contains(&endpoint.id))
+}
+
 /// When a caller is to come back where no endpoint of the service is to be had for now; nothing where some are, or may be heard of at any moment.
 pub(super) fn come_back_after(call: &Call) -> Option<Duration> {
     match outlook(call, |_| false, Duration::ZERO) {
