--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -31,6 +31,8 @@
     stage: Stage,
     ready: bool,
     config_version: u64,
+    /// How often the store has come back from an older copy, as it counts.
+    store_era: u64,
     calls: usize,
     /// Calls that wait until this instance can serve.
     calls_held: usize,
@@ -54,6 +56,8 @@
     standing: Standing,
     failures_share: f64,
     calls_in_flight: u32,
+    /// Time for which it goes on to rest, as it asked this instance; 0 where it does not.
+    rests_ms: u64,
 }
 
 #[get("/debug/state")]
@@ -75,15 +79,18 @@
     };
     let endpoints = {
         let health = gateway.health.lock();
+        let rests = gateway.words.rests.lock();
         let dumped = fleet.into_iter().map(|(entry, standing)| {
             let failures_share = health.failures(&entry.id, now);
             let calls_in_flight = health.in_flight(&entry.id);
+            let rests_until = rests.until(&entry.id, now).unwrap_or_default();
             let id = entry.id.clone();
             let dump = EndpointDump {
                 entry,
                 standing,
                 failures_share,
                 calls_in_flight,
+                rests_ms: millis(rests_until.saturating_sub(now)),
             };
             (id, dump)
         });
@@ -97,6 +104,7 @@
         stage: gateway.in_flight.stage(),
         ready: gateway.is_ready(),
         config_version: gateway.config_version(),
+        store_era: gateway.store.era(),
         calls: gateway.in_flight.calls(),
         calls_held,
         calls_held_so_far,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -39,6 +39,9 @@
 const EVACUATE_KEY_PREFIX: &str = "evacuate/";
 /// Keys of the contents that endpoints ended under begin so; the content's name follows. No instance has such a name.
 const SUSPECT_KEY_PREFIX: &str = "suspect/";
+/// Eras that an instance may have missed: they rise by one with each return. One further on is no era: believed, it would make all later ones look
+/// like earlier ones.
+const ERAS_MISSED_MAX: u64 = 1_000;
 /// Headers of an answer that are read.
 const OF_ANSWERS: [HeaderName; 1] = [names::STORE_ERA];
 /// Most that one read returns.
@@ -178,21 +181,23 @@
         Err(StoreError::Refused(status.to_string()))
     }
 
-    /// The era of an answer. One that tells none, or something else than a number, is taken to be of the last that was told.
+    /// The era of an answer. One that tells none, or something that can be none, is taken to be of the last that was told.
     ///
     /// # Errors
     /// The answer is of an earlier era: it was on its way while the store came back from an older copy, and what it says is gone.
     fn take_era(&self, headers: &HeaderMap) -> StoreResult<u64> {
         let told = headers.get(names::STORE_ERA);
-        let era = told.and_then(|value| value.to_str().ok()?.trim().parse().ok());
-        let Some(era) = era else {
+        let era: Option<u64> = told.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let before = self.era.load(Ordering::Relaxed);
+        let is_sound = |era: &u64| before == 0 || era.saturating_sub(before) <= ERAS_MISSED_MAX;
+        let Some(era) = era.filter(is_sound) else {
             if let Some(value) = told {
                 unknown::note(
                     "value of store-era",
                     &String::from_utf8_lossy(value.as_bytes()),
                 );
             }
-            return Ok(self.era.load(Ordering::Relaxed));
+            return Ok(before);
         };
         let latest = self.era.fetch_max(era, Ordering::Relaxed);
         if era < latest {
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -69,6 +69,8 @@
     mood: Mutex<StoreMood>,
     /// Times it came back from a copy.
     era: AtomicU64,
+    /// What it tells in place of its era.
+    told_era: Mutex<Option<&'static str>>,
     /// A header that no page names, in all answers.
     unknown: Mutex<Option<&'static str>>,
     calls: Mutex<BTreeMap<String, u32>>,
@@ -124,6 +126,11 @@
         self.added.notify_waiters();
     }
 
+    /// Tells an era as it stands in the header, whatever it is; nothing for the true one.
+    pub fn tell_era(&self, text: Option<&'static str>) {
+        *self.told_era.lock() = text;
+    }
+
     /// A copy of all that it holds.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
@@ -193,7 +200,9 @@
         let mut answered = self.answer_call(request).await;
         let era = self.era.load(Ordering::Relaxed);
         let headers = answered.headers_mut();
-        headers.insert(STORE_ERA, HeaderValue::from(era));
+        let told = *self.told_era.lock();
+        let era = told.map_or_else(|| HeaderValue::from(era), HeaderValue::from_static);
+        headers.insert(STORE_ERA, era);
         add_unknown(*self.unknown.lock(), &mut answered);
         answered
     }
--- a/tests/store_copies.rs
+++ b/tests/store_copies.rs
@@ -108,3 +108,32 @@
     let _ = site.standin.store.come_back_from(copy);
     until("announced again", async || is_announced()).await;
 }
+
+/// An era that cannot be one changes nothing: the last sound one holds, and what is written is heard of.
+#[tokio::test(flavor = "multi_thread")]
+async fn era_unsound_last_sound_one_holds() {
+    let site = RoutedSite::start(1).await;
+    let store = &site.standin.store;
+    for _ in 0..2 {
+        store.come_back_from(store.copy());
+    }
+    let instance = site.instance("n1").await;
+    let mut version = 2;
+    for told in ["18446744073709551615", "-1", "soon", "", "2.5"] {
+        store.tell_era(Some(told));
+        version += 1;
+        site.standin.publish(version, &[KEY]);
+        until("in force", async || {
+            instance.state().await["config_version"] == version
+        })
+        .await;
+        assert_eq!(instance.state().await["store_era"], 2, "told {told:?}");
+    }
+    store.tell_era(None);
+    let before = store.come_back_from(store.copy());
+    store.write_again(&before);
+    until("the next era", async || {
+        instance.state().await["store_era"] == 3
+    })
+    .await;
+}
