--- a/tests/kernel/evacuation.rs
+++ b/tests/kernel/evacuation.rs
@@ -128,3 +128,123 @@
     halls.take(&told(2, 5, &["b"]), NOW);
     assert_eq!(in_force(&halls), ["b"], "a taken back, b emptied");
 }
+
+/// What happens to a store, and to readers of its log that tell each other.
+#[derive(Debug, Clone)]
+enum Step {
+    Order { hall: u8, evacuate: bool },
+    Copy,
+    ComeBack,
+    ReadOn { reader: usize, most: usize },
+    ReadWhole { reader: usize },
+    Tell { from: usize, to: usize },
+}
+
+const READERS: usize = 3;
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let reader = 0..READERS;
+    let order = (0..3_u8, any::<bool>());
+    let one = prop_oneof![
+        4 => order.prop_map(|(hall, evacuate)| Step::Order { hall, evacuate }),
+        1 => Just(Step::Copy),
+        1 => Just(Step::ComeBack),
+        4 => (reader.clone(), 1..4_usize).prop_map(|(reader, most)| Step::ReadOn { reader, most }),
+        1 => reader.clone().prop_map(|reader| Step::ReadWhole { reader }),
+        3 => (reader.clone(), reader).prop_map(|(from, to)| Step::Tell { from, to }),
+    ];
+    proptest::collection::vec(one, 1..80)
+}
+
+/// The store's log: all that it ever held stays here, whatever it comes back from.
+#[derive(Default)]
+struct Log {
+    era: u64,
+    orders: Vec<HallOrder>,
+    copied: usize,
+    held: Vec<EvacuatedHalls>,
+}
+
+impl Log {
+    fn whole(&self) -> EvacuatedHalls {
+        let mut whole = sets(&self.orders).pop().unwrap_or_default();
+        whole.complete_to = Position::new(self.era, self.orders.len() as u64);
+        whole
+    }
+
+    fn note(&mut self) {
+        let whole = self.whole();
+        self.held.push(whole);
+    }
+
+    fn append(&mut self, hall: u8, evacuate: bool) {
+        let offset = self.orders.len() as u64 + 1;
+        self.orders.push(HallOrder {
+            hall: format!("hall-{hall}"),
+            evacuate,
+            next: Position::new(self.era, offset),
+        });
+        self.note();
+    }
+
+    fn come_back(&mut self) {
+        self.era += 1;
+        self.orders.truncate(self.copied);
+        for (offset, order) in (1..).zip(&mut self.orders) {
+            order.next = Position::new(self.era, offset);
+        }
+        self.note();
+    }
+}
+
+proptest! {
+    /// No reader is ever where the store never was, or behind where it was itself; and all that read come to where the store is.
+    #[test]
+    fn take_store_comes_back_any_time_no_reader_falls_back(steps in steps()) {
+        let mut log = Log { era: 1, ..Log::default() };
+        log.note();
+        let mut readers: Vec<HallsInForce> = vec![HallsInForce::default(); READERS];
+        for step in steps {
+            let before: Vec<Position> = readers.iter().map(|reader| reader.told().complete_to).collect();
+            match step {
+                Step::Order { hall, evacuate } => log.append(hall, evacuate),
+                Step::Copy => log.copied = log.orders.len(),
+                Step::ComeBack => log.come_back(),
+                Step::ReadOn { reader, most } => {
+                    let from = before[reader];
+                    if from.era() == log.era {
+                        let orders = log.orders.iter().filter(|order| order.next > from);
+                        for order in orders.take(most) {
+                            readers[reader].order(order, NOW);
+                        }
+                    } else {
+                        readers[reader].take(&log.whole(), NOW);
+                    }
+                }
+                Step::ReadWhole { reader } => {
+                    readers[reader].take(&log.whole(), NOW);
+                }
+                Step::Tell { from, to } => {
+                    let told = readers[from].told().clone();
+                    readers[to].take(&told, NOW);
+                }
+            }
+            for (reader, before) in readers.iter().zip(before) {
+                let told = reader.told();
+                prop_assert!(told.complete_to >= before);
+                let never_read = *told == EvacuatedHalls::default();
+                prop_assert!(never_read || log.held.contains(told), "{told:?} was never held");
+            }
+        }
+        let later = NOW + COPY_COMPLETED_WITHIN;
+        for reader in &mut readers {
+            reader.take(&log.whole(), NOW);
+            reader.settle(later);
+            prop_assert_eq!(reader.told(), &log.whole());
+            for hall in (0..3).map(|hall| format!("hall-{hall}")) {
+                let is_emptied = log.whole().halls.contains(&hall);
+                prop_assert_eq!(reader.since(&hall).is_some(), is_emptied);
+            }
+        }
+    }
+}
