--- a/src/gateway/endpoint_words.rs
+++ b/src/gateway/endpoint_words.rs
@@ -21,8 +21,10 @@
     fleet: Arc<Mutex<Fleet>>,
     /// Endpoints that asked this instance for rest. No other lock is taken while it is held.
     pub(super) rests: Mutex<Rests>,
-    /// Wakes the task that tells the owners and the members.
-    news: Notify,
+    /// Wakes the task that tells the owners and the members of endpoints that leave.
+    left: Notify,
+    /// Wakes it to tell the owners of endpoints that rest.
+    rested: Notify,
 }
 
 impl EndpointWords {
@@ -31,7 +33,8 @@
             clock,
             fleet,
             rests: Mutex::default(),
-            news: Notify::new(),
+            left: Notify::new(),
+            rested: Notify::new(),
         }
     }
 
@@ -57,7 +60,7 @@
             if crate::log::admits("endpoint asks for rest") {
                 info!("endpoint asks for rest", kv: { endpoint, rest_ms: = millis(rest) });
             }
-            self.news.notify_one();
+            self.rested.notify_one();
         }
     }
 
@@ -74,7 +77,7 @@
     fn tell(&self, changes: &[FleetChange]) {
         metrics::counter!("larkwick_endpoints_told_leaving_total").increment(changes.len() as u64);
         tell_changes(changes);
-        self.news.notify_one();
+        self.left.notify_one();
     }
 }
 
@@ -89,13 +92,17 @@
     }
 }
 
-/// Tells the owners and the members of endpoints that leave, for the life of the instance.
+/// Tells the owners and the members what endpoints said, for the life of the instance.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     loop {
-        gateway.words.news.notified().await;
-        gateway.ledgers.wake();
-        // Owners move generations that were reported with an event.
+        tokio::select! {
+            () = gateway.words.rested.notified() => {}
+            () = gateway.words.left.notified() => {
+                gateway.ledgers.wake();
+                heartbeat::beat_soon(&gateway);
+            }
+        }
+        // Owners hear of rests, and move generations that were reported with an event.
         gateway.ledgers.changed.notify_one();
-        heartbeat::beat_soon(&gateway);
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -155,7 +155,7 @@
 fn take_newest(gateway: &Arc<Gateway>, subject: Subject, page: SitePage) {
     if subject != Subject::Endpoints {
         if subject == Subject::Members {
-            look_for_own_records(gateway, &page.records);
+            look_for_own_records(gateway, &page);
         }
         take_records(gateway, subject, page.records);
         if subject == Subject::Members {
@@ -173,8 +173,15 @@
     tell_changes(&changes);
 }
 
-/// Has what this instance wrote written again where the store holds it no more: it may have come back from an older copy.
-fn look_for_own_records(gateway: &Gateway, records: &[SiteRecord]) {
+/// Has what this instance wrote written again where the store holds it no more since it came back from an older copy. Within an era nothing is lost, and
+/// a list may be older than what was written.
+fn look_for_own_records(gateway: &Gateway, page: &SitePage) {
+    let era = page.next.era();
+    let before = gateway.own_records_era.lock().replace(era);
+    if before.is_none_or(|before| before >= era) {
+        return;
+    }
+    let records = &page.records;
     let own = &gateway.incarnation;
     let is_own = |record: &SiteRecord| match record {
         SiteRecord::Member(entry) => entry.name == own.name && entry.incarnation == own.id,
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -129,6 +129,8 @@
     /// The members that live, with what they can carry.
     pub(crate) live: Arc<LiveMembers>,
     pub(crate) member_entries: Arc<Mutex<HashMap<String, MemberEntry>>>,
+    /// Era of the store in which it was last looked whether it holds what this instance wrote.
+    pub(crate) own_records_era: Mutex<Option<u64>>,
     /// Wakes the task that writes this instance's own entry.
     pub(crate) entry_lost: Notify,
     pub(crate) health: Mutex<EndpointHealth>,
@@ -205,6 +207,7 @@
             suspects_changed: Notify::new(),
             beaten_soon_at: Mutex::default(),
             entry_lost: Notify::new(),
+            own_records_era: Mutex::default(),
             looks: Looks::default(),
             routing: RwLock::new(routing),
             settings,
