--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -1,4 +1,4 @@
-//! Heartbeats between instances: who lives, who has a newer configuration, and which halls are evacuated.
+//! Heartbeats between instances: who lives, who has a newer configuration, which halls are evacuated, and which endpoints say that they leave.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -15,10 +15,10 @@
 const DOUBT_MAX: Duration = Duration::from_millis(1_600);
 /// How long an endpoint that left is remembered, so that its streams can still be looked up.
 const GONE_KEPT: Duration = Duration::from_mins(1);
-/// What an endpoint said of leaving is passed on for this long by each instance, while the list does not say so. Of 295 members that tell a few others
-/// each half second, all have heard after some 3 s.
+/// What an endpoint said of leaving is passed on for this long by each instance, while the list does not say so: several times the 3 and 4 s in which all of
+/// 300 and of 2,300 members know news that is told so (simulated, `news_site_of_*` in the tests).
 const LEAVING_PASSED_ON: Duration = Duration::from_secs(15);
-/// Endpoints named in one heartbeat, eight bytes each: a service of 12,000 that leaves while the store is away takes no more.
+/// Endpoints named in one heartbeat, eight bytes each, also where thousands leave while the list is silent. Each heartbeat names others.
 pub const LEAVING_NEWS_MAX: usize = 32;
 /// Above this share of a service's endpoints, entries that vanish together are taken for a fault of the list at first.
 const VANISHED_TOGETHER_SHARE: f64 = 0.34;
