Clean-up of eras: no look at all subjects at each read, the place asked for made once

Each read of the store or a member took three locks to see whether a return was news before it was known to be one. No behaviour changes; the tests of store_copies, endpoint_words and site_calls pass.

--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -224,8 +224,11 @@
     /// outage.
     fn note_era(&self, era: u64, source: &Source) {
         let before = self.era.fetch_max(era, Ordering::Relaxed);
+        if era <= before {
+            return;
+        }
         let has_heard = SUBJECTS.iter().any(|one| !self.knows_nothing(*one));
-        if era <= before || !has_heard {
+        if !has_heard {
             return;
         }
         let now = self.clock.now();
--- a/src/gateway/shared_store/pass_on.rs
+++ b/src/gateway/shared_store/pass_on.rs
@@ -36,7 +36,7 @@
             let has_news = has_news || (!was_away && self.is_store_away(subject));
             let left = until.saturating_sub(self.clock.now());
             if has_news || tokio::time::timeout(left, added).await.is_err() {
-                return self.page_for(subject, request);
+                return self.page_for(subject, from, request);
             }
         }
     }
@@ -44,6 +44,7 @@
     fn page_for(
         &self,
         subject: Subject,
+        from: Position,
         request: &wire::ReadSiteRequest,
     ) -> Result<(wire::PageHead, EncodedPage), tonic::Status> {
         let now = self.clock.now();
@@ -63,13 +64,12 @@
             ));
         }
         // What is known here of an earlier era is not passed on as the store's word of now.
-        let is_outdated = cache.next.era() < self.era().max(request.from_era);
+        let is_outdated = cache.next.era() < self.era().max(from.era());
         if is_outdated && !request.any_age {
             return Err(tonic::Status::unavailable(
                 "the store came back from an older copy that was not read yet",
             ));
         }
-        let from = Position::new(request.from_era, request.from_offset);
         let page = if request.whole {
             cache.encoded_whole()
         } else {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -284,7 +284,7 @@
         self.word.lock().leaving = Some(text);
     }
 
-    /// Has each refusal ask for so many seconds without a request; nothing takes it back.
+    /// Has each refusal ask for so many seconds without a request, or for none.
     pub fn ask_for_rest(&self, seconds: Option<&'static str>) {
         self.word.lock().rest = seconds;
     }
