Sight: which endpoint names what limit, and each request that leaves for one

Change: it is decoded once (a decimal number that is neither negative nor infinite; of two the lower), kept per start with the order of words that cross, told in one line a change and one a request, in the state dump and two metrics, and not passed on to callers. Nothing decides by it yet. Ruled out: a line per answer (a limited endpoint would fill the log by what it must not get).

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -330,6 +330,7 @@
         let now = gateway.now();
         let is_known = |endpoint: &str| known.contains(endpoint);
         gateway.words.rests.lock().tidy(is_known, now);
+        gateway.words.limits.lock().tidy(is_known);
         gateway.upstream.tidy(|endpoint| known.contains(endpoint));
         gateway
             .health
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -79,7 +79,7 @@
     clippy::struct_excessive_bools,
     reason = "four facts that are independent of each other"
 )]
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerHead {
     /// HTTP status.
     pub status: u16,
--- a/src/gateway/endpoint_words.rs
+++ b/src/gateway/endpoint_words.rs
@@ -13,6 +13,7 @@
 use super::node::Gateway;
 use crate::kernel::clock::{Clock, millis};
 use crate::kernel::fleet::{Fleet, FleetChange};
+use crate::kernel::limit::{LimitChange, LimitWord, Limits};
 use crate::kernel::rest::Rests;
 
 /// What endpoints say of themselves, on its way to whom it concerns.
@@ -21,6 +22,8 @@
     fleet: Arc<Mutex<Fleet>>,
     /// Endpoints that asked this instance for rest. No other lock is taken while it is held.
     pub(super) rests: Mutex<Rests>,
+    /// What endpoints take from all instances together. No other lock is taken while it is held.
+    pub(super) limits: Mutex<Limits>,
     /// Wakes the task that tells the owners and the members of endpoints that leave.
     left: Notify,
     /// Wakes it to tell the owners of endpoints that rest.
@@ -33,13 +36,14 @@
             clock,
             fleet,
             rests: Mutex::default(),
+            limits: Mutex::default(),
             left: Notify::new(),
             rested: Notify::new(),
         }
     }
 
-    /// Takes the word in the head of an answer that came on a connection to a start of an endpoint.
-    pub(crate) fn take(&self, endpoint: &str, head: &AnswerHead) {
+    /// Takes the word in the head of an answer to a request that was sent then, on a connection to a start of an endpoint.
+    pub(crate) fn take(&self, endpoint: &str, head: &AnswerHead, sent_at: Duration) {
         if head.misdirected {
             // Another endpoint answers, and does not say which start of it: its word is nobody's here.
             return;
@@ -50,6 +54,29 @@
         if let Some(rest) = head.word.rest {
             self.told_rest(endpoint, rest);
         }
+        if head.word.limit != LimitWord::Unsaid || head.request_id.is_some() {
+            // What shows no sign of the endpoint's own answers does not end a limit.
+            self.told_limit(endpoint, head.word.limit, sent_at);
+        }
+    }
+
+    fn told_limit(&self, endpoint: &str, word: LimitWord, sent_at: Duration) {
+        let now = self.clock.now();
+        let change = self.limits.lock().take(endpoint, word, sent_at, now);
+        if let Some(change) = change {
+            tell_limit(endpoint, change, "answer");
+        }
+    }
+
+    /// A request leaves for an endpoint. One that names a limit gets few, so that each has its line.
+    pub(crate) fn note_sent(&self, endpoint: &str) {
+        let Some(limit_per_s) = self.limits.lock().per_s(endpoint) else {
+            return;
+        };
+        metrics::counter!("larkwick_sent_to_limited_total").increment(1);
+        if crate::log::admits("sent to limited endpoint") {
+            info!("sent to limited endpoint", kv: { endpoint, limit_per_s: });
+        }
     }
 
     fn told_rest(&self, endpoint: &str, rest: Duration) {
@@ -81,6 +108,19 @@
     }
 }
 
+/// Tells of a limit that began, changed or ended, and from whom it is known.
+fn tell_limit(endpoint: &str, change: LimitChange, source: &'static str) {
+    let (kind, limit_per_s) = match change {
+        LimitChange::Began(per_s) => ("began", Some(per_s)),
+        LimitChange::Changed(per_s) => ("changed", Some(per_s)),
+        LimitChange::Ended => ("ended", None),
+    };
+    metrics::counter!("larkwick_endpoint_limits_total", "change" => kind).increment(1);
+    if crate::log::admits("endpoint names a limit") {
+        info!("endpoint names a limit", kv: { endpoint, change = kind, limit_per_s:?, source });
+    }
+}
+
 impl Gateway {
     /// Takes what a member tells of endpoints that leave.
     pub(crate) fn take_leaving_endpoints(&self, news: &[u64]) {
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -58,6 +58,8 @@
     calls_in_flight: u32,
     /// Time for which it goes on to rest, as it asked this instance; 0 where it does not.
     rests_ms: u64,
+    /// Requests a second that it takes from all instances together, as it names it in answers; nothing where it names none.
+    limit_per_s: Option<f64>,
 }
 
 #[get("/debug/state")]
@@ -80,10 +82,12 @@
     let endpoints = {
         let health = gateway.health.lock();
         let rests = gateway.words.rests.lock();
+        let limits = gateway.words.limits.lock();
         let dumped = fleet.into_iter().map(|(entry, standing)| {
             let failures_share = health.failures(&entry.id, now);
             let calls_in_flight = health.in_flight(&entry.id);
             let rests_until = rests.until(&entry.id, now).unwrap_or_default();
+            let limit_per_s = limits.per_s(&entry.id);
             let id = entry.id.clone();
             let dump = EndpointDump {
                 entry,
@@ -91,6 +95,7 @@
                 failures_share,
                 calls_in_flight,
                 rests_ms: millis(rests_until.saturating_sub(now)),
+                limit_per_s,
             };
             (id, dump)
         });
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -410,6 +410,9 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendFailure::Unsent(error.to_string()));
         }
+        let words = self.count.pools.words.clone();
+        let sent_at = self.count.pools.clock.now();
+        words.note_sent(&self.count.endpoint);
         let sent = self.sender.try_send_request(request.map(Full::new)).await;
         let response = sent.map_err(|mut error| {
             let unsent = error.take_message().is_some();
@@ -427,7 +430,7 @@
         let (parts, body) = response.into_parts();
         let head = engine::decode_answer(&parts);
         // Here all answers of endpoints pass: what one says of itself counts whatever was asked. Read by each caller of `send` apart, it was lost.
-        self.count.pools.words.take(&self.count.endpoint, &head);
+        words.take(&self.count.endpoint, &head, sent_at);
         Ok(Answer {
             head,
             parts,
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -25,6 +25,7 @@
 pub mod health;
 pub mod label;
 pub mod lease;
+pub mod limit;
 pub mod live_view;
 pub mod membership;
 pub mod object;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -16,6 +16,7 @@
 use super::{names, unknown};
 use crate::gateway::call::{AnswerHead, SendHead};
 use crate::kernel::endpoint_word::EndpointWord;
+use crate::kernel::limit::LimitWord;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -35,12 +36,13 @@
 
 /// Headers of an endpoint's answer that are read, or left aside: the id of who answers is told by a 421 without its service, and how cold an endpoint
 /// is stands in its entry.
-const OF_ANSWERS: [HeaderName; 8] = [
+const OF_ANSWERS: [HeaderName; 9] = [
     names::REQUEST_ID,
     names::SEAL,
     names::NOT_RUN,
     names::ENDPOINT_ID,
     names::LEAVING,
+    names::LIMIT,
     RETRY_AFTER,
     names::COLD_MS,
     names::VERSIONS,
@@ -134,6 +136,7 @@
     EndpointWord {
         leaving: says_leaving(headers),
         rest: rest_asked(status, headers),
+        limit: limit_named(headers),
     }
 }
 
@@ -179,6 +182,31 @@
     leaving
 }
 
+/// Requests a second that an endpoint takes from all instances together. Of several values the lowest counts.
+fn limit_named(headers: &HeaderMap) -> LimitWord {
+    let mut limit = LimitWord::Unsaid;
+    for value in headers.get_all(names::LIMIT) {
+        let per_s = value.to_str().ok().and_then(decimal);
+        if per_s.is_none() {
+            let text = String::from_utf8_lossy(value.as_bytes());
+            unknown::note("value of server-limit", &text);
+        }
+        limit = match (limit, per_s) {
+            (LimitWord::PerS(known), Some(per_s)) => LimitWord::PerS(known.min(per_s)),
+            (LimitWord::PerS(known), None) => LimitWord::PerS(known),
+            (_, Some(per_s)) => LimitWord::PerS(per_s),
+            (_, None) => LimitWord::Unreadable,
+        };
+    }
+    limit
+}
+
+/// A decimal number that is not negative.
+fn decimal(text: &str) -> Option<f64> {
+    let number: f64 = text.trim().parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
+
 fn connection_closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
     let mut words = values.filter_map(|value| value.to_str().ok());
@@ -193,12 +221,14 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// The head of the answer to the caller: the endpoint's own, but for what it says to us of itself: that it leaves, and for how long we are to leave it alone.
+/// The head of the answer to the caller: the endpoint's own, but for what it says to us of itself: that it leaves, how much it takes, and for
+/// how long we are to leave it alone.
 #[must_use]
 pub fn answer_headers(parts: &response::Parts) -> HeaderMap {
     let mut headers = parts.headers.clone();
     strip_connection_headers(&mut headers);
     headers.remove(names::LEAVING);
+    headers.remove(names::LIMIT);
     if parts.status == StatusCode::SERVICE_UNAVAILABLE {
         headers.remove(RETRY_AFTER);
     }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -31,6 +31,8 @@
     COLD_MS = "larkwick-cold-ms";
     /// An endpoint's word that it is leaving, in each of its answers.
     LEAVING = "server-leaving";
+    /// Requests a second that an endpoint in need takes from all instances together, in each of its answers.
+    LIMIT = "server-limit";
     /// How often the store has come back from an older copy.
     STORE_ERA = "store-era";
     /// Version of the weights that answer.
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -71,6 +71,8 @@
     leaving: Option<&'static str>,
     /// For how long it asks those that it refuses to send it nothing, as it stands in the header.
     rest: Option<&'static str>,
+    /// Text of the header that names a limit, where it names one.
+    limit: Option<String>,
     /// A header that no page names.
     unknown: Option<&'static str>,
 }
@@ -83,6 +85,9 @@
         if let Some(text) = self.leaving {
             headers.insert(names::LEAVING, http::HeaderValue::from_static(text));
         }
+        if let Some(limit) = self.limit.as_deref().and_then(|text| text.parse().ok()) {
+            headers.insert(names::LIMIT, limit);
+        }
         if let Some(text) = self.rest.filter(|_| refused) {
             headers.insert(RETRY_AFTER, http::HeaderValue::from_static(text));
         }
@@ -128,6 +133,8 @@
     mended: AtomicBool,
     /// What all its answers say of it, beside the matter asked.
     word: Mutex<Word>,
+    /// When requests came, whatever they asked for.
+    reached_at: Mutex<Vec<Instant>>,
     listening: Mutex<Option<Listening>>,
     address: std::sync::OnceLock<SocketAddr>,
     /// Where callers find it, where that is not where it listens: a proxy stands before it.
@@ -169,6 +176,7 @@
             fault: Mutex::default(),
             mended: AtomicBool::new(false),
             word: Mutex::default(),
+            reached_at: Mutex::default(),
             listening: Mutex::default(),
             address: std::sync::OnceLock::new(),
             listed: std::sync::OnceLock::new(),
@@ -246,6 +254,25 @@
         self.heads.lock().len()
     }
 
+    /// Most requests of any kind, questions and orders included, that reached it within such a span that began after then.
+    #[must_use]
+    pub fn most_within(&self, span: Duration, after: Instant) -> usize {
+        let reached_at = self.reached_at.lock();
+        let counted: Vec<Instant> = reached_at
+            .iter()
+            .copied()
+            .filter(|at| *at > after)
+            .collect();
+        let within = |first: &Instant| {
+            let last = *first + span;
+            counted
+                .iter()
+                .filter(|at| (*first..last).contains(*at))
+                .count()
+        };
+        counted.iter().map(within).max().unwrap_or_default()
+    }
+
     /// Where callers find it.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -289,6 +316,11 @@
         self.word.lock().rest = seconds;
     }
 
+    /// Has all its answers name how many requests a second it takes from all instances together, or nothing.
+    pub fn name_limit(&self, per_s: Option<&str>) {
+        self.word.lock().limit = per_s.map(str::to_owned);
+    }
+
     /// Has all its answers carry a header that no page names.
     pub fn say_unknown(&self, header: &'static str) {
         self.word.lock().unknown = Some(header);
@@ -317,6 +349,7 @@
     ) -> Response<StandinBody> {
         let id = text(request.headers(), &names::REQUEST_ID).map(str::to_owned);
         let at = Instant::now();
+        self.reached_at.lock().push(at);
         let mut answered = self.clone().answer(request).await;
         let word = self.word.lock().clone();
         word.add_to(&mut answered);
--- a/tests/endpoint_words.rs
+++ b/tests/endpoint_words.rs
@@ -17,6 +17,7 @@
 
 use http::Response;
 use larkwick::kernel::endpoint_word::EndpointWord;
+use larkwick::kernel::limit::LimitWord;
 use larkwick::platform::engine;
 use larkwick::standin::site::server::{Server, ServerFault};
 use larkwick::standin::site::store::StoreMood;
@@ -214,17 +215,37 @@
     assert_eq!(word_of(503, &said_twice).rest, seconds(5.0));
 }
 
+#[test]
+fn decode_answer_limit_whatever_the_answer() {
+    let limit_of = |status, text| word_of(status, &[("server-limit", text)]).limit;
+    for status in [200, 404, 500, 503, 504] {
+        assert_eq!(limit_of(status, "3.3"), LimitWord::PerS(3.3), "{status}");
+    }
+    assert_eq!(limit_of(200, " 0 "), LimitWord::PerS(0.0));
+    assert_eq!(limit_of(200, "1e308"), LimitWord::PerS(1e308));
+    for text in ["-1", "nan", "inf", "1e309", "", "few", "\u{e9}"] {
+        assert_eq!(limit_of(200, text), LimitWord::Unreadable, "{text}");
+    }
+    assert_eq!(word_of(200, &[]).limit, LimitWord::Unsaid);
+    for texts in [["7", "2"], ["2", "7"], ["few", "2"], ["2", ""]] {
+        let said_twice = texts.map(|text| ("server-limit", text));
+        assert_eq!(word_of(200, &said_twice).limit, LimitWord::PerS(2.0));
+    }
+}
+
 #[test]
 fn answer_headers_what_endpoints_say_to_us_not_passed_on() {
     let passed_on = |status: u16| {
         let answer = Response::builder().status(status).header("x-own", "1");
         let answer = answer
             .header("retry-after", "7")
-            .header("server-leaving", "1");
+            .header("server-leaving", "1")
+            .header("server-limit", "2");
         let (parts, ()) = answer.body(()).expect("an answer").into_parts();
         let headers = engine::answer_headers(&parts);
         assert!(headers.contains_key("x-own"));
         assert!(!headers.contains_key("server-leaving"));
+        assert!(!headers.contains_key("server-limit"));
         headers.contains_key("retry-after")
     };
     assert!(passed_on(429), "asked of the caller");
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -18,6 +18,8 @@
 mod hall;
 #[path = "kernel/lengths.rs"]
 mod lengths;
+#[path = "kernel/limit.rs"]
+mod limit;
 #[path = "kernel/losses.rs"]
 mod losses;
 #[path = "kernel/membership.rs"]
