The part of the repeats that an instance may make follows the number of instances

Cause: the part was counted once, at the first call, for as many instances as were known then; one that had met four of 62 kept a quarter of the whole. The same class as the limits: a sum kept by each alone, by a share that is a guess. Ruled out: the share by tries (0.16 a try adds up to what is allowed). Change: the part follows those that share (kernel/sharers); an instance that has started leaves what is on top alone for the span that repeats are counted over (new setting retry_window_s), since it may have spent it before the start; one that does not know the members makes none. Why it holds: what is left of a larger part is cut when others come, and is theirs after their first span only.

--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -23,7 +23,7 @@
 use super::live_members::LiveMembers;
 use super::runs::RunRegistry;
 use super::shared_store::SharedStore;
-use super::site_store::{MemberEntry, SiteStore};
+use super::site_store::{MemberEntry, SiteStore, Subject};
 use super::tally::Tally;
 use super::upstream::{Upstream, open_max};
 use super::waits::Suspensions;
@@ -111,6 +111,13 @@
     }
 }
 
+/// The repeats of one service that this instance may make.
+struct ServiceRepeats {
+    budget: RetryBudget,
+    /// Whether it has what is allowed on top.
+    is_filled: bool,
+}
+
 /// An instance that serves routes.
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
@@ -139,7 +146,9 @@
     pub(crate) health: Mutex<EndpointHealth>,
     /// What plain calls from here have sent to cold endpoints of late.
     pub(crate) cold_gate: Mutex<ColdGate>,
-    retries: Mutex<HashMap<String, RetryBudget>>,
+    /// By service.
+    retries: Mutex<HashMap<String, ServiceRepeats>>,
+    started_at: Duration,
     /// How long the services take to answer, by name.
     paces: Mutex<HashMap<String, Pace>>,
     pub(crate) upstream: Upstream,
@@ -214,6 +223,7 @@
             looks: Looks::default(),
             routing: RwLock::new(routing),
             settings,
+            started_at: clock.now(),
             clock,
             incarnation,
             store,
@@ -376,25 +386,38 @@
 
     /// Takes a repeat from the budget of a service.
     pub(crate) fn take_retry(&self, service: &str) -> bool {
-        let taken = self.with_budget(service, RetryBudget::take_retry);
+        // Who does not know the members does not know its part.
+        let knows_members = !self.store.knows_nothing(Subject::Members);
+        let taken = knows_members && self.with_budget(service, RetryBudget::take_retry);
         metrics::counter!("larkwick_retries_total", "allowed" => taken.to_string()).increment(1);
         taken
     }
 
+    /// The part of what is allowed to all instances together follows their number: counted once, at the first call, parts added up to several wholes.
     fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let instances = self.instances();
-        let allowance = {
+        let instances = self.instances_sharing();
+        let (allowance, window) = {
             let routing = self.routing.read();
-            RetryAllowance {
+            let allowance = RetryAllowance {
                 share: routing.retry_share,
                 slack: routing.retry_slack,
-            }
+            };
+            (allowance, routing.retry_window())
         };
+        let part = allowance.budget_of_one(instances);
+        let is_young = self.now().saturating_sub(self.started_at) < window;
         let mut retries = self.retries.lock();
-        let budget = retries
-            .entry(service.to_owned())
-            .or_insert_with(|| allowance.budget_of_one(instances));
-        change(budget)
+        let repeats = retries.entry(service.to_owned());
+        let repeats = repeats.or_insert_with(|| ServiceRepeats {
+            budget: part.emptied(),
+            is_filled: false,
+        });
+        repeats.budget.keep_to(part);
+        if !repeats.is_filled && !is_young {
+            repeats.budget.fill();
+            repeats.is_filled = true;
+        }
+        change(&mut repeats.budget)
     }
 
     /// How fast a service answers, as far as is known.
--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -60,6 +60,28 @@
 }
 
 impl RetryBudget {
+    /// The budget of an instance that has just started: what was on top may have been spent here before the start.
+    #[must_use]
+    pub fn emptied(self) -> Self {
+        Self {
+            balance_milli: 0,
+            ..self
+        }
+    }
+
+    /// The span is over in which an earlier start may have spent what is on top.
+    pub fn fill(&mut self) {
+        self.balance_milli = self.balance_max_milli;
+    }
+
+    /// From now on its part is another one, for another number of instances. What is left of a larger one goes to the others; a smaller one grows by what
+    /// is earned.
+    pub fn keep_to(&mut self, part: Self) {
+        self.balance_max_milli = part.balance_max_milli;
+        self.earned_per_try_milli = part.earned_per_try_milli;
+        self.balance_milli = self.balance_milli.min(self.balance_max_milli);
+    }
+
     /// Counts a first try.
     pub fn first_try(&mut self) {
         let earned = self.balance_milli + self.earned_per_try_milli;
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -43,6 +43,9 @@
     pub retry_share: f64,
     /// Repeats that the site allows on top of that, in all instances together.
     pub retry_slack: f64,
+    /// The span that repeats are counted over: an instance that has started leaves what is allowed on top alone for so long.
+    #[serde(default = "default_retry_window_s")]
+    pub retry_window_s: f64,
     /// Within this time a change of the configuration or of the endpoints has to be in force at every instance.
     #[serde(default = "default_change_within_ms")]
     pub change_within_ms: f64,
@@ -51,6 +54,11 @@
     pub hold_max_ms: u64,
 }
 
+/// The span that the users count over.
+fn default_retry_window_s() -> f64 {
+    10.0
+}
+
 /// The shortest time that users have asked for.
 fn default_change_within_ms() -> f64 {
     2_000.0
@@ -93,6 +101,9 @@
         if !(self.retry_slack >= 0.0 && self.retry_slack.is_finite()) {
             return fault("retry_slack", "a number that is not negative");
         }
+        if !(0.0..=3_600.0).contains(&self.retry_window_s) {
+            return fault("retry_window_s", "a number from 0 to 3600");
+        }
         if !(500.0..=3_600_000.0).contains(&self.change_within_ms) {
             return fault("change_within_ms", "a number from 500 to 3600000");
         }
@@ -108,6 +119,12 @@
         Duration::from_secs_f64(self.stop_within_s)
     }
 
+    /// The span that repeats are counted over.
+    #[must_use]
+    pub fn retry_window(&self) -> Duration {
+        Duration::from_secs_f64(self.retry_window_s)
+    }
+
     /// How fresh what the instances know must be.
     #[must_use]
     pub fn freshness(&self) -> Freshness {
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -36,6 +36,8 @@
 mod placement;
 #[path = "kernel/rest.rs"]
 mod rest;
+#[path = "kernel/retry.rs"]
+mod retry;
 #[path = "kernel/room_queue.rs"]
 mod room_queue;
 #[path = "kernel/routes.rs"]
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -156,7 +156,7 @@
             "routing": {
                 "ready_address": any, "directory_address": any, "store_address": self.store,
                 "seed_addresses": seeds, "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8,
-                "retry_share": 0.2, "retry_slack": 60,
+                "retry_share": 0.2, "retry_slack": 60, "retry_window_s": 0.0,
             },
         });
         if let Value::Object(fields) = routing {
--- a/tests/support/suspension.rs
+++ b/tests/support/suspension.rs
@@ -56,7 +56,7 @@
             "times": {"heartbeat_ms": 100},
             "routing": {
                 "ready_address": any, "directory_address": any, "store_address": site.store_seen(),
-                "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8, "retry_share": 0.2, "retry_slack": 60,
+                "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8, "retry_share": 0.2, "retry_slack": 60, "retry_window_s": 0.0,
             },
         });
         let settings: Settings = serde_json::from_value(settings).expect("settings");
