Limits in the logs tool and the soak; news to those that were not told; places and moves at engines that name a limit

Cause: what an endpoint got could be read from six logs only by hand, and the soak drew no limits. Change: larkwick logs limits adds up by endpoint and second; from its beginning on one plain endpoint and one engine of the soak take 0.5 a second, and what reaches them from instances that they told is counted in spans of four seconds (8 allowed).

--- a/src/bin/larkwick/flags.rs
+++ b/src/bin/larkwick/flags.rs
@@ -128,6 +128,17 @@
                 /// Print JSON.
                 optional --json
             }
+            /// What endpoints that name a limit got from all instances together, second by second.
+            cmd limits {
+                /// Log files; standard input where none is named.
+                repeated files: PathBuf
+                /// Only this endpoint.
+                optional --name name: String
+                /// Leave out lines that are no log lines, and count them.
+                optional --skip-damaged
+                /// Print JSON.
+                optional --json
+            }
         }
         /// Drive load and measure it.
         cmd load {
--- a/src/bin/larkwick/logs.rs
+++ b/src/bin/larkwick/logs.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use anyhow::Context;
+use larkwick::tool::log_limits::LimitedSends;
 use larkwick::tool::log_places::PlaceChanges;
 use larkwick::tool::logs::{Life, LogLine, Summary, read_lines};
 
@@ -54,6 +55,23 @@
                 eprintln!("larkwick: {} further changes left out", places.left_out());
             }
         }
+        LogsCmd::Limits(wanted) => {
+            let mut sends = LimitedSends::default();
+            read_all(&wanted.files, wanted.skip_damaged, |name, line| {
+                sends.take(name, &line);
+            })?;
+            let rows = sends.of(wanted.name.as_deref());
+            if wanted.json {
+                print_value(&serde_json::to_value(rows)?, Format::Json);
+            } else {
+                for row in rows {
+                    println!("{row}");
+                }
+            }
+            if sends.left_out() > 0 {
+                eprintln!("larkwick: {} further sends left out", sends.left_out());
+            }
+        }
     }
     Ok(())
 }
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -5,6 +5,7 @@
 use larkwick::kernel::engine_ledger::{
     EngineEntry, EngineLedger, MoveResult, ReportedRun, RunDemand,
 };
+use larkwick::kernel::permits::{LimitShare, SumShare};
 use proptest::prelude::*;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -345,3 +346,54 @@
         assert_eq!(orders[0].target, expected, "for {entry}");
     }
 }
+
+/// An engine that takes few from all instances together looks empty, and is granted no more often for it.
+#[test]
+fn place_engine_that_names_a_limit_granted_as_often_as_it_takes() {
+    let limit = LimitShare {
+        per_s: 2.0,
+        share: SumShare { lending: 2, of: 2 },
+    };
+    let mut limited = engine("limited", "h", false);
+    limited.limit = Some(limit);
+    let mut ledger = EngineLedger::default();
+    ledger.set_engines(vec![limited, engine("other", "h", false)]);
+    ledger.settle_permits(NOW);
+    let mut granted = 0;
+    for number in 0..500_u64 {
+        let now = NOW + Duration::from_millis(number * 20);
+        let entry = if number % 2 == 0 { "n1" } else { "n2" };
+        let run = format!("r{number}");
+        let place = ledger.place(&demand(&run, 100), entry, &[], now);
+        granted += u32::from(place.as_deref() == Some("limited"));
+        ledger.release(&run);
+        assert!(place.is_some(), "the other one has room");
+    }
+    assert!(
+        (18..=21).contains(&granted),
+        "{granted} of 20 in ten seconds"
+    );
+}
+
+/// To move what runs on an engine that leaves takes requests to it, and one to the engine that takes it in.
+#[test]
+fn plan_moves_from_and_to_engines_that_name_a_limit_as_often_as_they_take() {
+    let share = SumShare { lending: 1, of: 1 };
+    let limit = |per_s| Some(LimitShare { per_s, share });
+    let mut source = engine("source", "h", true);
+    source.limit = limit(0.0);
+    let mut target = engine("target", "h", false);
+    target.limit = limit(1.0);
+    let mut ledger = EngineLedger::default();
+    ledger.set_engines(vec![source.clone(), target.clone()]);
+    ledger.settle_permits(NOW);
+    ledger.take_report("n", vec![reported("r1", "source", 10)], NOW);
+    assert!(ledger.plan_moves(NOW).is_empty(), "none takes a request");
+    let later = NOW + Duration::from_secs(3);
+    assert!(ledger.plan_moves(later).is_empty(), "the source takes none");
+    source.limit = None;
+    ledger.set_engines(vec![source, target]);
+    let orders = ledger.plan_moves(later);
+    assert_eq!(orders.len(), 1);
+    assert!(orders[0].target_counted);
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -215,3 +215,35 @@
         check_sum(app, named_at);
     }
 }
+
+/// One instance alone is told by answers; the others hear of it from members, and of its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_told_to_one_instance_known_to_all() {
+    let site = RoutedSite::start(2).await;
+    let instances = instances(&site, 3).await;
+    let app = &site.apps[0];
+    let limit_at = async |instance: &Instance| {
+        let state = instance.state().await;
+        let endpoints = state["endpoints"].as_object().cloned().unwrap_or_default();
+        let is_of =
+            |one: &&serde_json::Value| one["entry"]["address"] == serde_json::json!(app.address());
+        let found = endpoints.values().find(is_of).cloned();
+        found.and_then(|one| one["limit_per_s"].as_f64())
+    };
+    app.name_limit(Some(LIMIT));
+    for instance in &instances {
+        until("known", async || {
+            instances[0].call("/calls/a", "any").await;
+            limit_at(instance).await == Some(LIMIT_PER_S)
+        })
+        .await;
+    }
+    app.name_limit(None);
+    for instance in &instances {
+        until("known to be over", async || {
+            instances[0].call("/calls/a", "any").await;
+            limit_at(instance).await.is_none()
+        })
+        .await;
+    }
+}
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -222,3 +222,34 @@
     assert_eq!(only.len(), 1);
     assert_eq!(only[0].what, "endpoint leaving");
 }
+
+/// Two instances send to one endpoint that names a limit; the tool adds them up by second.
+#[test]
+fn limits_sends_of_two_instances_added_up_by_second() {
+    let dir = tempfile::tempdir().expect("temporary directory");
+    let sent = |at_ms, endpoint, limit| {
+        let fields = json!({"endpoint": endpoint, "limit_per_s": limit});
+        line(at_ms, "sent to limited endpoint", &fields)
+    };
+    let logs = [
+        (
+            "n1.log",
+            [sent(1_100, "e1", "2.5"), sent(2_000, "e1", "2.5")],
+        ),
+        ("n2.log", [sent(1_900, "e1", "2"), sent(1_950, "e2", "7")]),
+    ];
+    let mut files = Vec::new();
+    for (name, lines) in logs {
+        let path = dir.path().join(name);
+        std::fs::write(&path, lines.join("\n")).expect("log written");
+        files.push(path.display().to_string());
+    }
+    let mut arguments = vec!["logs", "limits", "--name", "e1"];
+    arguments.extend(files.iter().map(String::as_str));
+    let output = tool(&arguments);
+    assert!(output.status.success(), "{output:?}");
+    let printed = String::from_utf8(output.stdout).expect("text");
+    let expected =
+        "1  e1  limit 2/s, sent 2, 2 instances\n2  e1  limit 2.5/s, sent 1, 1 instances\n";
+    assert_eq!(printed, expected);
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -52,6 +52,12 @@
 const CRASHING: &[u8] = b"a body that no endpoint survives";
 /// Endpoints that such a request may end once all is calm: three until it is known for what it is, and three more sends.
 const ENDED_MAX: usize = 6;
+/// What one plain endpoint and one engine name as their limit, and as it stands in the header.
+const LIMIT: &str = "0.5";
+/// Requests that may reach it within any span of this length from instances that were told so long before: half as many again as it takes, and five.
+const LIMITED_MAX: usize = 8;
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+const LIMIT_TOLD: Duration = Duration::from_millis(500);
 /// How often it comes in a row.
 const CRASHING_TRIES: u32 = 6;
 /// Requests that may reach a server within a rest that it asked for.
@@ -435,6 +441,48 @@
         });
     }
 
+    /// From the beginning on, one plain endpoint and one engine take few from all instances together.
+    fn name_limits(&self) -> Vec<Arc<Server>> {
+        let engines = self.engines.lock();
+        let limited = vec![self.site.apps[0].clone(), engines[0].0.clone()];
+        for server in &limited {
+            server.name_limit(Some(LIMIT));
+        }
+        limited
+    }
+
+    /// What reached a server that names a limit from instances that it had told, all of them together.
+    fn check_limits(&self, limited: &[Arc<Server>], all: &[Seen]) {
+        let instance_of: HashMap<&str, &str> = all
+            .iter()
+            .map(|seen| (seen.id.as_str(), seen.instance.as_str()))
+            .collect();
+        for server in limited {
+            let mut told_at: HashMap<&str, Instant> = HashMap::new();
+            let mut counted: Vec<Instant> = Vec::new();
+            for arrival in self.site.standin.arrivals() {
+                let instance = instance_of.get(arrival.request.as_str());
+                let Some(instance) = instance.filter(|_| arrival.server == server.id) else {
+                    continue;
+                };
+                let told_at = *told_at.entry(instance).or_insert(arrival.at);
+                if arrival.at > told_at + LIMIT_TOLD {
+                    counted.push(arrival.at);
+                }
+            }
+            let within = |first: &Instant| {
+                let span = *first..*first + LIMIT_SPAN;
+                counted.iter().filter(|at| span.contains(*at)).count()
+            };
+            let most = counted.iter().map(within).max().unwrap_or_default();
+            println!(
+                "{most} reached {} from instances that it had told",
+                server.id
+            );
+            assert!(most <= LIMITED_MAX, "{most} reached {}", server.id);
+        }
+    }
+
     /// What a server said of itself in an answer that came through an instance holds for what was asked of that instance afterwards.
     fn check_words(&self, all: &[Seen]) {
         let arrivals = self.site.standin.arrivals();
@@ -609,6 +657,7 @@
     println!("soak seed {seed}");
     let soak = Soak::start().await;
     let replacing = tokio::spawn(soak.clone().replace_ended());
+    let limited = soak.name_limits();
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| tokio::spawn(soak.clone().call_until_over(seed, number)))
         .collect();
@@ -635,6 +684,7 @@
         soak.check(seen);
     }
     soak.check_words(&all);
+    soak.check_limits(&limited, &all);
     soak.check_recovery().await;
     soak.check_crashing().await;
     replacing.abort();
