--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -148,11 +148,23 @@
         (instance, proxy)
     }
 
+    /// Starts an instance with the times of an installation.
+    pub fn instance_at_usual_times(&self, name: &str, seeds: &[&Instance]) -> Instance {
+        let seeds: Vec<String> = seeds.iter().map(|seed| seed.peer_address()).collect();
+        let settings = self.settings(name, &seeds, json!({}), &json!({}));
+        self.instance_by(name, &settings)
+    }
+
     fn instance_with(&self, name: &str, seeds: &[String], routing: Value) -> Instance {
+        let settings = self.settings(name, seeds, routing, &json!({"heartbeat_ms": 100}));
+        self.instance_by(name, &settings)
+    }
+
+    fn settings(&self, name: &str, seeds: &[String], routing: Value, times: &Value) -> Value {
         let any = "127.0.0.1:0";
         let mut settings = json!({
             "instance": name, "hall": "hall-1", "caller_address": any, "operator_address": any, "peer_address": any,
-            "worker_threads": 1, "times": {"heartbeat_ms": 100},
+            "worker_threads": 1, "times": times,
             "routing": {
                 "ready_address": any, "directory_address": any, "store_address": self.store,
                 "seed_addresses": seeds, "processor_cores": 0.25, "directory_valid_ms": 500, "stop_within_s": 8,
@@ -163,6 +175,10 @@
             let known = settings["routing"].as_object_mut().expect("an object");
             known.extend(fields);
         }
+        settings
+    }
+
+    fn instance_by(&self, name: &str, settings: &Value) -> Instance {
         let path = self.dir.path().join(format!("{name}.jsonc"));
         std::fs::write(&path, settings.to_string()).expect("settings written");
         let mut child = Command::new(super::DAEMON)
