A permit is spent also where only its giver knows of the limit; a metric that rises with each unknown name

Cause, read on going through the diff: a place that the owner had counted was kept as an unused permit where the entry had not heard of the limit yet, though its request left, and let a second one pass within 300 ms. And nobody who watches counts of answers sees that a new header came: it was the third in a row. Change: a permit is spent before the look whether it was needed; larkwick_platform_unknown_names. Ruled out: no other path drops a permit after its request left.

--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -144,11 +144,12 @@
     /// Whether a request may leave for an endpoint now. It is the last look, right before the send: a limit may have been named since the endpoint was
     /// chosen, and the machine may have stood still.
     pub(super) fn lets_pass(&self, endpoint: &str, mut permit: Permit) -> bool {
+        // It is spent also where only its giver knows of the limit.
+        let void_at = permit.void_at.take();
         let Some(limit_per_s) = self.limit_per_s(endpoint) else {
             return true;
         };
         let now = self.clock.now();
-        let void_at = permit.void_at.take();
         let is_valid = permit.endpoint == endpoint && void_at.is_some_and(|void_at| now < void_at);
         if is_valid {
             metrics::counter!("larkwick_sent_to_limited_total").increment(1);
--- a/src/platform/unknown.rs
+++ b/src/platform/unknown.rs
@@ -38,11 +38,14 @@
 pub(super) fn note(kind: &'static str, name: &str) {
     metrics::counter!("larkwick_platform_unknown_total", "kind" => kind).increment(1);
     let name: String = name.chars().take(NAME_CHARS_MAX).collect();
-    let is_new = {
+    let (is_new, names) = {
         let mut logged = LOGGED.lock();
-        logged.len() < NAMES_MAX && logged.insert((kind, name.clone()))
+        let is_new = logged.len() < NAMES_MAX && logged.insert((kind, name.clone()));
+        (is_new, logged.len())
     };
     if is_new {
+        let names = u32::try_from(names).unwrap_or(u32::MAX);
+        metrics::gauge!("larkwick_platform_unknown_names").set(f64::from(names));
         warn!("unknown on the platform", kv: { kind, name = name.as_str() });
     }
 }
--- a/tests/endpoint_words.rs
+++ b/tests/endpoint_words.rs
@@ -346,4 +346,9 @@
     until("told", async || known().await == expected).await;
     let of_store = unknown_headers(&instance, "store's header");
     assert_eq!(of_store, BTreeSet::from(["x-of-the-store".to_owned()]));
+    let metrics = instance.metrics().await;
+    assert!(
+        metrics.contains("larkwick_platform_unknown_names 4"),
+        "{metrics}"
+    );
 }
--- a/tests/kernel/limit.rs
+++ b/tests/kernel/limit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use larkwick::kernel::limit::{LIMIT_NEWS_MAX, LimitChange, LimitWord, Limits};
+use proptest::prelude::*;
 
 const fn at(millis: u64) -> Duration {
     Duration::from_millis(100_000 + millis)
@@ -124,3 +125,72 @@
     let much_later = at(0) + Duration::from_mins(1);
     assert!(limits.news(0, much_later).is_empty(), "news no more");
 }
+
+/// A request to an endpoint: sent, answered there and heard of so many milliseconds after the one before was sent.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    after: u64,
+    answered_in: u64,
+    heard_in: u64,
+}
+
+fn requests() -> impl Strategy<Value = Vec<Request>> {
+    let request = (0_u64..400, 0_u64..2_000, 0_u64..2_000);
+    let request = request.prop_map(|(after, answered_in, heard_in)| Request {
+        after,
+        answered_in,
+        heard_in,
+    });
+    prop::collection::vec(request, 1..60)
+}
+
+/// What the endpoint names from so many milliseconds on; nothing at first.
+fn named() -> impl Strategy<Value = Vec<(u64, LimitWord)>> {
+    let word = prop_oneof![
+        Just(LimitWord::Unsaid),
+        (0.1_f64..5.0).prop_map(LimitWord::PerS)
+    ];
+    prop::collection::vec((0_u64..12_000, word), 1..6).prop_map(|mut named| {
+        named.sort_by_key(|(at, _)| *at);
+        named
+    })
+}
+
+fn word_at(named: &[(u64, LimitWord)], at: u64) -> LimitWord {
+    let before = named.iter().rev().find(|(from, _)| *from <= at);
+    before.map_or(LimitWord::Unsaid, |(_, word)| *word)
+}
+
+proptest! {
+    /// Answers cross as they like: none that was made before the last one that named a limit ends it, and what the endpoint says last is what is known once a
+    /// request that was sent after all others were heard of has been answered.
+    #[test]
+    fn take_answers_that_cross_no_older_one_ends_a_limit(requests in requests(), named in named()) {
+        let mut sent_at = 0;
+        let mut heard: Vec<(u64, u64, u64)> = Vec::new();
+        for request in &requests {
+            sent_at += request.after;
+            let made_at = sent_at + request.answered_in;
+            heard.push((made_at + request.heard_in, sent_at, made_at));
+        }
+        heard.sort_unstable();
+        let mut limits = Limits::default();
+        let mut named_made_at = None;
+        for (heard_at, sent_at, made_at) in &heard {
+            let word = word_at(&named, *made_at);
+            let was_limited = limits.per_s("e").is_some();
+            limits.take("e", word, at(*sent_at), at(*heard_at));
+            if was_limited && limits.per_s("e").is_none() {
+                prop_assert!(named_made_at < Some(*made_at));
+            }
+            if matches!(word, LimitWord::PerS(_)) {
+                named_made_at = named_made_at.max(Some(*made_at));
+            }
+        }
+        let last = heard.last().map_or(0, |(heard_at, ..)| *heard_at) + 20_000;
+        let word = word_at(&named, last);
+        limits.take("e", word, at(last), at(last + 1));
+        let known = limits.per_s("e").map_or(LimitWord::Unsaid, LimitWord::PerS);
+        prop_assert_eq!(known, word);
+    }
+}
