--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -28,7 +28,8 @@
 /// For so long a permit is waited for that a running generation needs.
 const SOON: Duration = Duration::from_millis(600);
 
-/// What is known of limits, and the permits that this instance gives and has. Of its locks one is held at a time, and no other one with it.
+/// What is known of limits, and the permits that this instance gives and has. No other lock is taken while one of its own is held, but for `limits` while
+/// `given` is.
 pub(crate) struct PermitDesk {
     clock: Arc<dyn Clock>,
     /// What endpoints take from all instances together.
