--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -24,9 +24,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// A giver that did not answer, or that takes another instance for the giver, is asked again after this time.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
-
 /// For so long a permit is waited for that a running generation needs.
-const SOON: Duration = Duration::from_millis(600);
+const RUNNING_WAIT_MAX: Duration = Duration::from_millis(600);
 
 /// What is known of limits, and the permits that this instance gives and has. No other lock is taken while one of its own is held, but for `limits` while
 /// `given` is.
@@ -220,7 +219,7 @@
 
     /// A permit for what runs at an endpoint already, or is to go on there: it is lost without, so that the next one is waited for.
     pub(super) async fn permit_soon(&self, service: &str, endpoint: &str) -> Option<Permit> {
-        let until = self.now() + SOON;
+        let until = self.now() + RUNNING_WAIT_MAX;
         loop {
             let permit = self.permit(service, endpoint).await;
             if permit.is_some() {
