--- a/benches/crashing.rs
+++ b/benches/crashing.rs
@@ -15,7 +15,9 @@
 use larkwick::kernel::crash_suspects::{
     CrashSuspects, EndpointCrash, RefusalRules, START_WINDOW, Verdict,
 };
-use larkwick::kernel::engine_ledger::{EngineLedger, ListedEngine, ReportedRun, RunDemand};
+use larkwick::kernel::engine_ledger::{
+    EngineLedger, EngineRequirements, ListedEngine, ReportedRun, RunDemand,
+};
 use larkwick::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -142,6 +144,8 @@
         let entries = available.map(|(id, _)| ListedEngine {
             id: id.clone(),
             hall: "h".to_owned(),
+            region: String::new(),
+            version: None,
             slots: 24,
             memory_tokens: 34_000,
             leaving: false,
@@ -234,6 +238,7 @@
             generated_max_tokens: 600,
             generated_hint_tokens: Some(arrival.run_time.as_secs_f64() * TOKENS_PER_S),
             priority: 1,
+            requirements: EngineRequirements::default(),
         };
         let granted = self.ledger.place(&demand, "n1", &excluded, self.now);
         let granted = granted.or_else(|| self.ledger.place(&demand, "n1", &[], self.now));
--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -17,7 +17,7 @@
 use super::site_store::{self, SiteStore, Subject};
 use super::{
     coordinator, crash_suspects, endpoint_signals, engine_reports, heartbeat, operator_api,
-    run_reports, store_follower, work_counters,
+    rollouts, run_reports, store_follower, work_counters,
 };
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
@@ -148,6 +148,8 @@
             .push(tokio::spawn(run_reports::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(engine_reports::run(gateway.clone())));
+        self.tasks
+            .push(tokio::spawn(rollouts::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(crash_suspects::run(gateway.clone())));
         self.tasks
@@ -323,6 +325,7 @@
 
 async fn run_maintenance(gateway: Arc<Gateway>) {
     let mut rounds: u32 = 0;
+    let mut pruned_version = None;
     loop {
         tokio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
         gateway.check_for_suspension();
@@ -333,6 +336,12 @@
         if !rounds.is_multiple_of(EXPIRY_CHECKS_PER_PRUNE) {
             continue;
         }
+        gateway.observe_sharing_instances();
+        gateway.cold_rate_limiter.lock().prune(gateway.now());
+        let fleet_version = gateway.fleet.lock().version();
+        if pruned_version.replace(fleet_version) == Some(fleet_version) {
+            continue;
+        }
         let known: std::collections::HashSet<String> = {
             let fleet = gateway.fleet.lock();
             fleet
@@ -340,8 +349,6 @@
                 .map(|(entry, _)| entry.id.clone())
                 .collect()
         };
-        gateway.observe_sharing_instances();
-        gateway.cold_rate_limiter.lock().prune(gateway.now());
         let now = gateway.now();
         let is_known = |endpoint: &str| known.contains(endpoint);
         gateway
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -17,6 +17,7 @@
 use super::moves;
 use super::node::Gateway;
 use super::ownership::{acts_as_owner, owner_address, reachable_owner_address, record_owner_call};
+use super::rollouts::{self, RolloutView};
 use super::runs::UnavailableEngines;
 use crate::kernel::admission_queue::{Admission, AdmissionRequest};
 use crate::kernel::clock::millis;
@@ -24,8 +25,10 @@
 use crate::kernel::engine_ledger::{
     ColdLimit, EngineLedger, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
-use crate::kernel::fleet::{Availability, EndpointEntry};
+use crate::kernel::fleet::{Availability, EndpointEntry, Fleet};
 use crate::kernel::permits::LimitShare;
+use crate::kernel::rollout::Phase;
+use crate::kernel::rollout_evidence::Version;
 use crate::peer::client::call_with_timeout;
 use crate::peer::convert;
 use crate::peer::generated as wire;
@@ -196,6 +199,7 @@
         let engine_list_key = EngineListKey {
             config_version: table.version(),
             fleet_version: fleet.version(),
+            rollout_version: gateway.rollouts.version(),
             sender,
             limits_version,
             limit_share,
@@ -204,21 +208,24 @@
             return;
         }
         let limits = permits.limits();
+        let rollout = EngineRollout::new(gateway, service, &fleet);
         let all = fleet
             .all_endpoints()
             .filter(|(entry, _)| entry.service == service);
         let listed = |(entry, availability): (&EndpointEntry, Availability)| ListedEngine {
             id: entry.id.clone(),
             hall: entry.hall.clone(),
+            region: gateway.hall_regions.region_of(&entry.hall).to_owned(),
+            version: rollout.compared_version(entry),
             slots: capabilities.slots,
             memory_tokens: capabilities.memory_tokens,
-            leaving: availability == Availability::Leaving,
+            leaving: availability == Availability::Leaving || rollout.is_given_up(entry),
             // Generations in an evacuated hall finish where they run. Moving them, as is done off
             // leaving engines, overloads the other halls: it lowered the mean worth (the mean value
             // of the answers of a simulated day, from 0 to 1) by 0.024 (+-0.008) on a day on which
             // two halls are evacuated and by 0.010 (+-0.005) on one with a loss of all instances,
             // four paired seeds each.
-            closed: !fleet.can_accept_work(&entry.id),
+            closed: !fleet.can_accept_work(&entry.id) || rollout.is_closed(entry),
             supports_migration: capabilities.supports_migration,
             cold: cold_start.map(|cold_start| ColdLimit {
                 until: fleet.cold_until(&entry.id),
@@ -238,6 +245,49 @@
     shard.ledger.sync_permits(gateway.now());
 }
 
+/// How a roll-out restricts the engines of a service.
+struct EngineRollout {
+    view: Option<RolloutView>,
+    /// Engines of the new version that are used while the versions are compared.
+    canaries: Vec<String>,
+}
+
+impl EngineRollout {
+    fn new(gateway: &Gateway, service: &str, fleet: &Fleet) -> Self {
+        let view = gateway.rollouts.view(service, gateway.now());
+        let canaries = view.as_ref().map_or_else(Vec::new, |view| {
+            let (target, current): (Vec<_>, Vec<_>) = fleet
+                .ready_endpoints(service)
+                .partition(|entry| view.version_of(entry) == Version::Target);
+            let target = target.iter().map(|entry| entry.id.as_str()).collect();
+            let count = gateway.canary_endpoint_count(current.len());
+            rollouts::canary_endpoints(&view.target_version, target, count)
+        });
+        Self { view, canaries }
+    }
+
+    /// Returns the version of an engine while versions are compared.
+    fn compared_version(&self, entry: &EndpointEntry) -> Option<Version> {
+        let view = self.view.as_ref()?;
+        matches!(view.phase, Phase::Canary { .. }).then(|| view.version_of(entry))
+    }
+
+    /// Returns whether an engine's generations are to be moved to the other version.
+    fn is_given_up(&self, entry: &EndpointEntry) -> bool {
+        self.view.as_ref().is_some_and(|view| match view.phase {
+            Phase::Canary { .. } => false,
+            Phase::Finishing | Phase::Completed => view.version_of(entry) == Version::Current,
+            Phase::Reverted => view.version_of(entry) == Version::Target,
+        })
+    }
+
+    /// Returns whether an engine gets no new generations.
+    fn is_closed(&self, entry: &EndpointEntry) -> bool {
+        self.compared_version(entry) == Some(Version::Target) && !self.canaries.contains(&entry.id)
+            || self.is_given_up(entry)
+    }
+}
+
 /// Returns the role in which this instance sends to the cold engines of a service. An instance cut
 /// off from the owner shares the cold-start limit with all other instances that may be cut off too.
 fn cold_sender(gateway: &Gateway, service: &str) -> Sender {
@@ -304,7 +354,11 @@
     let is_owner = acts_as_owner(gateway, service);
     let (orders, is_busy) = {
         let mut shard = shard.lock();
-        refresh_engines(gateway, service, &mut shard);
+        // The list may have thousands of engines, and other instances only need it once they place
+        // generations themselves.
+        if is_owner || !shard.waiters.is_empty() {
+            refresh_engines(gateway, service, &mut shard);
+        }
         shard.ledger.expire(now);
         notify_waiters(&mut shard, now);
         let orders = if is_owner {
--- a/src/gateway/endpoint_cooldowns.rs
+++ b/src/gateway/endpoint_cooldowns.rs
@@ -66,12 +66,19 @@
 ) -> ServiceAvailability {
     let gateway = &call.gateway;
     let now = gateway.now();
+    let unavailable = gateway.unavailable_endpoints();
     let (no_endpoint_ready, ready) = {
         let fleet = gateway.fleet.lock();
-        let no_endpoint_ready = fleet.ready_endpoints(&call.service).next().is_none();
-        let ready = fleet.ready_endpoints(&call.service);
-        let ready = ready.filter(|endpoint| !is_excluded(endpoint));
-        let ready: Vec<String> = ready.map(|endpoint| endpoint.id.clone()).collect();
+        let ready = || fleet.ready_endpoints(&call.service);
+        let no_endpoint_ready = ready().next().is_none();
+        let is_eligible =
+            |endpoint: &&EndpointEntry| !is_excluded(endpoint) && call.is_region_allowed(endpoint);
+        let mut eligible = ready().filter(is_eligible);
+        if eligible.any(|endpoint| !unavailable.contains(&endpoint.id)) {
+            return ServiceAvailability::Available;
+        }
+        let eligible = ready().filter(is_eligible);
+        let ready: Vec<String> = eligible.map(|endpoint| endpoint.id.clone()).collect();
         (no_endpoint_ready, ready)
     };
     if no_endpoint_ready && gateway.store.is_store_unavailable(Subject::Endpoints) {
@@ -94,7 +101,11 @@
     let unavailable = call.gateway.unavailable_endpoints();
     let fleet = call.gateway.fleet.lock();
     let mut ready = fleet.ready_endpoints(&call.service);
-    ready.any(|endpoint| !tried.contains(&endpoint.id) && !unavailable.contains(&endpoint.id))
+    ready.any(|endpoint| {
+        !tried.contains(&endpoint.id)
+            && !unavailable.contains(&endpoint.id)
+            && call.is_region_allowed(endpoint)
+    })
 }
 
 /// Returns the delay after which a caller may retry if no endpoint of the service is available for
--- a/src/gateway/endpoint_selection.rs
+++ b/src/gateway/endpoint_selection.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 
 use super::inbound_call::Call;
+use super::rollouts;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::response_time::ResponseTimeEstimate;
 
@@ -22,14 +23,19 @@
     let gateway = &call.gateway;
     let now = gateway.now();
     let unavailable = gateway.unavailable_endpoints();
-    let mut candidates: Vec<EndpointEntry> = {
+    let candidates: Vec<EndpointEntry> = {
         let fleet = gateway.fleet.lock();
         let ready = fleet.ready_endpoints(&call.service);
         ready
-            .filter(|entry| !tried.contains(&entry.id) && !unavailable.contains(&entry.id))
+            .filter(|entry| {
+                !tried.contains(&entry.id)
+                    && !unavailable.contains(&entry.id)
+                    && call.is_region_allowed(entry)
+            })
             .cloned()
             .collect()
     };
+    let mut candidates = rollouts::usable_endpoints(call, candidates, !tried.is_empty());
     let cold = cold_start_shares(call, &candidates, now);
     {
         let rate_limiter = gateway.cold_rate_limiter.lock();
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -28,9 +28,10 @@
 use crate::kernel::clock::millis;
 use crate::kernel::cooldown::ServiceAvailability;
 use crate::kernel::crash_suspects::Verdict;
-use crate::kernel::engine_ledger::RunDemand;
+use crate::kernel::engine_ledger::{EngineRequirements, RunDemand};
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::response_time::ResponseTimeEstimate;
+use crate::kernel::rollout_evidence::Version;
 use crate::platform::{engine, ingress};
 
 /// Maximum number of engines that are tried for one generation.
@@ -81,6 +82,13 @@
         }),
         generated_hint_tokens: tokens.and_then(|tokens| tokens.generated_hint_tokens),
         priority: u32::from(call.priority),
+        requirements: EngineRequirements {
+            version: call
+                .version_choice
+                .as_ref()
+                .map_or(Version::Current, |choice| choice.version(false)),
+            regions: call.regions.clone(),
+        },
     }
 }
 
@@ -198,7 +206,10 @@
     last_event_id: Option<&str>,
 ) -> Result<StartedGeneration, Error> {
     let gateway = &call.gateway;
-    let demand = run_demand(call);
+    if !has_allowed_engine(call) {
+        return Err(no_allowed_engine_error(call));
+    }
+    let mut demand = run_demand(call);
     let mut reason = String::new();
     let mut failures = FailedAttempts::default();
     for _ in 0..ENGINE_ATTEMPTS_MAX {
@@ -233,7 +244,7 @@
         }
         let wait = capacity_wait(call, &attempts);
         let excluded = excluded_engines(call, &attempts);
-        let placement = coordinator::place(gateway, &call.service, &demand, &excluded, wait).await;
+        let placement = Box::pin(place(call, &mut demand, &excluded, wait)).await;
         let Some(Placement {
             engine: granted,
             counted_at,
@@ -277,6 +288,26 @@
     failures.into_result(call, attempts, &reason)
 }
 
+/// Places a generation. One that is drawn for the few engines of a new version does not wait for
+/// them, and does not return to them.
+async fn place(
+    call: &Call,
+    demand: &mut RunDemand,
+    excluded: &[String],
+    wait: Duration,
+) -> Option<Placement> {
+    let gateway = &call.gateway;
+    if demand.requirements.version == Version::Target {
+        let no_wait = Duration::ZERO;
+        let placed = coordinator::place(gateway, &call.service, demand, excluded, no_wait).await;
+        demand.requirements.version = Version::Current;
+        if placed.is_some() {
+            return placed;
+        }
+    }
+    coordinator::place(gateway, &call.service, demand, excluded, wait).await
+}
+
 /// The failures to report if no engine starts the generation. They cover every engine that may have
 /// run it.
 #[derive(Default)]
@@ -394,6 +425,24 @@
     }
 }
 
+/// Returns whether the call's regions have an engine that accepts work, or no engine is known.
+fn has_allowed_engine(call: &Call) -> bool {
+    let fleet = call.gateway.fleet.lock();
+    let ready = || fleet.ready_endpoints(&call.service);
+    !call.regions.is_restricted() || ready().any(|engine| call.is_region_allowed(engine))
+}
+
+fn no_allowed_engine_error(call: &Call) -> Error {
+    Error::new(
+        ErrorKind::NoEndpoint,
+        format!(
+            "service {}: no engine in the allowed regions; not run",
+            call.service
+        ),
+    )
+    .with_retry_after(capacity_retry_after(call))
+}
+
 fn no_capacity_error(call: &Call, reason: &str) -> Error {
     Error::new(
         ErrorKind::NoRoom,
@@ -505,6 +554,7 @@
         |error| AttemptFailure::Fatal(Error::new(ErrorKind::BadRequest, error.to_string())),
     )?;
     let sent_at = gateway.now();
+    gateway.record_rollout_send(call, &endpoint);
     let sending = connection.send(request, permit);
     let response_future = await_response_head(call, &run_guard.run, last_event_id, sending);
     let response = match gateway.wait_for(response_timeout, response_future).await {
@@ -512,13 +562,37 @@
         Some(Err(SendError::Unsent(reason))) => return Err(unsent(&reason)),
         Some(Err(SendError::NoPermit)) => return Err(AttemptFailure::RateLimited),
         Some(Err(SendError::MayHaveRun(reason))) => {
+            record_outcome(call, &endpoint, true, sent_at);
             aborted_requests::report(call, endpoint, Duration::ZERO).await;
             return Err(lost_run(call, ErrorKind::EndpointLost, &reason));
         }
         None => {
+            record_outcome(call, &endpoint, true, sent_at);
             return Err(lost_run(call, ErrorKind::AnswerTimeout, "no event in time"));
         }
     };
+    check_response(call, demand, &response)?;
+    let is_server_error_response = response.parts.status.is_server_error();
+    record_outcome(call, &endpoint, is_server_error_response, sent_at);
+    let attempt_response = AttemptResponse {
+        source: ResponseStream::new(response),
+        run_guard,
+        commands,
+    };
+    if is_server_error_response {
+        return Err(AttemptFailure::ErrorResponse(Box::new(attempt_response)));
+    }
+    let elapsed = gateway.now().saturating_sub(sent_at);
+    gateway.record_response_time(&call.service, INITIAL_FIRST_EVENT_TIME, elapsed);
+    Ok(attempt_response)
+}
+
+/// Checks that a response is the engine's own answer to this generation.
+fn check_response(
+    call: &Call,
+    demand: &RunDemand,
+    response: &EndpointResponse,
+) -> Result<(), AttemptFailure> {
     if response
         .head
         .request_id
@@ -547,18 +621,14 @@
             "not the engine's own answer",
         ));
     }
-    let is_server_error_response = response.parts.status.is_server_error();
-    let attempt_response = AttemptResponse {
-        source: ResponseStream::new(response),
-        run_guard,
-        commands,
-    };
-    if is_server_error_response {
-        return Err(AttemptFailure::ErrorResponse(Box::new(attempt_response)));
-    }
-    let elapsed = gateway.now().saturating_sub(sent_at);
-    gateway.record_response_time(&call.service, INITIAL_FIRST_EVENT_TIME, elapsed);
-    Ok(attempt_response)
+    Ok(())
+}
+
+/// Records how a version of the service handled a generation that was sent at `sent_at`.
+fn record_outcome(call: &Call, endpoint: &EndpointEntry, failed: bool, sent_at: Duration) {
+    let gateway = &call.gateway;
+    let latency = gateway.now().saturating_sub(sent_at);
+    gateway.record_rollout_outcome(call, endpoint, failed, latency);
 }
 
 /// Repeats the checks right before sending: updates may have arrived since the placement, or the
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -8,7 +8,10 @@
 
 use super::message_heads::CallHead;
 use super::node::{Gateway, InFlightGuard};
+use super::rollouts::VersionChoice;
 use crate::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{Route, RouteTable};
 
 /// A call in flight.
@@ -26,6 +29,10 @@
     pub(crate) account: Option<String>,
     /// Priority; 0 is served first.
     pub(crate) priority: u8,
+    /// Regions in which the call may be served.
+    pub(crate) regions: AllowedRegions,
+    /// Version that was drawn for the call, while its service is rolled out.
+    pub(crate) version_choice: Option<VersionChoice>,
     pub(crate) arrived: Duration,
     /// Time at which the caller or the route stops waiting.
     pub(crate) deadline: Duration,
@@ -62,6 +69,12 @@
         self.deadline.saturating_sub(self.gateway.now())
     }
 
+    /// Returns whether an endpoint is in a region in which the call may be served.
+    pub(crate) fn is_region_allowed(&self, endpoint: &EndpointEntry) -> bool {
+        let region = self.gateway.hall_regions.region_of(&endpoint.hall);
+        self.regions.contains(region)
+    }
+
     /// Returns the time since arrival.
     pub(crate) fn age(&self) -> Duration {
         self.gateway.now().saturating_sub(self.arrived)
--- a/src/gateway/ledgers.rs
+++ b/src/gateway/ledgers.rs
@@ -25,6 +25,8 @@
 pub(crate) struct EngineListKey {
     pub(crate) config_version: u64,
     pub(crate) fleet_version: u64,
+    /// Version of the roll-outs.
+    pub(crate) rollout_version: u64,
     /// Role in which this instance sends to cold engines.
     pub(crate) sender: Sender,
     /// Version of the rate limits that endpoints announce.
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -135,7 +135,9 @@
     if request.method() != Method::GET || request.uri().path() != names::RESOLVE_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    let addresses = gateway.caller_addresses(directory::ADDRESSES_MAX);
+    let query = directory::decode_query(request.uri());
+    let regions = gateway.directory_regions(&query.host, &query.region);
+    let addresses = gateway.caller_addresses(directory::ADDRESSES_MAX, &regions);
     if addresses.is_empty() {
         return ingress::error_response(&gateway.not_ready_error()).map(full_body);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 //! | `engine_reports` | polls engines for whether they drain while the endpoint list is not updated |
 //! | `ownership` | which instance owns the engines of a service |
 //! | `ledgers`, `coordinator` | placement and moves of generations, by the owner, or by this instance alone if it cannot reach the owner |
+//! | `rollouts` | which version a request goes to during a roll-out, and the owner's decisions |
 //! | `run_reports` | reports the generations served here to the owners of their services |
 
 pub(crate) mod aborted_requests;
@@ -64,6 +65,7 @@
 pub(crate) mod relay;
 pub(crate) mod request_handler;
 pub(crate) mod response_body;
+pub(crate) mod rollouts;
 pub(crate) mod run_reports;
 pub(crate) mod runs;
 pub(crate) mod shared_store;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -23,6 +23,7 @@
 use super::held_calls::HeldCalls;
 use super::ledgers::Ledgers;
 use super::live_members::LiveMembers;
+use super::rollouts::Rollouts;
 use super::runs::RunRegistry;
 use super::shared_store::SharedStore;
 use super::site_store::{MemberEntry, SiteStore, Subject};
@@ -38,6 +39,7 @@
 use crate::kernel::health::EndpointHealth;
 use crate::kernel::instance_count::InstanceCounter;
 use crate::kernel::membership::{Incarnation, Members, PeerStatus};
+use crate::kernel::region::{AllowedRegions, HallRegions};
 use crate::kernel::response_time::ResponseTimeEstimate;
 use crate::kernel::retry::{RetryAllowance, RetryBudget};
 use crate::kernel::route::{RouteConfig, RouteTable};
@@ -164,6 +166,8 @@
     pub(crate) presence_probes: PresenceProbes,
     pub(crate) runs: RunRegistry,
     pub(crate) ledgers: Ledgers,
+    pub(crate) rollouts: Rollouts,
+    pub(crate) hall_regions: HallRegions,
     pub(crate) peers: Arc<PeerClients>,
     /// Ensures that only one task fetches a configuration from a peer.
     pub(crate) catch_up: ExclusiveTask,
@@ -209,9 +213,10 @@
             clock.clone(),
             peers.clone(),
             live_members.clone(),
-            routing.freshness(),
+            &routing,
             work_counters.clone(),
         );
+        let hall_regions = HallRegions::new(routing.hall_regions.clone());
         let ledgers = Ledgers::for_instance(&settings.instance);
         let fleet: Arc<Mutex<Fleet>> = Arc::default();
         let endpoint_signals = Arc::new(EndpointSignalHandler::new(clock.clone(), fleet.clone()));
@@ -244,6 +249,8 @@
             response_times: Mutex::default(),
             runs: RunRegistry::default(),
             ledgers,
+            rollouts: Rollouts::default(),
+            hall_regions,
             peers,
             catch_up: ExclusiveTask::default(),
             in_flight: InFlight::new(),
@@ -479,10 +486,25 @@
         }
     }
 
-    /// Returns the caller addresses of up to `max` live members.
+    /// Returns the regions whose instances a caller of a host may use: its own region and those in
+    /// which the host's calls may be served, or all if these are not restricted.
+    pub(crate) fn directory_regions(&self, host: &str, caller_region: &str) -> AllowedRegions {
+        let table = self.table();
+        let allowed = table.map(|table| table.regions_of_host(host));
+        let allowed = allowed.unwrap_or_default();
+        match allowed.names() {
+            Some(names) => {
+                AllowedRegions::only(names.iter().cloned().chain([caller_region.to_owned()]))
+            }
+            None => allowed,
+        }
+    }
+
+    /// Returns the caller addresses of up to `max` live members in some regions, or in any region if
+    /// there is none.
     ///
     /// If there are more, a random sample is drawn, weighted by processor cores.
-    pub(crate) fn caller_addresses(&self, max: usize) -> Vec<SocketAddr> {
+    pub(crate) fn caller_addresses(&self, max: usize, regions: &AllowedRegions) -> Vec<SocketAddr> {
         let own = self.is_ready().then_some(self.settings.caller_address);
         let live: Vec<(String, SocketAddr)> = {
             let members = self.members.lock();
@@ -495,12 +517,22 @@
         };
         let mut weighted: Vec<(f64, SocketAddr)> = {
             let entries = self.member_entries.lock();
-            let cores = |name: &str| entries.get(name).map(|entry| entry.processor_cores);
-            let others = live.into_iter();
-            let others = others.map(|(name, address)| (cores(&name).unwrap_or_default(), address));
             let own_cores = self.routing.read().processor_cores;
-            others
-                .chain(own.map(|address| (own_cores, address)))
+            let own = own.map(|address| (own_cores, self.settings.hall.as_str(), address));
+            let others = live.into_iter().map(|(name, address)| {
+                let entry = entries.get(&name);
+                let cores = entry.map(|entry| entry.processor_cores);
+                let hall = entry.map_or("", |entry| entry.hall.as_str());
+                (cores.unwrap_or_default(), hall, address)
+            });
+            let all: Vec<(f64, &str, SocketAddr)> = others.chain(own).collect();
+            let is_allowed = |hall: &str| regions.contains(self.hall_regions.region_of(hall));
+            let has_allowed = all.iter().any(|(_, hall, _)| is_allowed(hall));
+            let allowed = all
+                .into_iter()
+                .filter(|(_, hall, _)| !has_allowed || is_allowed(hall));
+            allowed
+                .map(|(cores, _, address)| (cores, address))
                 .collect()
         };
         if weighted.len() > max {
--- a/src/gateway/operator_api.rs
+++ b/src/gateway/operator_api.rs
@@ -11,12 +11,14 @@
 use serde::Serialize;
 
 use super::node::{Gateway, Stage};
+use super::rollouts::RolloutDump;
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::engine_ledger::EngineSummary;
 use crate::kernel::fingerprint::RequestFingerprint;
 use crate::kernel::fleet::{Availability, EndpointEntry};
 use crate::kernel::membership::PeerStatus;
+use crate::kernel::region::AllowedRegions;
 
 /// Mounts the routes for operators.
 pub(crate) fn mount(rocket: Rocket<Build>) -> Rocket<Build> {
@@ -42,6 +44,8 @@
     members: Vec<MemberDump>,
     endpoints: BTreeMap<String, EndpointDump>,
     engines: HashMap<String, BTreeMap<String, EngineSummary>>,
+    /// Roll-outs by service.
+    rollouts: BTreeMap<String, RolloutDump>,
 }
 
 #[derive(Serialize)]
@@ -117,10 +121,11 @@
         calls_held,
         calls_held_so_far,
         connections: gateway.in_flight.connections(),
-        addresses_given: gateway.caller_addresses(usize::MAX),
+        addresses_given: gateway.caller_addresses(usize::MAX, &AllowedRegions::default()),
         members,
         endpoints,
         engines: gateway.ledgers.dump(),
+        rollouts: gateway.rollouts.dump(now),
     })
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -91,6 +91,14 @@
         Ok(Response::new(chunk_stream(head, &page)))
     }
 
+    async fn report_rollout(
+        &self,
+        request: Request<wire::RolloutReport>,
+    ) -> Result<Response<wire::RolloutDirective>, Status> {
+        let directive = self.gateway.receive_rollout_report(request.into_inner());
+        Ok(Response::new(directive))
+    }
+
     async fn place(
         &self,
         request: Request<wire::PlaceRequest>,
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -329,6 +329,20 @@
     }
 }
 
+/// Returns whether an attempt speaks against the software version of its endpoint; `None` if it says
+/// nothing about it.
+fn version_failure(attempt: &Attempt) -> Option<bool> {
+    match attempt {
+        Attempt::Responded(response) => Some(response.parts.status.is_server_error()),
+        Attempt::MayHaveRun(_) | Attempt::TimedOut => Some(true),
+        Attempt::NotRun(_)
+        | Attempt::CrashSuspected
+        | Attempt::CoolingDown
+        | Attempt::RateLimited
+        | Attempt::Misdirected => None,
+    }
+}
+
 async fn send_attempt(
     call: &Call,
     endpoint: &EndpointEntry,
@@ -378,6 +392,7 @@
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
     attempts.sends += 1;
+    gateway.record_rollout_send(call, endpoint);
     let timeout = attempt_timeout(call, attempts);
     let may_give_up = timeout < call.time_left();
     let idle_connections = connection.service_idle_connections();
@@ -421,6 +436,10 @@
             Attempt::TimedOut
         }
     };
+    if let Some(failed) = version_failure(&attempt) {
+        let latency = gateway.now().saturating_sub(sent_at);
+        gateway.record_rollout_outcome(call, endpoint, failed, latency);
+    }
     if matches!(&attempt, Attempt::Responded(response) if response.parts.status.is_success()) {
         crash_suspects::record_survival(call, endpoint);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -278,6 +278,10 @@
         let endpoint = self.run_guard.run.endpoint.lock().clone();
         let now = self.call.gateway.now();
         let ran_for = self.first_event_at.map(|at| now.saturating_sub(at));
+        let latency = ran_for.unwrap_or_default();
+        self.call
+            .gateway
+            .record_rollout_outcome(&self.call, &endpoint, true, latency);
         aborted_requests::report(&self.call, endpoint, ran_for.unwrap_or_default()).await;
     }
 
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -19,6 +19,7 @@
 use super::{generation, held_calls, plain_call};
 use crate::error::{Error, ErrorKind, Result};
 use crate::kernel::clock::millis;
+use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{CallKind, Route, RouteTable};
 use crate::platform::ingress;
 
@@ -56,7 +57,7 @@
     let stage = gateway.in_flight.stage();
     let response = match accept_call(&gateway, request, arrived).await {
         Ok(call) => match call.route.kind {
-            CallKind::Generation => generation::handle_call(call).await,
+            CallKind::Generation => Box::pin(generation::handle_call(call)).await,
             CallKind::Once | CallKind::Repeatable => plain_call::handle_call(call).await,
         },
         Err(refused) => {
@@ -117,6 +118,7 @@
     if !fits_before_shutdown(gateway, &routed.route, &head) {
         return Err(refused(stopping_error()));
     }
+    let version_choice = gateway.rollouts.draw(&routed.service, gateway.now());
     let deadline = head.deadline.unwrap_or(routed.route.timeout);
     let deadline = arrived + deadline.min(routed.route.timeout);
     let body = read_body(body, table.config().limits.body_max_bytes)
@@ -131,6 +133,8 @@
         service: routed.service,
         account: routed.account,
         priority: routed.priority,
+        regions: routed.regions,
+        version_choice,
         route: routed.route,
         arrived,
         deadline,
@@ -178,6 +182,7 @@
     service: String,
     account: Option<String>,
     priority: u8,
+    regions: AllowedRegions,
 }
 
 fn resolve_route(table: &RouteTable, head: &CallHead) -> Result<Routed> {
@@ -188,6 +193,7 @@
         service: route.choose_service(draw).to_owned(),
         account: account.name().map(str::to_owned),
         priority: account.priority(route),
+        regions: account.allowed_regions(route),
         route: route.clone(),
     })
 }
--- /dev/null
+++ b/src/gateway/rollouts.rs
@@ -0,0 +1,654 @@
+//! Roll-outs at one instance: which version a request goes to, the reports of what was sent and how
+//! it ended, and the decisions of the owner.
+//!
+//! Each instance draws the version of its own requests with the share that the owner directs, and
+//! sends nothing to the new version while it hears from no owner. The owner of the service decides;
+//! the instance that would follow it receives the same reports. The final state is written to the
+//! store under the condition that nothing else was written since, so that the first one stands.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::RngExt;
+use serde::Serialize;
+use spdlog::{info, warn};
+
+use super::inbound_call::Call;
+use super::node::Gateway;
+use super::site_store::{SiteStore, Subject};
+use crate::kernel::clock::millis;
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::membership::rendezvous_weight;
+use crate::kernel::rollout::{
+    CanaryLimits, Phase, RequestCounts, RolloutController, RolloutOrder, RolloutState,
+    RolloutStatus, VersionCensus, draw_version,
+};
+use crate::kernel::rollout_evidence::{RolloutOutcome, Score, Version};
+use crate::kernel::rollout_orders::{RolloutOrderChange, RolloutOrders};
+use crate::peer::client::call_with_timeout;
+use crate::peer::convert;
+use crate::peer::generated as wire;
+
+/// Interval between reports at a site of up to [`REPORT_INTERVAL_INSTANCES`] instances.
+const REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest such interval.
+const REPORT_INTERVAL_MAX: Duration = Duration::from_secs(1);
+/// Number of instances beyond which the interval grows in proportion.
+const REPORT_INTERVAL_INSTANCES: f64 = 100.0;
+/// Timeout of a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which a directive of the owner holds.
+const DIRECTIVE_VALID_FOR: Duration = Duration::from_millis(2_500);
+/// Maximum number of outcomes in one report. Those of the new version are never left out.
+const REPORTED_OUTCOMES_MAX: usize = 64;
+/// Time for which the former version is avoided after a roll-out was completed. Its endpoints are
+/// stopped at once, and later versions may come without an order.
+const FORMER_VERSION_AVOIDED_FOR: Duration = Duration::from_secs(10);
+
+/// A roll-out of one service.
+struct ServiceRollout {
+    order: RolloutOrder,
+    /// Time at which the order became known here.
+    seen_at: Duration,
+    /// The status recorded in the store, if it belongs to this order.
+    recorded: Option<RolloutStatus>,
+    /// Time at which a final state became known here.
+    concluded_at: Option<Duration>,
+    /// The owner's last directive, and until when it holds.
+    directive: Option<(Phase, Duration)>,
+    /// What was sent since the last report.
+    counts: RequestCounts,
+    /// Outcomes since the last report.
+    outcomes: Vec<RolloutOutcome>,
+    /// Decides on the roll-out here; `None` until this instance receives a report.
+    controller: Option<RolloutController>,
+}
+
+/// The roll-outs known to an instance.
+#[derive(Default)]
+pub(crate) struct Rollouts {
+    services: Mutex<BTreeMap<String, ServiceRollout>>,
+    orders: Mutex<RolloutOrders>,
+    /// Statuses recorded in the store, by service; they may be read before the order.
+    recorded: Mutex<BTreeMap<String, RolloutStatus>>,
+    /// Incremented whenever engines may have to be used differently.
+    version: AtomicU64,
+}
+
+/// A roll-out as it affects requests.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct RolloutView {
+    pub(crate) target_version: String,
+    pub(crate) phase: Phase,
+}
+
+impl RolloutView {
+    pub(crate) fn version_of(&self, entry: &EndpointEntry) -> Version {
+        if entry.software == self.target_version {
+            Version::Target
+        } else {
+            Version::Current
+        }
+    }
+}
+
+/// The version that was drawn for a call.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct VersionChoice {
+    view: RolloutView,
+    version: Version,
+}
+
+impl VersionChoice {
+    /// Returns the version on which the next attempt runs. A call that an endpoint of the new
+    /// version has failed is repeated on the current one.
+    pub(crate) fn version(&self, is_retry: bool) -> Version {
+        match self.view.phase {
+            Phase::Canary { .. } if is_retry => Version::Current,
+            _ => self.version,
+        }
+    }
+
+    /// Returns whether the next attempt may use an endpoint.
+    pub(crate) fn allows(&self, entry: &EndpointEntry, is_retry: bool) -> bool {
+        self.view.version_of(entry) == self.version(is_retry)
+    }
+}
+
+/// A roll-out in the state dump.
+#[derive(Debug, Serialize)]
+pub(crate) struct RolloutDump {
+    target_version: String,
+    finish_within_ms: u64,
+    phase: Phase,
+    recorded: Option<RolloutState>,
+    /// Scores of the new version by route; only at the instance that decides.
+    scores: BTreeMap<String, Score>,
+}
+
+impl ServiceRollout {
+    fn new(order: RolloutOrder, recorded: Option<RolloutStatus>, now: Duration) -> Self {
+        let mut rollout = Self {
+            order,
+            seen_at: now,
+            recorded: None,
+            concluded_at: None,
+            directive: None,
+            counts: RequestCounts::default(),
+            outcomes: Vec::new(),
+            controller: None,
+        };
+        if let Some(status) = recorded {
+            rollout.apply_status(status, now);
+        }
+        rollout
+    }
+
+    fn apply_status(&mut self, status: RolloutStatus, now: Duration) {
+        let is_final = self
+            .recorded
+            .as_ref()
+            .is_some_and(|recorded| recorded.state.is_final());
+        if status.target_version != self.order.target_version || is_final {
+            return;
+        }
+        if status.state.is_final() {
+            self.concluded_at = Some(now);
+        }
+        if let Some(controller) = &mut self.controller {
+            controller.conclude(status.state);
+        }
+        self.recorded = Some(status);
+    }
+
+    fn phase(&self, now: Duration) -> Phase {
+        match self.recorded.as_ref().map(|recorded| recorded.state) {
+            Some(RolloutState::Completed) => return Phase::Completed,
+            Some(RolloutState::Reverted) => return Phase::Reverted,
+            Some(RolloutState::Running) | None => {}
+        }
+        match self.directive {
+            Some((phase, valid_until)) if now < valid_until => phase,
+            // A directive to stop holds until another one comes.
+            Some((Phase::Reverted, _)) => Phase::Reverted,
+            _ => Phase::Canary { share: 0.0 },
+        }
+    }
+
+    fn view(&self, now: Duration) -> Option<RolloutView> {
+        let phase = self.phase(now);
+        let concluded_for = self.concluded_at.map(|at| now.saturating_sub(at));
+        let is_over = phase == Phase::Completed
+            && concluded_for.is_some_and(|time| time >= FORMER_VERSION_AVOIDED_FOR);
+        (!is_over).then(|| RolloutView {
+            target_version: self.order.target_version.clone(),
+            phase,
+        })
+    }
+
+    /// Returns the controller, which is created if necessary.
+    fn controller(
+        &mut self,
+        limits: CanaryLimits,
+        now: Duration,
+        unix_now: Duration,
+    ) -> &mut RolloutController {
+        let age = match &self.recorded {
+            Some(recorded) => unix_now
+                .saturating_sub(recorded.started_at_unix)
+                .max(now.saturating_sub(self.seen_at)),
+            None => now.saturating_sub(self.seen_at),
+        };
+        self.controller.get_or_insert_with(|| {
+            // The order may be older than this process.
+            let before_start = age.saturating_sub(now);
+            let order = RolloutOrder {
+                finish_within: self.order.finish_within.saturating_sub(before_start),
+                ..self.order.clone()
+            };
+            RolloutController::new(order, limits, now.saturating_sub(age))
+        })
+    }
+
+    /// Takes what is to be reported, all outcomes of the new version among it.
+    fn take_report(&mut self) -> (RequestCounts, Vec<RolloutOutcome>) {
+        let mut outcomes = std::mem::take(&mut self.outcomes);
+        if outcomes.len() > REPORTED_OUTCOMES_MAX {
+            let targets = outcomes
+                .iter()
+                .filter(|outcome| outcome.version == Version::Target)
+                .count();
+            let mut left = REPORTED_OUTCOMES_MAX.saturating_sub(targets);
+            outcomes.retain(|outcome| {
+                let is_kept = outcome.version == Version::Target || left > 0;
+                left = left.saturating_sub(usize::from(outcome.version == Version::Current));
+                is_kept
+            });
+        }
+        (std::mem::take(&mut self.counts), outcomes)
+    }
+}
+
+impl Rollouts {
+    /// Applies all orders in force.
+    pub(crate) fn apply_orders(&self, orders: &RolloutOrders, now: Duration) {
+        self.update_orders(now, |known| known.replace_if_older(orders));
+    }
+
+    /// Applies a change of one order.
+    pub(crate) fn apply_change(&self, change: RolloutOrderChange, now: Duration) {
+        self.update_orders(now, |known| known.apply(change));
+    }
+
+    fn update_orders(&self, now: Duration, update: impl FnOnce(&mut RolloutOrders)) {
+        let orders = {
+            let mut known = self.orders.lock();
+            update(&mut known);
+            known.orders.clone()
+        };
+        let mut services = self.services.lock();
+        services.retain(|service, rollout| {
+            let order = orders.get(service);
+            let is_same =
+                order.is_some_and(|order| order.target_version == rollout.order.target_version);
+            if !is_same {
+                info!("roll-out order withdrawn or replaced", kv: { service = service.as_str(),
+                    target_version = rollout.order.target_version.as_str() });
+            }
+            is_same
+        });
+        for (service, order) in orders {
+            let Some(rollout) = services.get_mut(&service) else {
+                info!("roll-out ordered", kv: { service = service.as_str(),
+                    target_version = order.target_version.as_str(),
+                    finish_within_ms: = millis(order.finish_within) });
+                let recorded = self.recorded.lock().get(&service).cloned();
+                services.insert(service, ServiceRollout::new(order, recorded, now));
+                continue;
+            };
+            if let Some(controller) = &mut rollout.controller
+                && order.finish_within != rollout.order.finish_within
+            {
+                controller.set_finish_within(order.finish_within);
+            }
+            rollout.order = order;
+        }
+        self.version.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Applies a status that the store has recorded.
+    pub(crate) fn apply_status(&self, status: RolloutStatus, now: Duration) {
+        info!("roll-out status", kv: { service = status.service.as_str(),
+            target_version = status.target_version.as_str(), state:? = status.state });
+        self.recorded
+            .lock()
+            .insert(status.service.clone(), status.clone());
+        let mut services = self.services.lock();
+        if let Some(rollout) = services.get_mut(&status.service) {
+            rollout.apply_status(status, now);
+        }
+        self.version.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns a counter that is incremented whenever engines may have to be used differently.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+
+    /// Returns the roll-out of a service, if there is one.
+    pub(crate) fn view(&self, service: &str, now: Duration) -> Option<RolloutView> {
+        self.services.lock().get(service)?.view(now)
+    }
+
+    /// Draws the version for a call; `None` if the service is not rolled out.
+    pub(crate) fn draw(&self, service: &str, now: Duration) -> Option<VersionChoice> {
+        let view = self.view(service, now)?;
+        let version = draw_version(view.phase, rand::rng().random_range(0.0..1.0));
+        Some(VersionChoice { view, version })
+    }
+
+    fn set_directive(&self, service: &str, target_version: &str, phase: Phase, now: Duration) {
+        let mut services = self.services.lock();
+        let rollout = services.get_mut(service);
+        let Some(rollout) =
+            rollout.filter(|rollout| rollout.order.target_version == target_version)
+        else {
+            return;
+        };
+        let before = rollout.phase(now);
+        rollout.directive = Some((phase, now + DIRECTIVE_VALID_FOR));
+        if before != phase {
+            self.version.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the roll-outs by service for the state dump.
+    pub(crate) fn dump(&self, now: Duration) -> BTreeMap<String, RolloutDump> {
+        let services = self.services.lock();
+        let dumps = services.iter().map(|(service, rollout)| {
+            let controller = rollout.controller.as_ref();
+            let dump = RolloutDump {
+                target_version: rollout.order.target_version.clone(),
+                finish_within_ms: millis(rollout.order.finish_within),
+                phase: rollout.phase(now),
+                recorded: rollout.recorded.as_ref().map(|recorded| recorded.state),
+                scores: controller
+                    .map(|controller| controller.evidence().scores())
+                    .unwrap_or_default(),
+            };
+            (service.clone(), dump)
+        });
+        dumps.collect()
+    }
+}
+
+impl Gateway {
+    /// Records that a call was sent to an endpoint.
+    pub(crate) fn record_rollout_send(&self, call: &Call, endpoint: &EndpointEntry) {
+        let mut services = self.rollouts.services.lock();
+        let Some(rollout) = services.get_mut(&call.service) else {
+            return;
+        };
+        let is_target = endpoint.software == rollout.order.target_version;
+        rollout.counts.all += 1;
+        rollout.counts.target += u64::from(is_target);
+    }
+
+    /// Records how an endpoint handled a call that was sent `latency` ago.
+    pub(crate) fn record_rollout_outcome(
+        &self,
+        call: &Call,
+        endpoint: &EndpointEntry,
+        failed: bool,
+        latency: Duration,
+    ) {
+        let observed_at = self.now();
+        let mut services = self.rollouts.services.lock();
+        let Some(rollout) = services.get_mut(&call.service) else {
+            return;
+        };
+        if rollout.concluded_at.is_none() {
+            let is_target = endpoint.software == rollout.order.target_version;
+            rollout.outcomes.push(RolloutOutcome {
+                route: call.route.name.clone(),
+                version: if is_target {
+                    Version::Target
+                } else {
+                    Version::Current
+                },
+                failed,
+                latency,
+                observed_at,
+            });
+        }
+    }
+
+    /// Returns how many endpoints of a new version share the requests of the canary phase.
+    pub(crate) fn canary_endpoint_count(&self, current_endpoints: usize) -> usize {
+        canary_endpoint_count(self.canary_limits().share, current_endpoints)
+    }
+
+    fn canary_limits(&self) -> CanaryLimits {
+        let routing = self.routing.read();
+        CanaryLimits {
+            share: routing.canary_share,
+            slack: routing.canary_slack,
+        }
+    }
+
+    fn version_census(&self, service: &str, target_version: &str) -> VersionCensus {
+        let mut census = VersionCensus::default();
+        let running = self.ledgers.shard(service).lock().ledger.running_engines();
+        let fleet = self.fleet.lock();
+        for entry in fleet.ready_endpoints(service) {
+            if entry.software == target_version {
+                census.target += 1;
+            } else {
+                census.current += 1;
+                census.runs_on_current += usize::from(running.contains(&entry.id));
+            }
+        }
+        census
+    }
+
+    /// Handles a report of an instance as the owner, or as the one that would follow it. Returns the
+    /// owner's directive.
+    pub(crate) fn receive_rollout_report(
+        &self,
+        report: wire::RolloutReport,
+    ) -> wire::RolloutDirective {
+        let now = self.now();
+        let counts = RequestCounts {
+            all: report.sent,
+            target: report.sent_to_target,
+        };
+        let outcomes = report.outcomes.into_iter();
+        let outcomes: Vec<RolloutOutcome> = outcomes
+            .map(|outcome| convert::rollout_outcome(outcome, now))
+            .collect();
+        let phase =
+            self.add_rollout_report(&report.service, &report.target_version, counts, &outcomes);
+        convert::rollout_directive(phase)
+    }
+
+    fn add_rollout_report(
+        &self,
+        service: &str,
+        target_version: &str,
+        counts: RequestCounts,
+        outcomes: &[RolloutOutcome],
+    ) -> Option<Phase> {
+        let (now, unix_now) = (self.now(), self.clock.unix_time());
+        let limits = self.canary_limits();
+        let mut services = self.rollouts.services.lock();
+        let rollout = services.get_mut(service)?;
+        if rollout.order.target_version != target_version {
+            return None;
+        }
+        let recorded = rollout.recorded.as_ref().map(|recorded| recorded.state);
+        let controller = rollout.controller(limits, now, unix_now);
+        controller.conclude(recorded.unwrap_or(RolloutState::Running));
+        controller.add_report(counts, outcomes);
+        Some(controller.phase())
+    }
+}
+
+/// Reports and decides on roll-outs until the instance stops.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(report_interval(&gateway)).await;
+        let due: Vec<(String, String, RequestCounts, Vec<RolloutOutcome>)> = {
+            let now = gateway.now();
+            let mut services = gateway.rollouts.services.lock();
+            let running = services.iter_mut().filter(|(_, rollout)| {
+                rollout.concluded_at.is_none() || rollout.phase(now) != Phase::Completed
+            });
+            running
+                .map(|(service, rollout)| {
+                    let (counts, outcomes) = rollout.take_report();
+                    let target_version = rollout.order.target_version.clone();
+                    (service.clone(), target_version, counts, outcomes)
+                })
+                .collect()
+        };
+        for (service, target_version, counts, outcomes) in due {
+            report(&gateway, &service, &target_version, counts, &outcomes).await;
+        }
+    }
+}
+
+fn report_interval(gateway: &Gateway) -> Duration {
+    let instances = u32::try_from(gateway.reachable_instance_count()).unwrap_or(u32::MAX);
+    let factor = (f64::from(instances) / REPORT_INTERVAL_INSTANCES).max(1.0);
+    REPORT_INTERVAL.mul_f64(factor).min(REPORT_INTERVAL_MAX)
+}
+
+/// Reports to the owner of a service and to the instance that would follow it, and applies the
+/// owner's directive.
+async fn report(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    target_version: &str,
+    counts: RequestCounts,
+    outcomes: &[RolloutOutcome],
+) {
+    let live = gateway.live_members.view();
+    for (rank, member) in live.owner_and_successor(service).into_iter().enumerate() {
+        let is_owner = rank == 0;
+        if member.name == gateway.incarnation.name {
+            gateway.add_rollout_report(service, target_version, counts, outcomes);
+            if is_owner {
+                decide(gateway, service, target_version).await;
+            }
+            continue;
+        }
+        let message = wire::RolloutReport {
+            service: service.to_owned(),
+            target_version: target_version.to_owned(),
+            sent: counts.all,
+            sent_to_target: counts.target,
+            outcomes: outcomes.iter().map(Into::into).collect(),
+        };
+        let reply = match gateway.peers.site_client(&member.peer_address) {
+            Ok(mut client) => {
+                call_with_timeout(REPORT_TIMEOUT, client.report_rollout(message)).await
+            }
+            Err(status) => Err(status),
+        };
+        match reply {
+            Ok(directive) if is_owner => {
+                if let Some(phase) = convert::rollout_phase(&directive) {
+                    let now = gateway.now();
+                    gateway
+                        .rollouts
+                        .set_directive(service, target_version, phase, now);
+                }
+            }
+            Ok(_) => {}
+            Err(status) => {
+                if crate::log::should_log("roll-out report not taken") {
+                    warn!("roll-out report not taken", kv: { service,
+                        owner = member.name.as_str(), why = status.message() });
+                }
+            }
+        }
+    }
+}
+
+/// Advances a roll-out at the owner, and records its state in the store.
+async fn decide(gateway: &Arc<Gateway>, service: &str, target_version: &str) {
+    let census = gateway.version_census(service, target_version);
+    let (now, unix_now) = (gateway.now(), gateway.clock.unix_time());
+    let limits = gateway.canary_limits();
+    let (phase, state, recorded, started_at_unix) = {
+        let mut services = gateway.rollouts.services.lock();
+        let rollout = services.get_mut(service);
+        let Some(rollout) =
+            rollout.filter(|rollout| rollout.order.target_version == target_version)
+        else {
+            return;
+        };
+        let recorded = rollout.recorded.as_ref().map(|recorded| recorded.state);
+        let started_at_unix = rollout.recorded.as_ref().map_or_else(
+            || unix_now.saturating_sub(now.saturating_sub(rollout.seen_at)),
+            |recorded| recorded.started_at_unix,
+        );
+        let controller = rollout.controller(limits, now, unix_now);
+        controller.conclude(recorded.unwrap_or(RolloutState::Running));
+        let before = controller.phase();
+        let phase = controller.advance(census, now);
+        if std::mem::discriminant(&before) != std::mem::discriminant(&phase) {
+            log_decision(service, controller, census);
+        }
+        (phase, controller.state(), recorded, started_at_unix)
+    };
+    gateway
+        .rollouts
+        .set_directive(service, target_version, phase, now);
+    if phase == Phase::Finishing {
+        gateway.ledgers.wake_coordinator();
+    }
+    if recorded == Some(state) {
+        return;
+    }
+    let status = RolloutStatus {
+        service: service.to_owned(),
+        target_version: target_version.to_owned(),
+        state,
+        started_at_unix,
+    };
+    let at = gateway.store.known_to(Subject::Members);
+    match gateway.store.write_rollout_status(&status, at).await {
+        Ok(true) => gateway.rollouts.apply_status(status, gateway.now()),
+        // Another instance may have written it. Its record is read first.
+        Ok(false) => {}
+        Err(error) => warn!("roll-out status not written", kv: { service, why: = error }),
+    }
+}
+
+fn log_decision(service: &str, controller: &RolloutController, census: VersionCensus) {
+    info!("roll-out decided", kv: {
+        service,
+        target_version = controller.order().target_version.as_str(),
+        phase:? = controller.phase(),
+        scores:? = controller.evidence().scores(),
+        target_endpoints: = census.target,
+        current_endpoints: = census.current,
+        runs_on_current: = census.runs_on_current,
+    });
+}
+
+/// Returns the endpoints that the next attempt of a call may use, of those that accept work.
+pub(crate) fn usable_endpoints(
+    call: &Call,
+    ready: Vec<EndpointEntry>,
+    is_retry: bool,
+) -> Vec<EndpointEntry> {
+    let Some(choice) = &call.version_choice else {
+        return ready;
+    };
+    let (mut allowed, others): (Vec<_>, Vec<_>) = ready
+        .into_iter()
+        .partition(|entry| choice.allows(entry, is_retry));
+    let version = choice.version(is_retry);
+    match choice.view.phase {
+        Phase::Canary { .. } if version == Version::Target => {
+            let count = call.gateway.canary_endpoint_count(others.len());
+            let ids = allowed.iter().map(|entry| entry.id.as_str()).collect();
+            let chosen = canary_endpoints(&choice.view.target_version, ids, count);
+            allowed.retain(|entry| chosen.contains(&entry.id));
+            if allowed.is_empty() { others } else { allowed }
+        }
+        Phase::Finishing | Phase::Completed if allowed.is_empty() => others,
+        _ => allowed,
+    }
+}
+
+/// Returns how many endpoints of the new version share the requests of the canary phase, so that
+/// each gets about as many as one of the current version: a version may be bad only under load.
+fn canary_endpoint_count(share: f64, current_endpoints: usize) -> usize {
+    let current = u32::try_from(current_endpoints).unwrap_or(u32::MAX);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a share of a number that fits"
+    )]
+    let count = (share * f64::from(current)).round() as usize;
+    count.max(1)
+}
+
+/// Returns the endpoints of the new version that are used in the canary phase; the same ones at all
+/// instances.
+pub(crate) fn canary_endpoints(
+    target_version: &str,
+    mut target_endpoints: Vec<&str>,
+    count: usize,
+) -> Vec<String> {
+    target_endpoints
+        .sort_unstable_by_key(|id| std::cmp::Reverse(rendezvous_weight(target_version, id)));
+    target_endpoints.truncate(count);
+    target_endpoints.into_iter().map(str::to_owned).collect()
+}
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -8,6 +8,7 @@
 
 mod bootstrap;
 mod peer_reads;
+mod source_reads;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -20,21 +21,20 @@
 
 use super::live_members::LiveMembers;
 use super::site_store::{
-    MemberEntry, SitePage, SiteStore, StoreError, StoreResult, StoredSuspect, Subject,
+    MemberEntry, SitePage, SiteSample, SiteStore, StoreError, StoreResult, StoredSuspect, Subject,
 };
 use super::subject_cache::SubjectCache;
 use super::work_counters::{WorkCounters, WorkKind};
-use crate::kernel::clock::{Clock, millis};
+use crate::kernel::clock::Clock;
 use crate::kernel::fingerprint::RequestFingerprint;
 use crate::kernel::freshness::Freshness;
 use crate::kernel::position::Position;
+use crate::kernel::rollout::RolloutStatus;
 use crate::kernel::store_contact::StoreContact;
 use crate::kernel::store_sources::{Source, StoreSources};
+use crate::kernel::transfer_budget::TransferBudget;
 use crate::peer::client::PeerClients;
-use crate::peer::generated as wire;
-
-/// Time allowed for the head of a peer's response, in addition to the poll wait of the request.
-const PEER_HEAD_MARGIN: Duration = Duration::from_millis(200);
+use crate::settings::routing::RoutingSettings;
 
 /// Poll wait when reading the members from a peer. Heartbeats report changes of the members sooner.
 const MEMBERS_PEER_POLL_WAIT: Duration = Duration::from_secs(2);
@@ -43,13 +43,6 @@
 /// Maximum age of members data accepted from a peer. Longer than a reader's poll wait.
 const MEMBERS_PEER_AGE_MAX: Duration = Duration::from_secs(12);
 
-/// Shortest outage of the store after which entries may be missing: an entry expires after three
-/// missed heartbeats of more than one second each, so no entry expires in a shorter outage.
-const OUTAGE_MIN: Duration = Duration::from_secs(2);
-/// Maximum time to a response of the store, in addition to the poll wait. Calls time out sooner, so
-/// a call that took longer was answered in time but its response was read late.
-const STORE_RESPONSE_MAX: Duration = Duration::from_secs(1);
-
 /// A page with the age of its data.
 #[derive(Debug)]
 struct AgedPage {
@@ -60,6 +53,17 @@
     since_recovery: Option<Duration>,
 }
 
+impl AgedPage {
+    /// A page that the store has just sent.
+    fn fresh(page: SitePage) -> Self {
+        Self {
+            page,
+            age: Duration::ZERO,
+            since_recovery: None,
+        }
+    }
+}
+
 /// State of one subject.
 struct SubjectShard {
     cache: Mutex<SubjectCache>,
@@ -105,6 +109,10 @@
     work_counters: Arc<WorkCounters>,
     /// The latest known era of the store.
     era: AtomicU64,
+    /// Whether the store has written this instance's entry.
+    has_written_own_entry: AtomicBool,
+    /// Limits the whole lists that peers read from this instance.
+    transfer_budget: Mutex<TransferBudget>,
     shards: [SubjectShard; 3],
 }
 
@@ -117,13 +125,15 @@
         clock: Arc<dyn Clock>,
         peers: Arc<PeerClients>,
         live_members: Arc<LiveMembers>,
-        freshness: Freshness,
+        routing: &RoutingSettings,
         work_counters: Arc<WorkCounters>,
     ) -> Self {
         Self {
             store,
             era: AtomicU64::new(0),
-            freshness,
+            has_written_own_entry: AtomicBool::new(false),
+            transfer_budget: Mutex::new(TransferBudget::new(routing.link_mbps)),
+            freshness: routing.freshness(),
             work_counters,
             clock,
             peers,
@@ -169,6 +179,14 @@
         }
     }
 
+    /// Returns the delay after new records of endpoints before the next ones are read.
+    pub(crate) fn endpoints_batching_delay(&self) -> Duration {
+        let live = self.live_members.view();
+        let plan = live.readers();
+        self.freshness
+            .endpoints_batching_delay(!plan.relays.is_empty(), plan.reads_through_relays())
+    }
+
     fn shard(&self, subject: Subject) -> &SubjectShard {
         let index = SUBJECTS.iter().position(|candidate| *candidate == subject);
         &self.shards[index.unwrap_or_default()]
@@ -225,6 +243,11 @@
         shard.contact.lock().is_unavailable(confirmed_at)
     }
 
+    /// Returns whether the store has written this instance's own entry.
+    pub(crate) fn has_written_own_entry(&self) -> bool {
+        self.has_written_own_entry.load(Ordering::Relaxed)
+    }
+
     /// Returns the latest known era of the store.
     pub(crate) fn era(&self) -> u64 {
         self.era.load(Ordering::Relaxed)
@@ -260,132 +283,17 @@
         }
     }
 
-    async fn read_from_peer(
-        &self,
-        address: &str,
-        subject: Subject,
-        from: Option<Position>,
-        wait: Duration,
-        any_age: bool,
-    ) -> StoreResult<AgedPage> {
-        let wait = wait.min(self.peer_poll_wait(subject));
-        let requested_at = self.clock.now();
-        let request = wire::ReadSiteRequest {
-            subject: subject.name().to_owned(),
-            whole: from.is_none(),
-            from_offset: from.unwrap_or_default().offset(),
-            from_era: from.unwrap_or_default().era(),
-            wait_ms: millis(wait),
-            any_age,
-        };
-        let response = self
-            .peers
-            .read_site(address, request, wait + PEER_HEAD_MARGIN)
-            .await
-            .map_err(StoreError::NoAnswer)?;
-        let head_at = self.clock.now();
-        let head = response.head;
-        let unread_for = head_at.saturating_sub(requested_at + wait + PEER_HEAD_MARGIN);
-        let age = Duration::from_millis(head.age_ms) + unread_for;
-        if age > self.peer_age_max(subject) && !any_age {
-            let why = format!("the peer last reached the store {} ms ago", head.age_ms);
-            return Err(StoreError::NoAnswer(why));
-        }
-        if head.era < self.era() && !any_age {
-            let why = format!("the peer's data is from the earlier store era {}", head.era);
-            return Err(StoreError::NoAnswer(why));
-        }
-        if from.is_some_and(|from| head.era > from.era()) {
-            return Err(StoreError::EraChanged { era: head.era });
-        }
-        if head.store_failed_ms_ago > 0 {
-            let ago = Duration::from_millis(head.store_failed_ms_ago);
-            self.record_store_failure(subject, head_at.saturating_sub(ago));
-        }
-        let transfer = TransferGuard::start(&self.shard(subject).transfers);
-        let page = response
-            .receive_rest()
-            .await
-            .map_err(StoreError::NoAnswer)?;
-        drop(transfer);
-        let records = page.decode();
-        let records = records.map_err(|error| StoreError::Malformed(error.to_string()))?;
-        let since_recovery = Duration::from_millis(head.regained_ms_ago);
-        Ok(AgedPage {
-            page: SitePage {
-                records,
-                next: Position::new(head.era, head.next_offset),
-            },
-            // Includes the time of the transfer.
-            age: age + self.clock.now().saturating_sub(head_at),
-            since_recovery: (!since_recovery.is_zero()).then_some(since_recovery),
-        })
-    }
-
     /// Returns whether a page of this subject is being received from a peer.
     pub(crate) fn is_receiving(&self, subject: Subject) -> bool {
         self.shard(subject).transfers.load(Ordering::Relaxed) > 0
     }
 
-    /// Reads from the preferred source. If it fails, reads from all other peers concurrently, then
-    /// from the store. Sequential reads could exceed the time within which a departure or a
-    /// configuration must be known.
-    async fn read_from_any_source(
-        &self,
-        subject: Subject,
-        from: Option<Position>,
-        wait: Duration,
-    ) -> StoreResult<SitePage> {
-        let sources = self.sources(subject);
-        if from.is_none() && self.has_no_data(subject) {
-            return self.bootstrap(subject, sources).await;
-        }
-        let mut sources = sources.into_iter();
-        let Some(first) = sources.next() else {
-            return Err(no_source());
-        };
-        let first = self.read_from_source(first, subject, from, wait).await;
-        if matches!(
-            first,
-            Ok(_) | Err(StoreError::Expired { .. } | StoreError::EraChanged { .. })
-        ) {
-            return first;
-        }
-        let (store, peers): (Vec<_>, Vec<_>) =
-            sources.partition(|(source, _)| *source == Source::Store);
-        let mut read = first;
-        for group in [peers, store] {
-            if read.is_err() && !group.is_empty() {
-                read = self
-                    .read_first_success(group, subject, from, Duration::ZERO)
-                    .await;
-            }
-        }
-        self.record_outcome(subject, &read);
-        read
-    }
-
     /// Returns the store itself and counts a call to it.
     fn store(&self) -> &dyn SiteStore {
         self.work_counters.increment(WorkKind::StoreCall);
         self.store.as_ref()
     }
 
-    /// Reads from several sources concurrently and returns the first success.
-    async fn read_first_success(
-        &self,
-        sources: Vec<(Source, Option<String>)>,
-        subject: Subject,
-        from: Option<Position>,
-        wait: Duration,
-    ) -> StoreResult<SitePage> {
-        let reads = sources
-            .into_iter()
-            .map(|source| Box::pin(self.read_from_source(source, subject, from, wait)));
-        let (page, _) = futures::future::select_ok(reads).await?;
-        Ok(page)
-    }
-
     fn record_outcome(&self, subject: Subject, read: &StoreResult<SitePage>) {
         let last_read_failed = &self.shard(subject).last_read_failed;
         last_read_failed.store(read.is_err(), Ordering::Relaxed);
@@ -401,76 +309,6 @@
         self.shard(subject).last_read_failed.load(Ordering::Relaxed)
     }
 
-    async fn read_from_source(
-        &self,
-        (source, address): (Source, Option<String>),
-        subject: Subject,
-        from: Option<Position>,
-        wait: Duration,
-    ) -> StoreResult<SitePage> {
-        let read = match &address {
-            Some(address) => {
-                self.read_from_peer(address, subject, from, wait, false)
-                    .await
-            }
-            None => self.read_from_store(subject, from, wait).await,
-        };
-        match &read {
-            Ok(aged) => self.observe_era(aged.page.next.era(), &source),
-            Err(StoreError::EraChanged { era }) => self.observe_era(*era, &source),
-            Err(_) => {}
-        }
-        match read {
-            Ok(aged) => {
-                self.record_source_success(subject, &source);
-                Ok(self.cache_page(subject, from, aged))
-            }
-            // Not a failure of the source: only the store itself reports records as permanently
-            // gone.
-            Err(error @ (StoreError::Expired { .. } | StoreError::EraChanged { .. })) => Err(error),
-            Err(error) => {
-                self.record_source_failure(subject, &source, &error);
-                Err(error)
-            }
-        }
-    }
-
-    async fn read_from_store(
-        &self,
-        subject: Subject,
-        from: Option<Position>,
-        wait: Duration,
-    ) -> StoreResult<AgedPage> {
-        let requested_at = self.clock.now();
-        let through_relays = self.live_members.view().readers().reads_through_relays();
-        let page = match from {
-            Some(from) => self.store().read(subject, from, wait).await?,
-            None if self.has_no_data(subject) && !through_relays => {
-                self.read_latest_with_retries(subject).await?
-            }
-            None => self.store().read_latest(subject).await?,
-        };
-        // If peers supplied fresh data in the meantime, only this instance could not reach the
-        // store, and no entry expired.
-        let data_age = self.data_age(subject);
-        if data_age.is_some_and(|age| age >= OUTAGE_MIN) {
-            self.record_recovery(subject, self.clock.now());
-        }
-        // A response that waited unread while this process was suspended is that old. Treated as
-        // new, it would be served to peers as current data.
-        let elapsed = self.clock.now().saturating_sub(requested_at);
-        let unread_for = match from {
-            Some(_) => elapsed.saturating_sub(wait + STORE_RESPONSE_MAX),
-            // Several calls, which may legitimately take longer.
-            None => Duration::ZERO,
-        };
-        Ok(AgedPage {
-            page,
-            age: unread_for,
-            since_recovery: None,
-        })
-    }
-
     fn record_recovery(&self, subject: Subject, at: Duration) {
         let mut recovered_at = self.shard(subject).recovered_at.lock();
         *recovered_at = Some(at).max(*recovered_at);
@@ -483,6 +321,11 @@
         Some(self.clock.now().saturating_sub(confirmed_at))
     }
 
+    /// Returns the position up to which the records of a subject are known.
+    pub(crate) fn known_to(&self, subject: Subject) -> Position {
+        self.shard(subject).cache.lock().next
+    }
+
     /// Returns the time at which the store recovered from its last known outage.
     pub(crate) fn recovered_at(&self, subject: Subject) -> Option<Duration> {
         *self.shard(subject).recovered_at.lock()
@@ -528,6 +371,10 @@
             .await
     }
 
+    async fn read_sample(&self, subject: Subject) -> StoreResult<SiteSample> {
+        self.store().read_sample(subject).await
+    }
+
     async fn read(
         &self,
         subject: Subject,
@@ -538,7 +385,18 @@
     }
 
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
-        self.store().announce(member).await
+        let written = self.store().announce(member).await;
+        self.has_written_own_entry
+            .fetch_or(written.is_ok(), Ordering::Relaxed);
+        written
+    }
+
+    async fn write_rollout_status(
+        &self,
+        status: &RolloutStatus,
+        at: Position,
+    ) -> StoreResult<bool> {
+        self.store().write_rollout_status(status, at).await
     }
 
     async fn store_suspect(&self, suspect: &StoredSuspect) -> StoreResult<()> {
--- a/src/gateway/shared_store/peer_reads.rs
+++ b/src/gateway/shared_store/peer_reads.rs
@@ -82,6 +82,11 @@
             cache.encoded_since(from)
         };
         let page = page.ok_or_else(|| tonic::Status::out_of_range("records are not kept here"))?;
+        if request.whole && !self.transfer_budget.lock().try_admit(page.bytes.len(), now) {
+            return Err(tonic::Status::resource_exhausted(
+                "busy with other transfers",
+            ));
+        }
         let next = cache.next.max(from);
         let head = wire::PageHead {
             next_offset: next.offset(),
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -15,6 +15,8 @@
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::position::Position;
 use crate::kernel::roles::{self, default_link_mbps};
+use crate::kernel::rollout::RolloutStatus;
+use crate::kernel::rollout_orders::{RolloutOrderChange, RolloutOrders};
 use crate::kernel::route::RouteConfig;
 
 /// A group of records that is cached and followed independently of the others.
@@ -114,6 +116,12 @@
     HallOrder(HallOrder),
     /// All evacuated halls.
     EvacuatedHalls(EvacuatedHalls),
+    /// A change of a roll-out order.
+    RolloutChange(RolloutOrderChange),
+    /// All roll-out orders.
+    RolloutOrders(RolloutOrders),
+    /// The recorded state of a roll-out.
+    RolloutStatus(RolloutStatus),
     /// The entry of an endpoint.
     Endpoint(EndpointEntry),
     /// The entry of a listed id was deleted.
@@ -142,6 +150,15 @@
     pub next: Position,
 }
 
+/// Some of a subject's records, or all of them if there are few.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SiteSample {
+    /// The records, and the position after them if they are complete.
+    pub page: SitePage,
+    /// Whether these are the latest records of all keys.
+    pub is_complete: bool,
+}
+
 /// Error of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -151,6 +168,9 @@
     /// No complete response was received. A write may have been applied, or may be applied later.
     #[error("the store did not answer: {0}")]
     NoAnswer(String),
+    /// The instance that was asked is sending as much as its link carries; others may answer.
+    #[error("the instance is busy with other transfers")]
+    Busy,
     /// Records at the requested offset are no longer retained.
     #[error("records before offset {first_offset} are no longer retained")]
     Expired {
@@ -163,6 +183,9 @@
         /// The current era.
         era: u64,
     },
+    /// A conditional write was not applied because others came before it.
+    #[error("the log has grown since it was read")]
+    Conflict,
     /// The response could not be decoded.
     #[error("could not decode the store's response: {0}")]
     Malformed(String),
@@ -176,11 +199,18 @@
 pub trait SiteStore: Send + Sync {
     /// Reads the latest record of each key.
     async fn read_latest(&self, subject: Subject) -> StoreResult<SitePage>;
+    /// Reads a bounded number of a subject's records, the same ones for all instances that start
+    /// together.
+    async fn read_sample(&self, subject: Subject) -> StoreResult<SiteSample>;
     /// Reads records from a position on; waits up to `wait` for the first one.
     async fn read(&self, subject: Subject, from: Position, wait: Duration)
     -> StoreResult<SitePage>;
     /// Writes the entry of this instance.
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()>;
+    /// Writes the status of a roll-out if nothing was written to the members' log since the position
+    /// `at`; returns whether it did.
+    async fn write_rollout_status(&self, status: &RolloutStatus, at: Position)
+    -> StoreResult<bool>;
     /// Writes the record of a suspect, replacing an earlier one.
     async fn store_suspect(&self, suspect: &StoredSuspect) -> StoreResult<()>;
     /// Deletes the record of a suspect.
--- a/src/gateway/store_follower.rs
+++ b/src/gateway/store_follower.rs
@@ -27,21 +27,23 @@
 /// before the pause already take half a second.
 const PAUSE_WITHOUT_DATA_MAX: Duration = Duration::from_millis(50);
 
-/// Maximum wait for the members. When a whole site starts, its members are known after about this
-/// time.
-const MEMBERS_WAIT_MAX: Duration = Duration::from_millis(300);
-/// Time within which an available store returns the list of members. After it, one live peer
-/// suffices.
-const MEMBERS_LIST_WAIT: Duration = Duration::from_millis(60);
+/// Maximum wait for the list of members, with a margin for a site of thousands that starts.
+const MEMBERS_WAIT_MAX: Duration = Duration::from_secs(2);
+/// Maximum wait for this instance's own entry to be written before the members are read.
+const OWN_ENTRY_WAIT_MAX: Duration = Duration::from_millis(150);
+/// Interval of checks while an instance waits for its own entry or the list of members.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Maximum number of changes of the endpoint list that are logged one by one.
+const LOGGED_CHANGES_MAX: usize = 256;
 
 /// Returns the delay after new records, so that the next read returns the following records in one
 /// batch: endpoints leave several at a time, and the instances of a site start together. Each read
 /// costs one call to the store per reader.
-const fn batching_delay(subject: Subject) -> Duration {
+fn batching_delay(gateway: &Gateway, subject: Subject) -> Duration {
     match subject {
         Subject::Configuration => Duration::ZERO,
-        // Short compared with the 1.5 s notice that engines give before they leave.
-        Subject::Endpoints => Duration::from_millis(25),
+        Subject::Endpoints => gateway.store.endpoints_batching_delay(),
         Subject::Members => Duration::from_millis(500),
     }
 }
@@ -89,26 +91,40 @@
     }
 }
 
-/// Waits briefly for the list of members or, during an outage of the store, for a first live peer.
-/// Data that peers have need not be read from the store. An instance that knows only one member
-/// acts as a reader, and so would each of hundreds that start together.
-async fn wait_for_members(gateway: &Gateway) {
-    const CHECK_INTERVAL: Duration = Duration::from_millis(15);
-    let started_at = gateway.now();
-    loop {
-        let waited = gateway.now().saturating_sub(started_at);
-        let has_member_list = !gateway.store.has_no_data(Subject::Members);
-        let has_live_peer = waited >= MEMBERS_LIST_WAIT && gateway.live_instance_count() >= 2;
-        if has_member_list || has_live_peer || waited >= MEMBERS_WAIT_MAX {
-            return;
-        }
-        tokio::time::sleep(CHECK_INTERVAL).await;
+/// Waits until a condition holds, at most for `max`.
+async fn wait_until(gateway: &Gateway, max: Duration, holds: impl Fn() -> bool) {
+    let deadline = gateway.now() + max;
+    while !holds() && gateway.now() < deadline {
+        tokio::time::sleep(START_CHECK_INTERVAL).await;
     }
 }
 
+/// Waits for the list of members or, if the store fails, for a first live peer. Data that peers
+/// have need not be read from the store. An instance that knows only one member acts as a reader,
+/// and so would each of hundreds that start together.
+async fn wait_for_members(gateway: &Gateway) {
+    wait_until(gateway, MEMBERS_WAIT_MAX, || {
+        let is_store_failing = gateway.store.is_failing(Subject::Members);
+        !gateway.store.has_no_data(Subject::Members)
+            || (is_store_failing && gateway.live_instance_count() >= 2)
+    })
+    .await;
+}
+
+/// Waits for this instance's own entry to be written, so that the members that are read next
+/// include those that started before it.
+async fn wait_for_own_entry(gateway: &Gateway) {
+    wait_until(gateway, OWN_ENTRY_WAIT_MAX, || {
+        gateway.store.has_written_own_entry()
+    })
+    .await;
+}
+
 /// Follows a subject for the lifetime of the instance.
 pub(crate) async fn follow_subject(gateway: Arc<Gateway>, subject: Subject) {
-    if subject != Subject::Members {
+    if subject == Subject::Members {
+        wait_for_own_entry(&gateway).await;
+    } else {
         wait_for_members(&gateway).await;
     }
     let mut status = StoreStatus::new(subject);
@@ -143,7 +159,7 @@
                 from = page.next;
                 apply_records(gateway, subject, page.records);
                 if has_new_records {
-                    tokio::time::sleep(batching_delay(subject)).await;
+                    tokio::time::sleep(batching_delay(gateway, subject)).await;
                 }
             }
             // Already logged by the shared store.
@@ -266,6 +282,9 @@
         SiteRecord::SuspectGone(fingerprint) => {
             gateway.crash_suspects.lock().mark_not_stored(fingerprint);
         }
+        SiteRecord::RolloutChange(change) => gateway.rollouts.apply_change(change, gateway.now()),
+        SiteRecord::RolloutOrders(orders) => gateway.rollouts.apply_orders(&orders, gateway.now()),
+        SiteRecord::RolloutStatus(status) => gateway.rollouts.apply_status(status, gateway.now()),
         SiteRecord::HallOrder(order) => gateway.apply_hall_order(&order),
         SiteRecord::EvacuatedHalls(halls) => gateway.merge_evacuated_halls(&halls, "store"),
         SiteRecord::Unreadable { key, why } => {
@@ -308,8 +327,15 @@
     gateway.record_member_entry(entry);
 }
 
-/// Logs endpoints that joined or are leaving.
+/// Logs endpoints that joined or are leaving, or only how many if there are very many.
 pub(crate) fn log_fleet_changes(changes: &[FleetChange]) {
+    if changes.len() > LOGGED_CHANGES_MAX {
+        let is_join = |change: &&FleetChange| matches!(change, FleetChange::Joined(_));
+        let joined = changes.iter().filter(is_join).count();
+        let left = changes.len() - joined;
+        info!("endpoints changed", kv: { joined:, left: });
+        return;
+    }
     for change in changes {
         let (message, entry) = match change {
             FleetChange::Joined(entry) => ("endpoint joined", entry),
--- a/src/gateway/subject_cache.rs
+++ b/src/gateway/subject_cache.rs
@@ -10,10 +10,14 @@
 use crate::kernel::evacuation::EvacuatedHalls;
 use crate::kernel::fingerprint::RequestFingerprint;
 use crate::kernel::position::Position;
+use crate::kernel::rollout_orders::RolloutOrders;
 use crate::kernel::route::RouteConfig;
 
-/// Maximum number of recent records kept for peers that continue from an earlier position.
-const RECENT_RECORDS_MAX: usize = 512;
+/// Number of recent records that are always kept for peers that continue from an earlier position.
+const RECENT_RECORDS_MIN: usize = 512;
+/// Share of the subject's keys for which recent records are kept. A peer that is further behind
+/// reads the latest record of each key, which is not much more.
+const RECENT_RECORDS_DIVISOR: usize = 4;
 
 /// Cached records of a subject.
 #[derive(Debug)]
@@ -28,6 +32,8 @@
     /// The evacuated halls. Every page of the configuration subject includes them, since they are
     /// few and small.
     evacuated: EvacuatedHalls,
+    /// The roll-out orders. Every page of the configuration subject includes them, too.
+    rollouts: RolloutOrders,
     /// Readers that have reached this position have the latest configuration.
     config_position: Position,
     /// Position of the next record.
@@ -47,6 +53,7 @@
             latest: BTreeMap::new(),
             recent_records: VecDeque::new(),
             evacuated: EvacuatedHalls::default(),
+            rollouts: RolloutOrders::default(),
             config_position: Position::default(),
             next: Position::default(),
             confirmed_at: None,
@@ -67,6 +74,14 @@
                 self.evacuated.apply(order);
                 return;
             }
+            SiteRecord::RolloutOrders(orders) => {
+                self.rollouts.replace_if_older(orders);
+                return;
+            }
+            SiteRecord::RolloutChange(change) => {
+                self.rollouts.apply(change.clone());
+                return;
+            }
             SiteRecord::EndpointGone(listed_id) => {
                 self.latest.remove(listed_id);
                 return;
@@ -80,6 +95,7 @@
             }
             SiteRecord::Endpoint(entry) => entry.listed_id.clone(),
             SiteRecord::Member(entry) => entry.name.clone(),
+            SiteRecord::RolloutStatus(status) => format!("rollout/{}", status.service),
             SiteRecord::Suspect(stored) => suspect_key(stored.fingerprint()),
             SiteRecord::SuspectGone(fingerprint) => {
                 self.latest.remove(&suspect_key(*fingerprint));
@@ -138,9 +154,9 @@
         if page.next.records_since(from) != Some(read) {
             self.recent_records.clear();
         }
-        while self.recent_records.len() > RECENT_RECORDS_MAX {
-            self.recent_records.pop_front();
-        }
+        let recent_max = RECENT_RECORDS_MIN.max(self.latest.len() / RECENT_RECORDS_DIVISOR);
+        let excess = self.recent_records.len().saturating_sub(recent_max);
+        self.recent_records.drain(..excess);
     }
 
     fn invalidate_encoded(&mut self) {
@@ -153,7 +169,7 @@
     /// The page is empty if the requester is ahead of this cache, and for a position of another era:
     /// the requester learns the current era from the head and reads the latest records. Of the
     /// configuration, recent records are not cached: the page is the full one, or has only the
-    /// evacuated halls if the requester has the latest configuration.
+    /// operator's orders if the requester has the latest configuration.
     pub(super) fn encoded_since(&mut self, from: Position) -> Option<EncodedPage> {
         if from.era() != self.next.era() {
             return encode(&[]);
@@ -162,7 +178,7 @@
             return self.encoded_full();
         }
         if self.subject == Subject::Configuration && from < self.next {
-            return encode(&[&SiteRecord::EvacuatedHalls(self.evacuated.clone())]);
+            return encode(&self.orders().each_ref());
         }
         if let Some((_, page)) = self.encoded.as_ref().filter(|(first, _)| *first == from) {
             return Some(page.clone());
@@ -176,13 +192,21 @@
         Some(page)
     }
 
+    /// Returns the operator's orders.
+    fn orders(&self) -> [SiteRecord; 2] {
+        [
+            SiteRecord::EvacuatedHalls(self.evacuated.clone()),
+            SiteRecord::RolloutOrders(self.rollouts.clone()),
+        ]
+    }
+
     /// Returns the encoded latest record of each key; `None` if encoding fails.
     pub(super) fn encoded_full(&mut self) -> Option<EncodedPage> {
         if self.encoded_full.is_none() {
-            let halls = SiteRecord::EvacuatedHalls(self.evacuated.clone());
+            let orders = self.orders();
             let mut records: Vec<&SiteRecord> = self.latest.values().collect();
             if self.subject == Subject::Configuration {
-                records.push(&halls);
+                records.extend(&orders);
             }
             self.encoded_full = encode(&records);
         }
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -16,7 +16,7 @@
 use super::permits::{LimitShare, PermitDecision, PermitIssuer};
 
 pub use super::engine_run::{
-    ColdLimit, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
+    ColdLimit, EngineRequirements, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
 
 /// Share of an engine's memory that new generations may fill, including the tokens generated within
@@ -200,19 +200,27 @@
 
     /// Replaces the set of listed engines.
     pub fn set_engines(&mut self, listed_engines: Vec<ListedEngine>) {
-        let mut listed_ids: BTreeSet<String> = BTreeSet::new();
+        for engine in self.engines.values_mut() {
+            engine.listed = None;
+        }
         for listed in listed_engines {
-            listed_ids.insert(listed.id.clone());
-            let engine = self.engines.entry(listed.id.clone()).or_default();
-            engine.tie_breaker = tie_breaker(&self.own_name, &listed.id);
-            engine.listed = Some(listed);
+            let id = listed.id.clone();
+            self.engine_mut(&id).listed = Some(listed);
         }
-        self.engines.retain(|id, engine| {
-            if !listed_ids.contains(id) {
-                engine.listed = None;
-            }
-            engine.listed.is_some() || !engine.is_empty()
-        });
+        self.engines
+            .retain(|_, engine| engine.listed.is_some() || !engine.is_empty());
+    }
+
+    /// Returns an engine, which is added if it is not known yet.
+    fn engine_mut(&mut self, id: &str) -> &mut Engine {
+        if !self.engines.contains_key(id) {
+            let engine = Engine {
+                tie_breaker: tie_breaker(&self.own_name, id),
+                ..Engine::default()
+            };
+            self.engines.insert(id.to_owned(), engine);
+        }
+        self.engines.entry(id.to_owned()).or_default()
     }
 
     /// Returns whether any generation runs on an engine that is leaving.
@@ -244,12 +252,10 @@
         let entry = self.entries.entry(run.entry.clone()).or_default();
         entry.runs.insert(name.to_owned());
         let endpoint = run.reported.endpoint.clone();
-        let engine = self.engines.entry(endpoint.clone()).or_default();
-        engine.runs.insert(name.to_owned());
+        self.engine_mut(&endpoint).runs.insert(name.to_owned());
         let target = run.moving_to.clone();
         if let Some(target) = &target {
-            let engine = self.engines.entry(target.clone()).or_default();
-            engine.incoming.insert(name.to_owned());
+            self.engine_mut(target).incoming.insert(name.to_owned());
             self.moving.insert(name.to_owned());
         }
         if !run.confirmed {
@@ -382,6 +388,9 @@
         });
         let fits = usable.filter_map(|(_, engine)| {
             let listed = engine.listed.as_ref()?;
+            if !listed.meets(&demand.requirements) {
+                return None;
+            }
             let fill = engine.fill_with_run(listed, &new, fill_max)?;
             if !self.can_accept_request(listed, entry, now) {
                 return None;
--- a/src/kernel/engine_moves.rs
+++ b/src/kernel/engine_moves.rs
@@ -73,7 +73,8 @@
             if listed.id == source.id || !engine.is_open() || busy.contains(&listed.id) {
                 return None;
             }
-            if !self.can_accept_request(listed, &run.entry, now)
+            if !listed.meets(&run.reported.demand.requirements)
+                || !self.can_accept_request(listed, &run.entry, now)
                 || self.is_cooling_down_for(&run.entry, &listed.id)
             {
                 return None;
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -5,6 +5,8 @@
 use serde::Serialize;
 
 use super::permits::LimitShare;
+use super::region::AllowedRegions;
+use super::rollout_evidence::Version;
 
 /// Tokens that a generation decodes in a second on an engine shared with several others; measured
 /// as 63 ms per event of 4 tokens.
@@ -36,6 +38,17 @@
     pub generated_hint_tokens: Option<f64>,
     /// Priority; 0 is served first.
     pub priority: u32,
+    /// Requirements for the engine, apart from its capacity.
+    pub requirements: EngineRequirements,
+}
+
+/// Requirements of a generation for its engine, apart from the engine's capacity.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct EngineRequirements {
+    /// Version that it runs on while a roll-out compares two versions.
+    pub version: Version,
+    /// Regions in which it may run.
+    pub regions: AllowedRegions,
 }
 
 /// An engine as described by the endpoint list and the configuration.
@@ -45,6 +58,10 @@
     pub id: String,
     /// Hall where it is located.
     pub hall: String,
+    /// Region of the hall.
+    pub region: String,
+    /// Its software version while a roll-out compares two versions; `None` at other times.
+    pub version: Option<Version>,
     /// Generations decoded concurrently.
     pub slots: u32,
     /// KV-cache memory in tokens.
@@ -63,6 +80,17 @@
     pub limit: Option<LimitShare>,
 }
 
+impl ListedEngine {
+    /// Returns whether the engine meets the requirements of a generation.
+    #[must_use]
+    pub fn meets(&self, requirements: &EngineRequirements) -> bool {
+        let has_version = self
+            .version
+            .is_none_or(|version| version == requirements.version);
+        has_version && requirements.regions.contains(&self.region)
+    }
+}
+
 /// Rate limit of an engine that has recently started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct ColdLimit {
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -1,7 +1,7 @@
 //! Endpoints of a site's services as described by the platform's endpoint list, and whether each of
 //! them accepts new work.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -28,6 +28,8 @@
 /// If more than this share of a service's endpoints vanish together, a fault of the list is assumed
 /// at first.
 const MASS_VANISH_SHARE: f64 = 0.34;
+/// Smallest number of endpoints of a service that can vanish together by a fault of the list.
+const MASS_VANISH_MIN: u32 = 2;
 
 /// Availability of an endpoint for new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -144,15 +146,14 @@
 
     /// Applies a complete list: endpoints that are missing from it have vanished.
     pub fn apply_full_list(&mut self, mut update: ListUpdate, now: Duration) -> Vec<FleetChange> {
-        let is_listed = |listed_id: &String| {
-            let mut entries = update.entries.iter();
-            entries.any(|entry| entry.listed_id == *listed_id)
-                || update.unreadable.contains(listed_id)
-        };
+        let entries = update.entries.iter();
+        let listed_ids = entries.map(|entry| entry.listed_id.as_str());
+        let unreadable = update.unreadable.iter().map(String::as_str);
+        let listed: HashSet<&str> = listed_ids.chain(unreadable).collect();
         let incarnations = self.newest_incarnation.iter();
         let vanished = incarnations.filter(|(listed_id, id)| {
             let known = self.endpoints.get(*id);
-            known.is_some_and(|known| known.listed) && !is_listed(listed_id)
+            known.is_some_and(|known| known.listed) && !listed.contains(listed_id.as_str())
         });
         let vanished = vanished.map(|(listed_id, _)| listed_id.clone()).collect();
         update.vanished = vanished;
@@ -349,17 +350,21 @@
     /// Returns whether so many endpoints of one service vanish at once that a fault of the list is
     /// the more likely cause.
     fn is_mass_vanish(&self, vanished: &[String]) -> bool {
+        if vanished.len() < MASS_VANISH_MIN as usize {
+            return false;
+        }
+        let vanished: HashSet<&str> = vanished.iter().map(String::as_str).collect();
         let mut by_service: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
         for (id, known) in &self.endpoints {
             if known.availability == Availability::Ready {
                 let counts = by_service.entry(&known.entry.service).or_default();
                 counts.0 += 1;
-                counts.1 += u32::from(vanished.contains(id));
+                counts.1 += u32::from(vanished.contains(id.as_str()));
             }
         }
         let mut counts = by_service.values();
         counts.any(|(ready, gone)| {
-            *gone >= 2 && f64::from(*gone) > MASS_VANISH_SHARE * f64::from(*ready)
+            *gone >= MASS_VANISH_MIN && f64::from(*gone) > MASS_VANISH_SHARE * f64::from(*ready)
         })
     }
 
--- a/src/kernel/freshness.rs
+++ b/src/kernel/freshness.rs
@@ -22,6 +22,15 @@
 /// it answers.
 const STORE_TIMEOUT_SHARE: f64 = 0.75;
 
+/// Delay after new records of endpoints, for readers and for the members of a site without relays:
+/// short compared with the 1.5 s notice that engines give before they leave.
+const ENDPOINTS_BATCHING_DELAY: Duration = Duration::from_millis(25);
+/// Share of the time that relays wait after new records of endpoints.
+const RELAY_BATCHING_SHARE: f64 = 0.02;
+/// Share of the time that members wait after new records of endpoints if they read through relays.
+/// While the servers of a large site start, hundreds of records come in a second.
+const RELAYED_BATCHING_SHARE: f64 = 0.05;
+
 /// Waits and ages for a given propagation time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Freshness {
@@ -52,6 +61,23 @@
         self.change_within.mul_f64(PEER_POLL_SHARE)
     }
 
+    /// Returns the delay after new records of endpoints before the next ones are read.
+    #[must_use]
+    pub fn endpoints_batching_delay(
+        self,
+        has_relays: bool,
+        reads_through_relays: bool,
+    ) -> Duration {
+        let share = if reads_through_relays {
+            RELAYED_BATCHING_SHARE
+        } else if has_relays {
+            RELAY_BATCHING_SHARE
+        } else {
+            return ENDPOINTS_BATCHING_DELAY;
+        };
+        self.change_within.mul_f64(share)
+    }
+
     /// Returns the maximum age of store data accepted from another instance.
     #[must_use]
     pub fn peer_age_max(self) -> Duration {
--- a/src/kernel/live_view.rs
+++ b/src/kernel/live_view.rs
@@ -77,6 +77,15 @@
         Some(&self.members[index])
     }
 
+    /// Returns the owner of a service, and the member that would follow it.
+    #[must_use]
+    pub fn owner_and_successor(&self, service: &str) -> Vec<&LiveMember> {
+        let owners = self.owners(service);
+        let indices = [owners.first, owners.second];
+        let members = indices.into_iter().flatten();
+        members.map(|index| &self.members[index]).collect()
+    }
+
     /// Returns the owner of a service's engines among the other members, for an instance that is
     /// departing.
     #[must_use]
--- a/src/kernel/roles.rs
+++ b/src/kernel/roles.rs
@@ -66,6 +66,18 @@
     ranked.into_iter().map(|member| member.name).collect()
 }
 
+/// Returns a few members for one instance to ask, larger ones first. Each instance gets its own
+/// selection, so that the members of one size share the requests of all instances.
+#[must_use]
+pub fn spread_by_capacity<'a>(
+    own_name: &str,
+    members: &[MemberCapacity<'a>],
+    count: usize,
+) -> Vec<&'a str> {
+    let ranked = ranked_members(own_name, members);
+    ranked.into_iter().take(count).collect()
+}
+
 /// Maximum number of reader groups that a member tries before it accesses the store itself.
 const READER_GROUPS_MAX: usize = 3;
 
--- a/src/kernel/route.rs
+++ b/src/kernel/route.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::cold_start::ColdStart;
+use super::region::AllowedRegions;
 use crate::error::{Error, ErrorKind, Result};
 
 /// Priority of a call if neither its route nor its client account sets one.
@@ -53,6 +54,9 @@
     pub public: bool,
     /// Whether a client may reconnect with the id of the last event it received.
     pub resumable: bool,
+    /// Regions in which its calls may be served.
+    #[serde(default)]
+    pub allowed_regions: AllowedRegions,
 }
 
 /// One of the services of a route.
@@ -131,6 +135,9 @@
     pub keys: Vec<String>,
     /// Overrides the priority of the route.
     pub priority: Option<u8>,
+    /// Regions in which its calls may be served, in addition to the restriction of the route.
+    #[serde(default)]
+    pub allowed_regions: AllowedRegions,
 }
 
 /// One version of the route configuration.
@@ -228,6 +235,22 @@
             })
     }
 
+    /// Returns the regions in which calls to a host may be served, by its routes together;
+    /// unrestricted if one of them is.
+    #[must_use]
+    pub fn regions_of_host(&self, host: &str) -> AllowedRegions {
+        let indexes = self.by_host.get(&host_name(host));
+        let routes = indexes.into_iter().flatten();
+        let routes = routes.map(|index| &self.config.routes[*index].allowed_regions);
+        let names: Option<Vec<_>> = routes.map(AllowedRegions::names).collect();
+        match names {
+            Some(names) if !names.is_empty() => {
+                AllowedRegions::only(names.into_iter().flatten().cloned())
+            }
+            _ => AllowedRegions::default(),
+        }
+    }
+
     /// Returns the account that calls a route with a key.
     ///
     /// # Errors
@@ -258,6 +281,15 @@
         }
     }
 
+    /// Returns the regions in which its calls on a route may be served.
+    #[must_use]
+    pub fn allowed_regions(&self, route: &Route) -> AllowedRegions {
+        match self {
+            Self::Anyone => route.allowed_regions.clone(),
+            Self::Account(account) => route.allowed_regions.intersection(&account.allowed_regions),
+        }
+    }
+
     /// Returns the priority of its calls on a route.
     #[must_use]
     pub fn priority(&self, route: &Route) -> u8 {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -52,10 +52,8 @@
         address: &str,
         request: wire::ReadSiteRequest,
         head_timeout: Duration,
-    ) -> Result<IncomingPage, String> {
-        let mut client = self
-            .site_client(address)
-            .map_err(|status| message(&status))?;
+    ) -> Result<IncomingPage, tonic::Status> {
+        let mut client = self.site_client(address)?;
         IncomingPage::receive_head(head_timeout, client.read_site(request)).await
     }
 
@@ -70,7 +68,9 @@
         let mut client = self
             .site_client(address)
             .map_err(|status| message(&status))?;
-        let page = IncomingPage::receive_head(head_timeout, client.fetch_routes(request)).await?;
+        let page = IncomingPage::receive_head(head_timeout, client.fetch_routes(request))
+            .await
+            .map_err(|status| message(&status))?;
         page.receive_rest().await
     }
 
@@ -132,7 +132,7 @@
         call: impl Future<
             Output = Result<tonic::Response<tonic::Streaming<wire::SitePart>>, tonic::Status>,
         >,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, tonic::Status> {
         let receiving = async {
             let mut chunks = call.await?.into_inner();
             let first = chunks.message().await?;
@@ -144,9 +144,7 @@
                 chunks,
             }))
         };
-        call_with_timeout(head_timeout, receiving)
-            .await
-            .map_err(|status| message(&status))
+        call_with_timeout(head_timeout, receiving).await
     }
 
     /// Receives the remaining chunks and returns the complete page.
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -7,7 +7,7 @@
 use super::generated as wire;
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::{EndpointCrash, SuspectReport};
-use crate::kernel::engine_ledger::{MoveResult, ReportedRun, RunDemand};
+use crate::kernel::engine_ledger::{EngineRequirements, MoveResult, ReportedRun, RunDemand};
 use crate::kernel::evacuation::EvacuatedHalls;
 use crate::kernel::fingerprint::{HeadHash, RequestFingerprint};
 use crate::kernel::gossip::Gossip;
@@ -15,6 +15,9 @@
 use crate::kernel::member_states::MemberState;
 use crate::kernel::membership::{Incarnation, PeerStatus};
 use crate::kernel::position::Position;
+use crate::kernel::region::AllowedRegions;
+use crate::kernel::rollout::Phase;
+use crate::kernel::rollout_evidence::{RolloutOutcome, Version};
 
 /// A field of a peer's message is missing or invalid; contains its name.
 #[derive(Debug, Clone, Copy, thiserror::Error)]
@@ -246,12 +249,16 @@
             reason = "an estimate needs no more precision"
         )]
         let made_hint_tokens = demand.generated_hint_tokens.unwrap_or_default() as f32;
+        let regions = demand.requirements.regions.names().into_iter().flatten();
         Self {
             run: demand.run.clone(),
             prompt_tokens: demand.prompt_tokens,
             made_max_tokens: demand.generated_max_tokens,
             made_hint_tokens,
             priority: demand.priority,
+            target_version: demand.requirements.version == Version::Target,
+            restricts_regions: demand.requirements.regions.is_restricted(),
+            regions: regions.cloned().collect(),
         }
     }
 }
@@ -265,10 +272,76 @@
             generated_max_tokens: message.made_max_tokens,
             generated_hint_tokens: (hint > 0.0).then_some(hint),
             priority: message.priority,
+            requirements: EngineRequirements {
+                version: version_from_wire(message.target_version),
+                regions: if message.restricts_regions {
+                    AllowedRegions::only(message.regions)
+                } else {
+                    AllowedRegions::default()
+                },
+            },
+        }
+    }
+}
+
+fn version_from_wire(is_target: bool) -> Version {
+    if is_target {
+        Version::Target
+    } else {
+        Version::Current
+    }
+}
+
+impl From<&RolloutOutcome> for wire::RolloutOutcome {
+    fn from(outcome: &RolloutOutcome) -> Self {
+        Self {
+            route: outcome.route.clone(),
+            target_version: outcome.version == Version::Target,
+            failed: outcome.failed,
+            latency_ms: u32::try_from(millis(outcome.latency)).unwrap_or(u32::MAX),
         }
     }
 }
 
+/// Decodes an outcome that was received at `observed_at`.
+pub(crate) fn rollout_outcome(
+    message: wire::RolloutOutcome,
+    observed_at: Duration,
+) -> RolloutOutcome {
+    RolloutOutcome {
+        route: message.route,
+        version: version_from_wire(message.target_version),
+        failed: message.failed,
+        latency: Duration::from_millis(u64::from(message.latency_ms)),
+        observed_at,
+    }
+}
+
+/// Encodes the directive of an owner; `None` if it has none.
+pub(crate) fn rollout_directive(phase: Option<Phase>) -> wire::RolloutDirective {
+    let (phase, share) = match phase {
+        None => (0, 0.0),
+        Some(Phase::Canary { share }) => (1, share),
+        Some(Phase::Finishing) => (2, 1.0),
+        Some(Phase::Completed) => (3, 1.0),
+        Some(Phase::Reverted) => (4, 0.0),
+    };
+    wire::RolloutDirective { phase, share }
+}
+
+/// Decodes a directive; `None` if the owner had none.
+pub(crate) fn rollout_phase(message: &wire::RolloutDirective) -> Option<Phase> {
+    match message.phase {
+        1 => Some(Phase::Canary {
+            share: message.share.clamp(0.0, 1.0),
+        }),
+        2 => Some(Phase::Finishing),
+        3 => Some(Phase::Completed),
+        4 => Some(Phase::Reverted),
+        _ => None,
+    }
+}
+
 impl From<&ReportedRun> for wire::Run {
     fn from(run: &ReportedRun) -> Self {
         Self {
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -302,6 +302,14 @@
     pub made_hint_tokens: f32,
     #[prost(uint32, tag = "5")]
     pub priority: u32,
+    /// Whether it runs on the new version while a roll-out compares two versions.
+    #[prost(bool, tag = "6")]
+    pub target_version: bool,
+    /// Whether it may run in the named regions only.
+    #[prost(bool, tag = "7")]
+    pub restricts_regions: bool,
+    #[prost(string, repeated, tag = "8")]
+    pub regions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PlaceRequest {
@@ -380,6 +388,41 @@
     #[prost(string, tag = "2")]
     pub reason: ::prost::alloc::string::String,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutOutcome {
+    #[prost(string, tag = "1")]
+    pub route: ::prost::alloc::string::String,
+    /// Whether the endpoint has the new version.
+    #[prost(bool, tag = "2")]
+    pub target_version: bool,
+    #[prost(bool, tag = "3")]
+    pub failed: bool,
+    #[prost(uint32, tag = "4")]
+    pub latency_ms: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutReport {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub target_version: ::prost::alloc::string::String,
+    /// Requests sent since the last report, to all versions and to the new one.
+    #[prost(uint64, tag = "3")]
+    pub sent: u64,
+    #[prost(uint64, tag = "4")]
+    pub sent_to_target: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub outcomes: ::prost::alloc::vec::Vec<RolloutOutcome>,
+}
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct RolloutDirective {
+    /// 0 none, 1 canary, 2 finishing, 3 completed, 4 reverted.
+    #[prost(uint32, tag = "1")]
+    pub phase: u32,
+    /// Share of the requests for the new version while the phase is canary.
+    #[prost(double, tag = "2")]
+    pub share: f64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PermitRequest {
     #[prost(string, tag = "1")]
@@ -1219,6 +1262,31 @@
                 .insert(GrpcMethod::new("larkwick.peer.Site", "MoveRun"));
             self.inner.unary(req, path, codec).await
         }
+        /// Tells the owner of a service that is rolled out, and the instance that would follow it, what was sent to both versions and how it ended.
+        pub async fn report_rollout(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RolloutReport>,
+        ) -> std::result::Result<
+            tonic::Response<super::RolloutDirective>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/ReportRollout",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "ReportRollout"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Asks who gives them for a permit to send one request to an endpoint that names a limit.
         pub async fn permit(
             &mut self,
@@ -1300,6 +1368,14 @@
             &self,
             request: tonic::Request<super::MoveRunRequest>,
         ) -> std::result::Result<tonic::Response<super::MoveRunReply>, tonic::Status>;
+        /// Tells the owner of a service that is rolled out, and the instance that would follow it, what was sent to both versions and how it ended.
+        async fn report_rollout(
+            &self,
+            request: tonic::Request<super::RolloutReport>,
+        ) -> std::result::Result<
+            tonic::Response<super::RolloutDirective>,
+            tonic::Status,
+        >;
         /// Asks who gives them for a permit to send one request to an endpoint that names a limit.
         async fn permit(
             &self,
@@ -1647,6 +1723,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/larkwick.peer.Site/ReportRollout" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReportRolloutSvc<T: Site>(pub Arc<T>);
+                    impl<T: Site> tonic::server::UnaryService<super::RolloutReport>
+                    for ReportRolloutSvc<T> {
+                        type Response = super::RolloutDirective;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RolloutReport>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::report_rollout(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReportRolloutSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/larkwick.peer.Site/Permit" => {
                     #[allow(non_camel_case_types)]
                     struct PermitSvc<T: Site>(pub Arc<T>);
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Uri;
 use serde::Serialize;
 
 /// Maximum number of addresses in a response.
@@ -16,6 +17,31 @@
     valid_s: f64,
 }
 
+/// A query for the addresses to connect to.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DirectoryQuery {
+    /// Host that the caller wants to reach.
+    pub host: String,
+    /// Region of the caller.
+    pub region: String,
+}
+
+/// Decodes a query. Missing parts are empty.
+#[must_use]
+pub fn decode_query(uri: &Uri) -> DirectoryQuery {
+    let query = uri.query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut decoded = DirectoryQuery::default();
+    for (name, value) in pairs {
+        match name {
+            "name" => value.clone_into(&mut decoded.host),
+            "region" => value.clone_into(&mut decoded.region),
+            _ => {}
+        }
+    }
+    decoded
+}
+
 /// Encodes a response: the addresses, and the time for which callers may cache them.
 #[must_use]
 pub fn encode(addresses: &[SocketAddr], valid: Duration) -> Bytes {
--- a/src/platform/endpoint_entries.rs
+++ b/src/platform/endpoint_entries.rs
@@ -73,7 +73,8 @@
     })
 }
 
-fn software_version(version: &serde_json::Value) -> String {
+/// Returns a software version, which may be of any JSON type, as text.
+pub(super) fn software_version(version: &serde_json::Value) -> String {
     match version {
         serde_json::Value::Null => String::new(),
         serde_json::Value::String(text) => text.clone(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,8 +5,10 @@
 //! |---|---|
 //! | `names` | header names and paths |
 //! | `store` | client of the platform's log |
+//! | `store_records` | encoding and decoding of the log's records |
 //! | `operator_config` | the operator's configuration |
 //! | `endpoint_entries` | entries that endpoints write about themselves |
+//! | `rollouts` | roll-out orders and their status |
 //! | `ingress` | requests of callers, and error responses to them |
 //! | `directory` | response to the query for addresses to connect to |
 //! | `engine` | requests to endpoints and their responses |
@@ -18,5 +20,7 @@
 pub mod ingress;
 pub mod names;
 pub mod operator_config;
+mod rollouts;
 pub mod store;
+mod store_records;
 mod unknown_names;
--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -7,6 +7,7 @@
 
 use super::unknown_names;
 use crate::kernel::cold_start::ColdStart;
+use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{
     CallKind, CallLimits, DEFAULT_PRIORITY, EngineCapabilities, KeyedAccount, Route, RouteConfig,
     Service, WeightedService,
@@ -69,6 +70,7 @@
     public: bool,
     #[serde(default)]
     resumable: bool,
+    allowed_regions: Option<Vec<String>>,
     /// Longest acceptable pause between events. Unlike the other fields, this one has underscores
     /// on the wire.
     #[serde(rename = "gap_aim_ms")]
@@ -130,6 +132,7 @@
     #[serde(default)]
     api_keys: Vec<String>,
     priority: Option<u8>,
+    allowed_regions: Option<Vec<String>>,
 }
 
 /// Decodes a configuration.
@@ -193,6 +196,7 @@
         priority: wire.priority.unwrap_or(DEFAULT_PRIORITY),
         public: wire.public,
         resumable: wire.resumable,
+        allowed_regions: convert_regions(wire.allowed_regions),
     })
 }
 
@@ -239,9 +243,14 @@
         name: wire.name,
         keys: wire.api_keys,
         priority: wire.priority,
+        allowed_regions: convert_regions(wire.allowed_regions),
     }
 }
 
+fn convert_regions(wire: Option<Vec<String>>) -> AllowedRegions {
+    wire.map_or_else(AllowedRegions::default, AllowedRegions::only)
+}
+
 fn convert_limits(wire: Option<WireLimits>) -> CallLimits {
     let default = CallLimits::default();
     let Some(wire) = wire else { return default };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,8 +7,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName};
 use parking_lot::Mutex;
@@ -17,33 +15,32 @@
 use spdlog::warn;
 
 use super::names::{STORE_APPEND_PATH, STORE_NEWEST_PATH, STORE_READ_PATH};
-use super::{endpoint_entries, names, operator_config, unknown_names};
+use super::store_records::{
+    LogPage, LogReplay, WireItem, decode, decode_latest_item, encode_record, merge_orders,
+    parse_log_page, rollout_key, suspect_key,
+};
+use super::{names, rollouts, unknown_names};
 use crate::gateway::chunked_pages;
 use crate::gateway::site_store::{
-    MemberEntry, SitePage, SiteRecord, SiteStore, SiteStorePlugin, StoreError, StoreResult,
+    MemberEntry, SitePage, SiteSample, SiteStore, SiteStorePlugin, StoreError, StoreResult,
     StoredSuspect, Subject,
 };
-use crate::kernel::evacuation::{EvacuatedHalls, HallOrder};
-use crate::kernel::fingerprint::{InvalidFingerprint, RequestFingerprint};
+use crate::kernel::fingerprint::RequestFingerprint;
 use crate::kernel::position::Position;
+use crate::kernel::rollout::RolloutStatus;
 
 /// Maximum time until a response starts, in addition to the wait that the call requests. The store
 /// normally responds in 4 ms, and in sixty times that on slow days.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time until an append is answered. The store works through the appends of a topic one
+/// after the other, and rejects those that would wait for more than two seconds.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(2_500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval of TCP keepalive probes. A server that disappears without closing its connections is
 /// detected after about twice this time.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time for which sent bytes may stay unacknowledged.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Key of the only configuration record.
-const CONFIG_KEY: &str = "config";
-/// Key prefix of the records that order the evacuation of a hall; the name of the hall follows.
-/// Their values have no meaning.
-const EVACUATE_KEY_PREFIX: &str = "evacuate/";
-/// Key prefix of the records of crash suspects; the request fingerprint follows. No instance has a
-/// name with this prefix.
-const SUSPECT_KEY_PREFIX: &str = "suspect/";
 /// Maximum number of eras that an instance may have missed; each restore of the store from an older
 /// copy adds one. A larger jump is treated as an invalid value: if it were accepted, all later eras
 /// would look like earlier ones.
@@ -52,6 +49,12 @@
 const KNOWN_RESPONSE_HEADERS: [HeaderName; 1] = [names::STORE_ERA];
 /// Maximum size of the result of one read.
 const READ_MAX_KB: u32 = 1_024;
+/// Maximum number of calls in which the whole log of a topic is read.
+const REPLAY_CALLS_MAX: u64 = 8;
+/// Maximum size of a sample of a subject's records. A few hundred members fit.
+const SAMPLE_MAX_KB: u32 = 32;
+/// Attempts to read each page of latest records but the first.
+const PAGE_ATTEMPTS: u32 = 3;
 
 inventory::submit! {
     SiteStorePlugin {
@@ -93,26 +96,11 @@
     end: u64,
 }
 
-#[derive(Deserialize)]
-struct WireItem {
-    key: String,
-    /// Encoded in base64; absent or empty if the key was deleted.
-    #[serde(default)]
-    value: Option<String>,
-}
-
 #[derive(Deserialize)]
 struct WireExpired {
     first: u64,
 }
 
-/// A record of a topic that retains the latest record of each key.
-struct KeyedRecord {
-    key: String,
-    /// `None` if the record deletes its key.
-    value: Option<Bytes>,
-}
-
 const fn topic(subject: Subject) -> &'static str {
     match subject {
         Subject::Configuration => "keyed.op",
@@ -191,6 +179,9 @@
                 first_offset: expired.first,
             });
         }
+        if status == StatusCode::PRECONDITION_FAILED {
+            return Err(StoreError::Conflict);
+        }
         Err(StoreError::Refused(status.to_string()))
     }
 
@@ -224,16 +215,134 @@
         Ok(era)
     }
 
-    /// Appends a record of this instance. An empty value deletes the key.
-    async fn append_record(&self, key: &str, value: &[u8]) -> StoreResult<()> {
+    /// Appends a record of this instance; with `at`, only if the log ends there. An empty value
+    /// deletes the key.
+    async fn append_record(
+        &self,
+        key: &str,
+        value: &[u8],
+        at: Option<Position>,
+    ) -> StoreResult<()> {
         let topic = topic(Subject::Members);
-        let url = format!("{}{STORE_APPEND_PATH}?topic={topic}&part=0", self.base_url);
+        let condition = at.map_or_else(String::new, |at| format!("&at={}", at.offset()));
+        let url = format!(
+            "{}{STORE_APPEND_PATH}?topic={topic}&part=0{condition}",
+            self.base_url
+        );
         let record = encode_record(key, value).map_err(StoreError::Malformed)?;
         let request = |client: &reqwest::Client| client.post(url).body(record);
-        self.call(request, CALL_TIMEOUT).await?;
+        self.call(request, APPEND_TIMEOUT).await?;
         Ok(())
     }
 
+    /// Reads records from a position on. Returns them with their era.
+    async fn read_log(
+        &self,
+        subject: Subject,
+        from: Position,
+        max_kb: u32,
+        wait: Duration,
+    ) -> StoreResult<(LogPage, u64)> {
+        let url = format!(
+            "{}{STORE_READ_PATH}?topic={}&part=0&from={}&max_kb={max_kb}&wait-ms={}",
+            self.base_url,
+            topic(subject),
+            from.offset(),
+            wait.as_millis()
+        );
+        let response = self
+            .call(|client| client.get(url), wait + CALL_TIMEOUT)
+            .await?;
+        if response.era > from.era() {
+            return Err(StoreError::EraChanged { era: response.era });
+        }
+        let era = response.era;
+        let body = read_body(response.response).await?;
+        let page = parse_log_page(&body).map_err(StoreError::Malformed)?;
+        Ok((page, era))
+    }
+
+    /// Reads the start of a topic's log, in which keys may occur repeatedly. Returns `None` if the
+    /// store no longer retains it.
+    async fn read_log_start(
+        &self,
+        subject: Subject,
+        max_kb: u32,
+    ) -> StoreResult<Option<(LogPage, u64)>> {
+        let from = |era| Position::new(era, 0);
+        let known_era = self.latest_era.load(Ordering::Relaxed);
+        let mut read = self
+            .read_log(subject, from(known_era), max_kb, Duration::ZERO)
+            .await;
+        // The first response of all tells the era.
+        if let Err(StoreError::EraChanged { era }) = read {
+            read = self
+                .read_log(subject, from(era), max_kb, Duration::ZERO)
+                .await;
+        }
+        match read {
+            Ok(page) => Ok(Some(page)),
+            Err(StoreError::Expired { .. }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Reads the latest record of each key from the whole log of a topic, which takes far fewer
+    /// calls and bytes than pages of latest records while the log is short. Returns `None` if the
+    /// store no longer retains the whole log, or if it is too long.
+    async fn replay_log(&self, subject: Subject) -> StoreResult<Option<SitePage>> {
+        let Some((first, era)) = self.read_log_start(subject, READ_MAX_KB).await? else {
+            return Ok(None);
+        };
+        let mut replay = LogReplay::new(era);
+        let mut page = first;
+        for calls_left in (0..REPLAY_CALLS_MAX).rev() {
+            let remaining = replay.apply(page);
+            if remaining == 0 {
+                return Ok(Some(replay.into_page(subject)));
+            }
+            if remaining > calls_left.saturating_mul(replay.last_page_records()) {
+                return Ok(None);
+            }
+            let read = self.read_log(subject, replay.next(), READ_MAX_KB, Duration::ZERO);
+            page = match read.await {
+                Ok((page, _)) => page,
+                Err(StoreError::Expired { .. }) => return Ok(None),
+                Err(error) => return Err(error),
+            };
+        }
+        Ok(None)
+    }
+
+    /// Reads the latest record of each key, page by page.
+    async fn read_latest_pages(&self, subject: Subject) -> StoreResult<SitePage> {
+        let mut records = Vec::new();
+        let mut first_end = None;
+        let mut since: Option<String> = None;
+        loop {
+            let (page, era) = self.fetch_latest_page(subject, since.as_deref()).await?;
+            let end = Position::new(era, page.end);
+            // The pages are not a snapshot. Reading on from the end of the first page misses
+            // nothing.
+            let first_end: Position = *first_end.get_or_insert(end);
+            if era != first_end.era() {
+                return Err(StoreError::EraChanged { era });
+            }
+            since = page.items.last().map(|item| item.key.clone());
+            for item in page.items {
+                records.extend(decode_latest_item(subject, &item, end));
+            }
+            if !page.more || since.is_none() {
+                break;
+            }
+        }
+        let next = first_end.unwrap_or_default();
+        if subject == Subject::Configuration {
+            records = merge_orders(records, next);
+        }
+        Ok(SitePage { records, next })
+    }
+
     /// Reads a page of the latest record of each key, starting after the key `since`. Returns it with its era.
     async fn fetch_latest_page(
         &self,
@@ -248,8 +357,22 @@
             .map(|(name, value)| format!("{name}={value}"))
             .collect();
         let url = format!("{url}?{}", query.join("&"));
-        let response = self.call(|client| client.get(url), CALL_TIMEOUT).await?;
-        Ok((read_json(response.response).await?, response.era))
+        let mut attempts_left = PAGE_ATTEMPTS;
+        loop {
+            attempts_left -= 1;
+            let response = self.call(|client| client.get(&url), CALL_TIMEOUT).await;
+            let read = match response {
+                Ok(response) => read_json(response.response)
+                    .await
+                    .map(|page| (page, response.era)),
+                Err(error) => Err(error),
+            };
+            // A list of many pages would hardly ever be read whole if each failed page cost all
+            // pages before it.
+            if read.is_ok() || since.is_none() || attempts_left == 0 {
+                return read;
+            }
+        }
     }
 }
 
@@ -282,31 +405,35 @@
 #[async_trait]
 impl SiteStore for StoreClient {
     async fn read_latest(&self, subject: Subject) -> StoreResult<SitePage> {
-        let mut records = Vec::new();
-        let mut first_end = None;
-        let mut since: Option<String> = None;
-        loop {
-            let (page, era) = self.fetch_latest_page(subject, since.as_deref()).await?;
-            let end = Position::new(era, page.end);
-            // The pages are not a snapshot. Reading on from the end of the first page misses
-            // nothing.
-            let first_end: Position = *first_end.get_or_insert(end);
-            if era != first_end.era() {
-                return Err(StoreError::EraChanged { era });
-            }
-            since = page.items.last().map(|item| item.key.clone());
-            for item in page.items {
-                records.extend(decode_latest_item(subject, &item, end));
-            }
-            if !page.more || since.is_none() {
-                break;
-            }
+        if subject != Subject::Configuration
+            && let Some(page) = self.replay_log(subject).await?
+        {
+            return Ok(page);
         }
-        let next = first_end.unwrap_or_default();
-        if subject == Subject::Configuration {
-            records = merge_hall_orders(records, next);
+        self.read_latest_pages(subject).await
+    }
+
+    async fn read_sample(&self, subject: Subject) -> StoreResult<SiteSample> {
+        if let Some((page, era)) = self.read_log_start(subject, SAMPLE_MAX_KB).await? {
+            let mut replay = LogReplay::new(era);
+            let is_complete = replay.apply(page) == 0;
+            return Ok(SiteSample {
+                page: replay.into_page(subject),
+                is_complete,
+            });
         }
-        Ok(SitePage { records, next })
+        let (page, era) = self.fetch_latest_page(subject, None).await?;
+        let next = Position::new(era, page.end);
+        let items = page.items.iter();
+        Ok(SiteSample {
+            page: SitePage {
+                records: items
+                    .filter_map(|item| decode_latest_item(subject, item, next))
+                    .collect(),
+                next,
+            },
+            is_complete: !page.more,
+        })
     }
 
     async fn read(
@@ -315,21 +442,8 @@
         from: Position,
         wait: Duration,
     ) -> StoreResult<SitePage> {
-        let url = format!(
-            "{}{STORE_READ_PATH}?topic={}&part=0&from={}&max_kb={READ_MAX_KB}&wait-ms={}",
-            self.base_url,
-            topic(subject),
-            from.offset(),
-            wait.as_millis()
-        );
-        let response = self
-            .call(|client| client.get(url), wait + CALL_TIMEOUT)
-            .await?;
-        if response.era > from.era() {
-            return Err(StoreError::EraChanged { era: response.era });
-        }
-        let body = read_body(response.response).await?;
-        let keyed = parse_records(&body).map_err(StoreError::Malformed)?;
+        let (page, _) = self.read_log(subject, from, READ_MAX_KB, wait).await?;
+        let keyed = page.records;
         let count = u64::try_from(keyed.len()).unwrap_or(u64::MAX);
         let next_positions = (1..).map(|records| from.plus(records));
         let records = next_positions
@@ -345,157 +459,36 @@
     }
 
     async fn announce(&self, member: &MemberEntry) -> StoreResult<()> {
-        self.append_record(&member.name, &to_json(member)?).await
+        self.append_record(&member.name, &to_json(member)?, None)
+            .await
+    }
+
+    async fn write_rollout_status(
+        &self,
+        status: &RolloutStatus,
+        at: Position,
+    ) -> StoreResult<bool> {
+        let value = rollouts::encode_status(status).map_err(StoreError::Malformed)?;
+        let key = rollout_key(&status.service);
+        let appended = self.append_record(&key, &value, Some(at)).await;
+        match appended {
+            Ok(()) => Ok(true),
+            Err(StoreError::Conflict) => Ok(false),
+            Err(error) => Err(error),
+        }
     }
 
     async fn store_suspect(&self, suspect: &StoredSuspect) -> StoreResult<()> {
         let key = suspect_key(suspect.fingerprint());
-        self.append_record(&key, &to_json(suspect)?).await
+        self.append_record(&key, &to_json(suspect)?, None).await
     }
 
     async fn delete_suspect(&self, fingerprint: RequestFingerprint) -> StoreResult<()> {
-        self.append_record(&suspect_key(fingerprint), &[]).await
+        self.append_record(&suspect_key(fingerprint), &[], None)
+            .await
     }
 }
 
 fn to_json(value: &impl serde::Serialize) -> StoreResult<Vec<u8>> {
     serde_json::to_vec(value).map_err(|error| StoreError::Malformed(error.to_string()))
 }
-
-fn suspect_key(fingerprint: RequestFingerprint) -> String {
-    format!("{SUSPECT_KEY_PREFIX}{fingerprint}")
-}
-
-/// Encodes a record for appending: its length, the length of its key, the key and the value.
-fn encode_record(key: &str, value: &[u8]) -> Result<Vec<u8>, String> {
-    let key_length = u8::try_from(key.len()).map_err(|_| format!("key {key:?} is too long"))?;
-    let length = 1 + key.len() + value.len();
-    let length = u32::try_from(length).map_err(|_| format!("record of {key:?} is too long"))?;
-    let mut record = length.to_be_bytes().to_vec();
-    record.push(key_length);
-    record.extend_from_slice(key.as_bytes());
-    record.extend_from_slice(value);
-    Ok(record)
-}
-
-/// Parses the body of a read: two offsets (the end and the first retained one), then the records.
-fn parse_records(body: &[u8]) -> Result<Vec<KeyedRecord>, String> {
-    const OFFSETS_BYTES: usize = 16;
-    let mut rest = body
-        .get(OFFSETS_BYTES..)
-        .ok_or("response to a read lacks the two offsets")?;
-    let mut records = Vec::new();
-    while let Some((length, after)) = rest.split_first_chunk::<4>() {
-        let length = u32::from_be_bytes(*length) as usize;
-        let record = after.get(..length).ok_or("record truncated")?;
-        records.push(parse_record(record)?);
-        rest = &after[length..];
-    }
-    Ok(records)
-}
-
-fn parse_record(record: &[u8]) -> Result<KeyedRecord, String> {
-    let (key_length, rest) = record.split_first().ok_or("record has no key")?;
-    let key_length = usize::from(*key_length);
-    let key = rest.get(..key_length).ok_or("key of a record truncated")?;
-    let value = &rest[key_length..];
-    Ok(KeyedRecord {
-        key: String::from_utf8_lossy(key).into_owned(),
-        value: (!value.is_empty()).then(|| Bytes::copy_from_slice(value)),
-    })
-}
-
-/// Decodes an item of a page of latest records. Returns `None` if its key was deleted.
-fn decode_latest_item(subject: Subject, item: &WireItem, end: Position) -> Option<SiteRecord> {
-    let text = item.value.as_ref().filter(|text| !text.is_empty())?;
-    match STANDARD.decode(text) {
-        Ok(value) => decode(subject, &item.key, Some(&value), end),
-        Err(error) => Some(SiteRecord::Unreadable {
-            key: item.key.clone(),
-            why: error.to_string(),
-        }),
-    }
-}
-
-/// Merges the hall orders of a complete read into one record, which also says that no other hall
-/// is evacuated.
-fn merge_hall_orders(records: Vec<SiteRecord>, end: Position) -> Vec<SiteRecord> {
-    let mut evacuated = EvacuatedHalls {
-        complete_to: end,
-        ..EvacuatedHalls::default()
-    };
-    let mut others = Vec::new();
-    for record in records {
-        match record {
-            SiteRecord::HallOrder(order) => {
-                evacuated.halls.insert(order.hall);
-            }
-            other => others.push(other),
-        }
-    }
-    others.push(SiteRecord::EvacuatedHalls(evacuated));
-    others
-}
-
-/// Decodes a record of a subject; `next` is the position of the record after it. Returns `None` for
-/// keys that larkwick does not read.
-fn decode(subject: Subject, key: &str, value: Option<&[u8]>, next: Position) -> Option<SiteRecord> {
-    let decoded = match (subject, value) {
-        (Subject::Configuration, value) => return decode_operator_record(key, value, next),
-        (Subject::Endpoints, Some(value)) => {
-            endpoint_entries::decode(key, value).map(SiteRecord::Endpoint)
-        }
-        (Subject::Endpoints, None) => Ok(SiteRecord::EndpointGone(key.to_owned())),
-        (Subject::Members, value) => return decode_instance_record(key, value),
-    };
-    Some(record_or_unreadable(key, decoded))
-}
-
-/// Decodes a record that an instance wrote.
-fn decode_instance_record(key: &str, value: Option<&[u8]>) -> Option<SiteRecord> {
-    let Some(fingerprint) = key.strip_prefix(SUSPECT_KEY_PREFIX) else {
-        let member = serde_json::from_slice(value?).map(SiteRecord::Member);
-        return Some(record_or_unreadable(
-            key,
-            member.map_err(|error| error.to_string()),
-        ));
-    };
-    let decoded = match value {
-        Some(value) => serde_json::from_slice(value)
-            .map(SiteRecord::Suspect)
-            .map_err(|error| error.to_string()),
-        None => fingerprint
-            .parse()
-            .map(SiteRecord::SuspectGone)
-            .map_err(|error: InvalidFingerprint| error.to_string()),
-    };
-    Some(record_or_unreadable(key, decoded))
-}
-
-/// Decodes a record that the operator wrote.
-fn decode_operator_record(key: &str, value: Option<&[u8]>, next: Position) -> Option<SiteRecord> {
-    if let Some(hall) = key.strip_prefix(EVACUATE_KEY_PREFIX) {
-        return Some(SiteRecord::HallOrder(HallOrder {
-            hall: hall.to_owned(),
-            evacuate: value.is_some(),
-            next,
-        }));
-    }
-    if key != CONFIG_KEY {
-        unknown_names::record_unknown("operator's key", key);
-        return None;
-    }
-    let decoded = operator_config::decode(value?);
-    Some(record_or_unreadable(
-        key,
-        decoded.map(SiteRecord::Configuration),
-    ))
-}
-
-/// Returns the decoded record, or one that marks the key as unreadable if decoding failed.
-fn record_or_unreadable(key: &str, decoded: Result<SiteRecord, String>) -> SiteRecord {
-    decoded.unwrap_or_else(|why| SiteRecord::Unreadable {
-        key: key.to_owned(),
-        why,
-    })
-}
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -1,5 +1,6 @@
 //! Settings of an instance that serves the routes of a site.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,6 +38,17 @@
     /// Network bandwidth of this instance, in Mbit/s.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Region of each hall, by the name of the hall. Calls that may be served in some regions only
+    /// are not sent to halls whose region is not given.
+    #[serde(default)]
+    pub hall_regions: BTreeMap<String, String>,
+    /// Largest share of a service's requests that a new version may get before it is accepted.
+    #[serde(default = "default_canary_share")]
+    pub canary_share: f64,
+    /// Requests that a new version may get in addition to `canary_share`, in total over all
+    /// instances.
+    #[serde(default = "default_canary_slack")]
+    pub canary_slack: f64,
     /// How long callers may cache a response of the directory, in milliseconds.
     pub directory_valid_ms: u64,
     /// Time in seconds after a request to stop at which the process is killed.
@@ -59,6 +71,16 @@
     pub hold_max_ms: u64,
 }
 
+/// The share that users allow.
+fn default_canary_share() -> f64 {
+    0.1
+}
+
+/// The number of requests that users allow.
+fn default_canary_slack() -> f64 {
+    50.0
+}
+
 /// The window over which users count retries.
 fn default_retry_window_s() -> f64 {
     10.0
@@ -100,6 +122,12 @@
         if !(self.link_mbps > 0.0 && self.link_mbps.is_finite()) {
             return invalid("link_mbps", "a positive number");
         }
+        if !(0.0..=1.0).contains(&self.canary_share) {
+            return invalid("canary_share", "a number from 0 to 1");
+        }
+        if !(self.canary_slack >= 0.0 && self.canary_slack.is_finite()) {
+            return invalid("canary_slack", "a number that is not negative");
+        }
         if !(0.0..=1.0).contains(&self.retry_share) {
             return invalid("retry_share", "a number from 0 to 1");
         }
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -214,6 +214,30 @@
         self.store.put("keyed.op", &key, &json!({}));
     }
 
+    /// Orders to shift a service to a software version.
+    pub fn order_rollout(&self, service: &str, target_version: &str, finish_by_s: f64) {
+        let order = json!({
+            "service": service, "target-version": target_version, "finish-by-s": finish_by_s,
+        });
+        self.store
+            .put("keyed.op", &format!("rollout/{service}"), &order);
+    }
+
+    /// Withdraws the order of [`SiteStandin::order_rollout`].
+    pub fn withdraw_rollout(&self, service: &str) {
+        self.store.delete("keyed.op", &format!("rollout/{service}"));
+    }
+
+    /// Returns the states that larkwick has recorded for the roll-out of a service, in order.
+    #[must_use]
+    pub fn rollout_states(&self, service: &str) -> Vec<String> {
+        let history = self
+            .store
+            .history("keyed.status", &format!("rollout/{service}"));
+        let states = history.iter().filter_map(|status| status["state"].as_str());
+        states.map(str::to_owned).collect()
+    }
+
     /// Deletes the order of [`SiteStandin::evacuate_hall`].
     pub fn restore_hall(&self, hall: &str) {
         self.store.delete("keyed.op", &format!("evacuate/{hall}"));
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -187,6 +187,20 @@
             .unwrap_or_default()
     }
 
+    /// Returns the values of all records of a key, in order.
+    #[must_use]
+    pub fn history(&self, topic: &str, key: &str) -> Vec<Value> {
+        let topics = self.topics.lock();
+        let records = topics
+            .get(topic)
+            .into_iter()
+            .flat_map(|topic| &topic.records);
+        let values = records.filter(|record| record.key == key);
+        values
+            .filter_map(|record| serde_json::from_slice(&record.value).ok())
+            .collect()
+    }
+
     /// Returns the keys of a topic that have a value.
     #[must_use]
     pub fn keys(&self, topic: &str) -> Vec<String> {
@@ -235,7 +249,10 @@
             STORE_NEWEST_PATH => self.read_latest(&query_parameters(&request)),
             STORE_READ_PATH => self.read(&query_parameters(&request)).await,
             STORE_APPEND_PATH => {
-                self.handle_append(request).await;
+                let is_applied = self.handle_append(request).await;
+                if !is_applied {
+                    return build_response(412, json!({"end": 0}).to_string());
+                }
                 if fault == StoreFault::LosesAppendReplies {
                     std::future::pending::<()>().await;
                 }
@@ -284,14 +301,23 @@
         }
     }
 
-    async fn handle_append(&self, request: Request<Incoming>) {
-        let topic = query_parameters(&request)
-            .remove("topic")
-            .unwrap_or_default();
+    /// Appends records; returns `false` if the topic does not end where the call requires.
+    async fn handle_append(&self, request: Request<Incoming>) -> bool {
+        let mut query = query_parameters(&request);
+        let topic = query.remove("topic").unwrap_or_default();
         let Ok(body) = request.into_body().collect().await else {
-            return;
+            return true;
         };
         let body = body.to_bytes();
+        let required_end = query.get("at").and_then(|at| at.parse().ok());
+        let end = self
+            .topics
+            .lock()
+            .get(&topic)
+            .map(|topic| topic.records.len());
+        if required_end.is_some_and(|required: usize| required != end.unwrap_or_default()) {
+            return false;
+        }
         let mut rest = &body[..];
         while let Some((length, after)) = rest.split_first_chunk::<4>() {
             let length = u32::from_be_bytes(*length) as usize;
@@ -301,6 +327,7 @@
             self.append(&topic, &key, record[1 + key_length..].to_vec());
             rest = after;
         }
+        true
     }
 }
 
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -44,13 +44,19 @@
 mod permits;
 #[path = "kernel/placement.rs"]
 mod placement;
+#[path = "kernel/region.rs"]
+mod region;
 #[path = "kernel/response_time.rs"]
 mod response_time;
 #[path = "kernel/retry.rs"]
 mod retry;
+#[path = "kernel/rollout.rs"]
+mod rollout;
 #[path = "kernel/routes.rs"]
 mod routes;
 #[path = "kernel/store_contact.rs"]
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
 mod store_sources;
+#[path = "kernel/transfer_budget.rs"]
+mod transfer_budget;
--- a/tests/kernel/admission_queue.rs
+++ b/tests/kernel/admission_queue.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use larkwick::kernel::admission_queue::{Admission, AdmissionQueue, AdmissionRequest, QueueTicket};
-use larkwick::kernel::engine_ledger::{EngineLedger, ListedEngine, ReportedRun, RunDemand};
+use larkwick::kernel::engine_ledger::{
+    EngineLedger, EngineRequirements, ListedEngine, ReportedRun, RunDemand,
+};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -14,6 +16,8 @@
     ListedEngine {
         id: format!("e{number}"),
         hall: "h".to_owned(),
+        region: String::new(),
+        version: None,
         slots: 24,
         memory_tokens: 33_000,
         leaving: false,
@@ -32,6 +36,7 @@
             generated_max_tokens: 400,
             generated_hint_tokens: None,
             priority,
+            requirements: EngineRequirements::default(),
         },
         entry: "n".to_owned(),
         excluded: Vec::new(),
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use larkwick::kernel::engine_ledger::{
-    EngineLedger, ListedEngine, MoveResult, ReportedRun, RunDemand,
+    EngineLedger, EngineRequirements, ListedEngine, MoveResult, ReportedRun, RunDemand,
 };
 use larkwick::kernel::permits::{IssuerShare, LimitShare};
 use proptest::prelude::*;
@@ -15,6 +15,8 @@
     ListedEngine {
         id: id.to_owned(),
         hall: hall.to_owned(),
+        region: String::new(),
+        version: None,
         slots: 24,
         memory_tokens: 34_000,
         leaving,
@@ -32,6 +34,7 @@
         generated_max_tokens: 2_000,
         generated_hint_tokens: Some(800.0),
         priority: 1,
+        requirements: EngineRequirements::default(),
     }
 }
 
--- a/tests/kernel/routes.rs
+++ b/tests/kernel/routes.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use larkwick::error::ErrorKind;
+use larkwick::kernel::region::AllowedRegions;
 use larkwick::kernel::route::{
     CallKind, CallLimits, CallerAccount, KeyedAccount, Route, RouteConfig, RouteTable,
     WeightedService,
@@ -26,6 +27,7 @@
         priority: 3,
         public: false,
         resumable: false,
+        allowed_regions: AllowedRegions::default(),
     }
 }
 
@@ -44,6 +46,7 @@
         name: "a".to_owned(),
         keys: vec!["k1".to_owned(), "k2".to_owned()],
         priority: Some(0),
+        allowed_regions: AllowedRegions::default(),
     }
 }
 
