--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -57,6 +57,8 @@
     last_event_id: Option<String>,
     moves: u32,
     stall_detector: StallDetector,
+    /// Why the stream has to be given up once the events before the fault were forwarded.
+    pending_abort: Option<String>,
     /// Number of times the generation was taken over from an engine whose stream broke.
     takeovers: u32,
     /// The attempts so far, needed if the generation is restarted.
@@ -109,6 +111,7 @@
         last_event_id: generation::last_event_id(&call).map(str::to_owned),
         moves: 0,
         stall_detector: StallDetector::start(),
+        pending_abort: None,
         takeovers: 0,
         attempts: started.attempts,
         has_ended: false,
@@ -162,6 +165,9 @@
         let Some(source) = &mut self.source else {
             return Step::Aborted("no engine stream to read from".to_owned());
         };
+        if let Some(reason) = self.pending_abort.take() {
+            return Step::Aborted(reason);
+        }
         let left = self.call.time_left();
         let (timeout, on_timeout) = if self.pending_continuation.is_some() {
             (STREAM_CLOSE_TIMEOUT, None)
@@ -202,7 +208,10 @@
         let mut bytes = BytesMut::new();
         for event in events {
             if !self.is_contiguous(event.id.as_deref()) {
-                return Step::Aborted("engine stream skipped an event".to_owned());
+                // The events before it are forwarded first: what continues the generation does so
+                // after the last of them.
+                self.pending_abort = Some("engine stream skipped an event".to_owned());
+                break;
             }
             if self.is_already_forwarded(event.id.as_deref()) {
                 continue;
--- a/src/gateway/shared_store/peer_reads.rs
+++ b/src/gateway/shared_store/peer_reads.rs
@@ -32,12 +32,15 @@
         let deadline = self.clock.now() + wait;
         let was_unavailable = self.is_store_unavailable(subject);
         let from = Position::new(request.from_era, request.from_offset);
+        let defers_new_endpoints = self.defers_new_endpoints(subject);
         loop {
             let changed = shard.changed.notified();
             let has_update = {
                 let cache = shard.cache.lock();
                 let can_send_full = request.whole && cache.confirmed_at.is_some();
-                can_send_full || cache.next > from
+                let has_records =
+                    cache.next > from && (!defers_new_endpoints || cache.has_urgent_since(from));
+                can_send_full || has_records
             };
             let has_update = has_update || (!was_unavailable && self.is_store_unavailable(subject));
             let remaining = deadline.saturating_sub(self.clock.now());
@@ -47,6 +50,13 @@
         }
     }
 
+    /// Returns whether new endpoints are passed on only at the end of a peer's wait. At a large
+    /// site, hundreds of servers may start in a second, and hundreds of members read here.
+    fn defers_new_endpoints(&self, subject: Subject) -> bool {
+        let live = self.live_members.view();
+        subject == Subject::Endpoints && !live.readers().relays.is_empty()
+    }
+
     fn page_for_peer(
         &self,
         subject: Subject,
--- a/src/gateway/store_follower.rs
+++ b/src/gateway/store_follower.rs
@@ -35,7 +35,7 @@
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Maximum number of changes of the endpoint list that are logged one by one.
-const LOGGED_CHANGES_MAX: usize = 256;
+const LOGGED_CHANGES_MAX: usize = 16;
 
 /// Returns the delay after new records, so that the next read returns the following records in one
 /// batch: endpoints leave several at a time, and the instances of a site start together. Each read
@@ -74,6 +74,12 @@
         info!("store regained", kv: { subject = self.subject.name(), away_ms: });
     }
 
+    /// Pauses before the latest records are read although the store answers.
+    async fn pause(&mut self) {
+        let pause = self.pause.next_pause(rand::rng().random_range(0.0..1.0));
+        tokio::time::sleep(pause).await;
+    }
+
     async fn pause_after_failure(&mut self, gateway: &Gateway, error: &StoreError) {
         metrics::counter!("larkwick_store_failures_total").increment(1);
         if self.unavailable_since.is_none() {
@@ -168,7 +174,7 @@
                 warn!("cannot continue from the last position; reading the latest records", kv: {
                     subject = subject.name(), from: = from, why: = error,
                 });
-                status.pause_after_failure(gateway, &error).await;
+                status.pause().await;
                 return;
             }
             Err(error) => status.pause_after_failure(gateway, &error).await,
--- a/src/gateway/subject_cache.rs
+++ b/src/gateway/subject_cache.rs
@@ -29,6 +29,8 @@
     /// `next`. Empty for the configuration: only its latest record matters, and each record may be
     /// a megabyte in size.
     recent_records: VecDeque<SiteRecord>,
+    /// Position after the last record that may take an endpoint out of service.
+    urgent_to: Position,
     /// The evacuated halls. Every page of the configuration subject includes them, since they are
     /// few and small.
     evacuated: EvacuatedHalls,
@@ -52,6 +54,7 @@
             subject,
             latest: BTreeMap::new(),
             recent_records: VecDeque::new(),
+            urgent_to: Position::default(),
             evacuated: EvacuatedHalls::default(),
             rollouts: RolloutOrders::default(),
             config_position: Position::default(),
@@ -120,9 +123,16 @@
             self.apply_record(record, page.next);
         }
         self.next = page.next;
+        self.urgent_to = page.next;
         self.confirmed_at = Some(confirmed_at);
     }
 
+    /// Returns whether any record after a position may take an endpoint out of service, or whether
+    /// the position is of another era.
+    pub(super) fn has_urgent_since(&self, from: Position) -> bool {
+        self.urgent_to > from
+    }
+
     /// Returns whether a configuration is older than the cached one.
     fn is_older_than_cached(&self, config: &RouteConfig) -> bool {
         let cached = self.latest.get("");
@@ -144,6 +154,9 @@
             self.apply_record(record, page.next);
         }
         self.next = page.next;
+        if page.records.iter().any(is_urgent) {
+            self.urgent_to = page.next;
+        }
         if self.subject == Subject::Configuration {
             return;
         }
@@ -214,6 +227,11 @@
     }
 }
 
+/// Returns whether a record has to be passed on at once. New endpoints can wait.
+fn is_urgent(record: &SiteRecord) -> bool {
+    !matches!(record, SiteRecord::Endpoint(entry) if !entry.leaving)
+}
+
 /// Returns the cache key of a suspect, which cannot be the name of a member.
 fn suspect_key(fingerprint: RequestFingerprint) -> String {
     format!("suspect/{fingerprint}")
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -25,6 +25,8 @@
 /// Duration of a memory copy.
 const COPY_DURATION: Duration = Duration::from_millis(40);
 
+/// Event that [`ServerFault::SkipsEvent`] omits.
+const SKIPPED_EVENT: u32 = 5;
 /// Delay of [`ServerFault::RespondsLate`]: many times the usual response time.
 pub const LATE_RESPONSE_DELAY: Duration = Duration::from_millis(700);
 
@@ -61,6 +63,8 @@
     RefusesCopies,
     /// Receives memory copies and refuses to continue from them.
     DropsCopies,
+    /// Omits one event of each generation, in a chunk that begins with the event before it.
+    SkipsEvent,
     /// Responds with status 421, as if another server had taken over its address.
     Misdirects,
 }
@@ -605,8 +609,16 @@
         let number = self.next;
         self.next += 1;
         self.run.generated_events.store(number, Ordering::Relaxed);
-        let event = format!("id: {number}\ndata: event {number} of {}\n\n", self.id);
-        Some(Ok(Frame::data(Bytes::from(event))))
+        let mut chunk = self.event(number);
+        if *self.server.fault.lock() == ServerFault::SkipsEvent && number == SKIPPED_EVENT - 1 {
+            chunk.push_str(&self.event(SKIPPED_EVENT + 1));
+            self.next = SKIPPED_EVENT + 2;
+        }
+        Some(Ok(Frame::data(Bytes::from(chunk))))
+    }
+
+    fn event(&self, number: u32) -> String {
+        format!("id: {number}\ndata: event {number} of {}\n\n", self.id)
     }
 }
 
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -30,6 +30,9 @@
     LosesAppendReplies,
 }
 
+/// Size of the two offsets at the start of a response to a read.
+const OFFSETS_BYTES: usize = 16;
+
 #[derive(Debug, Clone)]
 struct Record {
     key: String,
@@ -281,6 +284,8 @@
         let name = query.get("topic").cloned().unwrap_or_default();
         let wait = Duration::from_millis(query_number(query, "wait-ms"));
         let deadline = tokio::time::Instant::now() + wait;
+        let max_kb = query_number(query, "max_kb");
+        let max_bytes = usize::try_from(max_kb << 10).unwrap_or(usize::MAX);
         loop {
             let added = self.records_added.notified();
             {
@@ -290,13 +295,13 @@
                     return build_response(410, json!({"first": topic.first_offset}).to_string());
                 }
                 if topic.records.len() > from {
-                    return build_response(200, topic.encode_from(from));
+                    return build_response(200, topic.encode_from(from, max_bytes));
                 }
             }
             if tokio::time::timeout_at(deadline, added).await.is_err() {
                 let mut topics = self.topics.lock();
                 let topic = topics.entry(name.clone()).or_default();
-                return build_response(200, topic.encode_from(from));
+                return build_response(200, topic.encode_from(from, max_bytes));
             }
         }
     }
@@ -349,12 +354,16 @@
         written.map(|record| record.key.clone()).collect()
     }
 
-    fn encode_from(&self, from: usize) -> Vec<u8> {
+    /// Encodes the records from an offset on, the first one and more up to a size.
+    fn encode_from(&self, from: usize, max_bytes: usize) -> Vec<u8> {
         let mut body = Vec::new();
         let encode_offset = |number: usize| u64::try_from(number).unwrap_or(u64::MAX).to_be_bytes();
         body.extend_from_slice(&encode_offset(self.records.len()));
         body.extend_from_slice(&encode_offset(self.first_offset));
         for record in self.records.iter().skip(from) {
+            if body.len() >= max_bytes.max(OFFSETS_BYTES + 1) {
+                break;
+            }
             let length = 1 + record.key.len() + record.value.len();
             let length = u32::try_from(length).expect("test records fit u32");
             body.extend_from_slice(&length.to_be_bytes());
--- a/tests/kernel/fleet.rs
+++ b/tests/kernel/fleet.rs
@@ -337,3 +337,25 @@
     }
     assert_eq!(named.len(), count);
 }
+
+/// A list of the size of the users' whole fleet. Comparing it with the one before took quadratic
+/// time, seconds on the smallest instances, in which nothing else was served.
+#[test]
+fn apply_full_list_ten_thousand_listed_again_only_missing_ones_vanish() {
+    const LISTED: usize = 10_000;
+    let all: Vec<EndpointEntry> = (0..LISTED)
+        .map(|number| entry(&format!("e{number}"), false))
+        .collect();
+    let mut fleet = Fleet::default();
+    let list = |entries: &[EndpointEntry]| ListUpdate {
+        entries: entries.to_vec(),
+        ..ListUpdate::default()
+    };
+    fleet.apply_full_list(list(&all), NOW);
+    let changes = fleet.apply_full_list(list(&all[100..]), NOW);
+    let left = changes
+        .iter()
+        .filter(|change| matches!(change, FleetChange::Left(_)));
+    assert_eq!(left.count(), 100);
+    assert_eq!(fleet.ready_endpoints("s").count(), LISTED - 100);
+}
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -248,6 +248,31 @@
     assert_eq!(event_numbers(&response.body), [5, 6, 7, 8, 9]);
 }
 
+/// Guards against a lost event: the events of a chunk before a missing one were dropped, while the
+/// generation went on after them.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumable_engine_skips_event_in_a_chunk_no_event_missing() {
+    let site = RoutedSite::start(0).await;
+    let skipping = site.start_engine().await;
+    skipping.set_fault(ServerFault::SkipsEvent);
+    let instance = site.start_instance("n1").await;
+    let running = tokio::spawn(send_request(
+        instance.caller().resumable_generation(9, "skip"),
+    ));
+    wait_until("generation running", async || skipping.running_count() == 1).await;
+    let _other = site.start_engine().await;
+    wait_until("both engines known", async || {
+        instance.state().await["endpoints"]
+            .as_object()
+            .is_some_and(|all| all.len() == 2)
+    })
+    .await;
+    let response = running.await.expect("response received");
+    let expected: Vec<u32> = (1..=9).collect();
+    let received = event_numbers(&response.body);
+    assert_eq!(received[..], expected[..received.len()], "{response:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn resumable_engine_killed_restarts_at_another_engine() {
     let site = RoutedSite::start(0).await;
