--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -17,7 +17,7 @@
 use super::site_store::{self, SiteStore, Subject};
 use super::{
     coordinator, crash_suspects, endpoint_signals, engine_reports, heartbeat, operator_api,
-    rollouts, run_reports, store_follower, work_counters,
+    rollout_reports, run_reports, store_follower, work_counters,
 };
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
@@ -149,7 +149,7 @@
         self.tasks
             .push(tokio::spawn(engine_reports::run(gateway.clone())));
         self.tasks
-            .push(tokio::spawn(rollouts::run(gateway.clone())));
+            .push(tokio::spawn(rollout_reports::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(crash_suspects::run(gateway.clone())));
         self.tasks
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -1,44 +1,33 @@
 //! Places a generation on an engine and starts it there.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use http::Response;
-use parking_lot::Mutex;
 use rand::RngExt;
 use spdlog::info;
-use tokio::sync::mpsc;
 
-use super::aborted_requests;
 use super::coordinator::{self, Placement};
 use super::crash_suspects::{self, Admission};
 use super::endpoint_cooldowns;
+use super::engine_attempt::{
+    AttemptFailure, AttemptParams, AttemptResponse, INITIAL_FIRST_EVENT_TIME, may_have_run_error,
+    try_engine,
+};
 use super::inbound_call::Call;
-use super::message_heads::EndpointRequestHead;
 use super::relay;
 use super::response_body::{ResponseBody, full_body};
-use super::runs::{RunCommand, RunHandle};
-use super::started_generation::{
-    EngineAttempts, ResponseStream, RunGuard, StartedGeneration, record_generation_end,
-};
-use super::takeover::{self, StallDetector};
-use super::upstream::{ConnectError, ConnectionReuse, EndpointResponse, SendError};
+use super::started_generation::{EngineAttempts, StartedGeneration, record_generation_end};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::cooldown::ServiceAvailability;
-use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::engine_ledger::{EngineRequirements, RunDemand};
 use crate::kernel::fleet::EndpointEntry;
-use crate::kernel::response_time::ResponseTimeEstimate;
 use crate::kernel::rollout_evidence::Version;
-use crate::platform::{engine, ingress};
+use crate::platform::ingress;
 
 /// Maximum number of engines that are tried for one generation.
 const ENGINE_ATTEMPTS_MAX: u32 = 5;
-/// Initial estimate of the time to the first event, used until a service has samples: what engines
-/// with four running generations took to read 2,500 prompt tokens, and the variation of that time.
-const INITIAL_FIRST_EVENT_TIME: ResponseTimeEstimate = ResponseTimeEstimate::initial(0.45, 0.25);
 /// Minimum time left before the caller's deadline for restarting a generation, since its prompt has
 /// to be read once more.
 const RESTART_TIME_LEFT_MIN: Duration = Duration::from_millis(300);
@@ -92,71 +81,6 @@
     }
 }
 
-/// Why an attempt to start a generation at an engine did not succeed.
-enum AttemptFailure {
-    /// The engine refused the generation; another engine may be tried.
-    Refused {
-        reason: String,
-        /// Whether another endpoint answered at the engine's address.
-        misdirected: bool,
-    },
-    /// Nothing was sent; another engine may be tried.
-    Unsent {
-        reason: String,
-        /// Whether the connection was refused at the engine's address.
-        connection_refused: bool,
-    },
-    /// The request became a refused crash suspect after its placement. Nothing was sent.
-    CrashSuspected,
-    /// The engine entered a cooldown after the placement. Nothing was sent.
-    CoolingDown,
-    /// The rate limit that the engine announces for all instances is used up. Nothing was sent.
-    RateLimited,
-    /// The engine answered with a server error. Another engine may be tried if the route's
-    /// generations are resumable.
-    ErrorResponse(Box<AttemptResponse>),
-    /// The generation may have run. Another engine may be tried if the route's generations are
-    /// resumable.
-    Lost(Error),
-    /// The request cannot be forwarded to any engine; the caller gets this error.
-    Fatal(Error),
-}
-
-impl AttemptFailure {
-    fn reason(&self) -> String {
-        match self {
-            Self::Refused { reason, .. } | Self::Unsent { reason, .. } => reason.clone(),
-            Self::CrashSuspected => "endpoints end under it".to_owned(),
-            Self::CoolingDown => "the engine rests".to_owned(),
-            Self::RateLimited => "the engine takes no more for now".to_owned(),
-            Self::ErrorResponse(attempt_response) => format!(
-                "engine answered {}",
-                attempt_response.source.response.head.status
-            ),
-            Self::Lost(error) | Self::Fatal(error) => error.message.clone(),
-        }
-    }
-
-    /// Returns whether the engine is gone from its address: the connection was refused, or another
-    /// endpoint answered there.
-    ///
-    /// This is reported to all instances that place generations, so that each does not have to find
-    /// out by itself: without it, 631 of 3,427 generations were answered by other incarnations than
-    /// the expected ones while a quarter of the endpoints restarted six times (one run).
-    fn is_engine_gone(&self) -> bool {
-        matches!(
-            self,
-            Self::Unsent {
-                connection_refused: true,
-                ..
-            } | Self::Refused {
-                misdirected: true,
-                ..
-            }
-        )
-    }
-}
-
 impl EngineAttempts {
     /// Counts an attempt: a send if a request reached an engine, and a run if the generation may
     /// have run there.
@@ -470,256 +394,3 @@
         });
     }
 }
-
-/// Parameters of one attempt at an engine.
-struct AttemptParams<'a> {
-    granted: &'a str,
-    /// When the placement was counted against the rate limit that the engine announces, if it was.
-    counted_at: Option<Duration>,
-    /// ID of the last event that the caller received.
-    last_event_id: Option<&'a str>,
-    response_timeout: Duration,
-    /// Whether the request is a crash suspect that may be sent only to some endpoints.
-    restricted: bool,
-}
-
-/// Registers a generation as running at an engine.
-fn register_run(
-    call: &Arc<Call>,
-    demand: &RunDemand,
-    engine: &EndpointEntry,
-) -> (RunGuard, mpsc::UnboundedReceiver<RunCommand>) {
-    let (sender, commands) = mpsc::unbounded_channel();
-    let run = Arc::new(RunHandle {
-        service: call.service.clone(),
-        demand: demand.clone(),
-        endpoint: Mutex::new(engine.clone()),
-        generated_tokens: AtomicU32::new(0),
-        commands: sender,
-    });
-    call.gateway.runs.insert(run.clone());
-    let run_guard = RunGuard {
-        call: call.clone(),
-        run,
-    };
-    (run_guard, commands)
-}
-
-async fn try_engine(
-    call: &Arc<Call>,
-    demand: &RunDemand,
-    params: AttemptParams<'_>,
-) -> Result<AttemptResponse, AttemptFailure> {
-    let AttemptParams {
-        granted,
-        counted_at,
-        last_event_id,
-        response_timeout,
-        restricted,
-    } = params;
-    let gateway = &call.gateway;
-    let endpoint = gateway.fleet.lock().get(granted).cloned();
-    let unsent = |reason: &str| AttemptFailure::Unsent {
-        reason: reason.to_owned(),
-        connection_refused: false,
-    };
-    let endpoint = endpoint.ok_or_else(|| unsent("engine unknown here"))?;
-    let (run_guard, commands) = register_run(call, demand, &endpoint);
-    let max_open = gateway.connections_max(&call.table, &call.service);
-    // A generation is sent once, so it would be lost on a pooled connection that is dead. A new
-    // connection costs one round trip of the latency objective.
-    let connection = gateway
-        .upstream
-        .acquire_connection(&endpoint, max_open, ConnectionReuse::Never)
-        .await;
-    let connection = connection.map_err(|error| AttemptFailure::Unsent {
-        reason: error.to_string(),
-        connection_refused: matches!(error, ConnectError::Refused(_)),
-    })?;
-    let permit = match counted_at {
-        Some(_) => Some(gateway.permit_for_placement(granted, counted_at)),
-        None => gateway.request_permit(&call.service, granted).await,
-    };
-    let permit = permit.ok_or(AttemptFailure::RateLimited)?;
-    check_before_send(call, &endpoint, restricted)?;
-    let send = EndpointRequestHead {
-        endpoint_id: &endpoint.listed_id,
-        time_left: call.time_left(),
-        account: call.account.as_deref(),
-        priority: None,
-        continue_from: None,
-        last_event_id,
-    };
-    let request = engine::build_forwarded_request(&call.parts, call.body.clone(), &send).map_err(
-        |error| AttemptFailure::Fatal(Error::new(ErrorKind::BadRequest, error.to_string())),
-    )?;
-    let sent_at = gateway.now();
-    gateway.record_rollout_send(call, &endpoint);
-    let sending = connection.send(request, permit);
-    let response_future = await_response_head(call, &run_guard.run, last_event_id, sending);
-    let response = match gateway.wait_for(response_timeout, response_future).await {
-        Some(Ok(response)) => response,
-        Some(Err(SendError::Unsent(reason))) => return Err(unsent(&reason)),
-        Some(Err(SendError::NoPermit)) => return Err(AttemptFailure::RateLimited),
-        Some(Err(SendError::MayHaveRun(reason))) => {
-            record_outcome(call, &endpoint, true, sent_at);
-            aborted_requests::report(call, endpoint, Duration::ZERO).await;
-            return Err(lost_run(call, ErrorKind::EndpointLost, &reason));
-        }
-        None => {
-            record_outcome(call, &endpoint, true, sent_at);
-            return Err(lost_run(call, ErrorKind::AnswerTimeout, "no event in time"));
-        }
-    };
-    check_response(call, demand, &response)?;
-    let is_server_error_response = response.parts.status.is_server_error();
-    record_outcome(call, &endpoint, is_server_error_response, sent_at);
-    let attempt_response = AttemptResponse {
-        source: ResponseStream::new(response),
-        run_guard,
-        commands,
-    };
-    if is_server_error_response {
-        return Err(AttemptFailure::ErrorResponse(Box::new(attempt_response)));
-    }
-    let elapsed = gateway.now().saturating_sub(sent_at);
-    gateway.record_response_time(&call.service, INITIAL_FIRST_EVENT_TIME, elapsed);
-    Ok(attempt_response)
-}
-
-/// Checks that a response is the engine's own answer to this generation.
-fn check_response(
-    call: &Call,
-    demand: &RunDemand,
-    response: &EndpointResponse,
-) -> Result<(), AttemptFailure> {
-    if response
-        .head
-        .request_id
-        .as_deref()
-        .is_some_and(|id| id != demand.run)
-    {
-        return Err(lost_run(
-            call,
-            ErrorKind::EndpointLost,
-            "answer of another request",
-        ));
-    }
-    if response.head.not_run {
-        let status = response.head.status;
-        return Err(AttemptFailure::Refused {
-            reason: format!("engine refused: {status}"),
-            misdirected: response.head.misdirected,
-        });
-    }
-    let is_valid =
-        response.head.sealed && !response.head.encoded && response.head.request_id.is_some();
-    if response.parts.status.is_success() && !is_valid {
-        return Err(lost_run(
-            call,
-            ErrorKind::EndpointLost,
-            "not the engine's own answer",
-        ));
-    }
-    Ok(())
-}
-
-/// Records how a version of the service handled a generation that was sent at `sent_at`.
-fn record_outcome(call: &Call, endpoint: &EndpointEntry, failed: bool, sent_at: Duration) {
-    let gateway = &call.gateway;
-    let latency = gateway.now().saturating_sub(sent_at);
-    gateway.record_rollout_outcome(call, endpoint, failed, latency);
-}
-
-/// Repeats the checks right before sending: updates may have arrived since the placement, or the
-/// machine may have been suspended.
-fn check_before_send(
-    call: &Call,
-    engine: &EndpointEntry,
-    restricted: bool,
-) -> Result<(), AttemptFailure> {
-    let unsent = |reason: &str| AttemptFailure::Unsent {
-        reason: reason.to_owned(),
-        connection_refused: false,
-    };
-    if !call.gateway.fleet.lock().can_accept_work(&engine.id) {
-        return Err(unsent("the engine is leaving"));
-    }
-    if call.gateway.is_cooling_down(&engine.id) {
-        return Err(AttemptFailure::CoolingDown);
-    }
-    if !restricted && crash_suspects::current_verdict(call) == Verdict::Refused {
-        return Err(AttemptFailure::CrashSuspected);
-    }
-    if call.time_left().is_zero() {
-        return Err(unsent("no time left"));
-    }
-    Ok(())
-}
-
-/// Waits for the head of an engine's response. If the stream stalls although the engine has
-/// generated events, the generation is resumed on a new connection.
-async fn await_response_head(
-    call: &Arc<Call>,
-    run: &RunHandle,
-    last_event_id: Option<&str>,
-    sending: impl Future<Output = Result<EndpointResponse, SendError>>,
-) -> Result<EndpointResponse, SendError> {
-    tokio::pin!(sending);
-    let mut stall_detector = StallDetector::start();
-    let received_events = last_event_id.and_then(|id| id.parse().ok());
-    let reason = loop {
-        let sent = call
-            .gateway
-            .wait_for(stall_detector.query_after, &mut sending);
-        if let Some(result) = sent.await {
-            return result;
-        }
-        let engine = run.endpoint.lock().clone();
-        if let Some(reason) = stall_detector
-            .query_engine(call, &engine, received_events.unwrap_or_default())
-            .await
-        {
-            break reason;
-        }
-    };
-    let may_have_run = |reason: String| SendError::MayHaveRun(reason);
-    let taken_over = takeover::take_over(call, run, reason).await;
-    let continuation = taken_over.ok_or_else(|| may_have_run(reason.to_owned()))?;
-    let response = takeover::resume(call, &continuation, last_event_id).await;
-    let response = response.map_err(may_have_run)?;
-    *run.endpoint.lock() = continuation.target;
-    call.gateway.ledgers.runs_changed.notify_one();
-    Ok(response)
-}
-
-/// An engine's response, not yet joined with the attempts before it.
-struct AttemptResponse {
-    source: ResponseStream,
-    run_guard: RunGuard,
-    commands: mpsc::UnboundedReceiver<RunCommand>,
-}
-
-impl AttemptResponse {
-    fn into_started(self, attempts: EngineAttempts) -> StartedGeneration {
-        StartedGeneration {
-            source: self.source,
-            run_guard: self.run_guard,
-            commands: self.commands,
-            attempts,
-        }
-    }
-}
-
-/// Returns the failure of an attempt whose generation may have run.
-fn lost_run(call: &Call, kind: ErrorKind, reason: &str) -> AttemptFailure {
-    AttemptFailure::Lost(may_have_run_error(call, kind, reason))
-}
-
-fn may_have_run_error(call: &Call, kind: ErrorKind, reason: &str) -> Error {
-    let service = &call.service;
-    Error::new(
-        kind,
-        format!("service {service}: {reason}; it may have run"),
-    )
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 //! | `held_calls` | calls held until the instance is ready |
 //! | `request_handler` | handles the requests of callers |
 //! | `plain_call`, `endpoint_selection` | calls with a single response, and the selection of their endpoint |
-//! | `generation`, `started_generation`, `relay` | placement of generations, and forwarding of their events, also after a move |
+//! | `generation`, `engine_attempt`, `started_generation`, `relay` | placement of generations, attempts at engines, and forwarding of their events, also after a move |
 //! | `takeover` | takes over generations whose connection to their engine stalled |
 //! | `upstream` | connection pools of the endpoints |
 //! | `endpoint_signals` | handles the signals in the response headers of endpoints |
@@ -33,7 +33,7 @@
 //! | `engine_reports` | polls engines for whether they drain while the endpoint list is not updated |
 //! | `ownership` | which instance owns the engines of a service |
 //! | `ledgers`, `coordinator` | placement and moves of generations, by the owner, or by this instance alone if it cannot reach the owner |
-//! | `rollouts` | which version a request goes to during a roll-out, and the owner's decisions |
+//! | `rollouts`, `rollout_reports` | which version a request goes to during a roll-out; the reports to the owner and its decisions |
 //! | `run_reports` | reports the generations served here to the owners of their services |
 
 pub(crate) mod aborted_requests;
@@ -45,6 +45,7 @@
 pub(crate) mod endpoint_cooldowns;
 pub(crate) mod endpoint_selection;
 pub(crate) mod endpoint_signals;
+pub(crate) mod engine_attempt;
 pub(crate) mod engine_reports;
 pub(crate) mod generation;
 pub(crate) mod hall_evacuation;
@@ -65,6 +66,7 @@
 pub(crate) mod relay;
 pub(crate) mod request_handler;
 pub(crate) mod response_body;
+pub(crate) mod rollout_reports;
 pub(crate) mod rollouts;
 pub(crate) mod run_reports;
 pub(crate) mod runs;
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -7,39 +7,26 @@
 //! store under the condition that nothing else was written since, so that the first one stands.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use rand::RngExt;
 use serde::Serialize;
-use spdlog::{info, warn};
+use spdlog::info;
 
 use super::inbound_call::Call;
 use super::node::Gateway;
-use super::site_store::{SiteStore, Subject};
 use crate::kernel::clock::millis;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::membership::rendezvous_weight;
 use crate::kernel::rollout::{
     CanaryLimits, Phase, RequestCounts, RolloutController, RolloutOrder, RolloutState,
-    RolloutStatus, VersionCensus, draw_version,
+    RolloutStatus, draw_version,
 };
 use crate::kernel::rollout_evidence::{RolloutOutcome, Score, Version};
 use crate::kernel::rollout_orders::{RolloutOrderChange, RolloutOrders};
-use crate::peer::client::call_with_timeout;
-use crate::peer::convert;
-use crate::peer::generated as wire;
-
-/// Interval between reports at a site of up to [`REPORT_INTERVAL_INSTANCES`] instances.
-const REPORT_INTERVAL: Duration = Duration::from_millis(300);
-/// Longest such interval.
-const REPORT_INTERVAL_MAX: Duration = Duration::from_secs(1);
-/// Number of instances beyond which the interval grows in proportion.
-const REPORT_INTERVAL_INSTANCES: f64 = 100.0;
-/// Timeout of a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time for which a directive of the owner holds.
 const DIRECTIVE_VALID_FOR: Duration = Duration::from_millis(2_500);
 /// Maximum number of outcomes in one report. Those of the new version are never left out.
@@ -48,8 +35,16 @@
 /// stopped at once, and later versions may come without an order.
 const FORMER_VERSION_AVOIDED_FOR: Duration = Duration::from_secs(10);
 
+/// What an instance reports about a roll-out.
+pub(super) struct DueReport {
+    pub(super) service: String,
+    pub(super) target_version: String,
+    pub(super) counts: RequestCounts,
+    pub(super) outcomes: Vec<RolloutOutcome>,
+}
+
 /// A roll-out of one service.
-struct ServiceRollout {
+pub(super) struct ServiceRollout {
     order: RolloutOrder,
     /// Time at which the order became known here.
     seen_at: Duration,
@@ -189,8 +184,21 @@
         })
     }
 
+    /// Returns the state recorded in the store.
+    pub(super) fn recorded_state(&self) -> Option<RolloutState> {
+        self.recorded.as_ref().map(|recorded| recorded.state)
+    }
+
+    /// Returns the Unix time at which the order was first seen.
+    pub(super) fn started_at_unix(&self, now: Duration, unix_now: Duration) -> Duration {
+        self.recorded.as_ref().map_or_else(
+            || unix_now.saturating_sub(now.saturating_sub(self.seen_at)),
+            |recorded| recorded.started_at_unix,
+        )
+    }
+
     /// Returns the controller, which is created if necessary.
-    fn controller(
+    pub(super) fn controller(
         &mut self,
         limits: CanaryLimits,
         now: Duration,
@@ -202,7 +210,8 @@
                 .max(now.saturating_sub(self.seen_at)),
             None => now.saturating_sub(self.seen_at),
         };
-        self.controller.get_or_insert_with(|| {
+        let recorded = self.recorded_state();
+        let controller = self.controller.get_or_insert_with(|| {
             // The order may be older than this process.
             let before_start = age.saturating_sub(now);
             let order = RolloutOrder {
@@ -210,7 +219,9 @@
                 ..self.order.clone()
             };
             RolloutController::new(order, limits, now.saturating_sub(age))
-        })
+        });
+        controller.conclude(recorded.unwrap_or(RolloutState::Running));
+        controller
     }
 
     /// Takes what is to be reported, all outcomes of the new version among it.
@@ -310,7 +321,43 @@
         Some(VersionChoice { view, version })
     }
 
-    fn set_directive(&self, service: &str, target_version: &str, phase: Phase, now: Duration) {
+    /// Takes the reports of all roll-outs that are not over.
+    pub(super) fn take_due_reports(&self) -> Vec<DueReport> {
+        let mut services = self.services.lock();
+        let running = services
+            .iter_mut()
+            .filter(|(_, rollout)| !rollout.recorded_state().is_some_and(RolloutState::is_final));
+        let reports = running.map(|(service, rollout)| {
+            let (counts, outcomes) = rollout.take_report();
+            DueReport {
+                service: service.clone(),
+                target_version: rollout.order.target_version.clone(),
+                counts,
+                outcomes,
+            }
+        });
+        reports.collect()
+    }
+
+    /// Runs `change` on the roll-out of a service to a version; returns `None` if there is none.
+    pub(super) fn with_order<T>(
+        &self,
+        service: &str,
+        target_version: &str,
+        change: impl FnOnce(&mut ServiceRollout) -> T,
+    ) -> Option<T> {
+        let mut services = self.services.lock();
+        let rollout = services.get_mut(service)?;
+        (rollout.order.target_version == target_version).then(|| change(rollout))
+    }
+
+    pub(super) fn set_directive(
+        &self,
+        service: &str,
+        target_version: &str,
+        phase: Phase,
+        now: Duration,
+    ) {
         let mut services = self.services.lock();
         let rollout = services.get_mut(service);
         let Some(rollout) =
@@ -391,214 +438,13 @@
         canary_endpoint_count(self.canary_limits().share, current_endpoints)
     }
 
-    fn canary_limits(&self) -> CanaryLimits {
+    pub(super) fn canary_limits(&self) -> CanaryLimits {
         let routing = self.routing.read();
         CanaryLimits {
             share: routing.canary_share,
             slack: routing.canary_slack,
         }
     }
-
-    fn version_census(&self, service: &str, target_version: &str) -> VersionCensus {
-        let mut census = VersionCensus::default();
-        let running = self.ledgers.shard(service).lock().ledger.running_engines();
-        let fleet = self.fleet.lock();
-        for entry in fleet.ready_endpoints(service) {
-            if entry.software == target_version {
-                census.target += 1;
-            } else {
-                census.current += 1;
-                census.runs_on_current += usize::from(running.contains(&entry.id));
-            }
-        }
-        census
-    }
-
-    /// Handles a report of an instance as the owner, or as the one that would follow it. Returns the
-    /// owner's directive.
-    pub(crate) fn receive_rollout_report(
-        &self,
-        report: wire::RolloutReport,
-    ) -> wire::RolloutDirective {
-        let now = self.now();
-        let counts = RequestCounts {
-            all: report.sent,
-            target: report.sent_to_target,
-        };
-        let outcomes = report.outcomes.into_iter();
-        let outcomes: Vec<RolloutOutcome> = outcomes
-            .map(|outcome| convert::rollout_outcome(outcome, now))
-            .collect();
-        let phase =
-            self.add_rollout_report(&report.service, &report.target_version, counts, &outcomes);
-        convert::rollout_directive(phase)
-    }
-
-    fn add_rollout_report(
-        &self,
-        service: &str,
-        target_version: &str,
-        counts: RequestCounts,
-        outcomes: &[RolloutOutcome],
-    ) -> Option<Phase> {
-        let (now, unix_now) = (self.now(), self.clock.unix_time());
-        let limits = self.canary_limits();
-        let mut services = self.rollouts.services.lock();
-        let rollout = services.get_mut(service)?;
-        if rollout.order.target_version != target_version {
-            return None;
-        }
-        let recorded = rollout.recorded.as_ref().map(|recorded| recorded.state);
-        let controller = rollout.controller(limits, now, unix_now);
-        controller.conclude(recorded.unwrap_or(RolloutState::Running));
-        controller.add_report(counts, outcomes);
-        Some(controller.phase())
-    }
-}
-
-/// Reports and decides on roll-outs until the instance stops.
-pub(crate) async fn run(gateway: Arc<Gateway>) {
-    loop {
-        tokio::time::sleep(report_interval(&gateway)).await;
-        let due: Vec<(String, String, RequestCounts, Vec<RolloutOutcome>)> = {
-            let now = gateway.now();
-            let mut services = gateway.rollouts.services.lock();
-            let running = services.iter_mut().filter(|(_, rollout)| {
-                rollout.concluded_at.is_none() || rollout.phase(now) != Phase::Completed
-            });
-            running
-                .map(|(service, rollout)| {
-                    let (counts, outcomes) = rollout.take_report();
-                    let target_version = rollout.order.target_version.clone();
-                    (service.clone(), target_version, counts, outcomes)
-                })
-                .collect()
-        };
-        for (service, target_version, counts, outcomes) in due {
-            report(&gateway, &service, &target_version, counts, &outcomes).await;
-        }
-    }
-}
-
-fn report_interval(gateway: &Gateway) -> Duration {
-    let instances = u32::try_from(gateway.reachable_instance_count()).unwrap_or(u32::MAX);
-    let factor = (f64::from(instances) / REPORT_INTERVAL_INSTANCES).max(1.0);
-    REPORT_INTERVAL.mul_f64(factor).min(REPORT_INTERVAL_MAX)
-}
-
-/// Reports to the owner of a service and to the instance that would follow it, and applies the
-/// owner's directive.
-async fn report(
-    gateway: &Arc<Gateway>,
-    service: &str,
-    target_version: &str,
-    counts: RequestCounts,
-    outcomes: &[RolloutOutcome],
-) {
-    let live = gateway.live_members.view();
-    for (rank, member) in live.owner_and_successor(service).into_iter().enumerate() {
-        let is_owner = rank == 0;
-        if member.name == gateway.incarnation.name {
-            gateway.add_rollout_report(service, target_version, counts, outcomes);
-            if is_owner {
-                decide(gateway, service, target_version).await;
-            }
-            continue;
-        }
-        let message = wire::RolloutReport {
-            service: service.to_owned(),
-            target_version: target_version.to_owned(),
-            sent: counts.all,
-            sent_to_target: counts.target,
-            outcomes: outcomes.iter().map(Into::into).collect(),
-        };
-        let reply = match gateway.peers.site_client(&member.peer_address) {
-            Ok(mut client) => {
-                call_with_timeout(REPORT_TIMEOUT, client.report_rollout(message)).await
-            }
-            Err(status) => Err(status),
-        };
-        match reply {
-            Ok(directive) if is_owner => {
-                if let Some(phase) = convert::rollout_phase(&directive) {
-                    let now = gateway.now();
-                    gateway
-                        .rollouts
-                        .set_directive(service, target_version, phase, now);
-                }
-            }
-            Ok(_) => {}
-            Err(status) => {
-                if crate::log::should_log("roll-out report not taken") {
-                    warn!("roll-out report not taken", kv: { service,
-                        owner = member.name.as_str(), why = status.message() });
-                }
-            }
-        }
-    }
-}
-
-/// Advances a roll-out at the owner, and records its state in the store.
-async fn decide(gateway: &Arc<Gateway>, service: &str, target_version: &str) {
-    let census = gateway.version_census(service, target_version);
-    let (now, unix_now) = (gateway.now(), gateway.clock.unix_time());
-    let limits = gateway.canary_limits();
-    let (phase, state, recorded, started_at_unix) = {
-        let mut services = gateway.rollouts.services.lock();
-        let rollout = services.get_mut(service);
-        let Some(rollout) =
-            rollout.filter(|rollout| rollout.order.target_version == target_version)
-        else {
-            return;
-        };
-        let recorded = rollout.recorded.as_ref().map(|recorded| recorded.state);
-        let started_at_unix = rollout.recorded.as_ref().map_or_else(
-            || unix_now.saturating_sub(now.saturating_sub(rollout.seen_at)),
-            |recorded| recorded.started_at_unix,
-        );
-        let controller = rollout.controller(limits, now, unix_now);
-        controller.conclude(recorded.unwrap_or(RolloutState::Running));
-        let before = controller.phase();
-        let phase = controller.advance(census, now);
-        if std::mem::discriminant(&before) != std::mem::discriminant(&phase) {
-            log_decision(service, controller, census);
-        }
-        (phase, controller.state(), recorded, started_at_unix)
-    };
-    gateway
-        .rollouts
-        .set_directive(service, target_version, phase, now);
-    if phase == Phase::Finishing {
-        gateway.ledgers.wake_coordinator();
-    }
-    if recorded == Some(state) {
-        return;
-    }
-    let status = RolloutStatus {
-        service: service.to_owned(),
-        target_version: target_version.to_owned(),
-        state,
-        started_at_unix,
-    };
-    let at = gateway.store.known_to(Subject::Members);
-    match gateway.store.write_rollout_status(&status, at).await {
-        Ok(true) => gateway.rollouts.apply_status(status, gateway.now()),
-        // Another instance may have written it. Its record is read first.
-        Ok(false) => {}
-        Err(error) => warn!("roll-out status not written", kv: { service, why: = error }),
-    }
-}
-
-fn log_decision(service: &str, controller: &RolloutController, census: VersionCensus) {
-    info!("roll-out decided", kv: {
-        service,
-        target_version = controller.order().target_version.as_str(),
-        phase:? = controller.phase(),
-        scores:? = controller.evidence().scores(),
-        target_endpoints: = census.target,
-        current_endpoints: = census.current,
-        runs_on_current: = census.runs_on_current,
-    });
 }
 
 /// Returns the endpoints that the next attempt of a call may use, of those that accept work.
--- a/src/kernel/rollout_evidence.rs
+++ b/src/kernel/rollout_evidence.rs
@@ -23,6 +23,8 @@
 const ROUTE_OUTCOMES_MIN: u64 = 5;
 /// A response is slow if it takes this many times as long as usual for the current version.
 const SLOW_FACTOR: f64 = 2.5;
+/// A response that takes longer by less than this is not slow; scheduling alone causes as much.
+const SLOW_MARGIN: Duration = Duration::from_millis(20);
 /// Responses of the current version from which the usual time of a route is known.
 const LATENCIES_MIN: usize = 8;
 /// Recent responses of the current version that are kept for each route.
@@ -111,7 +113,8 @@
         }
         let mut sorted: Vec<Duration> = self.current_latencies.iter().copied().collect();
         sorted.sort_unstable();
-        latency > sorted[sorted.len() / 2].mul_f64(SLOW_FACTOR)
+        let usual = sorted[sorted.len() / 2];
+        latency > usual.mul_f64(SLOW_FACTOR).max(usual + SLOW_MARGIN)
     }
 
     fn add_current(&mut self, is_bad: bool, outcome: &RolloutOutcome) {
