--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -332,6 +332,8 @@
         let changes = gateway.fleet.lock().expire_entries(gateway.now());
         store_follower::log_fleet_changes(&changes);
         gateway.advance_halls();
+        let held_bytes = u32::try_from(gateway.held_bytes.held_bytes()).unwrap_or(u32::MAX);
+        metrics::gauge!("larkwick_held_bytes").set(f64::from(held_bytes));
         rounds = rounds.wrapping_add(1);
         if !rounds.is_multiple_of(EXPIRY_CHECKS_PER_PRUNE) {
             continue;
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -9,6 +9,7 @@
 use super::message_heads::CallHead;
 use super::node::{Gateway, InFlightGuard};
 use super::rollouts::VersionChoice;
+use crate::kernel::byte_budget::HeldBytes;
 use crate::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::region::AllowedRegions;
@@ -22,6 +23,8 @@
     pub(crate) head: CallHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// The body counts as held until the call ends.
+    pub(crate) _held_body: HeldBytes,
     pub(crate) route: Route,
     /// Service to which the call is routed.
     pub(crate) service: String,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 //! | `request_handler` | handles the requests of callers |
 //! | `plain_call`, `endpoint_selection` | calls with a single response, and the selection of their endpoint |
 //! | `generation`, `engine_attempt`, `started_generation`, `relay` | placement of generations, attempts at engines, and forwarding of their events, also after a move |
+//! | `read_ahead` | reads generations ahead of callers that read slowly |
 //! | `takeover` | takes over generations whose connection to their engine stalled |
 //! | `upstream` | connection pools of the endpoints |
 //! | `endpoint_signals` | handles the signals in the response headers of endpoints |
@@ -63,6 +64,7 @@
 pub(crate) mod peers;
 pub(crate) mod permits;
 pub(crate) mod plain_call;
+pub(crate) mod read_ahead;
 pub(crate) mod relay;
 pub(crate) mod request_handler;
 pub(crate) mod response_body;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -31,6 +31,7 @@
 use super::upstream::{Upstream, connections_per_instance};
 use super::work_counters::WorkCounters;
 use crate::error::{Error, ErrorKind};
+use crate::kernel::byte_budget::ByteBudget;
 use crate::kernel::clock::Clock;
 use crate::kernel::cold_start::ColdRateLimiter;
 use crate::kernel::crash_suspects::CrashSuspects;
@@ -174,6 +175,8 @@
     pub(crate) in_flight: InFlight,
     pub(crate) work_counters: Arc<WorkCounters>,
     pub(crate) held_calls: HeldCalls,
+    /// Bytes of bodies that callers or endpoints have not read yet.
+    pub(crate) held_bytes: ByteBudget,
     /// Latest time at which this instance exits; set when shutdown is requested.
     pub(crate) exit_deadline: Mutex<Option<Duration>>,
 }
@@ -216,6 +219,7 @@
             &routing,
             work_counters.clone(),
         );
+        let held_bytes = ByteBudget::new(routing.held_max_bytes());
         let hall_regions = HallRegions::new(routing.hall_regions.clone());
         let ledgers = Ledgers::for_instance(&settings.instance);
         let fleet: Arc<Mutex<Fleet>> = Arc::default();
@@ -256,6 +260,7 @@
             in_flight: InFlight::new(),
             work_counters,
             held_calls: HeldCalls::default(),
+            held_bytes,
             exit_deadline: Mutex::default(),
         }
     }
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -18,10 +18,13 @@
 use super::message_heads::EndpointRequestHead;
 use super::node::Gateway;
 use super::permits::Permit;
-use super::response_body::{ResponseBody, full_body};
-use super::upstream::{ConnectionReuse, EndpointResponse, SendError, ServiceIdleConnections};
+use super::response_body::{ResponseBody, full_body, held_body};
+use super::upstream::{
+    Connection, ConnectionReuse, EndpointResponse, SendError, ServiceIdleConnections,
+};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
+use crate::kernel::connect_timeout::connect_timeout;
 use crate::kernel::cooldown::ServiceAvailability;
 use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::fleet::EndpointEntry;
@@ -82,6 +85,8 @@
     /// Number of sends that an endpoint may have run.
     may_have_run: u32,
     tried: HashSet<String>,
+    /// Number of endpoints that accepted no connection.
+    failed_connects: usize,
     /// Last error response of an endpoint; returned if no other attempt succeeds.
     error_response: Option<BufferedResponse>,
     timed_out: bool,
@@ -99,7 +104,8 @@
     let (response, outcome) = match result {
         Ok(buffered) => {
             let status = buffered.parts.status.as_u16();
-            (into_response(buffered), format!("answered {status}"))
+            let response = into_response(&call.gateway, buffered);
+            (response, format!("answered {status}"))
         }
         Err(error) => {
             let response = ingress::error_response(&error).map(full_body);
@@ -123,8 +129,9 @@
     response
 }
 
-fn into_response(buffered: BufferedResponse) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(buffered.body));
+fn into_response(gateway: &Gateway, buffered: BufferedResponse) -> Response<ResponseBody> {
+    let held = gateway.held_bytes.hold(buffered.body.len());
+    let mut response = Response::new(held_body(buffered.body, held));
     *response.status_mut() = buffered.parts.status;
     *response.headers_mut() = engine::caller_response_headers(&buffered.parts);
     response
@@ -343,12 +350,12 @@
     }
 }
 
-async fn send_attempt(
+/// Returns a connection to an endpoint, or why there is none.
+async fn connect(
     call: &Call,
     endpoint: &EndpointEntry,
-    permit: Permit,
     attempts: &mut Attempts,
-) -> Attempt {
+) -> Result<Connection, String> {
     let gateway = &call.gateway;
     let max_open = gateway.connections_max(&call.table, &call.service);
     // The first attempt may have timed out because its idle connection had gone silent; the next
@@ -358,12 +365,26 @@
     } else {
         ConnectionReuse::Allowed
     };
+    let timeout = connect_timeout(call.route.latency_objective, attempts.failed_connects);
     let connection = gateway
         .upstream
-        .acquire_connection(endpoint, max_open, reuse);
-    let connection = match connection.await {
+        .acquire_connection_within(timeout, endpoint, max_open, reuse);
+    connection.await.map_err(|error| {
+        attempts.failed_connects += 1;
+        error.to_string()
+    })
+}
+
+async fn send_attempt(
+    call: &Call,
+    endpoint: &EndpointEntry,
+    permit: Permit,
+    attempts: &mut Attempts,
+) -> Attempt {
+    let gateway = &call.gateway;
+    let connection = match connect(call, endpoint, attempts).await {
         Ok(connection) => connection,
-        Err(error) => return Attempt::NotRun(error.to_string()),
+        Err(reason) => return Attempt::NotRun(reason),
     };
     // An update that the endpoint is leaving may have arrived since it was selected.
     if !gateway.fleet.lock().can_accept_work(&endpoint.id) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,6 +16,7 @@
 use super::crash_suspects;
 use super::generation;
 use super::inbound_call::Call;
+use super::read_ahead::read_ahead;
 use super::response_body::{ResponseAborted, ResponseBody};
 use super::runs::{Continuation, RunCommand};
 use super::started_generation::{
@@ -115,11 +116,12 @@
         takeovers: 0,
         attempts: started.attempts,
         has_ended: false,
-        call,
+        call: call.clone(),
     };
     let frames = stream::unfold(relay, |mut relay| async {
         relay.next_frame().await.map(|frame| (frame, relay))
     });
+    let frames = read_ahead(call, frames);
     let (parts, ()) = response.into_parts();
     Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(frames)))
 }
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -18,11 +18,14 @@
 use super::site_store::Subject;
 use super::{generation, held_calls, plain_call};
 use crate::error::{Error, ErrorKind, Result};
+use crate::kernel::byte_budget::HeldBytes;
 use crate::kernel::clock::millis;
 use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{CallKind, Route, RouteTable};
 use crate::platform::ingress;
 
+/// Slow callers read or give up within about this time.
+const HOLDS_TOO_MUCH_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum wait for the next frame of a body.
 const BODY_FRAME_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -121,7 +124,8 @@
     let version_choice = gateway.rollouts.draw(&routed.service, gateway.now());
     let deadline = head.deadline.unwrap_or(routed.route.timeout);
     let deadline = arrived + deadline.min(routed.route.timeout);
-    let body = read_body(body, table.config().limits.body_max_bytes)
+    let body_max_bytes = table.config().limits.body_max_bytes;
+    let (body, held_body) = read_body(gateway, body, body_max_bytes)
         .await
         .map_err(refused)?;
     Ok(Call {
@@ -130,6 +134,7 @@
         head,
         parts,
         body,
+        _held_body: held_body,
         service: routed.service,
         account: routed.account,
         priority: routed.priority,
@@ -200,7 +205,18 @@
 
 /// Buffers the whole body: it may have to be sent again, and an endpoint must not wait for a slow
 /// caller.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes> {
+async fn read_body(
+    gateway: &Gateway,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<(Bytes, HeldBytes)> {
+    let holds_too_much = || {
+        Error::new(
+            ErrorKind::StandingDown,
+            "this instance holds too many bytes for others; use another address or come back",
+        )
+        .with_retry_after(HOLDS_TOO_MUCH_RETRY_AFTER)
+    };
     let too_large = || {
         Error::new(
             ErrorKind::TooLarge,
@@ -212,6 +228,7 @@
         return Err(too_large());
     }
     let mut buffer = BytesMut::new();
+    let mut held = gateway.held_bytes.hold(0);
     loop {
         let frame = tokio::time::timeout(BODY_FRAME_TIMEOUT, body.frame()).await;
         let frame = frame.map_err(|_| Error::new(ErrorKind::BodyTimeout, "the body stopped"))?;
@@ -219,11 +236,14 @@
         let frame =
             frame.map_err(|error| Error::new(ErrorKind::BadRequest, format!("body: {error}")))?;
         if let Some(data) = frame.data_ref() {
+            if !held.try_grow(data.len()) {
+                return Err(holds_too_much());
+            }
             buffer.extend_from_slice(data);
             if buffer.len() > max_bytes {
                 return Err(too_large());
             }
         }
     }
-    Ok(buffer.freeze())
+    Ok((buffer.freeze(), held))
 }
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -4,6 +4,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 
+use crate::kernel::byte_budget::HeldBytes;
+
 /// Body of a response. An error closes the connection, so that the caller does not take a truncated
 /// response for a complete one.
 pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, ResponseAborted>;
@@ -13,6 +15,23 @@
 #[error("response aborted: {0}")]
 pub(crate) struct ResponseAborted(pub(crate) String);
 
+/// A buffer that counts as held until it is dropped.
+struct HeldBuffer {
+    bytes: Bytes,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for HeldBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns a body whose bytes count as held until they are written to the caller.
+pub(crate) fn held_body(bytes: Bytes, held: HeldBytes) -> ResponseBody {
+    full_body(Bytes::from_owner(HeldBuffer { bytes, _held: held }))
+}
+
 /// Returns a body whose bytes are all available.
 pub(crate) fn full_body(body: Bytes) -> ResponseBody {
     Full::new(body)
--- a/src/gateway/subject_cache.rs
+++ b/src/gateway/subject_cache.rs
@@ -25,10 +25,11 @@
     subject: Subject,
     /// Latest record of each key; empty before the first page.
     latest: BTreeMap<String, SiteRecord>,
-    /// The most recent records in order; the first one is `recent_records.len()` positions before
-    /// `next`. Empty for the configuration: only its latest record matters, and each record may be
-    /// a megabyte in size.
-    recent_records: VecDeque<SiteRecord>,
+    /// The most recent records in order, each with a position before which it is included. Empty for
+    /// the configuration: only its latest record matters, and each record may be a megabyte in size.
+    recent_records: VecDeque<(Position, SiteRecord)>,
+    /// Position after which all records are in `recent_records`.
+    recent_from: Position,
     /// Position after the last record that may take an endpoint out of service.
     urgent_to: Position,
     /// The evacuated halls. Every page of the configuration subject includes them, since they are
@@ -54,6 +55,7 @@
             subject,
             latest: BTreeMap::new(),
             recent_records: VecDeque::new(),
+            recent_from: Position::default(),
             urgent_to: Position::default(),
             evacuated: EvacuatedHalls::default(),
             rollouts: RolloutOrders::default(),
@@ -112,21 +114,69 @@
     }
 
     /// Replaces the cached records by a page with the latest record of each key.
+    ///
+    /// What it changes is kept for peers that continue from an earlier position of the same era:
+    /// otherwise a store that forgets its history would make all members read the whole list again.
     pub(super) fn replace(&mut self, page: &SitePage, confirmed_at: Duration) {
+        let before = std::mem::take(&mut self.latest);
         // A store restored from an older copy may return an older configuration, which must not be
         // served to peers.
+        let config = before
+            .get("")
+            .filter(|_| self.subject == Subject::Configuration);
         self.latest
-            .retain(|_, record| matches!(record, SiteRecord::Configuration(_)));
-        self.recent_records.clear();
+            .extend(config.map(|config| (String::new(), config.clone())));
         self.invalidate_encoded();
         for record in &page.records {
             self.apply_record(record, page.next);
         }
+        let continues = self.confirmed_at.is_some()
+            && self.next.era() == page.next.era()
+            && self.next <= page.next;
+        if continues {
+            let changes = self.changes_since(&before);
+            self.push_recent(changes.into_iter().map(|change| (page.next, change)));
+        } else {
+            self.recent_records.clear();
+            self.recent_from = page.next;
+        }
         self.next = page.next;
         self.urgent_to = page.next;
         self.confirmed_at = Some(confirmed_at);
     }
 
+    /// Returns the records that lead from earlier records of all keys to the current ones.
+    fn changes_since(&self, before: &BTreeMap<String, SiteRecord>) -> Vec<SiteRecord> {
+        let latest = self.latest.iter();
+        let changed = latest.filter(|(key, record)| before.get(*key) != Some(record));
+        let changed = changed.map(|(_, record)| record.clone());
+        let gone = before
+            .iter()
+            .filter(|(key, _)| !self.latest.contains_key(*key))
+            .filter_map(|(_, record)| match record {
+                SiteRecord::Endpoint(entry) => {
+                    Some(SiteRecord::EndpointGone(entry.listed_id.clone()))
+                }
+                SiteRecord::Unreadable { key, .. } => Some(SiteRecord::EndpointGone(key.clone())),
+                SiteRecord::Suspect(stored) => Some(SiteRecord::SuspectGone(stored.fingerprint())),
+                _ => None,
+            });
+        changed.chain(gone).collect()
+    }
+
+    /// Adds records for peers that continue from an earlier position, and drops the oldest ones.
+    fn push_recent(&mut self, records: impl Iterator<Item = (Position, SiteRecord)>) {
+        if self.subject == Subject::Configuration {
+            return;
+        }
+        self.recent_records.extend(records);
+        let recent_max = RECENT_RECORDS_MIN.max(self.latest.len() / RECENT_RECORDS_DIVISOR);
+        let excess = self.recent_records.len().saturating_sub(recent_max);
+        if let Some((position, _)) = self.recent_records.drain(..excess).next_back() {
+            self.recent_from = position;
+        }
+    }
+
     /// Returns whether any record after a position may take an endpoint out of service, or whether
     /// the position is of another era.
     pub(super) fn has_urgent_since(&self, from: Position) -> bool {
@@ -157,19 +207,18 @@
         if page.records.iter().any(is_urgent) {
             self.urgent_to = page.next;
         }
-        if self.subject == Subject::Configuration {
-            return;
-        }
-        self.recent_records.extend(page.records.iter().cloned());
-        // Records that larkwick does not read leave gaps in the offsets. Peers at earlier positions
-        // then cannot continue here; only full reads are served.
+        // Records that larkwick does not read leave gaps in the offsets. The others then count as
+        // read together: a peer that is in between reads some of them twice.
         let read = u64::try_from(page.records.len()).unwrap_or(u64::MAX);
-        if page.next.records_since(from) != Some(read) {
-            self.recent_records.clear();
-        }
-        let recent_max = RECENT_RECORDS_MIN.max(self.latest.len() / RECENT_RECORDS_DIVISOR);
-        let excess = self.recent_records.len().saturating_sub(recent_max);
-        self.recent_records.drain(..excess);
+        let has_gaps = page.next.records_since(from) != Some(read);
+        let positions = (1..).map(|count| {
+            if has_gaps {
+                page.next
+            } else {
+                from.plus(count)
+            }
+        });
+        self.push_recent(positions.zip(page.records.iter().cloned()));
     }
 
     fn invalidate_encoded(&mut self) {
@@ -196,10 +245,12 @@
         if let Some((_, page)) = self.encoded.as_ref().filter(|(first, _)| *first == from) {
             return Some(page.clone());
         }
-        let missing = self.next.records_since(from).unwrap_or_default();
-        let missing = usize::try_from(missing).ok()?;
-        let skipped = self.recent_records.len().checked_sub(missing)?;
-        let records: Vec<&SiteRecord> = self.recent_records.iter().skip(skipped).collect();
+        if from < self.recent_from {
+            return None;
+        }
+        let recent = self.recent_records.iter();
+        let missing = recent.filter(|(position, _)| *position > from);
+        let records: Vec<&SiteRecord> = missing.map(|(_, record)| record).collect();
         let page = encode(&records)?;
         self.encoded = Some((from, page.clone()));
         Some(page)
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -24,12 +24,10 @@
 use super::message_heads::ResponseHead;
 use super::permits::Permit;
 use crate::kernel::clock::Clock;
+use crate::kernel::connect_timeout::CONNECT_TIMEOUT_MAX;
 use crate::kernel::fleet::EndpointEntry;
 use crate::platform::engine;
 
-/// Endpoints accept connections within milliseconds; a longer wait means that the SYN was lost or
-/// nothing runs at the address.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that sent bytes may stay unacknowledged before the peer counts as dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
@@ -217,6 +215,18 @@
         endpoint: &EndpointEntry,
         max_open: usize,
         reuse: ConnectionReuse,
+    ) -> Result<Connection, ConnectError> {
+        self.acquire_connection_within(CONNECT_TIMEOUT_MAX, endpoint, max_open, reuse)
+            .await
+    }
+
+    /// Same as [`Self::acquire_connection`], with a timeout for a new connection.
+    pub(crate) async fn acquire_connection_within(
+        &self,
+        timeout: Duration,
+        endpoint: &EndpointEntry,
+        max_open: usize,
+        reuse: ConnectionReuse,
     ) -> Result<Connection, ConnectError> {
         if reuse == ConnectionReuse::Allowed
             && let Some(connection) = self.take_reusable(endpoint)
@@ -224,7 +234,7 @@
             return Ok(connection);
         }
         let open_guard = self.reserve_slot(endpoint, max_open)?;
-        let stream = connect(endpoint.address).await?;
+        let stream = connect(endpoint.address, timeout).await?;
         let (sender, driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|error| ConnectError::Other(error.to_string()))?;
@@ -243,7 +253,7 @@
 
     /// Checks whether an endpoint accepts connections; the connection is closed at once.
     pub(crate) async fn probe_presence(&self, endpoint: &EndpointEntry) -> Presence {
-        match connect(endpoint.address).await {
+        match connect(endpoint.address, CONNECT_TIMEOUT_MAX).await {
             Ok(_) => Presence::Listens,
             Err(ConnectError::Refused(_)) => Presence::Ended,
             Err(ConnectError::Other(_)) => Presence::Unknown,
@@ -399,8 +409,8 @@
     share.max(2)
 }
 
-async fn connect(address: SocketAddr) -> Result<TcpStream, ConnectError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+async fn connect(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ConnectError> {
+    let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting
         .await
         .map_err(|_| ConnectError::Other(format!("{address} did not answer in time")))?
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -5,9 +5,11 @@
 pub mod admission_queue;
 pub mod attempt;
 pub mod backoff;
+pub mod byte_budget;
 pub mod clock;
 pub mod cold_start;
 pub mod config;
+pub mod connect_timeout;
 pub mod cooldown;
 pub mod crash_suspects;
 pub mod departures;
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -38,6 +38,10 @@
     /// Network bandwidth of this instance, in Mbit/s.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Memory of this instance in megabytes. It decides how much is held for callers that send or
+    /// read slowly.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
     /// Region of each hall, by the name of the hall. Calls that may be served in some regions only
     /// are not sent to halls whose region is not given.
     #[serde(default)]
@@ -71,6 +75,15 @@
     pub hold_max_ms: u64,
 }
 
+/// The memory of the users' smaller instances.
+fn default_memory_mb() -> f64 {
+    110.0
+}
+
+/// Part of the memory that is held for callers and endpoints. The lists of a large site take half.
+const HELD_MEMORY_SHARE: f64 = 0.25;
+const BYTES_PER_MB: f64 = 1e6;
+
 /// The share that users allow.
 fn default_canary_share() -> f64 {
     0.1
@@ -122,6 +135,9 @@
         if !(self.link_mbps > 0.0 && self.link_mbps.is_finite()) {
             return invalid("link_mbps", "a positive number");
         }
+        if !(1.0..=1e9).contains(&self.memory_mb) {
+            return invalid("memory_mb", "a number from 1 to 1000000000");
+        }
         if !(0.0..=1.0).contains(&self.canary_share) {
             return invalid("canary_share", "a number from 0 to 1");
         }
@@ -158,6 +174,18 @@
         Duration::from_secs_f64(self.retry_window_s)
     }
 
+    /// Returns the maximum number of bytes held for callers and endpoints.
+    #[must_use]
+    pub fn held_max_bytes(&self) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "positive, and validated to be far below the maximum"
+        )]
+        let bytes = (self.memory_mb * BYTES_PER_MB * HELD_MEMORY_SHARE) as usize;
+        bytes
+    }
+
     /// Returns how up to date the state known to the instances must be.
     #[must_use]
     pub fn freshness(&self) -> Freshness {
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -2,10 +2,14 @@
 
 #[path = "kernel/admission_queue.rs"]
 mod admission_queue;
+#[path = "kernel/byte_budget.rs"]
+mod byte_budget;
 #[path = "kernel/cold_start.rs"]
 mod cold_start;
 #[path = "kernel/config.rs"]
 mod config;
+#[path = "kernel/connect_timeout.rs"]
+mod connect_timeout;
 #[path = "kernel/cooldown.rs"]
 mod cooldown;
 #[path = "kernel/crash_suspects.rs"]
