--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -221,10 +221,7 @@
             memory_tokens: capabilities.memory_tokens,
             leaving: availability == Availability::Leaving || rollout.is_given_up(entry),
             // Generations in an evacuated hall finish where they run. Moving them, as is done off
-            // leaving engines, overloads the other halls: it lowered the mean worth (the mean value
-            // of the answers of a simulated day, from 0 to 1) by 0.024 (+-0.008) on a day on which
-            // two halls are evacuated and by 0.010 (+-0.005) on one with a loss of all instances,
-            // four paired seeds each.
+            // leaving engines, would overload the other halls.
             closed: !fleet.can_accept_work(&entry.id) || rollout.is_closed(entry),
             supports_migration: capabilities.supports_migration,
             cold: cold_start.map(|cold_start| ColdLimit {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -34,11 +34,8 @@
 /// Callers honour a `Retry-After` of at most their remaining time divided by this; the users of the
 /// service state this.
 const RETRY_AFTER_MAX_DIVISOR: u32 = 3;
-/// Prior for how long engines stay full once they are.
-///
-/// With a `Retry-After` of 1 s, 90 of 1,450 generations were finally refused instead of 55, and the
-/// mean worth (the mean value of the answers of a simulated day, from 0 to 1) fell by 0.016 (two
-/// days with bursts and dead engines, six seeds each).
+/// Prior for how long engines stay full once they are. Callers come back once, so an early return
+/// is refused for good.
 const EXPECTED_OVERLOAD_DURATION: Duration = Duration::from_secs(5);
 /// Lower end of the random `Retry-After`, as a share of its upper end. The spread keeps callers
 /// from retrying at the same moment.
@@ -333,9 +330,7 @@
 /// Returns how long an engine may take to send its first event: all the time that is left, less the
 /// time that another engine needs if one can still be tried.
 ///
-/// A shorter timeout throws away the part of the prompt that was already read. When the timeout
-/// still left a retry just enough time for the latency objective, 8.7 of 295 short generations were
-/// late, and 0 with this rule (mean of six seeds of a quiet day).
+/// A shorter timeout would throw away the part of the prompt that was already read.
 fn response_timeout(call: &Call, attempts: &EngineAttempts) -> Duration {
     let left = call.time_left();
     let can_try_another = call.route.resumable && attempts.runs + 1 < call.route.attempts_max;
--- a/src/gateway/shared_store/bootstrap.rs
+++ b/src/gateway/shared_store/bootstrap.rs
@@ -23,9 +23,7 @@
 /// time of a healthy store that is ten times slower than usual.
 const BOOTSTRAP_STORE_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay before instances other than readers query the store. An available store has answered the
-/// readers by then. It is meant to save calls when all instances start together, but showed no
-/// saving: 2,017 calls without it and 2,076 with it on a quiet day with 295 instances (one run
-/// each).
+/// readers by then.
 const READER_HEAD_START: Duration = Duration::from_millis(60);
 /// Pause before peers without data are queried again; some of them may not have been listening yet.
 const BOOTSTRAP_PEER_PAUSE: Duration = Duration::from_millis(50);
@@ -45,10 +43,6 @@
     /// Reads a subject of which this instance has no data: from peers that have data, else
     /// concurrently from the store and from peers that are starting too, else stale data from any
     /// member.
-    ///
-    /// Raised the mean worth (the mean value of the answers of a simulated day, from 0 to 1) by
-    /// 0.008 (+-0.0035, mean of six paired seeds) on a day that ends with the loss of all instances
-    /// during an outage of the store.
     pub(super) async fn bootstrap(
         &self,
         subject: Subject,
--- a/src/kernel/crash_suspects.rs
+++ b/src/kernel/crash_suspects.rs
@@ -22,17 +22,14 @@
 use super::fingerprint::{HeadHash, RequestFingerprint};
 
 /// A request that runs for longer than this after its first event did not crash its endpoint by
-/// starting. Of nine crashes caused by one request, each came 0.05 to 0.08 s after the request had
-/// started; the slowest engine measured generates ten events in this time.
+/// starting. Crashes by a start come within a tenth of this time; even slow engines
+/// generate several events in it.
 pub const START_WINDOW: Duration = Duration::from_secs(1);
 
 /// Points per crash, and the number of points at which a request is refused.
 ///
-/// Of some 330 generations in 30 s, with one engine per second crashing for unrelated reasons, the
-/// default rules wrongly refuse 0.03 to 0.07. Rules that refuse after three crashes of any kind
-/// wrongly refuse 3.4 to 4.3, and rules that refuse after two 0.8 to 3.3. If a request does crash
-/// the engines, the default rules let it crash 3.4 of them instead of 45 (simulated,
-/// `cargo bench --bench crashing`, mean of 40 seeds).
+/// Engines also crash for unrelated reasons: rules that count all crashes alike would refuse
+/// innocent requests (`cargo bench --bench crashing`).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RefusalRules {
     /// Points of a crash under a request that had just started.
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -21,17 +21,10 @@
 
 /// Share of an engine's memory that new generations may fill, including the tokens generated within
 /// the prediction horizon. On engines that hold about six generations, reserving a tenth of the
-/// memory costs most of one placement. Compared with a limit of 0.90 and a horizon of 2.5 s, a
-/// limit of 0.97 and a horizon of 1.2 s raise the mean worth (the mean value of the answers of a
-/// simulated day, from 0 to 1) by 0.015 (+-0.006, seven paired runs) on days on which a sixth of 60
-/// engines is missing. With the load on smaller engines that the tests replay, 1,078 of 1,080 long
-/// generations are placed in time instead of 1,018.
+/// memory costs most of one placement.
 const NEW_RUN_FILL_MAX: f64 = 0.97;
 /// Share of an engine's memory that may be filled by a moved generation, or by one that is expected
-/// to end within the prediction horizon and so frees its memory before others need it. Allowing the
-/// latter 0.07 more than other new generations raised the mean worth by 0.029 (+-0.008) on a day
-/// with bursts (six paired seeds). A limit of 1.06 instead of 1.0 brings no further gain (-0.006
-/// +-0.005, seven paired runs).
+/// to end within the prediction horizon and so frees its memory before others need it.
 pub(super) const MOVED_RUN_FILL_MAX: f64 = 1.0;
 /// A grant that no report has confirmed is dropped after this time.
 const UNCONFIRMED_GRANT_TTL: Duration = Duration::from_millis(1_500);
@@ -399,11 +392,7 @@
                 engine.usage.prefill_backlog_tokens / f64::from(listed.memory_tokens);
             let score = engine.comparison_score(fill) + PREFILL_BACKLOG_WEIGHT * prefill_backlog;
             // An engine in cooldown for another entry instance is likely to refuse this one too, so
-            // it is the last choice. Simulated with `cargo bench --bench resting`, 40 seeds: with
-            // twelve engines of which four refuse nine requests in ten, 0 of 100 generations are
-            // lost instead of 10.7 at 20 generations a second, and 13.5 instead of 26.3 at 36 a
-            // second with 60 instances. Where these engines refuse three in ten and the load is
-            // just what all engines can hold, the rule makes it worse: 3.2 lost instead of 0.7.
+            // it is the last choice.
             Some((
                 self.cooling_down_engines.contains(&listed.id),
                 score,
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -8,8 +8,7 @@
 use super::region::AllowedRegions;
 use super::rollout_evidence::Version;
 
-/// Tokens that a generation decodes in a second on an engine shared with several others; measured
-/// as 63 ms per event of 4 tokens.
+/// Tokens that a generation decodes in a second on an engine shared with several others.
 const DECODE_TOKENS_PER_S: f64 = 64.0;
 /// How far ahead memory use is predicted. It is longer than an owner takes to learn that a
 /// generation ended, and no longer than new generations wait for capacity: tokens generated later
--- a/src/kernel/owner_contact.rs
+++ b/src/kernel/owner_contact.rs
@@ -4,10 +4,6 @@
 //! An instance that is cut off from the others still has its callers and its engines. Waiting for
 //! the owner at each generation would delay all of them, and no other instance can move its
 //! generations away from draining engines.
-//!
-//! Together with spreading the load of instances that place alone, this raised the mean worth (the
-//! mean value of the answers of a simulated day, from 0 to 1) by 0.25 on a day on which a third of
-//! 62 instances is cut off from all others twice (mean of two paired seeds).
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/src/kernel/response_time.rs
+++ b/src/kernel/response_time.rs
@@ -53,10 +53,7 @@
     /// Returns how long to wait for a response if another endpoint can be tried.
     ///
     /// It waits until a retry could only just meet the latency objective, of which `objective_left`
-    /// remains, but never shorter than most responses take. Waiting for the mean plus four
-    /// deviations regardless of the objective lowered the mean worth (the mean value of the answers
-    /// of a simulated day, from 0 to 1) of calls of which one in seven fails by 0.015 (quiet day,
-    /// six seeds).
+    /// remains, but never shorter than most responses take.
     #[must_use]
     pub fn timeout(&self, objective_left: Duration) -> Duration {
         let typical_s = self.typical().as_secs_f64();
--- a/src/kernel/roles.rs
+++ b/src/kernel/roles.rs
@@ -9,7 +9,7 @@
 /// Minimum number of readers, since one may be cut off from the store.
 const READERS_MIN: usize = 2;
 /// Maximum number of readers that access the store. If more readers are needed, the others read
-/// through these: with 295 members, 13 readers at the store made 6,100 calls in 48 s.
+/// through these.
 const STORE_READERS_MAX: usize = 4;
 /// Number of readers that access the store if other members read through relays. If one is lost,
 /// two remain.
@@ -51,8 +51,7 @@
 pub(super) fn ranked_members<'a>(role: &str, members: &[MemberCapacity<'a>]) -> Vec<&'a str> {
     let largest = members.iter().map(|(_, capacity)| *capacity);
     let largest = largest.fold(0.0, f64::max);
-    // The weights are hashes. Computing them in the sort's comparison took half of the processor
-    // time of 100 idle instances.
+    // The weights are hashes, too slow for the sort's comparison.
     let weighted = members.iter().map(|(name, capacity)| RankedMember {
         is_small: *capacity < CAPACITY_SHARE_MIN * largest,
         weight: weighted_rendezvous(role, name, *capacity),
--- a/src/kernel/store_sources.rs
+++ b/src/kernel/store_sources.rs
@@ -58,9 +58,8 @@
     ///
     /// A reader asks the store first and then the other readers, since the store may reject it
     /// alone. Other members ask their reader, the other readers, and the store last. If all readers
-    /// have failed, a few members read in their place and the others ask those: with 66 members,
-    /// the rejection of two readers for eight seconds cost 4,900 calls when every other member
-    /// accessed the store itself.
+    /// have failed, a few members read in their place and the others ask those, so that the store
+    /// is not called by all of them.
     #[must_use]
     pub fn ordered_sources(&self, plan: &ReaderPlan, now: Duration) -> Vec<Source> {
         if plan.reads_through_relays() {
