--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -268,6 +268,8 @@
             if !is_same {
                 info!("roll-out order withdrawn or replaced", kv: { service = service.as_str(),
                     target_version = rollout.order.target_version.as_str() });
+                // A later order for the same version is compared anew.
+                self.recorded.lock().remove(service);
             }
             is_same
         });
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -149,6 +149,30 @@
         instance.state().await["rollouts"]["app"].is_null()
     })
     .await;
+    // An order that was withdrawn leaves nothing behind.
+    site.standin.order_rollout("app", "v2", 0.0);
+    wait_until("order without time reverted", async || {
+        site.standin
+            .rollout_states("app")
+            .last()
+            .is_some_and(|state| state == "reverted")
+    })
+    .await;
+    site.standin.withdraw_rollout("app");
+    wait_until("order forgotten", async || {
+        instance.state().await["rollouts"]["app"].is_null()
+    })
+    .await;
+    site.standin.order_rollout("app", "v2", 300.0);
+    wait_until("order compared anew", async || {
+        instance.state().await["rollouts"]["app"]["phase"]["canary"].is_object()
+    })
+    .await;
+    site.standin.withdraw_rollout("app");
+    wait_until("order forgotten", async || {
+        instance.state().await["rollouts"]["app"].is_null()
+    })
+    .await;
     let mut number = 0;
     wait_until("new version used", async || {
         number += 1;
