A generation that is taken over stays in its allowed regions

Cause: read in the diff: takeover drew its target from all engines of the service, whatever regions the route or account allows; a copy of the memory and the rest of the generation could go elsewhere. Places, moves and restarts kept to them already. Ruled out: a filter in stop_run (the target is drawn before it). Change: the same check as for calls. Without a restriction nothing changes.

--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -116,8 +116,11 @@
     let target = {
         let fleet = gateway.fleet.lock();
         let others = fleet.ready_endpoints(&call.service);
-        let others =
-            others.filter(|engine| engine.id != source.id && !cooling_down.contains(&engine.id));
+        let others = others.filter(|engine| {
+            engine.id != source.id
+                && !cooling_down.contains(&engine.id)
+                && call.is_region_allowed(engine)
+        });
         others.choose(&mut rand::rng()).cloned()
     }?;
     let stopped = moves::stop_run(gateway, run, &source, &target, false).await;
