Probes of endpoints log their steps; engines reported gone are logged

Three hypotheses could not be told apart by the log: (a) the probe of a crashed engine finds its socket open because something else holds it; (b) the next placement comes before the result of the probe; (c) the result does not reach the ledger in time.

Change: `endpoint broke off` has the steps of the probe with their times (`probe`), among them whether an accepted connection was closed by the other side, and how long the result took (`probe_ms`); `engine reported gone` tells when an owner's ledger learns of it. The first connection of a probe stays open until the second one, to see whether it is closed. The stand-in can leave the listening socket of a crashed server open for a while.

Ruled out: nothing yet.

--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -6,6 +6,7 @@
 
 use parking_lot::Mutex;
 use spdlog::info;
+use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 
 use super::inbound_call::Call;
@@ -36,10 +37,31 @@
     Unknown,
 }
 
+/// The result of a probe and the steps that led to it.
+#[derive(Debug, Clone)]
+struct ProbeResult {
+    presence: Presence,
+    /// Each step with the time since the start of the probe, for the log.
+    steps: Vec<(Duration, ProbeStep)>,
+}
+
+/// What one step of a probe found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProbeStep {
+    /// The connection was refused.
+    Refused,
+    /// The connection was neither accepted nor refused in time.
+    Unreachable,
+    /// The connection was accepted.
+    Accepted,
+    /// An accepted connection was closed by the other side.
+    Closed,
+}
+
 /// A probe of an endpoint, shared by all requests that it aborted.
 struct PresenceProbe {
     started_at: Duration,
-    result: Arc<OnceCell<Presence>>,
+    result: Arc<OnceCell<ProbeResult>>,
 }
 
 /// Recent probes by endpoint.
@@ -55,7 +77,7 @@
         upstream: &Upstream,
         endpoint: &EndpointEntry,
         now: Duration,
-    ) -> Presence {
+    ) -> ProbeResult {
         let result = {
             let mut probes = self.by_endpoint.lock();
             probes.retain(|_, probe| now.saturating_sub(probe.started_at) < PROBE_RESULT_TTL);
@@ -67,19 +89,59 @@
                 });
             probe.result.clone()
         };
-        *result.get_or_init(|| probe_twice(upstream, endpoint)).await
+        let probe = || probe_twice(upstream, endpoint);
+        result.get_or_init(probe).await.clone()
     }
 }
 
 /// Probes an endpoint, and once more if it still listens: an exiting process may close a connection
 /// before its listening socket.
-async fn probe_twice(upstream: &Upstream, endpoint: &EndpointEntry) -> Presence {
-    let result = upstream.probe_presence(endpoint).await;
-    if result != Presence::Listens {
-        return result;
+async fn probe_twice(upstream: &Upstream, endpoint: &EndpointEntry) -> ProbeResult {
+    let started_at = tokio::time::Instant::now();
+    let mut steps = Vec::new();
+    let (first, connection) = upstream.probe_connection(endpoint).await;
+    steps.push((started_at.elapsed(), first));
+    if let Some(connection) = connection {
+        let closed = wait_until_closed(&connection);
+        if tokio::time::timeout(SECOND_PROBE_DELAY, closed)
+            .await
+            .is_ok()
+        {
+            steps.push((started_at.elapsed(), ProbeStep::Closed));
+            tokio::time::sleep_until(started_at + SECOND_PROBE_DELAY).await;
+        }
+        drop(connection);
+        let (second, _) = upstream.probe_connection(endpoint).await;
+        steps.push((started_at.elapsed(), second));
     }
-    tokio::time::sleep(SECOND_PROBE_DELAY).await;
-    upstream.probe_presence(endpoint).await
+    let presence = match steps.last() {
+        Some((_, ProbeStep::Accepted | ProbeStep::Closed)) => Presence::Listens,
+        Some((_, ProbeStep::Refused)) => Presence::Ended,
+        Some((_, ProbeStep::Unreachable)) | None => Presence::Unknown,
+    };
+    ProbeResult { presence, steps }
+}
+
+/// Waits until the other side closes a connection.
+async fn wait_until_closed(connection: &TcpStream) {
+    loop {
+        if connection.readable().await.is_err() {
+            return;
+        }
+        match connection.try_read(&mut [0; 16]) {
+            Ok(0) => return,
+            Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
+
+/// Formats the steps of a probe for the log.
+fn steps_text(steps: &[(Duration, ProbeStep)]) -> String {
+    let steps = steps
+        .iter()
+        .map(|(after, step)| format!("{step:?} {} ms", millis(*after)));
+    steps.collect::<Vec<_>>().join(", ")
 }
 
 /// A request that its endpoint aborted.
@@ -111,7 +173,9 @@
 
 impl AbortedRequest {
     async fn probe_and_record(self) {
-        let presence = self.endpoint_presence().await;
+        let reported_at = self.gateway.now();
+        let ProbeResult { presence, steps } = self.endpoint_presence().await;
+        let took = self.gateway.now().saturating_sub(reported_at);
         metrics::counter!("larkwick_broken_off_total", "endpoint" => format!("{presence:?}"))
             .increment(1);
         if crate::log::should_log("endpoint broke off") {
@@ -120,6 +184,8 @@
                 content: = self.fingerprint,
                 endpoint = self.endpoint.id.as_str(),
                 presence:?,
+                probe = steps_text(&steps).as_str(),
+                probe_ms: = millis(took),
                 ran_for_ms: = millis(self.ran_for),
             });
         }
@@ -147,12 +213,15 @@
         }
     }
 
-    async fn endpoint_presence(&self) -> Presence {
+    async fn endpoint_presence(&self) -> ProbeResult {
         let gateway = &self.gateway;
         let endpoint = &self.endpoint;
         // The exit of an endpoint that drains, or whose hall is evacuated, is expected.
         if !gateway.fleet.lock().can_accept_work(&endpoint.id) {
-            return Presence::Unknown;
+            return ProbeResult {
+                presence: Presence::Unknown,
+                steps: Vec::new(),
+            };
         }
         let now = gateway.now();
         gateway
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -313,6 +313,9 @@
     }
     for endpoint in &unavailable.gone {
         shard.ledger.record_unreachable(endpoint, now);
+        if crate::log::should_log("engine reported gone") {
+            info!("engine reported gone", kv: { service, endpoint = endpoint.as_str(), entry });
+        }
     }
     shard.ledger.apply_report(entry, runs, now);
     shard
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::aborted_requests::Presence;
+use super::aborted_requests::ProbeStep;
 use super::endpoint_signals::EndpointSignalHandler;
 use super::message_heads::ResponseHead;
 use super::permits::Permit;
@@ -251,12 +251,15 @@
         })
     }
 
-    /// Checks whether an endpoint accepts connections; the connection is closed at once.
-    pub(crate) async fn probe_presence(&self, endpoint: &EndpointEntry) -> Presence {
+    /// Opens a connection to check whether an endpoint accepts any.
+    pub(crate) async fn probe_connection(
+        &self,
+        endpoint: &EndpointEntry,
+    ) -> (ProbeStep, Option<TcpStream>) {
         match connect(endpoint.address, CONNECT_TIMEOUT_MAX).await {
-            Ok(_) => Presence::Listens,
-            Err(ConnectError::Refused(_)) => Presence::Ended,
-            Err(ConnectError::Other(_)) => Presence::Unknown,
+            Ok(stream) => (ProbeStep::Accepted, Some(stream)),
+            Err(ConnectError::Refused(_)) => (ProbeStep::Refused, None),
+            Err(ConnectError::Other(_)) => (ProbeStep::Unreachable, None),
         }
     }
 
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use server::{Arrival, Server, ServerKind, ServerRegistry};
+use server::{Arrival, Server, ServerKind, ServerRegistry, SocketAfterCrash};
 use store::LogStore;
 
 /// Body of a response; an error in it closes the connection.
@@ -37,6 +37,7 @@
 pub struct Listener {
     /// Address on which it listens.
     pub address: SocketAddr,
+    socket: Option<Arc<TcpListener>>,
     task: JoinHandle<()>,
     connections: Arc<parking_lot::Mutex<Vec<tokio::task::AbortHandle>>>,
 }
@@ -52,10 +53,14 @@
 
 impl Listener {
     /// Simulates a process crash: the listener closes first, then its connections are cut.
-    pub async fn crash(mut self) {
+    ///
+    /// Returns the listening socket if a child of the process is to hold it: it accepts further
+    /// connections, which nobody serves, until it is dropped.
+    pub async fn crash(mut self, held_by_child: bool) -> Option<Arc<TcpListener>> {
         self.task.abort();
         // The result is irrelevant: an aborted task always ends.
         let _ = (&mut self.task).await;
+        self.socket.take().filter(|_| held_by_child)
     }
 }
 
@@ -68,8 +73,9 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<StandinBody>> + Send + 'static,
 {
-    let socket = TcpListener::bind("127.0.0.1:0").await?;
+    let socket = Arc::new(TcpListener::bind("127.0.0.1:0").await?);
     let address = socket.local_addr()?;
+    let listening_socket = socket.clone();
     let connections = Arc::new(parking_lot::Mutex::new(Vec::new()));
     let open_connections = connections.clone();
     let task = tokio::spawn(async move {
@@ -89,6 +95,7 @@
     });
     Ok(Listener {
         address,
+        socket: Some(listening_socket),
         task,
         connections,
     })
@@ -320,6 +327,11 @@
         self.servers.add_crashing_body(body);
     }
 
+    /// Sets what becomes of the listening sockets of servers that crash from now on.
+    pub fn set_socket_after_crash(&self, socket: SocketAfterCrash) {
+        self.servers.set_socket_after_crash(socket);
+    }
+
     /// Returns the ids of the crashed servers, in order.
     #[must_use]
     pub fn crashed_servers(&self) -> Vec<String> {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -69,6 +69,17 @@
     Misdirects,
 }
 
+/// What becomes of the listening socket of a server that crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum SocketAfterCrash {
+    /// It is closed with the process.
+    #[default]
+    Closed,
+    /// A child of the process, such as a worker, holds it for this long. Until then connections
+    /// are accepted, and nobody serves them.
+    HeldFor(Duration),
+}
+
 /// Endpoint signals that a server adds to its responses.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 struct ResponseSignals {
@@ -166,6 +177,7 @@
     crashing_bodies: Mutex<Vec<&'static [u8]>>,
     /// Ids of the crashed servers, in order.
     crashed: Mutex<Vec<String>>,
+    socket_after_crash: Mutex<SocketAfterCrash>,
 }
 
 impl ServerRegistry {
@@ -207,6 +219,10 @@
         self.crashing_bodies.lock().push(body);
     }
 
+    pub(super) fn set_socket_after_crash(&self, socket: SocketAfterCrash) {
+        *self.socket_after_crash.lock() = socket;
+    }
+
     pub(super) fn crashed_ids(&self) -> Vec<String> {
         self.crashed.lock().clone()
     }
@@ -459,9 +475,24 @@
     }
 
     async fn crash_listener(&self) {
-        let listener = self.listener.lock().take();
-        if let Some(listener) = listener {
-            listener.crash().await;
+        let Some(listener) = self.listener.lock().take() else {
+            return;
+        };
+        let servers = self.servers.upgrade();
+        let socket = servers.map_or_else(Default::default, |servers| {
+            *servers.socket_after_crash.lock()
+        });
+        match socket {
+            SocketAfterCrash::Closed => {
+                listener.crash(false).await;
+            }
+            SocketAfterCrash::HeldFor(duration) => {
+                let held = listener.crash(true).await;
+                tokio::spawn(async move {
+                    tokio::time::sleep(duration).await;
+                    drop(held);
+                });
+            }
         }
     }
 
