An endpoint whose listening socket outlives its process is found to have ended

Callers saw: a request that crashes endpoints was sent on to the next ones, uncounted, and other requests were placed on the crashed endpoint. A call that was placed there while its socket was held waited for its deadline of 20 s and got 504 (tests/crashed_endpoints.rs on the code before).

Cause: a probe took a connection that is accepted for a running endpoint. The kernel accepts for as long as anything holds the listening socket: a child between its creation and its exec, or a worker process for good.

Change: kernel/presence.rs decides from what becomes of connections. One that is closed without an answer is tried again at once: a socket that goes away refuses the next, only a running endpoint closes several in a row. An engine is asked for its report, which takes no slot; two questions without an answer, or the answer of another incarnation, mean that it has ended. A plain endpoint is not asked, since that takes a slot; its connection is watched for a second, and a socket that goes away meanwhile counts then. Considered and left: counting silence of plain endpoints, which a full one shows, too.

Before: call_endpoint_socket_closed_late_crash_counted timed out (`Listens` three times). After: passed. A plain endpoint whose socket is held for longer than a second is still taken for running.

--- /dev/null
+++ b/src/gateway/endpoint_presence.rs
@@ -0,0 +1,146 @@
+//! Which endpoints that aborted requests have ended.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::OnceCell;
+
+use super::node::Gateway;
+use super::presence_probe::{ProbeResult, closed, run_probe};
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::presence::Presence;
+
+/// Lifetime of a probe result. An endpoint that exits closes all its connections within
+/// milliseconds, so one probe serves all requests that it aborted.
+const PROBE_RESULT_TTL: Duration = Duration::from_secs(1);
+/// How long the connection of a probe that is still open at its result is watched further. A
+/// listening socket that goes away resets it.
+const WATCH_MAX: Duration = Duration::from_secs(1);
+
+/// A probe of an endpoint, shared by all requests that it aborted.
+pub(super) struct PresenceProbe {
+    started_at: Duration,
+    result: OnceCell<ProbeResult>,
+    /// Connection to a plain endpoint that was still open at the result.
+    open_connection: Mutex<Option<TcpStream>>,
+    /// Result of watching that connection further.
+    late_result: OnceCell<Option<ProbeResult>>,
+}
+
+/// The latest probe of each endpoint that aborted a request of late.
+#[derive(Default)]
+pub(crate) struct PresenceProbes {
+    by_endpoint: Mutex<HashMap<String, Arc<PresenceProbe>>>,
+}
+
+impl PresenceProbes {
+    fn begin(&self, endpoint: &EndpointEntry, aborted_at: Duration) -> Arc<PresenceProbe> {
+        let mut probes = self.by_endpoint.lock();
+        probes.retain(|_, probe| aborted_at.saturating_sub(probe.started_at) < PROBE_RESULT_TTL);
+        let probe = probes
+            .entry(endpoint.id.clone())
+            .or_insert_with(|| Arc::new(PresenceProbe::new(aborted_at)));
+        probe.clone()
+    }
+
+    /// Returns whether no other probe of the endpoint has begun since this one.
+    fn is_latest(&self, endpoint: &EndpointEntry, probe: &Arc<PresenceProbe>) -> bool {
+        let latest = self.latest(endpoint);
+        latest.is_some_and(|latest| Arc::ptr_eq(&latest, probe))
+    }
+
+    fn latest(&self, endpoint: &EndpointEntry) -> Option<Arc<PresenceProbe>> {
+        self.by_endpoint.lock().get(&endpoint.id).cloned()
+    }
+}
+
+impl PresenceProbe {
+    fn new(started_at: Duration) -> Self {
+        Self {
+            started_at,
+            result: OnceCell::new(),
+            open_connection: Mutex::default(),
+            late_result: OnceCell::new(),
+        }
+    }
+
+    /// Returns the result, after running the probe if no other request has.
+    async fn result(&self, gateway: &Gateway, endpoint: &EndpointEntry) -> ProbeResult {
+        let result = self.result.get_or_init(|| async {
+            let (result, connection) = run_probe(gateway, endpoint).await;
+            *self.open_connection.lock() = connection;
+            result
+        });
+        result.await.clone()
+    }
+
+    /// Watches the connection of the probe further. Returns a result if the endpoint has ended.
+    async fn late_result(
+        &self,
+        gateway: &Gateway,
+        endpoint: &EndpointEntry,
+    ) -> Option<ProbeResult> {
+        let result = self.late_result.get_or_init(|| async {
+            let connection = self.open_connection.lock().take()?;
+            gateway.wait_for(WATCH_MAX, closed(&connection)).await?;
+            let (result, _) = run_probe(gateway, endpoint).await;
+            (result.presence == Presence::Ended).then_some(result)
+        });
+        result.await.clone()
+    }
+}
+
+impl Gateway {
+    /// Begins to probe an endpoint that aborted a request at `aborted_at`.
+    pub(super) fn begin_probe(
+        &self,
+        endpoint: &EndpointEntry,
+        aborted_at: Duration,
+    ) -> Arc<PresenceProbe> {
+        self.presence_probes.begin(endpoint, aborted_at)
+    }
+
+    /// Returns the result of a probe.
+    pub(super) async fn probe_result(
+        &self,
+        probe: Arc<PresenceProbe>,
+        endpoint: &EndpointEntry,
+        _aborted_at: Duration,
+    ) -> (Arc<PresenceProbe>, ProbeResult) {
+        let result = probe.result(self, endpoint).await;
+        (probe, result)
+    }
+
+    /// Returns whether an endpoint has ended after all, for a request whose probe found it running.
+    ///
+    /// If it has aborted other requests meanwhile, it ended under one of these.
+    pub(super) async fn late_probe_result(
+        &self,
+        probe: &Arc<PresenceProbe>,
+        endpoint: &EndpointEntry,
+    ) -> Option<ProbeResult> {
+        let result = probe.late_result(self, endpoint).await;
+        result.filter(|_| self.presence_probes.is_latest(endpoint, probe))
+    }
+
+    /// Records that an endpoint has ended.
+    pub(super) fn record_ended(&self, endpoint: &EndpointEntry) {
+        self.notify_placement(endpoint);
+    }
+
+    /// Stops placements on an ended endpoint at once, also by other instances. Otherwise, of 185
+    /// generations in one run, twelve were offered to engines that had already exited, and each
+    /// cost a retry.
+    fn notify_placement(&self, endpoint: &EndpointEntry) {
+        let EndpointEntry { id, service, .. } = endpoint;
+        if self.has_engines(service) {
+            self.runs.record_unavailable_engine(service, id, true);
+            self.ledgers.runs_changed.notify_one();
+        } else {
+            self.health.lock().record_absent(id, self.now());
+        }
+    }
+}
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -18,7 +18,7 @@
 /// Maximum wait for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest accepted report.
-const REPORT_MAX_BYTES: usize = 256 << 10;
+pub(super) const REPORT_MAX_BYTES: usize = 256 << 10;
 
 /// Polls the engines until the instance stops, whenever the endpoint list is out of date.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, watch};
 use uuid::Uuid;
 
-use super::aborted_requests::PresenceProbes;
+use super::endpoint_presence::PresenceProbes;
 use super::endpoint_signals::EndpointSignalHandler;
 use super::held_calls::HeldCalls;
 use super::ledgers::Ledgers;
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -367,7 +367,7 @@
         IssuerShare { reachable, total }
     }
 
-    fn has_engines(&self, service: &str) -> bool {
+    pub(super) fn has_engines(&self, service: &str) -> bool {
         let table = self.table();
         let service = table.as_ref().and_then(|table| table.service(service));
         service.is_some_and(|service| service.engine.is_some())
--- /dev/null
+++ b/src/gateway/presence_probe.rs
@@ -0,0 +1,155 @@
+//! Probes whether an endpoint still runs: connects to it, watches what becomes of the connection,
+//! and asks engines for their report.
+//!
+//! Plain endpoints are not asked: a question would take one of their slots, and one that is full
+//! would not answer either.
+
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use tokio::net::TcpStream;
+
+use super::engine_reports::REPORT_MAX_BYTES;
+use super::node::Gateway;
+use super::permits::Permit;
+use super::upstream::{ConnectError, Connection, ConnectionReuse};
+use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::presence::{Presence, PresenceCheck, ProbeStep};
+use crate::platform::engine;
+
+/// How long an accepted connection to a plain endpoint has to stay open until the endpoint counts
+/// as running.
+const OPEN_MIN: Duration = Duration::from_millis(20);
+/// Time that an engine has for the answer to a question, beyond twice the time that it took to
+/// connect: engines answer at once, also when they are full.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The result of a probe.
+#[derive(Debug, Clone)]
+pub(super) struct ProbeResult {
+    pub(super) presence: Presence,
+    /// The steps of the probe, for the log.
+    pub(super) steps: String,
+}
+
+impl ProbeResult {
+    /// Returns the result for an endpoint that was not probed.
+    pub(super) fn unknown() -> Self {
+        Self {
+            presence: Presence::Unknown,
+            steps: String::new(),
+        }
+    }
+}
+
+/// Probes an endpoint until its presence is known. Returns the connection, too, if it is still
+/// open and nothing was asked on it.
+pub(super) async fn run_probe(
+    gateway: &Gateway,
+    endpoint: &EndpointEntry,
+) -> (ProbeResult, Option<TcpStream>) {
+    let started_at = gateway.now();
+    let mut check = PresenceCheck::default();
+    loop {
+        let (step, connection) = probe_once(gateway, endpoint).await;
+        let after = gateway.now().saturating_sub(started_at);
+        if let Some(presence) = check.record(step, after) {
+            let steps = check.summary();
+            return (ProbeResult { presence, steps }, connection);
+        }
+    }
+}
+
+async fn probe_once(gateway: &Gateway, endpoint: &EndpointEntry) -> (ProbeStep, Option<TcpStream>) {
+    match question_permit(gateway, endpoint).await {
+        Some(permit) => (ask(gateway, endpoint, permit).await, None),
+        None => watch(gateway, endpoint).await,
+    }
+}
+
+/// Returns a permit for a question to an engine; `None` if the endpoint is not an engine, or takes
+/// no request from here for now.
+async fn question_permit(gateway: &Gateway, endpoint: &EndpointEntry) -> Option<Permit> {
+    if !gateway.has_engines(&endpoint.service) || gateway.is_cooling_down(&endpoint.id) {
+        return None;
+    }
+    gateway
+        .request_permit(&endpoint.service, &endpoint.id)
+        .await
+}
+
+/// Connects to an endpoint and watches for a moment whether the connection stays open.
+async fn watch(gateway: &Gateway, endpoint: &EndpointEntry) -> (ProbeStep, Option<TcpStream>) {
+    let connection = match gateway.upstream.open_probe_connection(endpoint).await {
+        Ok(connection) => connection,
+        Err(error) => return (connect_step(&error), None),
+    };
+    match gateway.wait_for(OPEN_MIN, closed(&connection)).await {
+        Some(()) => (ProbeStep::Closed, None),
+        None => (ProbeStep::StillOpen, Some(connection)),
+    }
+}
+
+fn connect_step(error: &ConnectError) -> ProbeStep {
+    match error {
+        ConnectError::Refused(_) => ProbeStep::Refused,
+        ConnectError::Other(_) => ProbeStep::Unreachable,
+    }
+}
+
+/// Waits until the other side closes or resets a connection.
+pub(super) async fn closed(connection: &TcpStream) {
+    loop {
+        if connection.readable().await.is_err() {
+            return;
+        }
+        match connection.try_read(&mut [0; 16]) {
+            Ok(0) => return,
+            Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
+
+/// Asks an engine for its report.
+async fn ask(gateway: &Gateway, endpoint: &EndpointEntry, permit: Permit) -> ProbeStep {
+    let connecting_at = gateway.now();
+    let connection =
+        gateway
+            .upstream
+            .acquire_connection(endpoint, usize::MAX, ConnectionReuse::Never);
+    let connection = match connection.await {
+        Ok(connection) => connection,
+        Err(error) => return connect_step(&error),
+    };
+    let connect_time = gateway.now().saturating_sub(connecting_at);
+    let answer = read_answer(endpoint, connection, permit);
+    let answer = gateway.wait_for(ANSWER_TIMEOUT + connect_time * 2, answer);
+    answer.await.unwrap_or(ProbeStep::Unanswered)
+}
+
+async fn read_answer(
+    endpoint: &EndpointEntry,
+    connection: Connection,
+    permit: Permit,
+) -> ProbeStep {
+    let Ok(request) = engine::build_presence_request(endpoint.address, &endpoint.listed_id) else {
+        return ProbeStep::StillOpen;
+    };
+    let Ok(response) = connection.send(request, permit).await else {
+        return ProbeStep::Closed;
+    };
+    if response.head.misdirected {
+        return ProbeStep::OtherAnswered;
+    }
+    let body = Limited::new(response.body, REPORT_MAX_BYTES).collect();
+    let Ok(body) = body.await else {
+        return ProbeStep::Closed;
+    };
+    let report = engine::decode_report(&body.to_bytes()).ok();
+    let born_ms = report.and_then(|report| report.born_ms);
+    match born_ms.zip(endpoint.born_ms) {
+        Some((answering, listed)) if answering != listed => ProbeStep::OtherAnswered,
+        _ => ProbeStep::Answered,
+    }
+}
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -19,7 +19,6 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use super::aborted_requests::ProbeStep;
 use super::endpoint_signals::EndpointSignalHandler;
 use super::message_heads::ResponseHead;
 use super::permits::Permit;
@@ -251,16 +250,12 @@
         })
     }
 
-    /// Opens a connection to check whether an endpoint accepts any.
-    pub(crate) async fn probe_connection(
+    /// Opens a connection that carries no request.
+    pub(crate) async fn open_probe_connection(
         &self,
         endpoint: &EndpointEntry,
-    ) -> (ProbeStep, Option<TcpStream>) {
-        match connect(endpoint.address, CONNECT_TIMEOUT_MAX).await {
-            Ok(stream) => (ProbeStep::Accepted, Some(stream)),
-            Err(ConnectError::Refused(_)) => (ProbeStep::Refused, None),
-            Err(ConnectError::Other(_)) => (ProbeStep::Unreachable, None),
-        }
+    ) -> Result<TcpStream, ConnectError> {
+        connect(endpoint.address, CONNECT_TIMEOUT_MAX).await
     }
 
     fn reserve_slot(
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -43,6 +43,7 @@
 pub mod placement;
 pub mod policy;
 pub mod position;
+pub mod presence;
 pub mod region;
 pub mod response_time;
 pub mod retry;
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -380,6 +380,17 @@
         .body(Bytes::new())
 }
 
+/// Builds a request for an engine's report that every other endpoint refuses as misdirected.
+///
+/// # Errors
+/// Returns an error if the request cannot be built.
+pub fn build_presence_request(engine: SocketAddr, listed_id: &str) -> http::Result<Request<Bytes>> {
+    let mut request = build_report_request(engine)?;
+    let headers = request.headers_mut();
+    headers.insert(names::EXPECTED_ENDPOINT, header_value(listed_id));
+    Ok(request)
+}
+
 /// Decodes an engine's report.
 ///
 /// # Errors
--- /dev/null
+++ b/tests/crashed_endpoints.rs
@@ -0,0 +1,102 @@
+//! How an instance finds out that an endpoint which aborted a request has crashed, and what it
+//! sends there until it knows.
+//!
+//! A connection that is accepted shows only that a listening socket exists. A child of the crashed
+//! process may hold the socket, from its creation until its exec or for as long as it runs, and
+//! the kernel then accepts connections that nobody serves.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use larkwick::standin::site::server::{Server, ServerFault, SocketAfterCrash};
+use serde_json::Value;
+use support::site::{HttpResponse, Instance, RoutedSite, send_request, wait_until};
+
+/// A request body that crashes each endpoint.
+const CRASHING_BODY: &[u8] = b"a body that no endpoint survives";
+/// Longer than a test runs.
+const FOREVER: SocketAfterCrash = SocketAfterCrash::HeldFor(Duration::from_hours(1));
+/// Longer than the probe of an endpoint waits for its connection to be closed.
+const A_WHILE: SocketAfterCrash = SocketAfterCrash::HeldFor(Duration::from_millis(200));
+/// Maximum endpoints that one request may crash: three until it is a confirmed crash suspect, and
+/// three more sends.
+const CRASHED_MAX: usize = 6;
+
+async fn start_site(apps: usize, engines: usize) -> (RoutedSite, Vec<Arc<Server>>) {
+    let site = RoutedSite::start(apps).await;
+    site.standin.crash_servers_on(CRASHING_BODY);
+    let mut started = Vec::new();
+    for _ in 0..engines {
+        started.push(site.start_engine().await);
+    }
+    (site, started)
+}
+
+async fn start_instances(site: &RoutedSite, count: usize) -> Vec<Instance> {
+    let mut instances = Vec::new();
+    for number in 0..count {
+        instances.push(site.start_instance(&format!("n{number}")).await);
+    }
+    for instance in &instances {
+        wait_until("all members known", async || {
+            let members = instance.state().await["members"].clone();
+            members.as_array().map_or(0, Vec::len) + 1 >= count
+        })
+        .await;
+    }
+    instances
+}
+
+async fn send_crashing(instance: &Instance, path: &str, id: &str) -> HttpResponse {
+    let request = instance.request(path, id).body(CRASHING_BODY);
+    let request = request.header("larkwick-model", "m");
+    send_request(request.header("larkwick-token-count", "1000,8")).await
+}
+
+/// Returns the fields of the log lines with this text.
+fn logged(instance: &Instance, payload: &str) -> Vec<Value> {
+    let lines = instance.log_lines.lock().expect("lines");
+    let found = lines.iter().filter(|line| line["payload"] == payload);
+    found.map(|line| line["kv"].clone()).collect()
+}
+
+async fn wait_for_aborts(instance: &Instance, count: usize) -> Vec<Value> {
+    wait_until("aborted requests are logged", async || {
+        logged(instance, "endpoint broke off").len() >= count
+    })
+    .await;
+    logged(instance, "endpoint broke off")
+}
+
+fn placements_on(instance: &Instance, engine: &str) -> usize {
+    let placed = logged(instance, "generation placed");
+    placed
+        .iter()
+        .filter(|line| line["endpoint"] == engine)
+        .count()
+}
+
+async fn assert_served(instance: &Instance, events: u32, id: &str) {
+    let response = send_request(instance.generation(events, id)).await;
+    assert_eq!(response.status, 200, "{id}: {response:?}");
+    assert!(response.is_complete, "{id}: {response:?}");
+}
+
+/// Guards against a crash that goes unnoticed because the listening socket of a plain endpoint is
+/// closed later than its connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_endpoint_socket_closed_late_crash_counted() {
+    let (site, _) = start_site(3, 0).await;
+    site.standin.set_socket_after_crash(A_WHILE);
+    let instances = start_instances(&site, 1).await;
+    for number in 0..3 {
+        send_crashing(&instances[0], "/once/1", &format!("try-{number}")).await;
+    }
+    wait_until("refused", async || {
+        let suspects = instances[0].operator_json("/suspects").await;
+        suspects[0]["verdict"] == "refused"
+    })
+    .await;
+}
