The owner hears of an engine that ended also when its reporter runs no generation

Callers saw: generations placed on an engine that an instance knew to have ended; each cost them one refused connection, or a wait where the address accepts. Cause: unavailable engines travel with the report of running generations, and a service without any was not reported, so the note lay there until the next generation ran. Evidence: on the code before, engine_crashed_no_generation_left_owner_told waited a minute for `engine reported gone` in vain. Ruled out: that the report was refused (nothing was sent at all). Change: services with unavailable engines are reported, too. After: passed.

--- a/src/gateway/run_reports.rs
+++ b/src/gateway/run_reports.rs
@@ -35,6 +35,8 @@
         let mut services: BTreeSet<String> = gateway.runs.services();
         // A service whose last generation has ended is reported once more.
         services.append(&mut reported);
+        // Its owner must hear of engines that cannot be used, also if no generation runs.
+        services.append(&mut gateway.runs.services_with_unavailable_engines());
         for service in &services {
             let runs = gateway.runs.reported_runs(service);
             if !runs.is_empty() {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -131,6 +131,11 @@
         engines.insert(endpoint.to_owned());
     }
 
+    /// Returns the services with unavailable engines that were not reported yet.
+    pub(crate) fn services_with_unavailable_engines(&self) -> BTreeSet<String> {
+        self.unavailable.lock().keys().cloned().collect()
+    }
+
     /// Takes the unavailable engines recorded since the last call.
     pub(crate) fn take_unavailable_engines(&self, service: &str) -> UnavailableEngines {
         self.unavailable.lock().remove(service).unwrap_or_default()
--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -100,3 +100,21 @@
     })
     .await;
 }
+
+/// Guards against a crash that the owner of the engines is not told of because the instance that
+/// saw it serves no generation at that moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_crashed_no_generation_left_owner_told() {
+    let (site, _engines) = start_site(0, 2).await;
+    let instances = start_instances(&site, 1).await;
+    send_crashing(&instances[0], "/chat/2", "crashing").await;
+    let crashed = site.standin.crashed_servers();
+    wait_until("the owner is told", async || {
+        let told = logged(&instances[0], "engine reported gone");
+        told.iter()
+            .any(|line| line["endpoint"] == crashed[0].as_str())
+    })
+    .await;
+    assert_served(&instances[0], 2, "after").await;
+    assert_eq!(placements_on(&instances[0], &crashed[0]), 1);
+}
