The result of a probe does not hold for what an endpoint aborts later

Callers saw: the crash of an endpoint was not counted, and requests went on to it, if it had aborted another request within the second before. Cause: one probe answered for all aborts of an endpoint within a second, also for those after it, so that an endpoint found running was taken for running while it crashed. Evidence: on the code before, endpoint_aborts_then_crashes_probed_again logged `Listens` twice, the second after 0 ms with the steps of the first. Ruled out: a socket that was still open (a probe of its own found it refused). Change: requests share a probe only while it runs or if it began after they were aborted; one that joined a probe begun earlier probes again where that found the endpoint running. After: `Listens`, `Ended`.

--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -13,9 +13,8 @@
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::presence::Presence;
 
-/// Lifetime of a probe result. An endpoint that exits closes all its connections within
-/// milliseconds, so one probe serves all requests that it aborted.
-const PROBE_RESULT_TTL: Duration = Duration::from_secs(1);
+/// How long the result of a probe is kept.
+const RESULT_TTL: Duration = Duration::from_secs(4);
 /// How long the connection of a probe that is still open at its result is watched further. A
 /// listening socket that goes away resets it.
 const WATCH_MAX: Duration = Duration::from_secs(1);
@@ -37,13 +36,22 @@
 }
 
 impl PresenceProbes {
+    /// Returns the latest probe of an endpoint if it has no result yet or began at `aborted_at` or
+    /// later. Else begins a new one.
     fn begin(&self, endpoint: &EndpointEntry, aborted_at: Duration) -> Arc<PresenceProbe> {
         let mut probes = self.by_endpoint.lock();
-        probes.retain(|_, probe| aborted_at.saturating_sub(probe.started_at) < PROBE_RESULT_TTL);
-        let probe = probes
-            .entry(endpoint.id.clone())
-            .or_insert_with(|| Arc::new(PresenceProbe::new(aborted_at)));
-        probe.clone()
+        probes.retain(|_, probe| {
+            probe.is_pending() || aborted_at.saturating_sub(probe.started_at) < RESULT_TTL
+        });
+        let latest = probes.get(&endpoint.id);
+        if let Some(latest) = latest
+            && (latest.started_at >= aborted_at || latest.is_pending())
+        {
+            return latest.clone();
+        }
+        let probe = Arc::new(PresenceProbe::new(aborted_at));
+        probes.insert(endpoint.id.clone(), probe.clone());
+        probe
     }
 
     /// Returns whether no other probe of the endpoint has begun since this one.
@@ -67,6 +75,10 @@
         }
     }
 
+    fn is_pending(&self) -> bool {
+        self.result.get().is_none()
+    }
+
     /// Returns the result, after running the probe if no other request has.
     async fn result(&self, gateway: &Gateway, endpoint: &EndpointEntry) -> ProbeResult {
         let result = self.result.get_or_init(|| async {
@@ -103,15 +115,21 @@
         self.presence_probes.begin(endpoint, aborted_at)
     }
 
-    /// Returns the result of a probe.
+    /// Returns the result of a probe for a request that was aborted at `aborted_at`. A probe that
+    /// began before may have found the endpoint running although it has crashed since.
     pub(super) async fn probe_result(
         &self,
-        probe: Arc<PresenceProbe>,
+        mut probe: Arc<PresenceProbe>,
         endpoint: &EndpointEntry,
-        _aborted_at: Duration,
+        aborted_at: Duration,
     ) -> (Arc<PresenceProbe>, ProbeResult) {
-        let result = probe.result(self, endpoint).await;
-        (probe, result)
+        loop {
+            let result = probe.result(self, endpoint).await;
+            if result.presence == Presence::Ended || probe.started_at >= aborted_at {
+                return (probe, result);
+            }
+            probe = self.presence_probes.begin(endpoint, aborted_at);
+        }
     }
 
     /// Returns whether an endpoint has ended after all, for a request whose probe found it running.
--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -101,6 +101,21 @@
     .await;
 }
 
+/// Guards against the result of an earlier probe being used for an endpoint that crashed after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_aborts_then_crashes_probed_again() {
+    let (site, _) = start_site(1, 0).await;
+    let instances = start_instances(&site, 1).await;
+    site.apps[0].set_fault(ServerFault::RunsAndCloses);
+    instances[0].call("/once/1", "aborted").await;
+    wait_for_aborts(&instances[0], 1).await;
+    site.apps[0].set_fault(ServerFault::None);
+    send_crashing(&instances[0], "/once/1", "crashed").await;
+    let aborts = wait_for_aborts(&instances[0], 2).await;
+    let found: Vec<&Value> = aborts.iter().map(|line| &line["presence"]).collect();
+    assert_eq!(found, ["Listens", "Ended"], "{aborts:?}");
+}
+
 /// Guards against a crash that the owner of the engines is not told of because the instance that
 /// saw it serves no generation at that moment.
 #[tokio::test(flavor = "multi_thread")]
