Nothing new is sent to an endpoint that is being probed

Callers saw: requests placed on an endpoint that had just cut off others, before its probe ended; where the address accepts, they waited for their deadlines. Cause: the caller of an aborted request is kept for 50 ms at most, so that its retry and all other calls go out before a result that takes longer, on a machine whose threads wait for a core or with a socket that is held; and an engine's owner hears of a result 40 ms after it. Ruled out: a longer wait for callers, which each cut by a live endpoint would pay and a small instance outlast. Change: the endpoint is avoided from the abort on, until the probe finds it running, by calls, placements and takeovers, unless there is no other.

--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -42,6 +42,7 @@
         ran_for,
         aborted_at: gateway.now(),
     };
+    // Begun before this returns, so that nothing else is sent to the endpoint meanwhile.
     let probe = aborted.begin_probe();
     let probing = tokio::spawn(aborted.record_result(probe));
     // The probe continues if this wait times out.
--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -1,6 +1,6 @@
 //! Which endpoints that aborted requests have ended.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,6 +60,14 @@
         latest.is_some_and(|latest| Arc::ptr_eq(&latest, probe))
     }
 
+    /// Returns the endpoints that are being probed or were found ended of late.
+    fn avoided_endpoints(&self) -> BTreeSet<String> {
+        let probes = self.by_endpoint.lock();
+        let avoided = probes.iter();
+        let avoided = avoided.filter(|(_, probe)| probe.is_pending() || probe.has_ended());
+        avoided.map(|(endpoint, _)| endpoint.clone()).collect()
+    }
+
     fn latest(&self, endpoint: &EndpointEntry) -> Option<Arc<PresenceProbe>> {
         self.by_endpoint.lock().get(&endpoint.id).cloned()
     }
@@ -79,6 +87,11 @@
         self.result.get().is_none()
     }
 
+    fn has_ended(&self) -> bool {
+        let result = self.result.get();
+        result.is_some_and(|result| result.presence == Presence::Ended)
+    }
+
     /// Returns the result, after running the probe if no other request has.
     async fn result(&self, gateway: &Gateway, endpoint: &EndpointEntry) -> ProbeResult {
         let result = self.result.get_or_init(|| async {
@@ -106,7 +119,8 @@
 }
 
 impl Gateway {
-    /// Begins to probe an endpoint that aborted a request at `aborted_at`.
+    /// Begins to probe an endpoint that aborted a request at `aborted_at`. From then on it is
+    /// avoided.
     pub(super) fn begin_probe(
         &self,
         endpoint: &EndpointEntry,
@@ -161,4 +175,17 @@
             self.health.lock().record_absent(id, self.now());
         }
     }
+
+    /// Returns the endpoints to which nothing new should be sent from here because they are being
+    /// probed or have ended; none if there would be no other among `candidates`.
+    pub(super) fn avoided_endpoints<'a>(
+        &self,
+        mut candidates: impl Iterator<Item = &'a EndpointEntry>,
+    ) -> BTreeSet<String> {
+        let avoided = self.presence_probes.avoided_endpoints();
+        if avoided.is_empty() || candidates.all(|endpoint| avoided.contains(&endpoint.id)) {
+            return BTreeSet::new();
+        }
+        avoided
+    }
 }
--- a/src/gateway/endpoint_selection.rs
+++ b/src/gateway/endpoint_selection.rs
@@ -36,6 +36,8 @@
             .collect()
     };
     let mut candidates = rollouts::usable_endpoints(call, candidates, !tried.is_empty());
+    let avoided = gateway.avoided_endpoints(candidates.iter());
+    candidates.retain(|entry| !avoided.contains(&entry.id));
     let cold = cold_start_shares(call, &candidates, now);
     {
         let rate_limiter = gateway.cold_rate_limiter.lock();
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -318,12 +318,21 @@
     }
 }
 
-/// Returns the engines that must not be granted: those that did not accept the generation, and
-/// those in a cooldown towards this instance. The owner did not receive these cooldowns and would
-/// grant the engines for as long as they look empty.
+/// Returns the engines that must not be granted: those that did not accept the generation, those
+/// in a cooldown towards this instance, and those that it avoids. The owner does not know of these
+/// yet and would grant the engines for as long as they look empty.
 fn excluded_engines(call: &Call, attempts: &EngineAttempts) -> Vec<String> {
-    let mut excluded = call.gateway.cooling_down_endpoints();
+    let gateway = &call.gateway;
+    let mut excluded = gateway.cooling_down_endpoints();
     excluded.extend(attempts.excluded.iter().cloned());
+    let avoided = {
+        let fleet = gateway.fleet.lock();
+        let ready = fleet.ready_endpoints(&call.service);
+        let others =
+            ready.filter(|engine| !excluded.contains(&engine.id) && call.is_region_allowed(engine));
+        gateway.avoided_endpoints(others)
+    };
+    excluded.extend(avoided);
     excluded.into_iter().collect()
 }
 
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -121,7 +121,12 @@
                 && !cooling_down.contains(&engine.id)
                 && call.is_region_allowed(engine)
         });
-        others.choose(&mut rand::rng()).cloned()
+        let others: Vec<&EndpointEntry> = others.collect();
+        let avoided = gateway.avoided_endpoints(others.iter().copied());
+        let others = others.iter().filter(|engine| !avoided.contains(&engine.id));
+        others
+            .choose(&mut rand::rng())
+            .map(|engine| (*engine).clone())
     }?;
     let stopped = moves::stop_run(gateway, run, &source, &target, false).await;
     if crate::log::should_log("generation taken over") {
--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -84,6 +84,21 @@
     assert!(response.is_complete, "{id}: {response:?}");
 }
 
+/// Guards against a crash that goes unnoticed because a child of the engine holds its listening
+/// socket for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_crashed_child_holds_socket_found_ended() {
+    let (site, _engines) = start_site(0, 3).await;
+    site.standin.set_socket_after_crash(FOREVER);
+    let instances = start_instances(&site, 1).await;
+    for number in 0..3 {
+        send_crashing(&instances[0], "/chat/2", &format!("try-{number}")).await;
+    }
+    let aborts = wait_for_aborts(&instances[0], 3).await;
+    let ended = aborts.iter().filter(|line| line["presence"] == "Ended");
+    assert_eq!(ended.count(), 3, "{aborts:?}");
+}
+
 /// Guards against a crash that goes unnoticed because the listening socket of a plain endpoint is
 /// closed later than its connections.
 #[tokio::test(flavor = "multi_thread")]
@@ -116,6 +131,26 @@
     assert_eq!(found, ["Listens", "Ended"], "{aborts:?}");
 }
 
+/// Guards against placements on an engine between the abort and the result of its probe.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_being_probed_gets_no_placement() {
+    let (site, _engines) = start_site(0, 2).await;
+    site.standin.set_socket_after_crash(FOREVER);
+    let instances = start_instances(&site, 1).await;
+    let beside = tokio::spawn(send_request(instances[0].generation(80, "beside")));
+    wait_until("one runs", async || {
+        !logged(&instances[0], "generation placed").is_empty()
+    })
+    .await;
+    send_crashing(&instances[0], "/chat/2", "crashing").await;
+    let crashed = site.standin.crashed_servers();
+    for number in 0..10 {
+        assert_served(&instances[0], 2, &format!("after-{number}")).await;
+    }
+    assert_eq!(placements_on(&instances[0], &crashed[0]), 1);
+    beside.await.expect("answered");
+}
+
 /// Guards against a crash that the owner of the engines is not told of because the instance that
 /// saw it serves no generation at that moment.
 #[tokio::test(flavor = "multi_thread")]
