An endpoint that has ended and is still listed is not offered again

Cause: what was found lapsed after 4 s, and the next generation served as the probe. Change: the instance that found it probes it each 2 s by itself until it is no longer listed, and tells the owner each time. Cost: one connection each 2 s for each such endpoint and instance that saw it; on the platform entries of ended endpoints vanish after about three seconds.

--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use spdlog::info;
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
 
@@ -13,6 +14,9 @@
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::presence::Presence;
 
+/// Interval at which an endpoint that has ended and is still listed is probed again. It is shorter
+/// than the time for which the owner avoids the endpoint after each report.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// How long the result of a probe is kept.
 const RESULT_TTL: Duration = Duration::from_secs(4);
 /// How long the connection of a probe that is still open at its result is watched further. A
@@ -33,6 +37,8 @@
 #[derive(Default)]
 pub(crate) struct PresenceProbes {
     by_endpoint: Mutex<HashMap<String, Arc<PresenceProbe>>>,
+    /// Endpoints found to have ended, until they are no longer listed or found to run after all.
+    ended: Mutex<BTreeSet<String>>,
 }
 
 impl PresenceProbes {
@@ -60,12 +66,13 @@
         latest.is_some_and(|latest| Arc::ptr_eq(&latest, probe))
     }
 
-    /// Returns the endpoints that are being probed or were found ended of late.
+    /// Returns the endpoints that are being probed or have ended.
     fn avoided_endpoints(&self) -> BTreeSet<String> {
+        let mut avoided = self.ended.lock().clone();
         let probes = self.by_endpoint.lock();
-        let avoided = probes.iter();
-        let avoided = avoided.filter(|(_, probe)| probe.is_pending() || probe.has_ended());
-        avoided.map(|(endpoint, _)| endpoint.clone()).collect()
+        let pending = probes.iter().filter(|(_, probe)| probe.is_pending());
+        avoided.extend(pending.map(|(endpoint, _)| endpoint.clone()));
+        avoided
     }
 
     fn latest(&self, endpoint: &EndpointEntry) -> Option<Arc<PresenceProbe>> {
@@ -87,11 +94,6 @@
         self.result.get().is_none()
     }
 
-    fn has_ended(&self) -> bool {
-        let result = self.result.get();
-        result.is_some_and(|result| result.presence == Presence::Ended)
-    }
-
     /// Returns the result, after running the probe if no other request has.
     async fn result(&self, gateway: &Gateway, endpoint: &EndpointEntry) -> ProbeResult {
         let result = self.result.get_or_init(|| async {
@@ -158,9 +160,37 @@
         result.filter(|_| self.presence_probes.is_latest(endpoint, probe))
     }
 
-    /// Records that an endpoint has ended.
-    pub(super) fn record_ended(&self, endpoint: &EndpointEntry) {
+    /// Records that an endpoint has ended. It is avoided until it is no longer listed, or a later
+    /// probe finds that it runs. No caller's request serves as that probe.
+    pub(super) fn record_ended(self: &Arc<Self>, endpoint: &EndpointEntry) {
         self.notify_placement(endpoint);
+        let is_new = self
+            .presence_probes
+            .ended
+            .lock()
+            .insert(endpoint.id.clone());
+        if is_new {
+            tokio::spawn(self.clone().recheck(endpoint.clone()));
+        }
+    }
+
+    async fn recheck(self: Arc<Self>, endpoint: EndpointEntry) {
+        loop {
+            self.sleep_for(RECHECK_INTERVAL).await;
+            let is_listed = self.fleet.lock().get(&endpoint.id).is_some();
+            if !is_listed {
+                break;
+            }
+            let (result, _) = run_probe(&self, &endpoint).await;
+            if result.presence == Presence::Listens {
+                info!("ended endpoint runs after all", kv: {
+                    endpoint = endpoint.id.as_str(), probe = result.steps.as_str(),
+                });
+                break;
+            }
+            self.notify_placement(&endpoint);
+        }
+        self.presence_probes.ended.lock().remove(&endpoint.id);
     }
 
     /// Stops placements on an ended endpoint at once, also by other instances. Otherwise, of 185
--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -131,6 +131,29 @@
     assert_eq!(found, ["Listens", "Ended"], "{aborts:?}");
 }
 
+/// Guards against an engine that has ended being offered to a caller again because the endpoint
+/// list still has it, as it does while the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_ended_still_listed_gets_no_later_placement() {
+    let (site, _engines) = start_site(0, 2).await;
+    let instances = start_instances(&site, 1).await;
+    send_crashing(&instances[0], "/chat/2", "crashing").await;
+    let crashed = site.standin.crashed_servers();
+    wait_until(
+        "the engine has been probed again several times",
+        async || {
+            let told = logged(&instances[0], "engine reported gone");
+            let of_crashed = told
+                .iter()
+                .filter(|line| line["endpoint"] == crashed[0].as_str());
+            of_crashed.count() >= 4
+        },
+    )
+    .await;
+    assert_served(&instances[0], 2, "after").await;
+    assert_eq!(placements_on(&instances[0], &crashed[0]), 1);
+}
+
 /// Guards against placements on an engine between the abort and the result of its probe.
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_being_probed_gets_no_placement() {
