A caller is told at once when the engine of its generation has ended

Callers saw: after the crash of an engine whose socket is held, the cut of the stream reached them 2.0 s after it was known (`generation ended` 2.58 s after the start, the probe at 0.51 s). Cause: a broken stream is taken over, for which the engine is asked to stop the generation, also if it has ended. Evidence: `generation taken over` with `no response to the copy request in time`. Change: the wait for the engine ends with the result of its probe. After: generation_engine_ended_caller_told_without_takeover passed.

--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -160,6 +160,20 @@
         result.filter(|_| self.presence_probes.is_latest(endpoint, probe))
     }
 
+    /// Waits until an endpoint is found to have ended; never returns if its latest probe finds
+    /// something else.
+    pub(super) async fn endpoint_ended(&self, endpoint: &EndpointEntry) {
+        if self.presence_probes.ended.lock().contains(&endpoint.id) {
+            return;
+        }
+        if let Some(probe) = self.presence_probes.latest(endpoint)
+            && probe.result(self, endpoint).await.presence == Presence::Ended
+        {
+            return;
+        }
+        std::future::pending().await
+    }
+
     /// Records that an endpoint has ended. It is avoided until it is no longer listed, or a later
     /// probe finds that it runs. No caller's request serves as that probe.
     pub(super) fn record_ended(self: &Arc<Self>, endpoint: &EndpointEntry) {
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -128,7 +128,11 @@
             .choose(&mut rand::rng())
             .map(|engine| (*engine).clone())
     }?;
-    let stopped = moves::stop_run(gateway, run, &source, &target, false).await;
+    // An engine that has ended stops nothing, and would be waited for in vain.
+    let stopped = tokio::select! {
+        stopped = moves::stop_run(gateway, run, &source, &target, false) => stopped,
+        () = gateway.endpoint_ended(&source) => Err("the engine has ended".to_owned()),
+    };
     if crate::log::should_log("generation taken over") {
         let outcome = stopped.as_ref().err().map_or("stopped", String::as_str);
         info!("generation taken over", kv: {
--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -131,6 +131,21 @@
     assert_eq!(found, ["Listens", "Ended"], "{aborts:?}");
 }
 
+/// Guards against a caller that waits for an engine to stop a generation although the engine has
+/// ended under it.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_engine_ended_caller_told_without_takeover() {
+    let (site, _engines) = start_site(0, 2).await;
+    site.standin.set_socket_after_crash(FOREVER);
+    let instances = start_instances(&site, 1).await;
+    send_crashing(&instances[0], "/chat/2", "crashing").await;
+    let outcomes = logged(&instances[0], "generation taken over");
+    assert_eq!(
+        outcomes[0]["outcome"], "the engine has ended",
+        "{outcomes:?}"
+    );
+}
+
 /// Guards against an engine that has ended being offered to a caller again because the endpoint
 /// list still has it, as it does while the store is away.
 #[tokio::test(flavor = "multi_thread")]
