--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,11 +16,11 @@
 //! | `peers`, `chunked_pages` | the gRPC service for other instances, and the transfer of pages in chunks |
 //! | `inbound_call`, `message_heads`, `response_body` | a call in flight, heads of requests and responses, and the response body |
 //! | `hall_evacuation` | evacuation of halls, by order of the operator or as received from members |
-//! | `aborted_requests` | requests that their endpoint aborted, and probes of that endpoint |
+//! | `aborted_requests`, `endpoint_presence`, `presence_probe` | requests that their endpoint aborted, which endpoints have ended, and the probe that tells |
 //! | `crash_suspects` | requests that crash endpoints, and whether a request may be sent |
 //! | `held_calls` | calls held until the instance is ready |
 //! | `request_handler` | handles the requests of callers |
-//! | `plain_call`, `endpoint_selection` | calls with a single response, and the selection of their endpoint |
+//! | `plain_call`, `plain_attempt`, `endpoint_selection` | calls with a single response, one attempt of a call, and the selection of its endpoint |
 //! | `generation`, `engine_attempt`, `started_generation`, `relay` | placement of generations, attempts at engines, and forwarding of their events, also after a move |
 //! | `read_ahead` | reads generations ahead of callers that read slowly |
 //! | `takeover` | takes over generations whose connection to their engine stalled |
@@ -64,6 +64,7 @@
 pub(crate) mod ownership;
 pub(crate) mod peers;
 pub(crate) mod permits;
+pub(crate) mod plain_attempt;
 pub(crate) mod plain_call;
 pub(crate) mod presence_probe;
 pub(crate) mod read_ahead;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -4,97 +4,32 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
-use http::response::Parts;
-use http_body_util::{BodyExt, Limited};
 use spdlog::info;
 
-use super::aborted_requests;
 use super::crash_suspects::{self, Admission};
 use super::endpoint_cooldowns;
 use super::endpoint_selection::select_endpoint;
 use super::inbound_call::Call;
-use super::message_heads::EndpointRequestHead;
 use super::node::Gateway;
 use super::permits::Permit;
-use super::response_body::{ResponseBody, full_body, held_body};
-use super::upstream::{
-    Connection, ConnectionReuse, EndpointResponse, SendError, ServiceIdleConnections,
+use super::plain_attempt::{
+    Attempt, Attempts, BufferedResponse, INITIAL_RESPONSE_TIME, TIME_LEFT_MIN, endpoint_failure,
+    send_attempt,
 };
+use super::response_body::{ResponseBody, full_body, held_body};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
-use crate::kernel::connect_timeout::connect_timeout;
 use crate::kernel::cooldown::ServiceAvailability;
-use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::fleet::EndpointEntry;
-use crate::kernel::response_time::ResponseTimeEstimate;
 use crate::kernel::route::CallKind;
 use crate::platform::{engine, ingress};
 
-/// Largest response body that is buffered before it is forwarded to the caller.
-const RESPONSE_MAX_BYTES: usize = 4 << 20;
 /// Maximum sends of one call, including those that endpoints refused.
 const SENDS_MAX: u32 = 4;
-/// Response-time estimate of a service that has not responded yet. Plain services took 45 ms and
-/// varied by 20 ms.
-const INITIAL_RESPONSE_TIME: ResponseTimeEstimate = ResponseTimeEstimate::initial(0.06, 0.03);
-/// A timed-out attempt counts as having taken this multiple of its timeout, so that the timeout
-/// grows when a service becomes slower.
-const TIMEOUT_SAMPLE_FACTOR: u32 = 2;
-/// A response is overdue after this multiple of the time within which nearly all responses arrive.
-const OVERDUE_FACTOR: u32 = 4;
 /// Maximum endpoints for which one call requests a permit without a grant; each request may cost a
 /// round trip to another instance.
 const PERMIT_DENIALS_MAX: u32 = 6;
-/// Minimum time left until the deadline for a new send.
-const TIME_LEFT_MIN: Duration = Duration::from_millis(3);
-
-/// A response of an endpoint with its body buffered.
-pub(crate) struct BufferedResponse {
-    pub(crate) parts: Parts,
-    pub(crate) body: Bytes,
-}
-
-/// Outcome of an attempt at one endpoint.
-enum Attempt {
-    /// The endpoint sent a valid response.
-    Responded(BufferedResponse),
-    /// The endpoint declared that it did not run the request, or nothing was sent.
-    NotRun(String),
-    /// The request fingerprint became refused after the endpoint was selected, because it crashes
-    /// endpoints. Nothing was sent.
-    CrashSuspected,
-    /// The endpoint entered a cooldown after it was selected. Nothing was sent.
-    CoolingDown,
-    /// The rate limit of the endpoint, which all instances share, is exhausted. Nothing was sent.
-    RateLimited,
-    /// A different endpoint runs at the address; it did not run the request.
-    Misdirected,
-    /// Sent, and the endpoint may have run the request.
-    MayHaveRun(String),
-    /// Sent, without a response before the timeout.
-    TimedOut,
-}
-
-/// State of a call over all its attempts.
-#[derive(Default)]
-struct Attempts {
-    /// Requests sent by this instance, including refused ones.
-    sends: u32,
-    /// Number of sends that an endpoint may have run.
-    may_have_run: u32,
-    tried: HashSet<String>,
-    /// Number of endpoints that accepted no connection.
-    failed_connects: usize,
-    /// Last error response of an endpoint; returned if no other attempt succeeds.
-    error_response: Option<BufferedResponse>,
-    timed_out: bool,
-    last_reason: String,
-    /// Whether the request is a crash suspect that only endpoints with other software may run.
-    restricted: bool,
-}
-
 /// Handles a call and returns the response for its caller.
 pub(crate) async fn handle_call(call: Call) -> Response<ResponseBody> {
     let mut attempts = Attempts::default();
@@ -322,235 +257,3 @@
         health.record_end(&self.endpoint.id, self.began_at, self.failed, now);
     }
 }
-
-/// Returns whether the endpoint failed in an attempt; `None` if the attempt does not show it.
-fn endpoint_failure(attempt: &Attempt) -> Option<bool> {
-    match attempt {
-        // Server errors say little about the health of an endpoint: some calls fail everywhere.
-        Attempt::Responded(response) if response.parts.status.is_server_error() => None,
-        Attempt::Responded(_) => Some(false),
-        Attempt::CrashSuspected | Attempt::CoolingDown | Attempt::RateLimited => None,
-        Attempt::NotRun(_) | Attempt::Misdirected | Attempt::MayHaveRun(_) | Attempt::TimedOut => {
-            Some(true)
-        }
-    }
-}
-
-/// Returns whether an attempt speaks against the software version of its endpoint; `None` if it says
-/// nothing about it.
-fn version_failure(attempt: &Attempt) -> Option<bool> {
-    match attempt {
-        Attempt::Responded(response) => Some(response.parts.status.is_server_error()),
-        Attempt::MayHaveRun(_) | Attempt::TimedOut => Some(true),
-        Attempt::NotRun(_)
-        | Attempt::CrashSuspected
-        | Attempt::CoolingDown
-        | Attempt::RateLimited
-        | Attempt::Misdirected => None,
-    }
-}
-
-/// Returns a connection to an endpoint, or why there is none.
-async fn connect(
-    call: &Call,
-    endpoint: &EndpointEntry,
-    attempts: &mut Attempts,
-) -> Result<Connection, String> {
-    let gateway = &call.gateway;
-    let max_open = gateway.connections_max(&call.table, &call.service);
-    // The first attempt may have timed out because its idle connection had gone silent; the next
-    // attempt must not run the same risk.
-    let reuse = if attempts.may_have_run > 0 {
-        ConnectionReuse::Never
-    } else {
-        ConnectionReuse::Allowed
-    };
-    let timeout = connect_timeout(call.route.latency_objective, attempts.failed_connects);
-    let connection = gateway
-        .upstream
-        .acquire_connection_within(timeout, endpoint, max_open, reuse);
-    connection.await.map_err(|error| {
-        attempts.failed_connects += 1;
-        error.to_string()
-    })
-}
-
-async fn send_attempt(
-    call: &Call,
-    endpoint: &EndpointEntry,
-    permit: Permit,
-    attempts: &mut Attempts,
-) -> Attempt {
-    let gateway = &call.gateway;
-    let connection = match connect(call, endpoint, attempts).await {
-        Ok(connection) => connection,
-        Err(reason) => return Attempt::NotRun(reason),
-    };
-    // An update that the endpoint is leaving may have arrived since it was selected.
-    if !gateway.fleet.lock().can_accept_work(&endpoint.id) {
-        return Attempt::NotRun("the endpoint is leaving".to_owned());
-    }
-    if gateway.is_cooling_down(&endpoint.id) {
-        return Attempt::CoolingDown;
-    }
-    if !attempts.restricted && crash_suspects::current_verdict(call) == Verdict::Refused {
-        return Attempt::CrashSuspected;
-    }
-    // The deadline may have passed since the selection, for example if the machine was suspended.
-    if call.time_left() < TIME_LEFT_MIN {
-        return Attempt::NotRun("no time left".to_owned());
-    }
-    let send = EndpointRequestHead {
-        endpoint_id: &endpoint.listed_id,
-        time_left: call.time_left(),
-        account: call.account.as_deref(),
-        priority: None,
-        continue_from: None,
-        last_event_id: None,
-    };
-    let request = match engine::build_forwarded_request(&call.parts, call.body.clone(), &send) {
-        Ok(request) => request,
-        Err(error) => return Attempt::NotRun(error.to_string()),
-    };
-    attempts.sends += 1;
-    gateway.record_rollout_send(call, endpoint);
-    let timeout = attempt_timeout(call, attempts);
-    let may_give_up = timeout < call.time_left();
-    let idle_connections = connection.service_idle_connections();
-    let overdue_after = gateway
-        .response_time(&call.service, INITIAL_RESPONSE_TIME)
-        .overdue()
-        * OVERDUE_FACTOR;
-    let response = Box::pin(async {
-        let response = connection.send(request, permit).await?;
-        read_response(gateway, &call.head.request_id, response).await
-    });
-    let response = await_response(idle_connections.as_ref(), overdue_after, response);
-    let response = gateway.wait_for(timeout, response);
-    let sent_at = gateway.now();
-    let attempt = match response.await {
-        Some(Ok(attempt)) => {
-            let took = gateway.now().saturating_sub(sent_at);
-            gateway.record_response_time(&call.service, INITIAL_RESPONSE_TIME, took);
-            attempt
-        }
-        Some(Err(SendError::Unsent(reason))) => Attempt::NotRun(reason),
-        Some(Err(SendError::NoPermit)) => {
-            attempts.sends -= 1;
-            Attempt::RateLimited
-        }
-        Some(Err(SendError::MayHaveRun(reason))) => {
-            aborted_requests::report(call, endpoint.clone(), Duration::ZERO).await;
-            Attempt::MayHaveRun(reason)
-        }
-        None => {
-            if may_give_up {
-                gateway.record_response_time(
-                    &call.service,
-                    INITIAL_RESPONSE_TIME,
-                    timeout * TIMEOUT_SAMPLE_FACTOR,
-                );
-            }
-            if let Some(idle_connections) = &idle_connections {
-                idle_connections.restrict_reuse();
-            }
-            Attempt::TimedOut
-        }
-    };
-    if let Some(failed) = version_failure(&attempt) {
-        let latency = gateway.now().saturating_sub(sent_at);
-        gateway.record_rollout_outcome(call, endpoint, failed, latency);
-    }
-    if matches!(&attempt, Attempt::Responded(response) if response.parts.status.is_success()) {
-        crash_suspects::record_survival(call, endpoint);
-    }
-    if !matches!(
-        attempt,
-        Attempt::NotRun(_) | Attempt::Misdirected | Attempt::RateLimited
-    ) {
-        attempts.may_have_run += 1;
-    }
-    attempt
-}
-
-/// Waits for a response. If it is overdue on a reused connection, restricts the reuse of the other
-/// idle connections of the service, which may have gone silent as well, and keeps waiting: a call
-/// that cannot be retried waits until its deadline.
-async fn await_response<T>(
-    idle_connections: Option<&ServiceIdleConnections>,
-    overdue_after: Duration,
-    response: impl Future<Output = T>,
-) -> T {
-    let Some(idle_connections) = idle_connections else {
-        return response.await;
-    };
-    tokio::pin!(response);
-    if let Ok(completed) = tokio::time::timeout(overdue_after, &mut response).await {
-        return completed;
-    }
-    idle_connections.restrict_reuse();
-    response.await
-}
-
-/// Returns the timeout of this attempt: the time left until the deadline, or less if another
-/// attempt can follow.
-fn attempt_timeout(call: &Call, attempts: &Attempts) -> Duration {
-    let time_left = call.time_left();
-    // Without another endpoint to try, a late response is better than none.
-    let can_retry = call.route.kind == CallKind::Repeatable
-        && attempts.may_have_run + 1 < call.route.attempts_max
-        && endpoint_cooldowns::has_untried_endpoint(call, &attempts.tried);
-    if can_retry {
-        let response_time = call
-            .gateway
-            .response_time(&call.service, INITIAL_RESPONSE_TIME);
-        time_left
-            .min(response_time.timeout(call.route.latency_objective.saturating_sub(call.age())))
-    } else {
-        time_left
-    }
-}
-
-/// Reads a response to its end and checks that it belongs to this request.
-async fn read_response(
-    gateway: &Gateway,
-    request_id: &str,
-    response: EndpointResponse,
-) -> Result<Attempt, SendError> {
-    let EndpointResponse {
-        parts,
-        head,
-        body,
-        connection,
-    } = response;
-    if head
-        .request_id
-        .as_deref()
-        .is_some_and(|id| id != request_id)
-    {
-        let reason = "the answer belongs to another request".to_owned();
-        return Err(SendError::MayHaveRun(reason));
-    }
-    let collected = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
-    let body = collected
-        .map_err(|error| SendError::MayHaveRun(format!("the answer broke off: {error}")))?;
-    gateway.upstream.return_to_pool(connection, &head);
-    if head.misdirected {
-        return Ok(Attempt::Misdirected);
-    }
-    if head.not_run {
-        return Ok(Attempt::NotRun(format!(
-            "endpoint refused: {}",
-            head.status
-        )));
-    }
-    let is_success = parts.status.is_success();
-    if is_success && (!head.sealed || head.encoded || head.request_id.is_none()) {
-        let reason = "the answer is not the endpoint's own".to_owned();
-        return Err(SendError::MayHaveRun(reason));
-    }
-    Ok(Attempt::Responded(BufferedResponse {
-        parts,
-        body: body.to_bytes(),
-    }))
-}
