A refusal no longer shortens the time for which an ended engine is avoided

Callers saw: a generation placed on an engine that had been reported as ended less than four seconds before. Cause: a refusal or a failed connection noted by another caller set the end of the pause to 0.4 s from then, whatever stood there. Change: the later end stands. Before: record_refusal_of_an_unreachable_engine_backoff_kept failed (`Some("a")`). After: passed. Ruled out: nothing else.

--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -149,6 +149,11 @@
         now >= self.unavailable_until
     }
 
+    /// Grants nothing on the engine before `until`, or before a later time that is set already.
+    fn avoid_until(&mut self, until: Duration) {
+        self.unavailable_until = self.unavailable_until.max(until);
+    }
+
     /// Returns the score by which engines are compared: the given fill plus the tie-breaker.
     pub(super) fn comparison_score(&self, fill: f64) -> f64 {
         fill + self.tie_breaker
@@ -488,14 +493,14 @@
     /// Records that an engine refused a generation.
     pub fn record_refusal(&mut self, endpoint: &str, now: Duration) {
         if let Some(engine) = self.engines.get_mut(endpoint) {
-            engine.unavailable_until = now + REFUSED_BACKOFF;
+            engine.avoid_until(now + REFUSED_BACKOFF);
         }
     }
 
     /// Records that an engine's address refuses connections.
     pub fn record_unreachable(&mut self, endpoint: &str, now: Duration) {
         if let Some(engine) = self.engines.get_mut(endpoint) {
-            engine.unavailable_until = now + UNREACHABLE_BACKOFF;
+            engine.avoid_until(now + UNREACHABLE_BACKOFF);
         }
     }
 
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -99,6 +99,17 @@
     assert_eq!(place.expect("an engine with capacity"), "b");
 }
 
+/// Guards against generations that are placed on an engine that has ended, since another one of
+/// its callers reported a refusal after the end.
+#[test]
+fn record_refusal_of_an_unreachable_engine_backoff_kept() {
+    let mut ledger = ledger(&[engine("a", "h", false)]);
+    ledger.record_unreachable("a", NOW);
+    ledger.record_refusal("a", NOW);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(ledger.place(&demand("r", 100), "n", &[], later), None);
+}
+
 #[test]
 fn plan_moves_one_at_a_time_for_each_engine() {
     let mut ledger = ledger(&[
