A generation whose move fails is ordered to move less and less often

Cause: a move that its engine fails was ordered again each 120 ms for as long as the engine leaves, counted nowhere; each order is a call to the engine, and its other generations wait behind it. Change: the delay doubles with each failure of the generation, to 1.9 s at most; a target without room does not count, since the next target may have some. Two ways considered: the same delay with a limit on orders leaves a generation behind whose engine recovers. Before: plan_moves_failing_generation_asked_for_less_and_less_others_moved counted an order each 120 ms (17 in 2 s by the delay). After: passed, five at most.

--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -34,8 +34,11 @@
 /// Weight of an engine's prompt tokens that are not prefilled yet, as a share of its memory, when
 /// engines are compared. It spreads new generations over the engines.
 const PREFILL_BACKLOG_WEIGHT: f64 = 1.5;
-/// A failed move is retried after this delay.
+/// A failed move is retried after this delay, which doubles with each further failure of the
+/// generation.
 pub(super) const MOVE_RETRY_DELAY: Duration = Duration::from_millis(120);
+/// Number of times that the delay doubles at most.
+const MOVE_RETRY_DOUBLINGS_MAX: u32 = 4;
 /// An engine that refused a generation gets no new ones for this time.
 const REFUSED_BACKOFF: Duration = Duration::from_millis(400);
 /// An engine whose address refuses connections gets no new generations for this time. The endpoint
@@ -66,6 +69,23 @@
     pub(super) moving_to: Option<String>,
     /// No further move before this time.
     pub(super) next_move_at: Duration,
+    /// Moves that its engine has failed one after the other.
+    failed_moves: u32,
+}
+
+impl Run {
+    /// Sets when it may be moved next after a move with this result.
+    fn schedule_next_move(&mut self, result: MoveResult, now: Duration) {
+        // A target without room says nothing about the engine, and the next target may have some.
+        self.failed_moves = if result == MoveResult::Failed {
+            self.failed_moves.saturating_add(1)
+        } else {
+            0
+        };
+        let doublings = self.failed_moves.saturating_sub(1);
+        let factor = 1 << doublings.min(MOVE_RETRY_DOUBLINGS_MAX);
+        self.next_move_at = now + MOVE_RETRY_DELAY * factor;
+    }
 }
 
 /// An engine and the generations on it.
@@ -419,6 +439,7 @@
             confirmed: false,
             moving_to: None,
             next_move_at: Duration::ZERO,
+            failed_moves: 0,
         };
         self.insert(&demand.run, run);
         self.record_sent_request(&granted, entry, now);
@@ -486,6 +507,7 @@
             confirmed: true,
             moving_to,
             next_move_at: before.map_or(Duration::ZERO, |run| run.next_move_at),
+            failed_moves: before.map_or(0, |run| run.failed_moves),
         };
         self.insert(&name, run);
     }
@@ -554,7 +576,7 @@
                 run.reported.endpoint.clone_from(&order.target);
             }
             run.moving_to = None;
-            run.next_move_at = now + MOVE_RETRY_DELAY;
+            run.schedule_next_move(result, now);
         });
     }
 
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -110,6 +110,30 @@
     assert_eq!(ledger.place(&demand("r", 100), "n", &[], later), None);
 }
 
+/// Guards against an engine that is asked again and again for a generation that it cannot copy,
+/// while its other generations wait for their moves.
+#[test]
+fn plan_moves_failing_generation_asked_for_less_and_less_others_moved() {
+    /// Time for which engines that leave go on serving, at least.
+    const LEAVES_FOR_MS: u64 = 2_000;
+    /// A delay that doubles from 120 ms leaves room for no more in this time.
+    const ORDERS_MAX: usize = 5;
+    let mut ledger = ledger(&[engine("a", "h", true), engine("b", "h", false)]);
+    let runs = vec![reported("failing", "a", 100), reported("other", "a", 100)];
+    let mut orders = Vec::new();
+    for now_ms in (0..LEAVES_FOR_MS).step_by(20) {
+        let now = NOW + Duration::from_millis(now_ms);
+        ledger.apply_report("n", runs.clone(), now);
+        for order in ledger.plan_moves(now) {
+            ledger.record_move_result(&order, MoveResult::Failed, now);
+            orders.push(order.run);
+        }
+    }
+    let count = |name: &str| orders.iter().filter(|run| *run == name).count();
+    assert!(count("failing") <= ORDERS_MAX, "{orders:?}");
+    assert!(count("other") >= 2, "{orders:?}");
+}
+
 #[test]
 fn plan_moves_one_at_a_time_for_each_engine() {
     let mut ledger = ledger(&[
