A publish with the largest base offset no longer overflows

A record of any publisher could end each process that reads it where overflows are checked. Change: the sum saturates; the verdict is the same, StaleBase. Before: publish_base_offset_largest_number_stale panicked, `attempt to add with overflow`, in a debug build. After: passed. Ruled out: other sums of offsets in kernel/config.rs start from the log's own offset.

--- a/src/kernel/config.rs
+++ b/src/kernel/config.rs
@@ -220,7 +220,7 @@
     }
 
     fn decide_publish(&self, offset: u64, publish: &Publish, window_offsets: u64) -> Verdict {
-        let is_too_old = publish.base_offset + window_offsets < offset;
+        let is_too_old = publish.base_offset.saturating_add(window_offsets) < offset;
         if is_too_old || publish.base_offset > offset {
             return Verdict::StaleBase;
         }
--- a/tests/kernel/config.rs
+++ b/tests/kernel/config.rs
@@ -126,3 +126,21 @@
         }
     );
 }
+
+/// Guards against an overflow, which ends the process where overflows are checked, by a record of
+/// any publisher.
+#[test]
+fn publish_base_offset_largest_number_stale() {
+    let mut machine = ConfigStateMachine::default();
+    let record = Record::Publish(Publish {
+        publish_id: Uuid::new_v4(),
+        base_offset: u64::MAX,
+        publisher: String::new(),
+        changes: Vec::new(),
+    });
+    let effect = machine.apply(Some(&record));
+    assert!(
+        matches!(effect, RecordEffect::PublishDecided(Verdict::StaleBase)),
+        "{effect:?}"
+    );
+}
