`close` is looked for as an option of Connection, not anywhere in it

Change: options are compared one by one. Before: response_head_connection_options_close_only_as_a_whole_option failed at `keep-alive, x-closed-by`. After: passed.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -221,8 +221,9 @@
 
 fn has_connection_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
-    let mut values = values.filter_map(|value| value.to_str().ok());
-    values.any(|value| value.to_ascii_lowercase().contains("close"))
+    let values = values.filter_map(|value| value.to_str().ok());
+    let mut options = values.flat_map(|value| value.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
 /// Returns the time for which an endpoint keeps an idle connection open, if it announces one.
--- a/tests/platform_records.rs
+++ b/tests/platform_records.rs
@@ -167,3 +167,17 @@
         endpoint_entries::decode("i-1", without_start.to_string().as_bytes()).expect("an entry");
     assert_eq!(decoded.id, "i-1");
 }
+
+/// Guards against a connection that is given up because a header named in `Connection` contains
+/// the word.
+#[test]
+fn response_head_connection_options_close_only_as_a_whole_option() {
+    let closes = |value: &str| {
+        let response = http::Response::builder().header("connection", value);
+        let (parts, ()) = response.body(()).expect("a response").into_parts();
+        engine::decode_response_head(&parts).closes
+    };
+    assert!(closes("close"));
+    assert!(closes("x-trace, Close"));
+    assert!(!closes("keep-alive, x-closed-by"));
+}
