A resumed stream that is encoded is not passed on

Cause: the first answer of an engine is checked for an encoding, that of a resumed generation was not. Change: such an answer counts as a refusal to resume; the engine that stopped the generation goes on with it. Before: generation_target_encodes_resumed_stream_falls_back_to_source failed: the source was not asked. After: passed.

--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -198,6 +198,10 @@
     if response.parts.status != http::StatusCode::OK || !response.head.sealed {
         return Err(format!("engine answered {}", response.head.status));
     }
+    // The caller has the head of the first response, which announced no encoding.
+    if response.head.encoded {
+        return Err("the engine encodes its answer".to_owned());
+    }
     if response.head.request_id.as_deref() != Some(call.head.request_id.as_str()) {
         return Err("the answer belongs to another request".to_owned());
     }
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::header::RETRY_AFTER;
+use http::header::{CONTENT_ENCODING, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, Request, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -63,6 +63,8 @@
     RefusesCopies,
     /// Receives memory copies and refuses to continue from them.
     DropsCopies,
+    /// Receives memory copies, and encodes the response that continues from them.
+    EncodesResumed,
     /// Omits one event of each generation, in a chunk that begins with the event before it.
     SkipsEvent,
     /// Responds with status 421, as if another server had taken over its address.
@@ -453,8 +455,13 @@
         match self.kind {
             ServerKind::Plain => Self::plain_response(&id, fault, &body),
             ServerKind::Engine => {
-                let from = from.unwrap_or_else(|| last_event(&headers));
-                self.event_stream(&id, &path, from)
+                let start = from.unwrap_or_else(|| last_event(&headers));
+                let mut response = self.event_stream(&id, &path, start);
+                if fault == ServerFault::EncodesResumed && from.is_some() {
+                    let encoding = http::HeaderValue::from_static("gzip");
+                    response.headers_mut().insert(CONTENT_ENCODING, encoding);
+                }
+                response
             }
         }
     }
@@ -541,7 +548,11 @@
             let key = (address.parse().ok()?, name.to_owned());
             let servers = self.servers.upgrade()?;
             let mut copies = servers.copies.lock();
-            if *self.fault.lock() == ServerFault::DropsCopies {
+            let fault = *self.fault.lock();
+            if matches!(
+                fault,
+                ServerFault::DropsCopies | ServerFault::EncodesResumed
+            ) {
                 copies.get(&key).copied()
             } else {
                 copies.remove(&key)
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -95,6 +95,29 @@
     assert_eq!(site.standin.servers_that_ran("t2"), [leaving.id.as_str()]);
 }
 
+/// Guards against a moved generation that continues with encoded bytes, although its caller was
+/// told of no encoding.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_target_encodes_resumed_stream_falls_back_to_source() {
+    let site = RoutedSite::start(0).await;
+    let leaving = site.start_engine().await;
+    let instance = site.start_instance("n1").await;
+    let running = tokio::spawn(send_request(instance.generation(24, "t3")));
+    wait_until("generations running", async || leaving.running_count() == 1).await;
+    let encoding = site.start_engine().await;
+    encoding.set_fault(ServerFault::EncodesResumed);
+    wait_until("both engines known", async || {
+        instance.state().await["endpoints"][&encoding.id].is_object()
+    })
+    .await;
+    site.standin.list_server(&leaving, "draining");
+    assert_complete(&running.await.expect("response received"), 24);
+    for engine in [&encoding, &leaving] {
+        let headers = engine.request_headers("t3").expect("it was asked");
+        assert!(headers.contains_key("kv-from"), "{headers:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn generation_engine_killed_response_incomplete() {
     let site = RoutedSite::start(0).await;
