--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -168,6 +168,11 @@
         self.spawn_instance(name, &settings)
     }
 
+    /// Starts an instance with these fields in the routing part of its settings.
+    pub fn start_instance_with_settings(&self, name: &str, routing: Value) -> Instance {
+        self.start_instance_with_routing(name, &[], routing)
+    }
+
     fn start_instance_with_routing(
         &self,
         name: &str,
