An instance that knows no members takes no share of cold endpoints

Cause: shares of cold endpoints and of connections were counted over the members known, which before the first list are none; permits and retries already waited for it. Change: until a list of members came, no share of a cold endpoint, by calls and placements, and two connections an endpoint; who cannot be served is refused at once and told when. Two ways considered: taking the share of the last known number of instances; an instance has no disk to know it from. Before: endpoint_cold_members_unknown_refused_until_they_are_known failed (200 in place of 503) on the code without it. After: passed, and served once the members are known. The two connections have no test of their own.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -288,7 +288,9 @@
 /// Returns the role in which this instance sends to the cold engines of a service. An instance cut
 /// off from the owner shares the cold-start limit with all other instances that may be cut off too.
 fn cold_sender(gateway: &Gateway, service: &str) -> Sender {
-    if owner_address(gateway, service).is_none() {
+    if !gateway.knows_members() {
+        Sender::Uninformed
+    } else if owner_address(gateway, service).is_none() {
         Sender::Owner
     } else {
         Sender::Standalone {
--- a/src/gateway/endpoint_selection.rs
+++ b/src/gateway/endpoint_selection.rs
@@ -76,6 +76,10 @@
     if cold.is_empty() {
         return HashMap::new();
     }
+    if !gateway.knows_members() {
+        let none = cold.into_iter().map(|entry| (entry.id.clone(), 0));
+        return none.collect();
+    }
     let members = gateway.members.lock();
     let reachable = members.recently_reachable(now);
     let other_instances: Vec<&str> = reachable
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -353,6 +353,12 @@
         1 + self.members.lock().recently_reachable(self.now()).count()
     }
 
+    /// Returns whether a list of members was ever received. Without one, this instance does not
+    /// know its share of what all instances may use together.
+    pub(crate) fn knows_members(&self) -> bool {
+        !self.store.has_no_data(Subject::Members)
+    }
+
     /// Returns the number of instances that share site-wide limits, including this one.
     pub(crate) fn sharing_instance_count(&self) -> usize {
         let sharing = self.instance_counter.lock().count();
@@ -393,7 +399,12 @@
         let allowed = table
             .service(service)
             .map_or(u32::MAX, |service| service.connections_max);
-        connections_per_instance(allowed, self.reachable_instance_count())
+        let instances = if self.knows_members() {
+            self.reachable_instance_count()
+        } else {
+            usize::MAX
+        };
+        connections_per_instance(allowed, instances)
     }
 
     /// Records a first attempt to a service, which adds to its retry budget.
@@ -403,9 +414,8 @@
 
     /// Spends a retry from the budget of a service; returns `false` if it is exhausted.
     pub(crate) fn try_spend_retry(&self, service: &str) -> bool {
-        // An instance that does not know the members cannot compute its share of the budget.
-        let has_members = !self.store.has_no_data(Subject::Members);
-        let allowed = has_members && self.with_retry_budget(service, RetryBudget::try_spend);
+        let allowed =
+            self.knows_members() && self.with_retry_budget(service, RetryBudget::try_spend);
         metrics::counter!("larkwick_retries_total", "allowed" => allowed.to_string()).increment(1);
         allowed
     }
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -14,7 +14,6 @@
 
 use super::node::Gateway;
 use super::ownership::{acts_as_owner, owner_address, reachable_owner_address};
-use super::site_store::Subject;
 use crate::kernel::clock::{Clock, millis};
 use crate::kernel::limit::{EndpointLimits, LimitChange, LimitSignal, LimitUpdate};
 use crate::kernel::permits::{
@@ -357,7 +356,7 @@
     /// Returns the share of a site-wide limit that this instance may use as the issuer for a key.
     pub(super) fn issuer_share(&self, key: &str) -> IssuerShare {
         let total = self.sharing_instance_count();
-        let reachable = if self.store.has_no_data(Subject::Members) {
+        let reachable = if !self.knows_members() {
             0
         } else if owner_address(self, key).is_none() {
             self.live_instance_count()
--- a/src/kernel/cold_start.rs
+++ b/src/kernel/cold_start.rs
@@ -37,6 +37,8 @@
 pub enum Sender {
     /// The owner, which places for all instances.
     Owner,
+    /// An instance that knows no member list yet, and so not with how many it shares the rate.
+    Uninformed,
     /// One of several instances that place on their own, beside an owner.
     Standalone {
         /// Number of instances, including this one.
@@ -60,6 +62,7 @@
     pub fn share_per_s(&self, sender: Sender) -> u32 {
         match sender {
             Sender::Owner => to_u32_clamped(self.sustainable_per_s).max(1),
+            Sender::Uninformed => 0,
             Sender::Standalone { instances } => {
                 let instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
                 to_u32_clamped(self.sustainable_per_s * STANDALONE_SHARE / instances)
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -26,6 +26,8 @@
     Busy,
     /// Never responds and executes nothing.
     Unresponsive,
+    /// Responds with status 503 to reads of this topic.
+    BusyTopic(&'static str),
     /// Executes appends and never responds to them.
     LosesAppendReplies,
 }
@@ -246,6 +248,14 @@
         match fault {
             StoreFault::Busy => return build_response(503, "busy"),
             StoreFault::Unresponsive => std::future::pending().await,
+            StoreFault::BusyTopic(topic) => {
+                if query_parameters(&request)
+                    .get("topic")
+                    .is_some_and(|name| name == topic)
+                {
+                    return build_response(503, "busy");
+                }
+            }
             StoreFault::None | StoreFault::LosesAppendReplies => {}
         }
         match path.as_str() {
--- a/tests/site_endpoints.rs
+++ b/tests/site_endpoints.rs
@@ -228,6 +228,38 @@
     );
 }
 
+/// Guards against an instance that takes the whole rate of cold endpoints because it knows nobody
+/// yet with whom it shares them.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_cold_members_unknown_refused_until_they_are_known() {
+    let site = RoutedSite::start(0).await;
+    site.standin.publish_with_cold_start(3, 60.0, 4.0);
+    let cold = site
+        .standin
+        .start_unlisted_server("app", ServerKind::Plain)
+        .await;
+    let cold = cold.expect("server starts");
+    site.standin
+        .list_server_with(&cold, &json!({"cold-left-ms": 60_000}));
+    let members_topic = StoreFault::BusyTopic("keyed.status");
+    site.standin.store.set_fault(members_topic);
+    let instance = site.start_instance("n1").await;
+    for number in 0..4 {
+        let answer = instance.call("/once/a", &format!("early-{number}")).await;
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+    }
+    assert_eq!(cold.request_count(), 0);
+    site.standin.store.set_fault(StoreFault::None);
+    let mut attempts = 0;
+    wait_until("served once the members are known", async || {
+        attempts += 1;
+        let answer = instance.call("/once/a", &format!("later-{attempts}")).await;
+        answer.status == 200
+    })
+    .await;
+}
+
 /// Once a response shows that another endpoint now serves the address, later calls are not sent to
 /// the replaced endpoint.
 #[tokio::test(flavor = "multi_thread")]
