A probe that reaches nobody is shared, too; an ended engine out of reach is not reported again

Cause, by reading: requests that joined a probe begun before they were aborted probed once more also where nobody was reached, so that an instance whose link is cut would have avoided each endpoint for twice 0.4 s; and the recheck of an ended engine told its owner that it is gone where it only could not be reached from there. Change: only a probe that found the endpoint running is repeated, and only one that found it ended is reported.

--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -164,7 +164,7 @@
     ) -> (Arc<PresenceProbe>, ProbeResult) {
         loop {
             let result = probe.result(self, endpoint).await;
-            if result.presence == Presence::Ended || probe.started_at >= aborted_at {
+            if result.presence != Presence::Listens || probe.started_at >= aborted_at {
                 return (probe, result);
             }
             probe = self.presence_probes.begin(endpoint, aborted_at);
@@ -225,7 +225,9 @@
                 });
                 break;
             }
-            self.notify_placement(&endpoint);
+            if result.presence == Presence::Ended {
+                self.notify_placement(&endpoint);
+            }
         }
         self.presence_probes.ended.lock().remove(&endpoint.id);
     }
