The wait for an ended engine no longer enlarges each generation's future

Cause: the future of a probe stood within that of a takeover, and so within each generation's: 24 to 26 KB each, which Clippy's large_futures found. Change: it is boxed; it runs only after an abort. Measured: Clippy is clean, no other figure.

--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -116,8 +116,9 @@
 
     /// Returns the result, after running the probe if no other request has.
     async fn result(&self, gateway: &Gateway, endpoint: &EndpointEntry) -> ProbeResult {
+        // Boxed because it is rare, and would otherwise enlarge the future of every generation.
         let result = self.result.get_or_init(|| async {
-            let (result, connection) = run_probe(gateway, endpoint).await;
+            let (result, connection) = Box::pin(run_probe(gateway, endpoint)).await;
             *self.open_connection.lock() = connection;
             result
         });
@@ -194,7 +195,7 @@
         {
             return;
         }
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     /// Records that an endpoint has ended. It is avoided until it is no longer listed, or a later
