--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -78,10 +78,21 @@
         .count()
 }
 
+/// Waits for a log line about a request; lines arrive later than responses.
+async fn wait_for_line(instance: &Instance, payload: &str, id: &str) -> Value {
+    let find = || {
+        let lines = logged(instance, payload).into_iter();
+        lines.rev().find(|line| line["request_id"] == id)
+    };
+    wait_until(payload, async || find().is_some()).await;
+    find().expect("it was found")
+}
+
 async fn assert_served(instance: &Instance, events: u32, id: &str) {
     let response = send_request(instance.generation(events, id)).await;
     assert_eq!(response.status, 200, "{id}: {response:?}");
     assert!(response.is_complete, "{id}: {response:?}");
+    wait_for_line(instance, "generation ended", id).await;
 }
 
 /// Guards against a crash that goes unnoticed because a child of the engine holds its listening
@@ -153,11 +164,8 @@
     site.standin.set_socket_after_crash(FOREVER);
     let instances = start_instances(&site, 1).await;
     send_crashing(&instances[0], "/chat/2", "crashing").await;
-    let outcomes = logged(&instances[0], "generation taken over");
-    assert_eq!(
-        outcomes[0]["outcome"], "the engine has ended",
-        "{outcomes:?}"
-    );
+    let taken_over = wait_for_line(&instances[0], "generation taken over", "crashing").await;
+    assert_eq!(taken_over["outcome"], "the engine has ended");
 }
 
 /// Guards against an engine that has ended being offered to a caller again because the endpoint
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -48,6 +48,8 @@
 mod permits;
 #[path = "kernel/placement.rs"]
 mod placement;
+#[path = "kernel/presence.rs"]
+mod presence;
 #[path = "kernel/region.rs"]
 mod region;
 #[path = "kernel/response_time.rs"]
--- a/tests/site_endpoints.rs
+++ b/tests/site_endpoints.rs
@@ -188,6 +188,18 @@
     assert_eq!(unknown.count(), 1);
 }
 
+/// Starts a plain server that stays cold for a minute.
+async fn start_cold_app(site: &RoutedSite) -> Arc<Server> {
+    let cold = site
+        .standin
+        .start_unlisted_server("app", ServerKind::Plain)
+        .await;
+    let cold = cold.expect("server starts");
+    site.standin
+        .list_server_with(&cold, &json!({"cold-left-ms": 60_000}));
+    cold
+}
+
 /// While all endpoints of a service are cold, they get calls up to their sustainable rate. Further
 /// calls are refused immediately with a retry time.
 #[tokio::test(flavor = "multi_thread")]
@@ -196,13 +208,7 @@
     let site = RoutedSite::start(0).await;
     site.standin
         .publish_with_cold_start(3, 60.0, SUSTAINABLE_PER_S);
-    let cold = site
-        .standin
-        .start_unlisted_server("app", ServerKind::Plain)
-        .await;
-    let cold = cold.expect("server starts");
-    site.standin
-        .list_server_with(&cold, &json!({"cold-left-ms": 60_000}));
+    start_cold_app(&site).await;
     let instance = site.start_instance("n1").await;
     let started_at = std::time::Instant::now();
     let calls = (0..50).map(|number| {
@@ -234,13 +240,7 @@
 async fn endpoint_cold_members_unknown_refused_until_they_are_known() {
     let site = RoutedSite::start(0).await;
     site.standin.publish_with_cold_start(3, 60.0, 4.0);
-    let cold = site
-        .standin
-        .start_unlisted_server("app", ServerKind::Plain)
-        .await;
-    let cold = cold.expect("server starts");
-    site.standin
-        .list_server_with(&cold, &json!({"cold-left-ms": 60_000}));
+    let cold = start_cold_app(&site).await;
     let members_topic = StoreFault::BusyTopic("keyed.status");
     site.standin.store.set_fault(members_topic);
     let instance = site.start_instance("n1").await;
