A test of late sockets sends until three endpoints have crashed

Cause, by runs that print it: in 2 of 6 runs four requests were needed for three crashes, since one went to an endpoint that had crashed and whose socket was still open; the test sent three and waited for a count that could not come. The check is the same: once three have crashed under the request, it is refused.

--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -117,9 +117,13 @@
     let (site, _) = start_site(3, 0).await;
     site.standin.set_socket_after_crash(A_WHILE);
     let instances = start_instances(&site, 1).await;
-    for number in 0..3 {
-        send_crashing(&instances[0], "/once/1", &format!("try-{number}")).await;
+    // A call may still go to an endpoint that has crashed and whose socket is open.
+    let mut sent = 0;
+    while site.standin.crashed_servers().len() < 3 {
+        send_crashing(&instances[0], "/once/1", &format!("try-{sent}")).await;
+        sent += 1;
     }
+    println!("{sent} requests crashed three endpoints");
     wait_until("refused", async || {
         let suspects = instances[0].operator_json("/suspects").await;
         suspects[0]["verdict"] == "refused"
