The chat test names the length of its generation

Cause: the test names no seed, so the instance draws one, and the stand-in derives the generation's length from it. Of the seeds 0 to 1,999,999, 622 give a single token and 1,978 fewer than three.

Ruled out: events lost between engine and caller; the engine's end names the number of tokens, and an instance that has fewer does not pass it on.

Change: the test names a seed of 304 tokens; its checks are as they were, and finish_reason is one more. The seed that fails it has a test of its own.

--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -5,14 +5,40 @@
 
 use serde_json::{Value, json};
 use support::{
-    KEY, Site, complete, config_objects, debug_state, get_json, read_stream, run_tool,
-    send_request, streamed_completion, wait_for_peers, wait_until, wait_until_serving,
+    HttpResponse, KEY, Process, Site, StreamResult, complete, config_objects, debug_state,
+    get_json, read_stream, run_tool, send_request, streamed_completion, wait_for_peers, wait_until,
+    wait_until_serving,
 };
 
 fn engine_spec() -> Value {
     json!({"step_us": 2000})
 }
 
+async fn start_site() -> (TestSite, Process) {
+    let site = Site::new();
+    let engine = site.start_engine("e1", &engine_spec());
+    assert!(
+        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
+            .status
+            .success()
+    );
+    let instance = site.start_instance("i1", "h");
+    wait_until_serving(&instance).await;
+    (
+        TestSite {
+            _site: site,
+            _engine: engine,
+        },
+        instance,
+    )
+}
+
+/// Processes that an instance needs, kept until the end of a test.
+struct TestSite {
+    _site: Site,
+    _engine: Process,
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn example_objects_served_in_three_halls() {
     let site = Site::new();
@@ -93,32 +119,47 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn chat_completions_buffered_and_streamed() {
-    let site = Site::new();
-    let engine = site.start_engine("e1", &engine_spec());
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
-    let instance = site.start_instance("i1", "h");
-    wait_until_serving(&instance).await;
+/// A seed from which the stand-in engine generates 304 tokens if it may.
+const SEED_OF_MANY_TOKENS: u64 = 1;
+/// A seed from which it generates a single token.
+const SEED_OF_ONE_TOKEN: u64 = 8_041;
+
+async fn send_chat(instance: &Process, seed: u64) -> (HttpResponse, StreamResult) {
     let url = format!("http://{}/v1/chat/completions", instance.address("caller"));
-    let body = |stream: bool| {
-        json!({"model": "m", "max_tokens": 3, "stream": stream, "messages": [
+    let request = |stream: bool| {
+        let body = json!({"model": "m", "max_tokens": 3, "seed": seed, "stream": stream, "messages": [
             {"role": "system", "content": "be brief"},
-            {"role": "user", "content": [{"type": "text", "text": "hello"}]}]})
+            {"role": "user", "content": [{"type": "text", "text": "hello"}]}]});
+        let request = reqwest::Client::new().post(&url);
+        request.bearer_auth(KEY).json(&body)
     };
-    let client = reqwest::Client::new();
-    let completed = send_request(client.post(&url).bearer_auth(KEY).json(&body(false))).await;
+    let completed = send_request(request(false)).await;
+    (completed, read_stream(request(true), 100).await)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_completions_buffered_and_streamed() {
+    let (_site, instance) = start_site().await;
+    let (completed, streamed) = send_chat(&instance, SEED_OF_MANY_TOKENS).await;
     assert_eq!(completed.body["object"], "chat.completion");
     assert_eq!(completed.body["choices"][0]["message"]["role"], "assistant");
-    let streamed = read_stream(client.post(&url).bearer_auth(KEY).json(&body(true)), 100).await;
+    assert_eq!(completed.body["choices"][0]["finish_reason"], "length");
     assert_eq!(streamed.end, "done");
     assert_eq!(streamed.indices(), [0, 1, 2]);
 }
 
+/// Tells a generation that ends by itself from one whose tokens are lost: without a seed, one in a
+/// thousand generations of the stand-in has fewer than three tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_completions_generation_of_one_token_ends_as_stopped() {
+    let (_site, instance) = start_site().await;
+    let (completed, streamed) = send_chat(&instance, SEED_OF_ONE_TOKEN).await;
+    assert_eq!(completed.body["choices"][0]["finish_reason"], "stop");
+    assert_eq!(completed.body["usage"]["completion_tokens"], 1);
+    assert_eq!(streamed.end, "done");
+    assert_eq!(streamed.indices(), [0]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 #[expect(clippy::too_many_lines, reason = "a table of cases")]
 async fn invalid_request_typed_error_and_not_run() {
