One filter for the endpoints of a call, one check before a send

Left by the earlier work: the filter "ready, not excluded, in an allowed region" stood in generation.rs (twice), takeover.rs, endpoint_selection.rs and endpoint_cooldowns.rs (twice), the checks right before a send in engine_attempt.rs and plain_attempt.rs.

Change: Call::eligible_endpoints, and send_checks.rs with a reason for each outcome. Nothing is decided otherwise; a log reason that named "the engine is leaving" names the endpoint now.

--- a/src/gateway/endpoint_cooldowns.rs
+++ b/src/gateway/endpoint_cooldowns.rs
@@ -67,25 +67,24 @@
     let gateway = &call.gateway;
     let now = gateway.now();
     let unavailable = gateway.unavailable_endpoints();
-    let (no_endpoint_ready, ready) = {
+    let (no_endpoint_ready, eligible) = {
         let fleet = gateway.fleet.lock();
-        let ready = || fleet.ready_endpoints(&call.service);
-        let no_endpoint_ready = ready().next().is_none();
-        let is_eligible =
-            |endpoint: &&EndpointEntry| !is_excluded(endpoint) && call.is_region_allowed(endpoint);
-        let mut eligible = ready().filter(is_eligible);
-        if eligible.any(|endpoint| !unavailable.contains(&endpoint.id)) {
-            return ServiceAvailability::Available;
-        }
-        let eligible = ready().filter(is_eligible);
-        let ready: Vec<String> = eligible.map(|endpoint| endpoint.id.clone()).collect();
-        (no_endpoint_ready, ready)
+        let no_endpoint_ready = fleet.ready_endpoints(&call.service).next().is_none();
+        let eligible = call.eligible_endpoints(&fleet, is_excluded);
+        let eligible: Vec<String> = eligible.map(|endpoint| endpoint.id.clone()).collect();
+        (no_endpoint_ready, eligible)
     };
+    if eligible
+        .iter()
+        .any(|endpoint| !unavailable.contains(endpoint))
+    {
+        return ServiceAvailability::Available;
+    }
     if no_endpoint_ready && gateway.store.is_store_unavailable(Subject::Endpoints) {
         let until = now + LIST_OUTAGE_RETRY_AFTER;
         return ServiceAvailability::Unavailable { until };
     }
-    let unavailable_until = ready.iter().map(|endpoint| {
+    let unavailable_until = eligible.iter().map(|endpoint| {
         let cooldown_until = gateway
             .endpoint_signals
             .cooldowns
@@ -100,12 +99,11 @@
 pub(super) fn has_untried_endpoint(call: &Call, tried: &HashSet<String>) -> bool {
     let unavailable = call.gateway.unavailable_endpoints();
     let fleet = call.gateway.fleet.lock();
-    let mut ready = fleet.ready_endpoints(&call.service);
-    ready.any(|endpoint| {
-        !tried.contains(&endpoint.id)
-            && !unavailable.contains(&endpoint.id)
-            && call.is_region_allowed(endpoint)
-    })
+    let is_excluded = |endpoint: &EndpointEntry| {
+        tried.contains(&endpoint.id) || unavailable.contains(&endpoint.id)
+    };
+    let mut untried = call.eligible_endpoints(&fleet, is_excluded);
+    untried.next().is_some()
 }
 
 /// Returns the delay after which a caller may retry if no endpoint of the service is available for
--- a/src/gateway/endpoint_selection.rs
+++ b/src/gateway/endpoint_selection.rs
@@ -25,13 +25,9 @@
     let unavailable = gateway.unavailable_endpoints();
     let candidates: Vec<EndpointEntry> = {
         let fleet = gateway.fleet.lock();
-        let ready = fleet.ready_endpoints(&call.service);
-        ready
-            .filter(|entry| {
-                !tried.contains(&entry.id)
-                    && !unavailable.contains(&entry.id)
-                    && call.is_region_allowed(entry)
-            })
+        let is_excluded =
+            |entry: &EndpointEntry| tried.contains(&entry.id) || unavailable.contains(&entry.id);
+        call.eligible_endpoints(&fleet, is_excluded)
             .cloned()
             .collect()
     };
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -9,15 +9,14 @@
 use tokio::sync::mpsc;
 
 use super::aborted_requests;
-use super::crash_suspects;
 use super::inbound_call::Call;
 use super::message_heads::EndpointRequestHead;
 use super::runs::{RunCommand, RunHandle};
+use super::send_checks::{Withheld, check_before_send};
 use super::started_generation::{EngineAttempts, ResponseStream, RunGuard, StartedGeneration};
 use super::takeover::{self, StallDetector};
 use super::upstream::{ConnectError, ConnectionReuse, EndpointResponse, SendError};
 use crate::error::{Error, ErrorKind};
-use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::engine_ledger::RunDemand;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::response_time::ResponseTimeEstimate;
@@ -92,6 +91,19 @@
     }
 }
 
+impl From<Withheld> for AttemptFailure {
+    fn from(withheld: Withheld) -> Self {
+        match withheld {
+            Withheld::CoolingDown => Self::CoolingDown,
+            Withheld::CrashSuspected => Self::CrashSuspected,
+            Withheld::Leaving | Withheld::NoTimeLeft => Self::Unsent {
+                reason: withheld.reason().to_owned(),
+                connection_refused: false,
+            },
+        }
+    }
+}
+
 /// Parameters of one attempt at an engine.
 pub(super) struct AttemptParams<'a> {
     pub(super) granted: &'a str,
@@ -162,7 +174,7 @@
         None => gateway.request_permit(&call.service, granted).await,
     };
     let permit = permit.ok_or(AttemptFailure::RateLimited)?;
-    check_before_send(call, &endpoint, restricted)?;
+    check_before_send(call, &endpoint, restricted, Duration::ZERO)?;
     let send = EndpointRequestHead {
         endpoint_id: &endpoint.listed_id,
         time_left: call.time_left(),
@@ -252,32 +264,6 @@
     gateway.record_rollout_outcome(call, endpoint, failed, latency);
 }
 
-/// Repeats the checks right before sending: updates may have arrived since the placement, or the
-/// machine may have been suspended.
-fn check_before_send(
-    call: &Call,
-    engine: &EndpointEntry,
-    restricted: bool,
-) -> Result<(), AttemptFailure> {
-    let unsent = |reason: &str| AttemptFailure::Unsent {
-        reason: reason.to_owned(),
-        connection_refused: false,
-    };
-    if !call.gateway.fleet.lock().can_accept_work(&engine.id) {
-        return Err(unsent("the engine is leaving"));
-    }
-    if call.gateway.is_cooling_down(&engine.id) {
-        return Err(AttemptFailure::CoolingDown);
-    }
-    if !restricted && crash_suspects::current_verdict(call) == Verdict::Refused {
-        return Err(AttemptFailure::CrashSuspected);
-    }
-    if call.time_left().is_zero() {
-        return Err(unsent("no time left"));
-    }
-    Ok(())
-}
-
 /// Waits for the head of an engine's response. If the stream stalls although the engine has
 /// generated events, the generation is resumed on a new connection.
 async fn await_response_head(
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -327,9 +327,7 @@
     excluded.extend(attempts.excluded.iter().cloned());
     let avoided = {
         let fleet = gateway.fleet.lock();
-        let ready = fleet.ready_endpoints(&call.service);
-        let others =
-            ready.filter(|engine| !excluded.contains(&engine.id) && call.is_region_allowed(engine));
+        let others = call.eligible_endpoints(&fleet, |engine| excluded.contains(&engine.id));
         gateway.avoided_endpoints(others)
     };
     excluded.extend(avoided);
@@ -356,8 +354,8 @@
 /// Returns whether the call's regions have an engine that accepts work, or no engine is known.
 fn has_allowed_engine(call: &Call) -> bool {
     let fleet = call.gateway.fleet.lock();
-    let ready = || fleet.ready_endpoints(&call.service);
-    !call.regions.is_restricted() || ready().any(|engine| call.is_region_allowed(engine))
+    let mut allowed = call.eligible_endpoints(&fleet, |_| false);
+    !call.regions.is_restricted() || allowed.next().is_some()
 }
 
 fn no_allowed_engine_error(call: &Call) -> Error {
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -11,7 +11,7 @@
 use super::rollouts::VersionChoice;
 use crate::kernel::byte_budget::HeldBytes;
 use crate::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
-use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::fleet::{EndpointEntry, Fleet};
 use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{Route, RouteTable};
 
@@ -78,6 +78,17 @@
         self.regions.contains(region)
     }
 
+    /// Returns the endpoints of the service that accept work, are in a region in which the call may
+    /// be served, and are not excluded.
+    pub(super) fn eligible_endpoints<'a>(
+        &'a self,
+        fleet: &'a Fleet,
+        is_excluded: impl Fn(&EndpointEntry) -> bool + 'a,
+    ) -> impl Iterator<Item = &'a EndpointEntry> {
+        let ready = fleet.ready_endpoints(&self.service);
+        ready.filter(move |endpoint| self.is_region_allowed(endpoint) && !is_excluded(endpoint))
+    }
+
     /// Returns the time since arrival.
     pub(crate) fn age(&self) -> Duration {
         self.gateway.now().saturating_sub(self.arrived)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 //! | `upstream` | connection pools of the endpoints |
 //! | `endpoint_signals` | handles the signals in the response headers of endpoints |
 //! | `endpoint_cooldowns` | effect of endpoint cooldowns on calls |
+//! | `send_checks` | checks right before a request is sent |
 //! | `permits` | rate-limit permits for endpoints that announce a limit |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
 //! | `suspend_aware_waits` | waits that respect deadlines also after a suspension of the machine |
@@ -75,6 +76,7 @@
 pub(crate) mod rollouts;
 pub(crate) mod run_reports;
 pub(crate) mod runs;
+pub(crate) mod send_checks;
 pub(crate) mod shared_store;
 pub mod site_store;
 pub(crate) mod started_generation;
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -14,11 +14,11 @@
 use super::message_heads::EndpointRequestHead;
 use super::node::Gateway;
 use super::permits::Permit;
+use super::send_checks::{Withheld, check_before_send};
 use super::upstream::{
     Connection, ConnectionReuse, EndpointResponse, SendError, ServiceIdleConnections,
 };
 use crate::kernel::connect_timeout::connect_timeout;
-use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::response_time::ResponseTimeEstimate;
 use crate::kernel::route::CallKind;
@@ -65,6 +65,16 @@
     TimedOut,
 }
 
+impl From<Withheld> for Attempt {
+    fn from(withheld: Withheld) -> Self {
+        match withheld {
+            Withheld::CoolingDown => Self::CoolingDown,
+            Withheld::CrashSuspected => Self::CrashSuspected,
+            Withheld::Leaving | Withheld::NoTimeLeft => Self::NotRun(withheld.reason().to_owned()),
+        }
+    }
+}
+
 /// State of a call over all its attempts.
 #[derive(Default)]
 pub(super) struct Attempts {
@@ -147,19 +157,8 @@
         Ok(connection) => connection,
         Err(reason) => return Attempt::NotRun(reason),
     };
-    // An update that the endpoint is leaving may have arrived since it was selected.
-    if !gateway.fleet.lock().can_accept_work(&endpoint.id) {
-        return Attempt::NotRun("the endpoint is leaving".to_owned());
-    }
-    if gateway.is_cooling_down(&endpoint.id) {
-        return Attempt::CoolingDown;
-    }
-    if !attempts.restricted && crash_suspects::current_verdict(call) == Verdict::Refused {
-        return Attempt::CrashSuspected;
-    }
-    // The deadline may have passed since the selection, for example if the machine was suspended.
-    if call.time_left() < TIME_LEFT_MIN {
-        return Attempt::NotRun("no time left".to_owned());
+    if let Err(withheld) = check_before_send(call, endpoint, attempts.restricted, TIME_LEFT_MIN) {
+        return withheld.into();
     }
     let send = EndpointRequestHead {
         endpoint_id: &endpoint.listed_id,
--- /dev/null
+++ b/src/gateway/send_checks.rs
@@ -0,0 +1,59 @@
+//! Checks right before a request is sent: updates may have arrived since its endpoint was selected,
+//! or the machine may have been suspended.
+
+use std::time::Duration;
+
+use super::crash_suspects;
+use super::inbound_call::Call;
+use crate::kernel::crash_suspects::Verdict;
+use crate::kernel::fleet::EndpointEntry;
+
+/// Why a request is not sent to the selected endpoint after all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Withheld {
+    /// The endpoint is leaving.
+    Leaving,
+    /// The endpoint entered a cooldown.
+    CoolingDown,
+    /// The request became refused because it crashes endpoints.
+    CrashSuspected,
+    /// Less than the minimum is left until the deadline.
+    NoTimeLeft,
+}
+
+impl Withheld {
+    /// Returns the reason for the log and for the caller.
+    pub(super) const fn reason(self) -> &'static str {
+        match self {
+            Self::Leaving => "the endpoint is leaving",
+            Self::CoolingDown => "the endpoint rests",
+            Self::CrashSuspected => "endpoints end under it",
+            Self::NoTimeLeft => "no time left",
+        }
+    }
+}
+
+/// Checks that a request may still be sent to an endpoint. `restricted` requests are crash suspects
+/// that this endpoint may run.
+pub(super) fn check_before_send(
+    call: &Call,
+    endpoint: &EndpointEntry,
+    restricted: bool,
+    time_left_min: Duration,
+) -> Result<(), Withheld> {
+    let gateway = &call.gateway;
+    if !gateway.fleet.lock().can_accept_work(&endpoint.id) {
+        return Err(Withheld::Leaving);
+    }
+    if gateway.is_cooling_down(&endpoint.id) {
+        return Err(Withheld::CoolingDown);
+    }
+    if !restricted && crash_suspects::current_verdict(call) == Verdict::Refused {
+        return Err(Withheld::CrashSuspected);
+    }
+    let time_left = call.time_left();
+    if time_left.is_zero() || time_left < time_left_min {
+        return Err(Withheld::NoTimeLeft);
+    }
+    Ok(())
+}
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -115,13 +115,9 @@
     let cooling_down = gateway.cooling_down_endpoints();
     let target = {
         let fleet = gateway.fleet.lock();
-        let others = fleet.ready_endpoints(&call.service);
-        let others = others.filter(|engine| {
-            engine.id != source.id
-                && !cooling_down.contains(&engine.id)
-                && call.is_region_allowed(engine)
-        });
-        let others: Vec<&EndpointEntry> = others.collect();
+        let is_excluded =
+            |engine: &EndpointEntry| engine.id == source.id || cooling_down.contains(&engine.id);
+        let others: Vec<&EndpointEntry> = call.eligible_endpoints(&fleet, is_excluded).collect();
         let avoided = gateway.avoided_endpoints(others.iter().copied());
         let others = others.iter().filter(|engine| !avoided.contains(&engine.id));
         others
