Generations do not wait at engines that are known to have ended

What callers saw: an engine that has ended and whose listening socket a child holds accepts connections, and nobody answers. If it was the last of its service, or was being probed, a generation went there and got 504 at its deadline, 20 s later, although the instance knew half a second after the crash that nobody would answer.

Cause: endpoints that have ended are avoided only if another is left, and those who wait for a first event did not ask whether their engine has ended.

Change: an ended endpoint is kept with what its address does. One that accepts and does not answer gets nothing; if no other is left, the caller is refused at once, with Retry-After of the two seconds to the next probe. A generation without an event for a second asks first whether its engine has ended. It does not count as a request that ended the engine.

Ruled out: to exclude all ended endpoints. Where the address refuses, a request costs nothing and finds an engine that is back at once.

Before: generation_all_engines_ended_refused_at_once_until_one_starts and generation_sent_while_only_engine_is_probed_told_before_its_deadline failed, both with 504 after 20 s.

--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -37,6 +37,10 @@
 /// next endpoint.
 pub(crate) async fn report(call: &Call, endpoint: EndpointEntry, ran_for: Duration) {
     let gateway = &call.gateway;
+    // An endpoint that ended before it read the request did not end under it.
+    if gateway.presence_probes.is_unanswered(&endpoint.id) {
+        return;
+    }
     let fingerprint = call.fingerprint();
     let aborted = AbortedRequest {
         gateway: gateway.clone(),
@@ -111,7 +115,8 @@
             });
         }
         if presence == Presence::Ended {
-            self.gateway.record_ended(&self.endpoint);
+            self.gateway
+                .record_ended(&self.endpoint, result.is_unanswered);
             self.gateway
                 .record_crash(self.fingerprint, &self.endpoint, self.ran_for);
         }
--- a/src/gateway/endpoint_cooldowns.rs
+++ b/src/gateway/endpoint_cooldowns.rs
@@ -6,6 +6,7 @@
 
 use rand::RngExt;
 
+use super::endpoint_presence::RECHECK_INTERVAL;
 use super::inbound_call::Call;
 use super::node::Gateway;
 use super::site_store::Subject;
@@ -57,6 +58,9 @@
 /// Returns when an endpoint of the service becomes available, as far as cooldowns and rate limits
 /// go. `is_excluded` selects the endpoints that the call must not use.
 ///
+/// If all endpoints have ended and would never answer, none is available until they are probed
+/// again.
+///
 /// If all endpoints have left during an outage of the endpoint list, new ones become known only
 /// after the outage.
 pub(super) fn service_availability(
@@ -67,6 +71,7 @@
     let gateway = &call.gateway;
     let now = gateway.now();
     let unavailable = gateway.unavailable_endpoints();
+    let unanswered = gateway.presence_probes.unanswered_endpoints();
     let (no_endpoint_ready, eligible) = {
         let fleet = gateway.fleet.lock();
         let no_endpoint_ready = fleet.ready_endpoints(&call.service).next().is_none();
@@ -74,12 +79,20 @@
         let eligible: Vec<String> = eligible.map(|endpoint| endpoint.id.clone()).collect();
         (no_endpoint_ready, eligible)
     };
+    let (unanswered, eligible): (Vec<String>, Vec<String>) = eligible
+        .into_iter()
+        .partition(|endpoint| unanswered.contains(endpoint));
     if eligible
         .iter()
         .any(|endpoint| !unavailable.contains(endpoint))
     {
         return ServiceAvailability::Available;
     }
+    if eligible.is_empty() && !unanswered.is_empty() {
+        // Nothing is known of their replacements, so nothing is waited for.
+        let until = now + RECHECK_INTERVAL;
+        return ServiceAvailability::Unavailable { until };
+    }
     if no_endpoint_ready && gateway.store.is_store_unavailable(Subject::Endpoints) {
         let until = now + LIST_OUTAGE_RETRY_AFTER;
         return ServiceAvailability::Unavailable { until };
--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -1,7 +1,7 @@
 //! Which endpoints that aborted requests have ended.
 
 use std::collections::hash_map::Entry;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 
 /// Interval at which an endpoint that has ended and is still listed is probed again. It is shorter
 /// than the time for which the owner avoids the endpoint after each report.
-const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
+pub(super) const RECHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// How long the result of a probe is kept.
 const RESULT_TTL: Duration = Duration::from_secs(4);
 /// How long the connection of a probe that is still open at its result is watched further. A
@@ -40,11 +40,30 @@
 pub(crate) struct PresenceProbes {
     by_endpoint: Mutex<HashMap<String, Arc<PresenceProbe>>>,
     /// Endpoints found to have ended, until they are no longer listed or found to run after all.
-    ended: Mutex<BTreeSet<String>>,
+    ended: Mutex<BTreeMap<String, EndedAddress>>,
     /// Number of aborted requests without a result, by fingerprint; none is zero.
     pending: Mutex<HashMap<RequestFingerprint, u32>>,
 }
 
+/// What becomes of a connection to an endpoint that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndedAddress {
+    /// It is refused, or another endpoint answers: a request that goes there is known not to run.
+    Refuses,
+    /// It is accepted and nobody answers: a request that goes there waits for its deadline.
+    Unanswered,
+}
+
+impl EndedAddress {
+    const fn new(is_unanswered: bool) -> Self {
+        if is_unanswered {
+            Self::Unanswered
+        } else {
+            Self::Refuses
+        }
+    }
+}
+
 impl PresenceProbes {
     /// Returns the latest probe of an endpoint if it has no result yet or began at `aborted_at` or
     /// later. Else begins a new one.
@@ -88,13 +107,27 @@
 
     /// Returns the endpoints that are being probed or have ended.
     fn avoided_endpoints(&self) -> BTreeSet<String> {
-        let mut avoided = self.ended.lock().clone();
+        let mut avoided: BTreeSet<String> = self.ended.lock().keys().cloned().collect();
         let probes = self.by_endpoint.lock();
         let pending = probes.iter().filter(|(_, probe)| probe.is_pending());
         avoided.extend(pending.map(|(endpoint, _)| endpoint.clone()));
         avoided
     }
 
+    /// Returns the endpoints that have ended and whose addresses accept requests nevertheless.
+    pub(super) fn unanswered_endpoints(&self) -> BTreeSet<String> {
+        let ended = self.ended.lock();
+        let unanswered = ended
+            .iter()
+            .filter(|(_, address)| **address == EndedAddress::Unanswered);
+        unanswered.map(|(endpoint, _)| endpoint.clone()).collect()
+    }
+
+    /// Returns whether an endpoint has ended and its address accepts requests nevertheless.
+    pub(super) fn is_unanswered(&self, endpoint: &str) -> bool {
+        self.ended.lock().get(endpoint) == Some(&EndedAddress::Unanswered)
+    }
+
     fn latest(&self, endpoint: &EndpointEntry) -> Option<Arc<PresenceProbe>> {
         self.by_endpoint.lock().get(&endpoint.id).cloned()
     }
@@ -187,7 +220,7 @@
     /// Waits until an endpoint is found to have ended; never returns if its latest probe finds
     /// something else.
     pub(super) async fn endpoint_ended(&self, endpoint: &EndpointEntry) {
-        if self.presence_probes.ended.lock().contains(&endpoint.id) {
+        if self.presence_probes.ended.lock().contains_key(&endpoint.id) {
             return;
         }
         if let Some(probe) = self.presence_probes.latest(endpoint)
@@ -200,14 +233,15 @@
 
     /// Records that an endpoint has ended. It is avoided until it is no longer listed, or a later
     /// probe finds that it runs. No caller's request serves as that probe.
-    pub(super) fn record_ended(self: &Arc<Self>, endpoint: &EndpointEntry) {
+    pub(super) fn record_ended(self: &Arc<Self>, endpoint: &EndpointEntry, is_unanswered: bool) {
         self.notify_placement(endpoint);
-        let is_new = self
+        let address = EndedAddress::new(is_unanswered);
+        let before = self
             .presence_probes
             .ended
             .lock()
-            .insert(endpoint.id.clone());
-        if is_new {
+            .insert(endpoint.id.clone(), address);
+        if before.is_none() {
             tokio::spawn(self.clone().recheck(endpoint.clone()));
         }
     }
@@ -229,6 +263,9 @@
             if result.presence == Presence::Ended {
                 self.notify_placement(&endpoint);
             }
+            let address = EndedAddress::new(result.is_unanswered);
+            let mut ended = self.presence_probes.ended.lock();
+            ended.insert(endpoint.id.clone(), address);
         }
         self.presence_probes.ended.lock().remove(&endpoint.id);
     }
@@ -247,14 +284,15 @@
     }
 
     /// Returns the endpoints to which nothing new should be sent from here because they are being
-    /// probed or have ended; none if there would be no other among `candidates`.
+    /// probed or have ended. If there would be no other among `candidates`, returns only those that
+    /// would never answer.
     pub(super) fn avoided_endpoints<'a>(
         &self,
         mut candidates: impl Iterator<Item = &'a EndpointEntry>,
     ) -> BTreeSet<String> {
         let avoided = self.presence_probes.avoided_endpoints();
-        if avoided.is_empty() || candidates.all(|endpoint| avoided.contains(&endpoint.id)) {
-            return BTreeSet::new();
+        if candidates.all(|endpoint| avoided.contains(&endpoint.id)) {
+            return self.presence_probes.unanswered_endpoints();
         }
         avoided
     }
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -96,7 +96,7 @@
         match withheld {
             Withheld::CoolingDown => Self::CoolingDown,
             Withheld::CrashSuspected => Self::CrashSuspected,
-            Withheld::Leaving | Withheld::NoTimeLeft => Self::Unsent {
+            Withheld::Leaving | Withheld::Ended | Withheld::NoTimeLeft => Self::Unsent {
                 reason: withheld.reason().to_owned(),
                 connection_refused: false,
             },
@@ -283,6 +283,10 @@
             return result;
         }
         let engine = run.endpoint.lock().clone();
+        // It was sent while the engine was being probed, and will not be answered.
+        if call.gateway.presence_probes.is_unanswered(&engine.id) {
+            return Err(SendError::MayHaveRun("the engine has ended".to_owned()));
+        }
         if let Some(reason) = stall_detector
             .query_engine(call, &engine, received_events.unwrap_or_default())
             .await
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -160,7 +160,7 @@
         }
         let wait = capacity_wait(call, &attempts);
         if !wait_for_available_engine(call, &attempts, wait).await {
-            reason.push_str("; all engines rest or leave");
+            reason.push_str("; all engines rest, leave or have ended");
             break;
         }
         let wait = capacity_wait(call, &attempts);
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -70,7 +70,9 @@
         match withheld {
             Withheld::CoolingDown => Self::CoolingDown,
             Withheld::CrashSuspected => Self::CrashSuspected,
-            Withheld::Leaving | Withheld::NoTimeLeft => Self::NotRun(withheld.reason().to_owned()),
+            Withheld::Leaving | Withheld::Ended | Withheld::NoTimeLeft => {
+                Self::NotRun(withheld.reason().to_owned())
+            }
         }
     }
 }
--- a/src/gateway/presence_probe.rs
+++ b/src/gateway/presence_probe.rs
@@ -28,6 +28,9 @@
 #[derive(Debug, Clone)]
 pub(super) struct ProbeResult {
     pub(super) presence: Presence,
+    /// Whether the endpoint accepts connections and does not answer, so that a request that is sent
+    /// there waits in vain.
+    pub(super) is_unanswered: bool,
     /// The steps of the probe, for the log.
     pub(super) steps: String,
 }
@@ -37,6 +40,7 @@
     pub(super) fn unknown() -> Self {
         Self {
             presence: Presence::Unknown,
+            is_unanswered: false,
             steps: String::new(),
         }
     }
@@ -54,8 +58,12 @@
         let (step, connection) = probe_once(gateway, endpoint).await;
         let after = gateway.now().saturating_sub(started_at);
         if let Some(presence) = check.record(step, after) {
-            let steps = check.summary();
-            return (ProbeResult { presence, steps }, connection);
+            let result = ProbeResult {
+                presence,
+                is_unanswered: check.is_unanswered(),
+                steps: check.summary(),
+            };
+            return (result, connection);
         }
     }
 }
--- a/src/gateway/send_checks.rs
+++ b/src/gateway/send_checks.rs
@@ -13,6 +13,8 @@
 pub(super) enum Withheld {
     /// The endpoint is leaving.
     Leaving,
+    /// The endpoint has ended, and its address accepts requests that nobody answers.
+    Ended,
     /// The endpoint entered a cooldown.
     CoolingDown,
     /// The request became refused because it crashes endpoints.
@@ -26,6 +28,7 @@
     pub(super) const fn reason(self) -> &'static str {
         match self {
             Self::Leaving => "the endpoint is leaving",
+            Self::Ended => "the endpoint has ended",
             Self::CoolingDown => "the endpoint rests",
             Self::CrashSuspected => "endpoints end under it",
             Self::NoTimeLeft => "no time left",
@@ -45,6 +48,9 @@
     if !gateway.fleet.lock().can_accept_work(&endpoint.id) {
         return Err(Withheld::Leaving);
     }
+    if gateway.presence_probes.is_unanswered(&endpoint.id) {
+        return Err(Withheld::Ended);
+    }
     if gateway.is_cooling_down(&endpoint.id) {
         return Err(Withheld::CoolingDown);
     }
--- a/src/kernel/presence.rs
+++ b/src/kernel/presence.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Returns whether the last connection was accepted and nobody answered on it.
+    #[must_use]
+    pub fn is_unanswered(&self) -> bool {
+        let last = self.steps.last();
+        last.is_some_and(|(step, _)| *step == ProbeStep::Unanswered)
+    }
+
     /// Returns the steps with their times, for the log.
     #[must_use]
     pub fn summary(&self) -> String {
--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -232,3 +232,46 @@
     assert_served(&instances[0], 2, "after").await;
     assert_eq!(placements_on(&instances[0], &crashed[0]), 1);
 }
+
+/// Guards against requests that wait for their deadline at engines that are all known to have
+/// ended, because the sockets of these still accept connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_all_engines_ended_refused_at_once_until_one_starts() {
+    let (site, _engines) = start_site(0, 2).await;
+    site.standin.set_socket_after_crash(FOREVER);
+    let instances = start_instances(&site, 1).await;
+    for number in 0..2 {
+        send_crashing(&instances[0], "/chat/2", &format!("crashing-{number}")).await;
+    }
+    let aborts = wait_for_aborts(&instances[0], 2).await;
+    assert!(
+        aborts.iter().all(|line| line["presence"] == "Ended"),
+        "{aborts:?}"
+    );
+    let refused = send_request(instances[0].generation(2, "refused")).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.retry_after.is_some(), "{refused:?}");
+    for engine in site.standin.crashed_servers() {
+        assert_eq!(placements_on(&instances[0], &engine), 1, "{engine}");
+    }
+    site.start_engine().await;
+    wait_until("a generation is served", async || {
+        let response = send_request(instances[0].generation(2, "after")).await;
+        response.status == 200 && response.is_complete
+    })
+    .await;
+}
+
+/// Guards against a generation that waits for its deadline because it was sent to the only engine
+/// while that was being probed, and against its being taken for what crashed the engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_sent_while_only_engine_is_probed_told_before_its_deadline() {
+    let (site, _engines) = start_site(0, 1).await;
+    site.standin.set_socket_after_crash(FOREVER);
+    let instances = start_instances(&site, 1).await;
+    send_crashing(&instances[0], "/chat/2", "crashing").await;
+    let told = send_request(instances[0].generation(2, "during")).await;
+    assert!([502, 503].contains(&told.status), "{told:?}");
+    wait_for_line(&instances[0], "generation ended", "during").await;
+    assert_eq!(logged(&instances[0], "endpoint broke off").len(), 1);
+}
