Instances that hear only each other do not confirm each other

What callers saw: of five instances without the log, the two that were left never stood down. What the operators had revoked meanwhile would have been served for as long as they were cut off.

Change: heartbeats say how long ago the log confirmed the sender's configuration. Only a reply of a peer with the same one counts, as of when the heartbeat was sent, less that age. The log confirms as of when it was asked.

Ruled out: to count heartbeats that come in, too: how long they were in transit is not known, and each exchange would make the confirmation younger.

Old and new: the field is absent in heartbeats of older instances and reads as 0, as before; they ignore it.

--- a/src/daemon/config_loop.rs
+++ b/src/daemon/config_loop.rs
@@ -44,7 +44,7 @@
     state_machine: ConfigStateMachine,
     /// The most recently applied records, oldest first; the last has offset `next_offset - 1`.
     recent_records: VecDeque<Value>,
-    /// When the log or a live peer last confirmed this state.
+    /// When the log last confirmed this state, to this instance or to a peer that has the same.
     last_contact: Duration,
     last_snapshot: Option<ObservedSnapshot>,
     snapshot_disagreements: u64,
@@ -76,9 +76,15 @@
         self.inner.lock().state_machine.state().next_offset
     }
 
-    /// Returns when the log or a live peer last confirmed this state.
-    pub(crate) fn last_contact(&self) -> Duration {
-        self.inner.lock().last_contact
+    /// Returns the time since the log last confirmed this state, directly or through peers.
+    pub(crate) fn confirmed_ago(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.inner.lock().last_contact)
+    }
+
+    /// Records that the log confirmed this state at `at`.
+    pub(crate) fn record_confirmation(&self, at: Duration) {
+        let mut inner = self.inner.lock();
+        inner.last_contact = inner.last_contact.max(at);
     }
 
     /// Returns the lease in force for `hall`.
@@ -232,6 +238,7 @@
 async fn read_log(node: &Node) -> Result<(), PlatformError> {
     loop {
         let from = node.config.next_offset();
+        let read_at = node.now();
         let mut page = node.platform.log.read(CONFIG_STREAM, from).await?;
         let first_offset = page.first_offset;
         let mut values = std::mem::take(&mut page.records);
@@ -249,7 +256,7 @@
             return Ok(());
         }
         if node.config.next_offset() >= page.head {
-            node.config.inner.lock().last_contact = node.now();
+            node.config.record_confirmation(read_at);
             return Ok(());
         }
     }
@@ -287,11 +294,6 @@
     Ok(())
 }
 
-/// Records that a live peer confirmed this state.
-pub(crate) fn record_peer_confirmation(node: &Node) {
-    node.config.inner.lock().last_contact = node.now();
-}
-
 /// Returns whether this instance is one of the log readers of its hall.
 fn is_log_reader(node: &Node) -> bool {
     let hall = &node.settings.hall;
--- a/src/daemon/member_loop.rs
+++ b/src/daemon/member_loop.rs
@@ -9,6 +9,7 @@
 
 use super::config_loop;
 use super::node::Node;
+use crate::kernel::clock::millis;
 use crate::kernel::gossip::Gossip;
 use crate::kernel::membership::{Incarnation, ListedPeer, PeerStatus};
 use crate::log_service::ListedInstance;
@@ -36,6 +37,7 @@
         suspects: Vec::new(),
         leaving_endpoints: Vec::new(),
         limits: Vec::new(),
+        config_confirmed_ms_ago: millis(node.config.confirmed_ago(node.now())),
         status: Some((&node.own_status()).into()),
         departures,
         gossip: Some(gossip.into()),
@@ -47,10 +49,32 @@
     heartbeat
 }
 
+/// Applies the reply of a peer to a heartbeat that was sent at `sent_at`.
+///
+/// If the peer has the same configuration, the reply confirms it as of when the log last did so for
+/// the peer. A peer that is behind confirms nothing, and neither do the heartbeats that peers send:
+/// how long they were in transit is not known.
+fn handle_reply(
+    node: &Arc<Node>,
+    reply: wire::Beat,
+    sent_at: Duration,
+) -> Result<(), InvalidMessageField> {
+    let confirmed_ago = Duration::from_millis(reply.config_confirmed_ms_ago);
+    let peer_next_offset = reply
+        .status
+        .as_ref()
+        .map(|status| status.config_next_offset);
+    handle_heartbeat(node, reply)?;
+    if peer_next_offset == Some(node.config.next_offset()) {
+        let confirmed_at = sent_at.saturating_sub(confirmed_ago);
+        node.config.record_confirmation(confirmed_at);
+    }
+    Ok(())
+}
+
 /// Applies a heartbeat from a peer and returns the name of that peer.
 ///
-/// If the peer has newer configuration, a task is started that fetches it. Otherwise the heartbeat
-/// confirms the configuration of this instance.
+/// If the peer has newer configuration, a task is started that fetches it.
 pub(crate) fn handle_heartbeat(
     node: &Arc<Node>,
     heartbeat: wire::Beat,
@@ -85,8 +109,6 @@
                 warn!("configuration not taken from peer: {}", status.message());
             }
         });
-    } else {
-        config_loop::record_peer_confirmation(node);
     }
     Ok(name)
 }
@@ -107,12 +129,13 @@
     let Ok(mut client) = node.peers.peer_client(&address) else {
         return;
     };
+    let sent_at = node.now();
     if let Ok(reply) = call_with_timeout(
         HEARTBEAT_TIMEOUT,
         client.heartbeat(build_heartbeat(&node, &to)),
     )
     .await
-        && let Err(error) = handle_heartbeat(&node, reply)
+        && let Err(error) = handle_reply(&node, reply, sent_at)
     {
         warn!("invalid heartbeat reply: {}", error);
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -257,8 +257,7 @@
     pub(crate) fn is_standing_down(&self) -> bool {
         const STAND_DOWN_MIN_PEERS: usize = 3;
         let now = self.now();
-        let since_contact = now.saturating_sub(self.config.last_contact());
-        if since_contact < ms(self.settings.times.stand_down_ms) {
+        if self.config.confirmed_ago(now) < ms(self.settings.times.stand_down_ms) {
             return false;
         }
         let members = self.members.lock();
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -60,6 +60,8 @@
         suspects: gateway.suspect_updates(),
         leaving_endpoints,
         limits: gateway.limit_updates(first),
+        // Peers here take the configuration with its age, through the shared store.
+        config_confirmed_ms_ago: 0,
     }
 }
 
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -77,6 +77,9 @@
     /// Limits that endpoints began or ceased to name; a few at most.
     #[prost(message, repeated, tag = "7")]
     pub limits: ::prost::alloc::vec::Vec<EndpointLimit>,
+    /// Since the log last confirmed the sender's configuration, to it or to a member that told it.
+    #[prost(uint64, tag = "8")]
+    pub config_confirmed_ms_ago: u64,
 }
 /// What an endpoint takes from all instances together.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
--- a/tests/promise_config.rs
+++ b/tests/promise_config.rs
@@ -257,3 +257,35 @@
         "{shown:?}"
     );
 }
+
+/// Guards against instances that are cut off together and take each other's word for the
+/// configuration that both have, so that they serve what was revoked for as long as they are cut
+/// off.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_of_five_instances_left_without_log_new_work_refused() {
+    let site = Site::new();
+    let engine = site.start_engine("e1", &json!({"step_us": 1000}));
+    assert!(
+        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
+            .status
+            .success()
+    );
+    let mut instances: Vec<Process> = (0..5)
+        .map(|number| site.start_instance(&format!("i{number}"), "h"))
+        .collect();
+    for instance in &instances {
+        wait_for_peers(instance, 4).await;
+        wait_until_serving(instance).await;
+    }
+    site.platform.signal(nix::sys::signal::Signal::SIGSTOP);
+    for instance in &mut instances[2..] {
+        instance.kill();
+    }
+    for instance in &instances[..2] {
+        wait_until("new work is refused", || async {
+            let refused = complete(&instance.address("caller"), &json!({"max_tokens": 2})).await;
+            refused.status == 503
+        })
+        .await;
+    }
+}
