Of two accounts with one key the first keeps it

Cause: the index by key took the last account that was inserted.

Change: the account that was changed first keeps the key. The tool refuses to check or publish a second account with the key of another.

Ruled out: to reject the record where the log is applied. All instances have to decide alike, and older ones accept it.

--- a/src/kernel/rules.rs
+++ b/src/kernel/rules.rs
@@ -1,8 +1,9 @@
 //! Evaluates the published rules: which endpoints may serve a request, and at what priority.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 
-use super::config::ConfigState;
+use super::config::{ConfigState, Versioned};
 use super::label::Labels;
 use super::object::{
     ClientAccount, Endpoint, EndpointRole, Model, Object, ObjectKey, ObjectKind, Rule,
@@ -27,6 +28,13 @@
     pub priority: i32,
 }
 
+/// A client account with the revision of its last change.
+#[derive(Debug, Clone)]
+struct PublishedAccount {
+    revision: u64,
+    account: ClientAccount,
+}
+
 /// Index over the published objects for routing. Rebuilt after each configuration change.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
@@ -34,7 +42,9 @@
     pub endpoints: Vec<Endpoint>,
     /// Labels of `endpoints`, including the implied ones, at the same indices.
     endpoint_labels: Vec<Labels>,
-    accounts_by_key: HashMap<String, ClientAccount>,
+    /// By the lower-case hash of their key. Of several accounts with one key, the one that was
+    /// changed first keeps it: a later one would otherwise get the requests of its callers.
+    accounts_by_key: HashMap<String, PublishedAccount>,
     models: HashMap<String, Model>,
     rules: Vec<Rule>,
 }
@@ -45,13 +55,13 @@
     pub fn new(state: &ConfigState) -> Self {
         let mut catalog = Self::default();
         for versioned in state.objects.values() {
-            catalog.insert(state, &versioned.object);
+            catalog.insert(state, versioned);
         }
         catalog
     }
 
-    fn insert(&mut self, state: &ConfigState, object: &Object) {
-        match object {
+    fn insert(&mut self, state: &ConfigState, versioned: &Versioned) {
+        match &versioned.object {
             Object::Hall(_) => {}
             Object::Endpoint(endpoint) => {
                 self.endpoint_labels.push(endpoint_labels(state, endpoint));
@@ -61,25 +71,42 @@
                 self.models.insert(model.name.clone(), model.clone());
             }
             Object::ClientAccount(account) => {
-                let key = account.key_blake3.to_ascii_lowercase();
-                self.accounts_by_key.insert(key, account.clone());
+                let published = PublishedAccount {
+                    revision: versioned.revision,
+                    account: account.clone(),
+                };
+                self.insert_account(published);
             }
             Object::Rule(rule) => self.rules.push(rule.clone()),
         }
     }
 
+    fn insert_account(&mut self, published: PublishedAccount) {
+        let key = published.account.key_blake3.to_ascii_lowercase();
+        match self.accounts_by_key.entry(key) {
+            Entry::Vacant(vacant) => {
+                vacant.insert(published);
+            }
+            Entry::Occupied(mut holder) if published.revision < holder.get().revision => {
+                holder.insert(published);
+            }
+            Entry::Occupied(_) => {}
+        }
+    }
+
     /// Returns the client account of a bearer key.
     ///
     /// # Errors
     /// Returns `Unauthorized` if no account has the key.
     pub fn account_for_key(&self, bearer_key: &str) -> Result<&ClientAccount> {
         let hash = blake3::hash(bearer_key.as_bytes()).to_hex();
-        self.accounts_by_key.get(hash.as_str()).ok_or_else(|| {
+        let published = self.accounts_by_key.get(hash.as_str()).ok_or_else(|| {
             Error::new(
                 ErrorKind::Unauthorized,
                 "bearer key belongs to no client account",
             )
-        })
+        })?;
+        Ok(&published.account)
     }
 
     /// Returns the model of a name.
--- a/src/tool/check.rs
+++ b/src/tool/check.rs
@@ -1,5 +1,6 @@
 //! Reads and validates files of configuration objects.
 
+use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 
 use schemars::JsonSchema;
@@ -50,9 +51,37 @@
     for object in &parsed.objects {
         validate_object(object).map_err(|invalid| locate_error(file, text, object, &invalid))?;
     }
+    if let Some((object, invalid)) = find_shared_key(&parsed.objects) {
+        return Err(locate_error(file, text, object, &invalid));
+    }
     Ok(parsed.objects)
 }
 
+/// Returns the first client account whose key an earlier one of another name has.
+pub(crate) fn find_shared_key<'a>(
+    objects: impl IntoIterator<Item = &'a Object>,
+) -> Option<(&'a Object, InvalidField)> {
+    let mut names_by_key: HashMap<String, &str> = HashMap::new();
+    for object in objects {
+        let Object::ClientAccount(account) = object else {
+            continue;
+        };
+        let key = account.key_blake3.to_ascii_lowercase();
+        let holder = *names_by_key.entry(key).or_insert(&account.name);
+        if holder != account.name {
+            let invalid = InvalidField {
+                object: object.key().to_string(),
+                field: "key_blake3".to_owned(),
+                allowed: format!(
+                    "a key that no other account has; client_account/{holder} has this one"
+                ),
+            };
+            return Some((object, invalid));
+        }
+    }
+    None
+}
+
 fn validate_object(object: &Object) -> Result<(), InvalidField> {
     object.validate()?;
     let Object::Endpoint(endpoint_object) = object else {
--- a/src/tool/publish.rs
+++ b/src/tool/publish.rs
@@ -7,11 +7,12 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 
+use super::check::find_shared_key;
 use super::config::{LOG_POLL_INTERVAL, catch_up, read_config};
 use crate::kernel::config::{
     Change, ChangeAction, ConfigState, ConfigStateMachine, Publish, Record, Verdict,
 };
-use crate::kernel::object::{Object, ObjectKey};
+use crate::kernel::object::{InvalidField, Object, ObjectKey, ObjectKind};
 use crate::log_service::{CONFIG_STREAM, Platform, PlatformError};
 
 const APPEND_ATTEMPTS_MAX: u32 = 5;
@@ -46,7 +47,8 @@
     },
     /// All changes were in force already; no record was appended.
     NothingToChange,
-    /// The record was appended and rejected; the changes are not in force.
+    /// The record was rejected, or not appended because it would give one key to two accounts; the
+    /// changes are not in force.
     Rejected {
         /// Id of the publish.
         publish_id: Uuid,
@@ -86,6 +88,28 @@
     puts.chain(deletes).collect()
 }
 
+/// Returns the account to publish whose key an account in force has, or another one of the request.
+///
+/// Checked here and not by the log's readers: these have to decide alike, also while some of them
+/// are older.
+fn shared_key(state: &ConfigState, request: &PublishRequest) -> Option<InvalidField> {
+    let is_replaced = |key: &ObjectKey| {
+        let mut published = request.objects.iter();
+        published.any(|object| object.key() == *key) || request.deletes.contains(key)
+    };
+    let mut accounts = request.objects.iter().map(Object::key);
+    if !accounts.any(|key| key.kind == ObjectKind::ClientAccount) {
+        return None;
+    }
+    let kept = state
+        .objects
+        .iter()
+        .filter(|(key, _)| !is_replaced(key))
+        .map(|(_, versioned)| &versioned.object);
+    let (_, invalid) = find_shared_key(kept.chain(&request.objects))?;
+    Some(invalid)
+}
+
 /// Publishes the request and waits for the verdict.
 pub async fn publish(platform: &Platform, request: &PublishRequest) -> PublishOutcome {
     let config = match read_config(platform).await {
@@ -104,6 +128,12 @@
     if changes.is_empty() {
         return PublishOutcome::NothingToChange;
     }
+    if let Some(invalid) = shared_key(config.state(), request) {
+        return PublishOutcome::Rejected {
+            publish_id,
+            verdict: Verdict::Invalid(invalid),
+        };
+    }
     let record = Record::Publish(Publish {
         publish_id,
         base_offset: config.state().next_offset,
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -60,6 +60,8 @@
 mod rollout;
 #[path = "kernel/routes.rs"]
 mod routes;
+#[path = "kernel/rules.rs"]
+mod rules;
 #[path = "kernel/store_contact.rs"]
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
