The summary of logs says which generations it did not follow

Change: a line with their number, if there are any.

Before: summary_generations_above_the_tracked_maximum_reported failed.

--- a/src/tool/logs.rs
+++ b/src/tool/logs.rs
@@ -112,6 +112,8 @@
     uncounted_requests: u64,
     /// Ids of generations that were placed and have not ended.
     open_generations: HashSet<String>,
+    /// Generations that were placed while [`OPEN_GENERATIONS_MAX`] others were open.
+    unfollowed_generations: u64,
     /// Lines that the instances themselves dropped and reported as dropped.
     dropped_lines: u64,
 }
@@ -142,10 +144,7 @@
                 self.add_outcome(line, line.field("outcome"), line.field("why"));
             }
             "call refused" => self.add_outcome(line, line.field("kind"), line.field("why")),
-            "generation placed" if self.open_generations.len() < OPEN_GENERATIONS_MAX => {
-                self.open_generations
-                    .insert(line.field("request_id").to_owned());
-            }
+            "generation placed" => self.open_generation(line.field("request_id")),
             "log lines left out" => {
                 self.dropped_lines += line.field("left_out").parse().unwrap_or(1);
             }
@@ -153,6 +152,17 @@
         }
     }
 
+    fn open_generation(&mut self, request_id: &str) {
+        if self.open_generations.contains(request_id) {
+            return;
+        }
+        if self.open_generations.len() >= OPEN_GENERATIONS_MAX {
+            self.unfollowed_generations += 1;
+            return;
+        }
+        self.open_generations.insert(request_id.to_owned());
+    }
+
     fn add_outcome(&mut self, line: &LogLine, outcome: &str, reason: &str) {
         let key = OutcomeKey {
             route: line.field("route").to_owned(),
@@ -224,6 +234,13 @@
             "{:>8}  generations without an end",
             self.open_generations()
         )?;
+        if self.unfollowed_generations > 0 {
+            let generations = self.unfollowed_generations;
+            writeln!(
+                out,
+                "{generations:>8}  further generations not followed to their end"
+            )?;
+        }
         if self.dropped_lines > 0 {
             let lines = self.dropped_lines;
             writeln!(
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -89,6 +89,22 @@
     assert_eq!(summary.open_generations(), 1);
 }
 
+/// Guards against a number of unfinished generations that is too low without a word about it.
+#[test]
+fn summary_generations_above_the_tracked_maximum_reported() {
+    let placed = |number| log_line(1, "generation placed", &json!({"request_id": number}));
+    let lines: Vec<String> = (0..200_002)
+        .map(|number| placed(number.to_string()))
+        .collect();
+    let summary = summarize(&lines);
+    assert_eq!(summary.open_generations(), 200_000);
+    let text = summary.to_string();
+    assert!(
+        text.contains("2  further generations not followed"),
+        "{text}"
+    );
+}
+
 #[test]
 fn summary_lines_dropped_by_instance_reported() {
     let dropped = log_line(
