The comparison of policies ends where its configuration is not in force

Change: it ends with the outcome. Without a test: no run was found that has its configuration rejected.

--- a/src/tool/load/compare.rs
+++ b/src/tool/load/compare.rs
@@ -21,7 +21,7 @@
 use crate::standin::engine_core::EngineSpec;
 use crate::standin::platform::PlatformCore;
 use crate::tool::check::parse_objects;
-use crate::tool::publish::{PublishRequest, publish};
+use crate::tool::publish::{PublishOutcome, PublishRequest, publish};
 use crate::{App, any_loopback_port};
 
 /// What to compare.
@@ -219,7 +219,11 @@
         publish_id: None,
         wait: Duration::from_secs(5),
     };
-    publish(&platform, &request).await;
+    let outcome = publish(&platform, &request).await;
+    anyhow::ensure!(
+        matches!(outcome, PublishOutcome::Accepted { .. }),
+        "the configuration is not in force: {outcome:?}"
+    );
     let mut apps = Vec::new();
     for index in 0..options.entries {
         apps.push(
