The result of a roll-out is written again where the store lost it

What operators saw: a store that came back from a copy without the result of a roll-out said `running` for ever. An instance that started later would have taken the roll-out up again, with the version that had been found bad (by reading).

Cause: an instance writes a state if it is not the one that it knows to be recorded, and what had been recorded before the store's return still counted.

Change: whoever reads the first list of a new era compares the results that it knows with it, and the owner of the service writes what is missing, under the same condition as ever.

Ruled out: to forget recorded states with the era. The version would be tried again until the list is read.

Before: rollout_store_restored_without_the_result_written_again waited a minute in vain.

Beside it a test that passed at once: all instances killed three times in the middle of a bad version's roll-out, within the limit.

--- a/src/gateway/rollout_reports.rs
+++ b/src/gateway/rollout_reports.rs
@@ -87,6 +87,23 @@
         for due in gateway.rollouts.take_due_reports() {
             report(&gateway, &due).await;
         }
+        rewrite_lost_results(&gateway).await;
+    }
+}
+
+/// Writes the results that a restored store lacks, as the owner of their services. An instance that
+/// starts would otherwise take these roll-outs up again.
+async fn rewrite_lost_results(gateway: &Gateway) {
+    let lost = gateway.rollouts.statuses.lock().lost();
+    if lost.is_empty() {
+        return;
+    }
+    let live = gateway.live_members.view();
+    for status in lost {
+        let owner = live.owner_and_successor(&status.service).into_iter().next();
+        if owner.is_some_and(|owner| owner.name == gateway.incarnation.name) {
+            write_status(gateway, status).await;
+        }
     }
 }
 
@@ -184,12 +201,19 @@
         state,
         started_at_unix,
     };
+    write_status(gateway, status).await;
+}
+
+/// Records a state in the store, unless something was written since this instance read it last.
+async fn write_status(gateway: &Gateway, status: RolloutStatus) {
     let at = gateway.store.known_to(Subject::Members);
     match gateway.store.write_rollout_status(&status, at).await {
         Ok(true) => gateway.rollouts.apply_status(status, gateway.now()),
         // Another instance may have written it. Its record is read first.
         Ok(false) => {}
-        Err(error) => warn!("roll-out status not written", kv: { service, why: = error }),
+        Err(error) => warn!("roll-out status not written", kv: {
+            service = status.service.as_str(), why: = error,
+        }),
     }
 }
 
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -17,6 +17,7 @@
 
 use super::inbound_call::Call;
 use super::node::Gateway;
+use super::rollout_statuses::RolloutStatuses;
 use crate::kernel::clock::millis;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::membership::rendezvous_weight;
@@ -67,8 +68,7 @@
 pub(crate) struct Rollouts {
     services: Mutex<BTreeMap<String, ServiceRollout>>,
     orders: Mutex<RolloutOrders>,
-    /// Statuses recorded in the store, by service; they may be read before the order.
-    recorded: Mutex<BTreeMap<String, RolloutStatus>>,
+    pub(super) statuses: Mutex<RolloutStatuses>,
     /// Incremented whenever engines may have to be used differently.
     version: AtomicU64,
 }
@@ -269,7 +269,7 @@
                 info!("roll-out order withdrawn or replaced", kv: { service = service.as_str(),
                     target_version = rollout.order.target_version.as_str() });
                 // A later order for the same version is compared anew.
-                self.recorded.lock().remove(service);
+                self.statuses.lock().forget(service);
             }
             is_same
         });
@@ -278,7 +278,7 @@
                 info!("roll-out ordered", kv: { service = service.as_str(),
                     target_version = order.target_version.as_str(),
                     finish_within_ms: = millis(order.finish_within) });
-                let recorded = self.recorded.lock().get(&service).cloned();
+                let recorded = self.statuses.lock().get(&service).cloned();
                 services.insert(service, ServiceRollout::new(order, recorded, now));
                 continue;
             };
@@ -296,9 +296,7 @@
     pub(crate) fn apply_status(&self, status: RolloutStatus, now: Duration) {
         info!("roll-out status", kv: { service = status.service.as_str(),
             target_version = status.target_version.as_str(), state:? = status.state });
-        self.recorded
-            .lock()
-            .insert(status.service.clone(), status.clone());
+        self.statuses.lock().record(&status);
         let mut services = self.services.lock();
         if let Some(rollout) = services.get_mut(&status.service) {
             rollout.apply_status(status, now);
--- a/src/gateway/store_follower.rs
+++ b/src/gateway/store_follower.rs
@@ -16,6 +16,7 @@
 use crate::kernel::fleet::{FleetChange, ListUpdate};
 use crate::kernel::membership::{Incarnation, ListedPeer, PeerStatus};
 use crate::kernel::position::Position;
+use crate::kernel::rollout::RolloutStatus;
 
 /// Initial pause after a failed call.
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(100);
@@ -204,7 +205,7 @@
     log_fleet_changes(&changes);
 }
 
-/// Triggers rewriting of this instance's own records that are missing after the store was restored
+/// Triggers rewriting of records of this instance, and of results of roll-outs, that are missing after the store was restored
 /// from an older copy. Does nothing within an era: no record is lost then, and a list may be older
 /// than the last write.
 fn rewrite_missing_own_records(gateway: &Gateway, page: &SitePage) {
@@ -214,6 +215,12 @@
         return;
     }
     let records = &page.records;
+    let statuses = records.iter().filter_map(|record| match record {
+        SiteRecord::RolloutStatus(status) => Some(status),
+        _ => None,
+    });
+    let statuses: Vec<&RolloutStatus> = statuses.collect();
+    gateway.rollouts.statuses.lock().sync_stored(&statuses);
     let own = &gateway.incarnation;
     let is_own = |record: &SiteRecord| match record {
         SiteRecord::Member(entry) => entry.name == own.name && entry.incarnation == own.id,
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -111,6 +111,71 @@
     assert_eq!(requests(&new), before);
 }
 
+/// All instances are lost while the versions are compared, three times, and with them all evidence
+/// and all counts. The bad version stays within the limit, and the roll-out has one result.
+#[tokio::test(flavor = "multi_thread")]
+async fn rollout_all_instances_killed_in_the_middle_failing_version_reverted() {
+    let site = RoutedSite::start(3).await;
+    let new = start_version(&site, "v2", 3).await;
+    for server in &new {
+        server.set_fault(ServerFault::InternalError);
+    }
+    site.standin.order_rollout("app", "v2", 30.0);
+    let mut sent = 0;
+    for round in 1..=3 {
+        let first = site.start_instance(&format!("first-{round}")).await;
+        let second = site.start_instance(&format!("second-{round}")).await;
+        let before = requests(&new);
+        wait_until("compared", async || {
+            for instance in [&first, &second] {
+                instance.call("/calls/a", &format!("call-{sent}")).await;
+                sent += 1;
+            }
+            requests(&new) > before
+        })
+        .await;
+    }
+    let first = site.start_instance("first").await;
+    let second = site.start_instance("second").await;
+    sent += call_until_final(&site.standin, &[&first, &second]).await;
+    assert_eq!(site.standin.rollout_states("app"), ["running", "reverted"]);
+    let exposed = requests(&new);
+    assert!(exposed <= sent / 10 + 50, "{exposed} of {sent}");
+}
+
+/// Guards against an operator who is told for ever that a roll-out runs, and instances that start
+/// and take it up again, because the store was restored from a copy without its result.
+#[tokio::test(flavor = "multi_thread")]
+async fn rollout_store_restored_without_the_result_written_again() {
+    let site = RoutedSite::start(3).await;
+    let new = start_version(&site, "v2", 3).await;
+    for server in &new {
+        server.set_fault(ServerFault::InternalError);
+    }
+    site.standin.order_rollout("app", "v2", 30.0);
+    let first = site.start_instance("n1").await;
+    let second = site.start_instance_with_peers("n2", &[&first]);
+    second.wait_until_ready().await;
+    wait_until("running", async || {
+        site.standin.rollout_states("app") == ["running"]
+    })
+    .await;
+    let copy = site.standin.store.snapshot();
+    call_until_final(&site.standin, &[&first, &second]).await;
+    let _ = site.standin.store.restore(copy);
+    wait_until("the result is written again", async || {
+        site.standin.rollout_states("app") == ["running", "reverted"]
+    })
+    .await;
+    let before = requests(&new);
+    let third = site.start_instance("n3").await;
+    for number in 0..CALLS_PER_ROUND {
+        let response = third.call("/calls/a", &format!("after-{number}")).await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    assert_eq!(requests(&new), before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn rollout_without_endpoints_of_the_version_reverted_and_calls_served() {
     let site = RoutedSite::start(2).await;
