--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -17,8 +17,8 @@
 use super::moves;
 use super::node::Gateway;
 use super::ownership::{acts_as_owner, owner_address, reachable_owner_address, record_owner_call};
-use super::rollouts::{self, RolloutView};
 use super::runs::UnavailableEngines;
+use super::version_choice::{self, RolloutView};
 use crate::kernel::admission_queue::{Admission, AdmissionRequest};
 use crate::kernel::clock::millis;
 use crate::kernel::cold_start::Sender;
@@ -258,7 +258,7 @@
                 .partition(|entry| view.version_of(entry) == Version::Target);
             let target = target.iter().map(|entry| entry.id.as_str()).collect();
             let count = gateway.canary_endpoint_count(current.len());
-            rollouts::canary_endpoints(&view.target_version, target, count)
+            version_choice::canary_endpoints(&view.target_version, target, count)
         });
         Self { view, canaries }
     }
--- a/src/gateway/endpoint_selection.rs
+++ b/src/gateway/endpoint_selection.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 
 use super::inbound_call::Call;
-use super::rollouts;
+use super::version_choice;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::response_time::ResponseTimeEstimate;
 
@@ -31,7 +31,7 @@
             .cloned()
             .collect()
     };
-    let mut candidates = rollouts::usable_endpoints(call, candidates, !tried.is_empty());
+    let mut candidates = version_choice::usable_endpoints(call, candidates, !tried.is_empty());
     let avoided = gateway.avoided_endpoints(candidates.iter());
     candidates.retain(|entry| !avoided.contains(&entry.id));
     let cold = cold_start_shares(call, &candidates, now);
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -8,7 +8,7 @@
 
 use super::message_heads::CallHead;
 use super::node::{Gateway, InFlightGuard};
-use super::rollouts::VersionChoice;
+use super::version_choice::VersionChoice;
 use crate::kernel::byte_budget::HeldBytes;
 use crate::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
 use crate::kernel::fleet::{EndpointEntry, Fleet};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 //! | `engine_reports` | polls engines for whether they drain while the endpoint list is not updated |
 //! | `ownership` | which instance owns the engines of a service |
 //! | `ledgers`, `coordinator` | placement and moves of generations, by the owner, or by this instance alone if it cannot reach the owner |
-//! | `rollouts`, `rollout_reports`, `rollout_statuses` | which version a request goes to during a roll-out; the reports to the owner and its decisions; what the store has recorded |
+//! | `rollouts`, `rollout_reports`, `rollout_statuses`, `version_choice` | orders of roll-outs, the reports to the owner and its decisions, what the store has recorded, and which version a request goes to |
 //! | `run_reports` | reports the generations served here to the owners of their services |
 
 pub(crate) mod aborted_requests;
@@ -86,4 +86,5 @@
 pub(crate) mod suspend_aware_waits;
 pub(crate) mod takeover;
 pub(crate) mod upstream;
+pub(crate) mod version_choice;
 pub(crate) mod work_counters;
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -1,5 +1,5 @@
-//! Roll-outs at one instance: which version a request goes to, the reports of what was sent and how
-//! it ended, and the decisions of the owner.
+//! Roll-outs at one instance: the orders and directives that are known here, and what was sent to
+//! both versions and how it ended.
 //!
 //! Each instance draws the version of its own requests with the share that the owner directs, and
 //! sends nothing to the new version while it hears from no owner. The owner of the service decides;
@@ -11,19 +11,18 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use rand::RngExt;
 use serde::Serialize;
 use spdlog::info;
 
 use super::inbound_call::Call;
 use super::node::Gateway;
 use super::rollout_statuses::RolloutStatuses;
+use super::version_choice::{RolloutView, VersionChoice, canary_endpoint_count};
 use crate::kernel::clock::millis;
 use crate::kernel::fleet::EndpointEntry;
-use crate::kernel::membership::rendezvous_weight;
 use crate::kernel::rollout::{
     CanaryLimits, Phase, RequestCounts, RolloutController, RolloutOrder, RolloutState,
-    RolloutStatus, draw_version,
+    RolloutStatus,
 };
 use crate::kernel::rollout_evidence::{RolloutOutcome, Score, Version};
 use crate::kernel::rollout_orders::{RolloutOrderChange, RolloutOrders};
@@ -73,46 +72,6 @@
     version: AtomicU64,
 }
 
-/// A roll-out as it affects requests.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct RolloutView {
-    pub(crate) target_version: String,
-    pub(crate) phase: Phase,
-}
-
-impl RolloutView {
-    pub(crate) fn version_of(&self, entry: &EndpointEntry) -> Version {
-        if entry.software == self.target_version {
-            Version::Target
-        } else {
-            Version::Current
-        }
-    }
-}
-
-/// The version that was drawn for a call.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct VersionChoice {
-    view: RolloutView,
-    version: Version,
-}
-
-impl VersionChoice {
-    /// Returns the version on which the next attempt runs. A call that an endpoint of the new
-    /// version has failed is repeated on the current one.
-    pub(crate) fn version(&self, is_retry: bool) -> Version {
-        match self.view.phase {
-            Phase::Canary { .. } if is_retry => Version::Current,
-            _ => self.version,
-        }
-    }
-
-    /// Returns whether the next attempt may use an endpoint.
-    pub(crate) fn allows(&self, entry: &EndpointEntry, is_retry: bool) -> bool {
-        self.view.version_of(entry) == self.version(is_retry)
-    }
-}
-
 /// A roll-out in the state dump.
 #[derive(Debug, Serialize)]
 pub(crate) struct RolloutDump {
@@ -316,9 +275,7 @@
 
     /// Draws the version for a call; `None` if the service is not rolled out.
     pub(crate) fn draw(&self, service: &str, now: Duration) -> Option<VersionChoice> {
-        let view = self.view(service, now)?;
-        let version = draw_version(view.phase, rand::rng().random_range(0.0..1.0));
-        Some(VersionChoice { view, version })
+        Some(VersionChoice::draw(self.view(service, now)?))
     }
 
     /// Takes the reports of all roll-outs that are not over.
@@ -446,55 +403,3 @@
         }
     }
 }
-
-/// Returns the endpoints that the next attempt of a call may use, of those that accept work.
-pub(crate) fn usable_endpoints(
-    call: &Call,
-    ready: Vec<EndpointEntry>,
-    is_retry: bool,
-) -> Vec<EndpointEntry> {
-    let Some(choice) = &call.version_choice else {
-        return ready;
-    };
-    let (mut allowed, others): (Vec<_>, Vec<_>) = ready
-        .into_iter()
-        .partition(|entry| choice.allows(entry, is_retry));
-    let version = choice.version(is_retry);
-    match choice.view.phase {
-        Phase::Canary { .. } if version == Version::Target => {
-            let count = call.gateway.canary_endpoint_count(others.len());
-            let ids = allowed.iter().map(|entry| entry.id.as_str()).collect();
-            let chosen = canary_endpoints(&choice.view.target_version, ids, count);
-            allowed.retain(|entry| chosen.contains(&entry.id));
-            if allowed.is_empty() { others } else { allowed }
-        }
-        Phase::Finishing | Phase::Completed if allowed.is_empty() => others,
-        _ => allowed,
-    }
-}
-
-/// Returns how many endpoints of the new version share the requests of the canary phase, so that
-/// each gets about as many as one of the current version: a version may be bad only under load.
-fn canary_endpoint_count(share: f64, current_endpoints: usize) -> usize {
-    let current = u32::try_from(current_endpoints).unwrap_or(u32::MAX);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a share of a number that fits"
-    )]
-    let count = (share * f64::from(current)).round() as usize;
-    count.max(1)
-}
-
-/// Returns the endpoints of the new version that are used in the canary phase; the same ones at all
-/// instances.
-pub(crate) fn canary_endpoints(
-    target_version: &str,
-    mut target_endpoints: Vec<&str>,
-    count: usize,
-) -> Vec<String> {
-    target_endpoints
-        .sort_unstable_by_key(|id| std::cmp::Reverse(rendezvous_weight(target_version, id)));
-    target_endpoints.truncate(count);
-    target_endpoints.into_iter().map(str::to_owned).collect()
-}
