Publishing checks only the keys of the accounts that it adds

Read once more: where two accounts with one key are in force already, from before the check, every further publish of an account would have been refused.

Change: an account that is published is compared with those in force and with those beside it, these not with each other. The test of the tool publishes a second account with one key (exit code 2), another key for the first, and the second again.

--- a/src/tool/check.rs
+++ b/src/tool/check.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 use crate::endpoint;
-use crate::kernel::object::{InvalidField, Object};
+use crate::kernel::object::{ClientAccount, InvalidField, Object};
 use crate::settings::{FileError, Settings, line_of_field, parse_jsonc};
 
 /// The contents of an object file.
@@ -51,22 +51,27 @@
     for object in &parsed.objects {
         validate_object(object).map_err(|invalid| locate_error(file, text, object, &invalid))?;
     }
-    if let Some((object, invalid)) = find_shared_key(&parsed.objects) {
+    if let Some((object, invalid)) = find_shared_key(std::iter::empty(), &parsed.objects) {
         return Err(locate_error(file, text, object, &invalid));
     }
     Ok(parsed.objects)
 }
 
-/// Returns the first client account whose key an earlier one of another name has.
+/// Returns the first added client account whose key one of another name has: an account in force or
+/// one that was added before it.
 pub(crate) fn find_shared_key<'a>(
-    objects: impl IntoIterator<Item = &'a Object>,
+    in_force: impl Iterator<Item = &'a Object>,
+    added: &'a [Object],
 ) -> Option<(&'a Object, InvalidField)> {
-    let mut names_by_key: HashMap<String, &str> = HashMap::new();
-    for object in objects {
-        let Object::ClientAccount(account) = object else {
+    let mut names_by_key: HashMap<String, &str> = in_force
+        .filter_map(client_account)
+        .map(|account| (comparable_key(account), account.name.as_str()))
+        .collect();
+    for object in added {
+        let Some(account) = client_account(object) else {
             continue;
         };
-        let key = account.key_blake3.to_ascii_lowercase();
+        let key = comparable_key(account);
         let holder = *names_by_key.entry(key).or_insert(&account.name);
         if holder != account.name {
             let invalid = InvalidField {
@@ -82,6 +87,17 @@
     None
 }
 
+fn client_account(object: &Object) -> Option<&ClientAccount> {
+    match object {
+        Object::ClientAccount(account) => Some(account),
+        _ => None,
+    }
+}
+
+fn comparable_key(account: &ClientAccount) -> String {
+    account.key_blake3.to_ascii_lowercase()
+}
+
 fn validate_object(object: &Object) -> Result<(), InvalidField> {
     object.validate()?;
     let Object::Endpoint(endpoint_object) = object else {
--- a/src/tool/publish.rs
+++ b/src/tool/publish.rs
@@ -12,7 +12,7 @@
 use crate::kernel::config::{
     Change, ChangeAction, ConfigState, ConfigStateMachine, Publish, Record, Verdict,
 };
-use crate::kernel::object::{InvalidField, Object, ObjectKey, ObjectKind};
+use crate::kernel::object::{InvalidField, Object, ObjectKey};
 use crate::log_service::{CONFIG_STREAM, Platform, PlatformError};
 
 const APPEND_ATTEMPTS_MAX: u32 = 5;
@@ -88,7 +88,7 @@
     puts.chain(deletes).collect()
 }
 
-/// Returns the account to publish whose key an account in force has, or another one of the request.
+/// Returns why an account of the request cannot be published: another one has its key.
 ///
 /// Checked here and not by the log's readers: these have to decide alike, also while some of them
 /// are older.
@@ -97,16 +97,9 @@
         let mut published = request.objects.iter();
         published.any(|object| object.key() == *key) || request.deletes.contains(key)
     };
-    let mut accounts = request.objects.iter().map(Object::key);
-    if !accounts.any(|key| key.kind == ObjectKind::ClientAccount) {
-        return None;
-    }
-    let kept = state
-        .objects
-        .iter()
-        .filter(|(key, _)| !is_replaced(key))
-        .map(|(_, versioned)| &versioned.object);
-    let (_, invalid) = find_shared_key(kept.chain(&request.objects))?;
+    let in_force = state.objects.iter().filter(|(key, _)| !is_replaced(key));
+    let in_force = in_force.map(|(_, versioned)| &versioned.object);
+    let (_, invalid) = find_shared_key(in_force, &request.objects)?;
     Some(invalid)
 }
 
--- a/tests/promise_config.rs
+++ b/tests/promise_config.rs
@@ -116,6 +116,22 @@
     assert_eq!(site.publish(&dangling).status.code(), Some(2));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn publish_key_of_another_account_rejected_until_it_is_free() {
+    let site = Site::new();
+    let account = |name: &str| {
+        let key = blake3::hash(b"one key").to_hex().to_string();
+        json!([{"kind": "client_account", "name": name, "key_blake3": key}])
+    };
+    assert_eq!(site.publish(&account("pumps")).status.code(), Some(0));
+    let rejected = site.publish(&account("stations"));
+    assert_eq!(rejected.status.code(), Some(2), "{rejected:?}");
+    let changed = json!([{"kind": "client_account", "name": "pumps",
+        "key_blake3": blake3::hash(b"another key").to_hex().to_string()}]);
+    assert_eq!(site.publish(&changed).status.code(), Some(0));
+    assert_eq!(site.publish(&account("stations")).status.code(), Some(0));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn log_outage_new_instances_fetch_state_from_peers_and_serve() {
     let site = Site::new();
