Tests wait until the address of a killed server refuses

Cause: the stand-in's kill returns before its listening socket is closed, and a child of the test's process may hold that longer. A call that is accepted and cut off may have run, is not repeatable and is not sent again.

Change: kill_until_refused in the two tests that need a dead server. Their checks are as they were.

--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -11,7 +11,9 @@
 use larkwick::standin::site::{HOST, KEY};
 use nix::sys::signal::Signal;
 use support::proxy::LinkMode;
-use support::site::{Instance, RoutedSite, WAIT_TIMEOUT, send_request, wait_until};
+use support::site::{
+    Instance, RoutedSite, WAIT_TIMEOUT, kill_until_refused, send_request, wait_until,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Guards against a premature timeout. Fast responses shortened the learned timeout to a few
@@ -222,7 +224,7 @@
 async fn call_dead_server_costs_no_retry() {
     let site = RoutedSite::start(2).await;
     let instance = site.start_instance("n1").await;
-    site.apps[0].kill();
+    kill_until_refused(&site.apps[0]).await;
     for number in 0..20 {
         let response = instance.call("/once/1", &format!("d{number}")).await;
         assert_eq!(response.status, 200);
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -6,7 +6,9 @@
 use larkwick::standin::site::server::{Server, ServerFault};
 use larkwick::standin::site::{HOST, KEY};
 use nix::sys::signal::Signal;
-use support::site::{HttpResponse, RoutedSite, event_numbers, send_request, wait_until};
+use support::site::{
+    HttpResponse, RoutedSite, event_numbers, kill_until_refused, send_request, wait_until,
+};
 
 fn assert_complete(response: &HttpResponse, events: u32) {
     assert_eq!(response.status, 200, "{response:?}");
@@ -137,7 +139,7 @@
     let dead = site.start_engine().await;
     let healthy = site.start_engine().await;
     let instance = site.start_instance("n1").await;
-    dead.kill();
+    kill_until_refused(&dead).await;
     for number in 0..8 {
         let id = format!("p{number}");
         assert_complete(&send_request(instance.generation(2, &id)).await, 2);
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -477,6 +477,18 @@
     }
 }
 
+/// Kills a server and waits until its address refuses connections. Its listening socket is closed
+/// by a task of its own, and what connects before is accepted and cut off.
+pub async fn kill_until_refused(server: &Server) {
+    server.kill();
+    wait_until("the address refuses connections", async || {
+        tokio::net::TcpStream::connect(server.address())
+            .await
+            .is_err()
+    })
+    .await;
+}
+
 /// Returns the event numbers of a stream in the order received.
 pub fn event_numbers(body: &str) -> Vec<u32> {
     let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
