Read as a newcomer: a name and two comments

rewrite_missing_own_records also notes the results of roll-outs now, so it is rewrite_missing_records; its comment is wrapped, and a field of Rollouts has one.

--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -67,6 +67,7 @@
 pub(crate) struct Rollouts {
     services: Mutex<BTreeMap<String, ServiceRollout>>,
     orders: Mutex<RolloutOrders>,
+    /// The states that the store has recorded.
     pub(super) statuses: Mutex<RolloutStatuses>,
     /// Incremented whenever engines may have to be used differently.
     version: AtomicU64,
--- a/src/gateway/store_follower.rs
+++ b/src/gateway/store_follower.rs
@@ -187,7 +187,7 @@
 fn apply_latest(gateway: &Arc<Gateway>, subject: Subject, page: SitePage) {
     if subject != Subject::Endpoints {
         if subject == Subject::Members {
-            rewrite_missing_own_records(gateway, &page);
+            rewrite_missing_records(gateway, &page);
         }
         apply_records(gateway, subject, page.records);
         if subject == Subject::Members {
@@ -205,10 +205,10 @@
     log_fleet_changes(&changes);
 }
 
-/// Triggers rewriting of records of this instance, and of results of roll-outs, that are missing after the store was restored
-/// from an older copy. Does nothing within an era: no record is lost then, and a list may be older
-/// than the last write.
-fn rewrite_missing_own_records(gateway: &Gateway, page: &SitePage) {
+/// Triggers rewriting of records that are missing after the store was restored from an older copy:
+/// this instance's own ones, and the results of roll-outs. Does nothing within an era: no record is
+/// lost then, and a list may be older than the last write.
+fn rewrite_missing_records(gateway: &Gateway, page: &SitePage) {
     let era = page.next.era();
     let before = gateway.own_records_checked_era.lock().replace(era);
     if before.is_none_or(|before| before >= era) {
