The result of an earlier roll-out is not taken for a lost one

Read once more: a store may come back with the result of the roll-out before. The result that it lost was then not written again, since the service had one, and was forgotten, since that one was read after it.

Change: results are compared by version, and what a restored store has instead of a lost result does not replace it. A new order still does.

--- a/src/gateway/rollout_statuses.rs
+++ b/src/gateway/rollout_statuses.rs
@@ -19,16 +19,15 @@
         self.recorded.get(service)
     }
 
-    /// Adds a state that was read from the store or written there. A final state of a version stays.
+    /// Adds a state that was read from the store or written there. A final state of a version stays,
+    /// and so does one that the store lost: whatever it has instead is older.
     pub(super) fn record(&mut self, status: &RolloutStatus) {
-        if status.state.is_final() {
+        let known = self.recorded.get(&status.service);
+        let has_result = known.is_some_and(|known| is_result_of(known, &status.target_version));
+        if has_result && status.state.is_final() {
             self.lost.remove(&status.service);
         }
-        let known = self.recorded.get(&status.service);
-        let has_result = known.is_some_and(|known| {
-            known.state.is_final() && known.target_version == status.target_version
-        });
-        if !has_result {
+        if !has_result && !self.lost.contains(&status.service) {
             self.recorded.insert(status.service.clone(), status.clone());
         }
     }
@@ -41,13 +40,15 @@
 
     /// Compares the results with all states that a restored store has.
     pub(super) fn sync_stored(&mut self, stored: &[&RolloutStatus]) {
-        let has_result = |service: &str| {
-            let mut finals = stored.iter().filter(|status| status.state.is_final());
-            finals.any(|status| status.service == service)
+        let is_stored = |result: &RolloutStatus| {
+            let mut of_service = stored
+                .iter()
+                .filter(|status| status.service == result.service);
+            of_service.any(|status| is_result_of(status, &result.target_version))
         };
         let results = self.recorded.values();
         let results = results.filter(|status| status.state.is_final());
-        let lost = results.filter(|status| !has_result(&status.service));
+        let lost = results.filter(|result| !is_stored(result));
         self.lost = lost.map(|status| status.service.clone()).collect();
     }
 
@@ -59,3 +60,7 @@
             .collect()
     }
 }
+
+fn is_result_of(status: &RolloutStatus, target_version: &str) -> bool {
+    status.state.is_final() && status.target_version == target_version
+}
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -176,6 +176,36 @@
     assert_eq!(requests(&new), before);
 }
 
+/// Guards against the result of an earlier roll-out, which is all that a restored store has, being
+/// taken for the one that it lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn rollout_store_restored_with_an_earlier_result_later_one_written_again() {
+    let site = RoutedSite::start(3).await;
+    let new = start_version(&site, "v2", 3).await;
+    for server in &new {
+        server.set_fault(ServerFault::InternalError);
+    }
+    let earlier = json!({"service": "app", "target-version": "v1", "state": "completed"});
+    site.standin
+        .store
+        .put("keyed.status", "rollout/app", &earlier);
+    site.standin.order_rollout("app", "v2", 30.0);
+    let copy = site.standin.store.snapshot();
+    let first = site.start_instance("n1").await;
+    let second = site.start_instance_with_peers("n2", &[&first]);
+    second.wait_until_ready().await;
+    wait_until("running", async || {
+        site.standin.rollout_states("app") == ["completed", "running"]
+    })
+    .await;
+    call_until_final(&site.standin, &[&first, &second]).await;
+    let _ = site.standin.store.restore(copy);
+    wait_until("the later result is written again", async || {
+        site.standin.rollout_states("app") == ["completed", "reverted"]
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn rollout_without_endpoints_of_the_version_reverted_and_calls_served() {
     let site = RoutedSite::start(2).await;
