The search for an available endpoint ends at the first one again

Read once more: with the endpoints that have ended, service_availability copied the ids of all endpoints of the service at each attempt of a generation, before it looked for an available one. It stops at the first available one as before, and copies ids only if there is none. The outcome is the same.

--- a/src/gateway/endpoint_cooldowns.rs
+++ b/src/gateway/endpoint_cooldowns.rs
@@ -75,19 +75,19 @@
     let (no_endpoint_ready, eligible) = {
         let fleet = gateway.fleet.lock();
         let no_endpoint_ready = fleet.ready_endpoints(&call.service).next().is_none();
-        let eligible = call.eligible_endpoints(&fleet, is_excluded);
-        let eligible: Vec<String> = eligible.map(|endpoint| endpoint.id.clone()).collect();
+        let eligible = || {
+            call.eligible_endpoints(&fleet, &is_excluded)
+                .map(|one| &one.id)
+        };
+        if eligible().any(|id| !unavailable.contains(id) && !unanswered.contains(id)) {
+            return ServiceAvailability::Available;
+        }
+        let eligible: Vec<String> = eligible().cloned().collect();
         (no_endpoint_ready, eligible)
     };
     let (unanswered, eligible): (Vec<String>, Vec<String>) = eligible
         .into_iter()
         .partition(|endpoint| unanswered.contains(endpoint));
-    if eligible
-        .iter()
-        .any(|endpoint| !unavailable.contains(endpoint))
-    {
-        return ServiceAvailability::Available;
-    }
     if eligible.is_empty() && !unanswered.is_empty() {
         // Nothing is known of their replacements, so nothing is waited for.
         let until = now + RECHECK_INTERVAL;
