Simpler: what is withheld, what has ended, whose key it is

Read once more, nothing is decided otherwise: - Withheld had reasons for two variants that no caller asked; it carries the reason where there is one. - The headers of a request to an endpoint were put together at three places; Call::endpoint_head. - An ended endpoint is kept with the result of its last probe, in place of an enum derived from it. - The index by key asks the state for the revision of an account that holds a key, in place of keeping a second one.

--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -115,8 +115,7 @@
             });
         }
         if presence == Presence::Ended {
-            self.gateway
-                .record_ended(&self.endpoint, result.is_unanswered);
+            self.gateway.record_ended(&self.endpoint, result.clone());
             self.gateway
                 .record_crash(self.fingerprint, &self.endpoint, self.ran_for);
         }
--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -39,31 +39,13 @@
 #[derive(Default)]
 pub(crate) struct PresenceProbes {
     by_endpoint: Mutex<HashMap<String, Arc<PresenceProbe>>>,
-    /// Endpoints found to have ended, until they are no longer listed or found to run after all.
-    ended: Mutex<BTreeMap<String, EndedAddress>>,
+    /// Endpoints found to have ended, until they are no longer listed or found to run after all,
+    /// with the result of their last probe.
+    ended: Mutex<BTreeMap<String, ProbeResult>>,
     /// Number of aborted requests without a result, by fingerprint; none is zero.
     pending: Mutex<HashMap<RequestFingerprint, u32>>,
 }
 
-/// What becomes of a connection to an endpoint that has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum EndedAddress {
-    /// It is refused, or another endpoint answers: a request that goes there is known not to run.
-    Refuses,
-    /// It is accepted and nobody answers: a request that goes there waits for its deadline.
-    Unanswered,
-}
-
-impl EndedAddress {
-    const fn new(is_unanswered: bool) -> Self {
-        if is_unanswered {
-            Self::Unanswered
-        } else {
-            Self::Refuses
-        }
-    }
-}
-
 impl PresenceProbes {
     /// Returns the latest probe of an endpoint if it has no result yet or began at `aborted_at` or
     /// later. Else begins a new one.
@@ -117,15 +99,16 @@
     /// Returns the endpoints that have ended and whose addresses accept requests nevertheless.
     pub(super) fn unanswered_endpoints(&self) -> BTreeSet<String> {
         let ended = self.ended.lock();
-        let unanswered = ended
-            .iter()
-            .filter(|(_, address)| **address == EndedAddress::Unanswered);
+        let unanswered = ended.iter().filter(|(_, probed)| probed.is_unanswered);
         unanswered.map(|(endpoint, _)| endpoint.clone()).collect()
     }
 
     /// Returns whether an endpoint has ended and its address accepts requests nevertheless.
     pub(super) fn is_unanswered(&self, endpoint: &str) -> bool {
-        self.ended.lock().get(endpoint) == Some(&EndedAddress::Unanswered)
+        let ended = self.ended.lock();
+        ended
+            .get(endpoint)
+            .is_some_and(|probed| probed.is_unanswered)
     }
 
     fn latest(&self, endpoint: &EndpointEntry) -> Option<Arc<PresenceProbe>> {
@@ -233,14 +216,13 @@
 
     /// Records that an endpoint has ended. It is avoided until it is no longer listed, or a later
     /// probe finds that it runs. No caller's request serves as that probe.
-    pub(super) fn record_ended(self: &Arc<Self>, endpoint: &EndpointEntry, is_unanswered: bool) {
+    pub(super) fn record_ended(self: &Arc<Self>, endpoint: &EndpointEntry, probed: ProbeResult) {
         self.notify_placement(endpoint);
-        let address = EndedAddress::new(is_unanswered);
         let before = self
             .presence_probes
             .ended
             .lock()
-            .insert(endpoint.id.clone(), address);
+            .insert(endpoint.id.clone(), probed);
         if before.is_none() {
             tokio::spawn(self.clone().recheck(endpoint.clone()));
         }
@@ -263,9 +245,8 @@
             if result.presence == Presence::Ended {
                 self.notify_placement(&endpoint);
             }
-            let address = EndedAddress::new(result.is_unanswered);
             let mut ended = self.presence_probes.ended.lock();
-            ended.insert(endpoint.id.clone(), address);
+            ended.insert(endpoint.id.clone(), result);
         }
         self.presence_probes.ended.lock().remove(&endpoint.id);
     }
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -10,7 +10,6 @@
 
 use super::aborted_requests;
 use super::inbound_call::Call;
-use super::message_heads::EndpointRequestHead;
 use super::runs::{RunCommand, RunHandle};
 use super::send_checks::{Withheld, check_before_send};
 use super::started_generation::{EngineAttempts, ResponseStream, RunGuard, StartedGeneration};
@@ -96,8 +95,8 @@
         match withheld {
             Withheld::CoolingDown => Self::CoolingDown,
             Withheld::CrashSuspected => Self::CrashSuspected,
-            Withheld::Leaving | Withheld::Ended | Withheld::NoTimeLeft => Self::Unsent {
-                reason: withheld.reason().to_owned(),
+            Withheld::Unsent(reason) => Self::Unsent {
+                reason: reason.to_owned(),
                 connection_refused: false,
             },
         }
@@ -175,14 +174,7 @@
     };
     let permit = permit.ok_or(AttemptFailure::RateLimited)?;
     check_before_send(call, &endpoint, restricted, Duration::ZERO)?;
-    let send = EndpointRequestHead {
-        endpoint_id: &endpoint.listed_id,
-        time_left: call.time_left(),
-        account: call.account.as_deref(),
-        priority: None,
-        continue_from: None,
-        last_event_id,
-    };
+    let send = call.endpoint_head(&endpoint, last_event_id);
     let request = engine::build_forwarded_request(&call.parts, call.body.clone(), &send).map_err(
         |error| AttemptFailure::Fatal(Error::new(ErrorKind::BadRequest, error.to_string())),
     )?;
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 
-use super::message_heads::CallHead;
+use super::message_heads::{CallHead, EndpointRequestHead};
 use super::node::{Gateway, InFlightGuard};
 use super::version_choice::VersionChoice;
 use crate::kernel::byte_budget::HeldBytes;
@@ -89,6 +89,22 @@
         ready.filter(move |endpoint| self.is_region_allowed(endpoint) && !is_excluded(endpoint))
     }
 
+    /// Returns the headers that larkwick sets on this call's request to an endpoint.
+    pub(super) fn endpoint_head<'a>(
+        &'a self,
+        endpoint: &'a EndpointEntry,
+        last_event_id: Option<&'a str>,
+    ) -> EndpointRequestHead<'a> {
+        EndpointRequestHead {
+            endpoint_id: &endpoint.listed_id,
+            time_left: self.time_left(),
+            account: self.account.as_deref(),
+            priority: None,
+            continue_from: None,
+            last_event_id,
+        }
+    }
+
     /// Returns the time since arrival.
     pub(crate) fn age(&self) -> Duration {
         self.gateway.now().saturating_sub(self.arrived)
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -11,7 +11,6 @@
 use super::crash_suspects;
 use super::endpoint_cooldowns;
 use super::inbound_call::Call;
-use super::message_heads::EndpointRequestHead;
 use super::node::Gateway;
 use super::permits::Permit;
 use super::send_checks::{Withheld, check_before_send};
@@ -70,9 +69,7 @@
         match withheld {
             Withheld::CoolingDown => Self::CoolingDown,
             Withheld::CrashSuspected => Self::CrashSuspected,
-            Withheld::Leaving | Withheld::Ended | Withheld::NoTimeLeft => {
-                Self::NotRun(withheld.reason().to_owned())
-            }
+            Withheld::Unsent(reason) => Self::NotRun(reason.to_owned()),
         }
     }
 }
@@ -162,14 +159,7 @@
     if let Err(withheld) = check_before_send(call, endpoint, attempts.restricted, TIME_LEFT_MIN) {
         return withheld.into();
     }
-    let send = EndpointRequestHead {
-        endpoint_id: &endpoint.listed_id,
-        time_left: call.time_left(),
-        account: call.account.as_deref(),
-        priority: None,
-        continue_from: None,
-        last_event_id: None,
-    };
+    let send = call.endpoint_head(endpoint, None);
     let request = match engine::build_forwarded_request(&call.parts, call.body.clone(), &send) {
         Ok(request) => request,
         Err(error) => return Attempt::NotRun(error.to_string()),
--- a/src/gateway/send_checks.rs
+++ b/src/gateway/send_checks.rs
@@ -11,29 +11,12 @@
 /// Why a request is not sent to the selected endpoint after all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Withheld {
-    /// The endpoint is leaving.
-    Leaving,
-    /// The endpoint has ended, and its address accepts requests that nobody answers.
-    Ended,
     /// The endpoint entered a cooldown.
     CoolingDown,
     /// The request became refused because it crashes endpoints.
     CrashSuspected,
-    /// Less than the minimum is left until the deadline.
-    NoTimeLeft,
-}
-
-impl Withheld {
-    /// Returns the reason for the log and for the caller.
-    pub(super) const fn reason(self) -> &'static str {
-        match self {
-            Self::Leaving => "the endpoint is leaving",
-            Self::Ended => "the endpoint has ended",
-            Self::CoolingDown => "the endpoint rests",
-            Self::CrashSuspected => "endpoints end under it",
-            Self::NoTimeLeft => "no time left",
-        }
-    }
+    /// For this reason; another endpoint may be tried.
+    Unsent(&'static str),
 }
 
 /// Checks that a request may still be sent to an endpoint. `restricted` requests are crash suspects
@@ -46,10 +29,10 @@
 ) -> Result<(), Withheld> {
     let gateway = &call.gateway;
     if !gateway.fleet.lock().can_accept_work(&endpoint.id) {
-        return Err(Withheld::Leaving);
+        return Err(Withheld::Unsent("the endpoint is leaving"));
     }
     if gateway.presence_probes.is_unanswered(&endpoint.id) {
-        return Err(Withheld::Ended);
+        return Err(Withheld::Unsent("the endpoint has ended"));
     }
     if gateway.is_cooling_down(&endpoint.id) {
         return Err(Withheld::CoolingDown);
@@ -59,7 +42,7 @@
     }
     let time_left = call.time_left();
     if time_left.is_zero() || time_left < time_left_min {
-        return Err(Withheld::NoTimeLeft);
+        return Err(Withheld::Unsent("no time left"));
     }
     Ok(())
 }
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -177,15 +177,11 @@
         .await;
     let connection = connection.map_err(|error| error.to_string())?;
     let send = EndpointRequestHead {
-        endpoint_id: &target.listed_id,
-        time_left: call.time_left(),
-        account: call.account.as_deref(),
-        priority: None,
         continue_from: Some(ContinueFrom {
             copy_address: continuation.copy_address,
             copy: &continuation.copy,
         }),
-        last_event_id: Some(last_event_id.unwrap_or("0")),
+        ..call.endpoint_head(target, Some(last_event_id.unwrap_or("0")))
     };
     let request = engine::build_forwarded_request(&call.parts, call.body.clone(), &send);
     let request = request.map_err(|error| error.to_string())?;
--- a/src/kernel/rules.rs
+++ b/src/kernel/rules.rs
@@ -1,7 +1,6 @@
 //! Evaluates the published rules: which endpoints may serve a request, and at what priority.
 
 use std::collections::HashMap;
-use std::collections::hash_map::Entry;
 
 use super::config::{ConfigState, Versioned};
 use super::label::Labels;
@@ -28,13 +27,6 @@
     pub priority: i32,
 }
 
-/// A client account with the revision of its last change.
-#[derive(Debug, Clone)]
-struct PublishedAccount {
-    revision: u64,
-    account: ClientAccount,
-}
-
 /// Index over the published objects for routing. Rebuilt after each configuration change.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
@@ -44,7 +36,7 @@
     endpoint_labels: Vec<Labels>,
     /// By the lower-case hash of their key. Of several accounts with one key, the one that was
     /// changed first keeps it: a later one would otherwise get the requests of its callers.
-    accounts_by_key: HashMap<String, PublishedAccount>,
+    accounts_by_key: HashMap<String, ClientAccount>,
     models: HashMap<String, Model>,
     rules: Vec<Rule>,
 }
@@ -71,42 +63,30 @@
                 self.models.insert(model.name.clone(), model.clone());
             }
             Object::ClientAccount(account) => {
-                let published = PublishedAccount {
-                    revision: versioned.revision,
-                    account: account.clone(),
-                };
-                self.insert_account(published);
+                let key = account.key_blake3.to_ascii_lowercase();
+                let holder = self.accounts_by_key.get(&key);
+                let is_taken = holder
+                    .is_some_and(|holder| account_revision(state, holder) <= versioned.revision);
+                if !is_taken {
+                    self.accounts_by_key.insert(key, account.clone());
+                }
             }
             Object::Rule(rule) => self.rules.push(rule.clone()),
         }
     }
 
-    fn insert_account(&mut self, published: PublishedAccount) {
-        let key = published.account.key_blake3.to_ascii_lowercase();
-        match self.accounts_by_key.entry(key) {
-            Entry::Vacant(vacant) => {
-                vacant.insert(published);
-            }
-            Entry::Occupied(mut holder) if published.revision < holder.get().revision => {
-                holder.insert(published);
-            }
-            Entry::Occupied(_) => {}
-        }
-    }
-
     /// Returns the client account of a bearer key.
     ///
     /// # Errors
     /// Returns `Unauthorized` if no account has the key.
     pub fn account_for_key(&self, bearer_key: &str) -> Result<&ClientAccount> {
         let hash = blake3::hash(bearer_key.as_bytes()).to_hex();
-        let published = self.accounts_by_key.get(hash.as_str()).ok_or_else(|| {
+        self.accounts_by_key.get(hash.as_str()).ok_or_else(|| {
             Error::new(
                 ErrorKind::Unauthorized,
                 "bearer key belongs to no client account",
             )
-        })?;
-        Ok(&published.account)
+        })
     }
 
     /// Returns the model of a name.
@@ -220,6 +200,13 @@
     }
 }
 
+fn account_revision(state: &ConfigState, account: &ClientAccount) -> u64 {
+    state.revision(&ObjectKey {
+        kind: ObjectKind::ClientAccount,
+        name: account.name.clone(),
+    })
+}
+
 /// Returns the labels of an endpoint with the implied ones: its name, its hall and the hall's
 /// region.
 fn endpoint_labels(state: &ConfigState, endpoint: &Endpoint) -> Labels {
