--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -37,7 +37,7 @@
 pub struct Listener {
     /// Address on which it listens.
     pub address: SocketAddr,
-    socket: Option<Arc<TcpListener>>,
+    socket: Arc<TcpListener>,
     task: JoinHandle<()>,
     connections: Arc<parking_lot::Mutex<Vec<tokio::task::AbortHandle>>>,
 }
@@ -60,7 +60,7 @@
         self.task.abort();
         // The result is irrelevant: an aborted task always ends.
         let _ = (&mut self.task).await;
-        self.socket.take().filter(|_| held_by_child)
+        held_by_child.then(|| self.socket.clone())
     }
 }
 
@@ -75,11 +75,11 @@
 {
     let socket = Arc::new(TcpListener::bind("127.0.0.1:0").await?);
     let address = socket.local_addr()?;
-    let listening_socket = socket.clone();
+    let accepting_socket = socket.clone();
     let connections = Arc::new(parking_lot::Mutex::new(Vec::new()));
     let open_connections = connections.clone();
     let task = tokio::spawn(async move {
-        while let Ok((stream, _)) = socket.accept().await {
+        while let Ok((stream, _)) = accepting_socket.accept().await {
             let handler = handler.clone();
             let service = service_fn(move |request| {
                 let response = handler(request);
@@ -95,7 +95,7 @@
     });
     Ok(Listener {
         address,
-        socket: Some(listening_socket),
+        socket,
         task,
         connections,
     })
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -358,9 +358,13 @@
         self.signals.lock().unknown_header = Some(header);
     }
 
-    /// Stops it: its address refuses connections, and open connections are cut.
-    pub fn kill(&self) {
-        self.listener.lock().take();
+    /// Stops it: its address refuses connections, unless a child of this process holds the listening
+    /// socket for a moment, and open connections are cut.
+    pub async fn kill(&self) {
+        let listener = self.listener.lock().take();
+        if let Some(listener) = listener {
+            listener.crash(false).await;
+        }
     }
 
     /// Returns the number of generations that it runs.
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -62,7 +62,7 @@
     assert_eq!(site.standin.rollout_states("app"), ["running", "completed"]);
     for server in &site.apps {
         site.standin.unlist_server(server);
-        server.kill();
+        server.kill().await;
     }
     wait_until("both know that it is completed", async || {
         let mut phases = Vec::new();
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -50,7 +50,7 @@
             site.standin.list_server(&leaving, "draining");
         }
         wait_until("generations moved", async || staying.running_count() == 3).await;
-        leaving.kill();
+        leaving.kill().await;
         for (number, generation) in running.into_iter().enumerate() {
             let response = generation.await.expect("response received");
             assert_complete(&response, 80);
@@ -127,7 +127,7 @@
     let instance = site.start_instance("n1").await;
     let running = tokio::spawn(send_request(instance.generation(400, "d1")));
     wait_until("generations running", async || engine.running_count() == 1).await;
-    engine.kill();
+    engine.kill().await;
     let response = running.await.expect("response received");
     assert!(!response.is_complete);
     assert_eq!(site.standin.servers_that_ran("d1").len(), 1);
@@ -315,7 +315,7 @@
         .iter()
         .find(|one| runs_generation(one))
         .expect("an engine runs the generation");
-    killed.kill();
+    killed.kill().await;
     assert_complete(&running.await.expect("response received"), 60);
     let runs = site.standin.servers_that_ran("c2");
     assert_eq!(runs.len(), 2);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -429,11 +429,11 @@
         match random.random_range(0..3) {
             0 => self.site.standin.list_server(&leaving, "draining"),
             1 => self.site.standin.unlist_server(&leaving),
-            _ => leaving.kill(),
+            _ => leaving.kill().await,
         }
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(1_500)).await;
-            leaving.kill();
+            leaving.kill().await;
             drop(proxy);
         });
     }
@@ -452,7 +452,7 @@
         let site = self.site.standin.store.clone();
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(2_500)).await;
-            leaving.kill();
+            leaving.kill().await;
             drop(proxy);
             site.delete("keyed.servers", &leaving.id);
         });
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -289,6 +289,13 @@
         lines.iter().any(|line| line["payload"] == payload)
     }
 
+    /// Returns the fields of the log lines with this text.
+    pub fn logged(&self, payload: &str) -> Vec<Value> {
+        let lines = self.log_lines.lock().expect("lines");
+        let found = lines.iter().filter(|line| line["payload"] == payload);
+        found.map(|line| line["kv"].clone()).collect()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}/larkwick/readyz", self.address("ready"));
         let response = reqwest::get(url).await;
@@ -477,10 +484,10 @@
     }
 }
 
-/// Kills a server and waits until its address refuses connections. Its listening socket is closed
-/// by a task of its own, and what connects before is accepted and cut off.
+/// Kills a server and waits until its address refuses connections. Children of the test's process
+/// may hold the listening socket for a moment, and what connects until then is cut off.
 pub async fn kill_until_refused(server: &Server) {
-    server.kill();
+    server.kill().await;
     wait_until("the address refuses connections", async || {
         tokio::net::TcpStream::connect(server.address())
             .await
