--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -55,23 +55,16 @@
     send_request(request.header("larkwick-token-count", "1000,8")).await
 }
 
-/// Returns the fields of the log lines with this text.
-fn logged(instance: &Instance, payload: &str) -> Vec<Value> {
-    let lines = instance.log_lines.lock().expect("lines");
-    let found = lines.iter().filter(|line| line["payload"] == payload);
-    found.map(|line| line["kv"].clone()).collect()
-}
-
 async fn wait_for_aborts(instance: &Instance, count: usize) -> Vec<Value> {
     wait_until("aborted requests are logged", async || {
-        logged(instance, "endpoint broke off").len() >= count
+        instance.logged("endpoint broke off").len() >= count
     })
     .await;
-    logged(instance, "endpoint broke off")
+    instance.logged("endpoint broke off")
 }
 
 fn placements_on(instance: &Instance, engine: &str) -> usize {
-    let placed = logged(instance, "generation placed");
+    let placed = instance.logged("generation placed");
     placed
         .iter()
         .filter(|line| line["endpoint"] == engine)
@@ -81,7 +74,7 @@
 /// Waits for a log line about a request; lines arrive later than responses.
 async fn wait_for_line(instance: &Instance, payload: &str, id: &str) -> Value {
     let find = || {
-        let lines = logged(instance, payload).into_iter();
+        let lines = instance.logged(payload).into_iter();
         lines.rev().find(|line| line["request_id"] == id)
     };
     wait_until(payload, async || find().is_some()).await;
@@ -183,7 +176,7 @@
     wait_until(
         "the engine has been probed again several times",
         async || {
-            let told = logged(&instances[0], "engine reported gone");
+            let told = instances[0].logged("engine reported gone");
             let of_crashed = told
                 .iter()
                 .filter(|line| line["endpoint"] == crashed[0].as_str());
@@ -203,7 +196,7 @@
     let instances = start_instances(&site, 1).await;
     let beside = tokio::spawn(send_request(instances[0].generation(80, "beside")));
     wait_until("one runs", async || {
-        !logged(&instances[0], "generation placed").is_empty()
+        !instances[0].logged("generation placed").is_empty()
     })
     .await;
     send_crashing(&instances[0], "/chat/2", "crashing").await;
@@ -224,7 +217,7 @@
     send_crashing(&instances[0], "/chat/2", "crashing").await;
     let crashed = site.standin.crashed_servers();
     wait_until("the owner is told", async || {
-        let told = logged(&instances[0], "engine reported gone");
+        let told = instances[0].logged("engine reported gone");
         told.iter()
             .any(|line| line["endpoint"] == crashed[0].as_str())
     })
@@ -273,5 +266,5 @@
     let told = send_request(instances[0].generation(2, "during")).await;
     assert!([502, 503].contains(&told.status), "{told:?}");
     wait_for_line(&instances[0], "generation ended", "during").await;
-    assert_eq!(logged(&instances[0], "endpoint broke off").len(), 1);
+    assert_eq!(instances[0].logged("endpoint broke off").len(), 1);
 }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -129,10 +129,10 @@
     crashing.call_in_turn("/chat/2", 3).await;
     let instance = &crashing.instances[0];
     wait_until("three lines", async || {
-        aborted_request_fields(instance).len() == 3
+        instance.logged("endpoint broke off").len() == 3
     })
     .await;
-    let lines = aborted_request_fields(instance);
+    let lines = instance.logged("endpoint broke off");
     let fingerprints: BTreeSet<&str> = lines
         .iter()
         .filter_map(|line| line["content"].as_str())
@@ -263,11 +263,8 @@
         let response = send_request(instance.generation(events, &format!("after-{number}"))).await;
         assert_eq!(response.status, 200, "{response:?}");
     }
-    let lines = instance.log_lines.lock().expect("lines");
-    let placed = lines
-        .iter()
-        .filter(|line| line["payload"] == "generation placed")
-        .filter(|line| line["kv"]["endpoint"] == crashed[0].as_str());
+    let placed = instance.logged("generation placed").into_iter();
+    let placed = placed.filter(|fields| fields["endpoint"] == crashed[0].as_str());
     assert_eq!(placed.count(), 1, "only the one that crashed it");
 }
 
@@ -328,14 +325,6 @@
     assert_eq!(crashed, 3, "all of them under the first three attempts");
 }
 
-/// Returns the log fields of the requests that endpoints aborted.
-fn aborted_request_fields(instance: &Instance) -> Vec<Value> {
-    let lines = instance.log_lines.lock().expect("lines");
-    let aborted = lines.iter();
-    let aborted = aborted.filter(|line| line["payload"] == "endpoint broke off");
-    aborted.map(|line| line["kv"].clone()).collect()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn call_crashes_each_endpoint_refused_by_all_instances_after_three() {
     for path in ["/once/1", "/calls/1"] {
--- a/tests/endpoint_signals.rs
+++ b/tests/endpoint_signals.rs
@@ -344,13 +344,10 @@
 
 /// Returns the names of unknown headers that an instance has logged, for one kind of peer.
 fn unknown_headers(instance: &Instance, kind: &str) -> BTreeSet<String> {
-    let lines = instance.log_lines.lock().expect("lines");
-    let unknown = lines
-        .iter()
-        .filter(|line| line["payload"] == "unknown on the platform")
-        .filter(|line| line["kv"]["kind"] == kind);
+    let unknown = instance.logged("unknown on the platform").into_iter();
+    let unknown = unknown.filter(|fields| fields["kind"] == kind);
     unknown
-        .filter_map(|line| line["kv"]["name"].as_str().map(str::to_owned))
+        .filter_map(|fields| fields["name"].as_str().map(str::to_owned))
         .collect()
 }
 
--- a/tests/promise_config.rs
+++ b/tests/promise_config.rs
@@ -136,11 +136,7 @@
 async fn log_outage_new_instances_fetch_state_from_peers_and_serve() {
     let site = Site::new();
     let engine = site.start_engine("e1", &json!({"step_us": 1000}));
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let mut instances = vec![
         site.start_instance("i1", "h"),
         site.start_instance("i2", "h"),
@@ -160,11 +156,7 @@
         *replaced = new_instance;
     }
     site.set_platform_faults(&json!({})).await;
-    assert!(
-        site.publish(&json!([hall_object("later", "two")]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&json!([hall_object("later", "two")]));
     for instance in &instances {
         wait_for_region(instance, "later", "two").await;
         assert_eq!(region_in_force(instance, "h").await, "test");
@@ -178,11 +170,7 @@
     site.set_platform_faults(&json!({"retention_ms": 4000}))
         .await;
     let first = site.start_instance("i1", "h");
-    assert!(
-        site.publish(&json!([hall_object("kept", "one")]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&json!([hall_object("kept", "one")]));
     wait_for_region(&first, "kept", "one").await;
     let mut current = first;
     for index in 0..3 {
@@ -212,11 +200,7 @@
 async fn platform_suspended_instance_serves_and_catches_up() {
     let site = Site::new();
     let engine = site.start_engine("e1", &json!({"step_us": 1000}));
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let instance = site.start_instance("i1", "h");
     wait_until_serving(&instance).await;
     site.platform.signal(nix::sys::signal::Signal::SIGSTOP);
@@ -229,11 +213,7 @@
         );
     }
     site.platform.signal(nix::sys::signal::Signal::SIGCONT);
-    assert!(
-        site.publish(&json!([hall_object("later", "two")]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&json!([hall_object("later", "two")]));
     wait_for_region(&instance, "later", "two").await;
 }
 
@@ -243,11 +223,7 @@
     // Snapshots are due every quarter of this period. Which records expire is set below.
     site.times["log_retention_ms"] = json!(1000);
     let mut last_instance = site.start_instance("i1", "h");
-    assert!(
-        site.publish(&json!([hall_object("kept", "one")]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&json!([hall_object("kept", "one")]));
     wait_for_region(&last_instance, "kept", "one").await;
     let published = debug_state(&last_instance).await["config"]["next_offset"]
         .as_u64()
@@ -281,11 +257,7 @@
 async fn two_of_five_instances_left_without_log_new_work_refused() {
     let site = Site::new();
     let engine = site.start_engine("e1", &json!({"step_us": 1000}));
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let mut instances: Vec<Process> = (0..5)
         .map(|number| site.start_instance(&format!("i{number}"), "h"))
         .collect();
--- a/tests/promise_leaving.rs
+++ b/tests/promise_leaving.rs
@@ -42,7 +42,7 @@
         &[("e1", &engines[0]), ("e2", &engines[1])],
         &[("s1", &service[0]), ("s2", &service[1])],
     );
-    assert!(site.publish(&published).status.success());
+    site.publish_accepted(&published);
     let entries = [
         site.start_instance("i1", "h"),
         site.start_instance("i2", "h"),
@@ -92,11 +92,7 @@
     let site = Site::new();
     let mut engine = site.start_engine("e1", &json!({"step_us": 1000}));
     let address = engine.address("address");
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let instance = site.start_instance("i1", "h");
     wait_until_serving(&instance).await;
     set_faults(&engine, &json!({"leaving": true})).await;
@@ -203,7 +199,7 @@
         site.start_engine("e2", &json!({"step_us": 10_000})),
     ];
     let published = config_objects("h", &[("e1", &engines[0]), ("e2", &engines[1])], &[]);
-    assert!(site.publish(&published).status.success());
+    site.publish_accepted(&published);
     let mut entries = [
         site.start_instance("i1", "h"),
         site.start_instance("i2", "h"),
@@ -241,11 +237,7 @@
     let mut site = Site::new();
     site.times["entries_valid_ms"] = json!(3000);
     let service = site.start_service("s1");
-    assert!(
-        site.publish(&config_objects("h", &[], &[("s1", &service)]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[], &[("s1", &service)]));
     let mut leaving = site.start_instance("i1", "h");
     let staying = site.start_instance("i2", "h");
     wait_for_peers(&staying, 1).await;
@@ -289,11 +281,7 @@
     let mut site = Site::new();
     site.times["drain_streams_ms"] = json!(100);
     let engine = site.start_engine("e1", &json!({"step_us": 10_000}));
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let mut leaving = site.start_instance("i1", "h");
     let staying = site.start_instance("i2", "h");
     wait_for_peers(&leaving, 1).await;
--- a/tests/promise_once.rs
+++ b/tests/promise_once.rs
@@ -22,11 +22,7 @@
     let mut site = Site::new();
     site.limits = limits;
     let service = site.start_service("s1");
-    assert!(
-        site.publish(&config_objects("h", &[], &[("s1", &service)]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[], &[("s1", &service)]));
     let entries = vec![
         site.start_instance("i1", "h"),
         site.start_instance("i2", "h"),
@@ -248,7 +244,7 @@
     let site = Site::new();
     let (losing, refusing) = (site.start_service("s1"), site.start_service("s2"));
     let published = config_objects("h", &[], &[("s1", &losing), ("s2", &refusing)]);
-    assert!(site.publish(&published).status.success());
+    site.publish_accepted(&published);
     let instance = site.start_instance("i1", "h");
     let entry = instance.address("caller");
     wait_until("the services answer", || async {
@@ -321,11 +317,7 @@
 async fn generation_with_key_one_run_same_response() {
     let site = Site::new();
     let engine = site.start_engine("e1", &json!({"step_us": 3000}));
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let instance = site.start_instance("i1", "h");
     support::wait_until_serving(&instance).await;
     let entry = instance.address("caller");
@@ -359,7 +351,7 @@
     let site = Site::new();
     let services = [site.start_service("s1"), site.start_service("s2")];
     let published = config_objects("h", &[], &[("s1", &services[0]), ("s2", &services[1])]);
-    assert!(site.publish(&published).status.success());
+    site.publish_accepted(&published);
     let instance = site.start_instance("i1", "h");
     let entry = instance.address("caller");
     wait_until("the services answer", || async {
--- a/tests/promise_orders.rs
+++ b/tests/promise_orders.rs
@@ -35,11 +35,7 @@
 async fn holder_suspended_past_its_lease_older_order_rejected() {
     let site = Site::new();
     let engine = site.start_engine("e1", &json!({"step_us": 1000}));
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let instances = [
         site.start_instance("i1", "h"),
         site.start_instance("i2", "h"),
@@ -59,7 +55,7 @@
         holds_lease(successor)
     })
     .await;
-    assert!(site.publish(&json!([model("2")])).status.success());
+    site.publish_accepted(&json!([model("2")]));
     until_loaded(&engine, "2").await;
     let new_fence = orders(&engine).await["fence"].as_u64();
     assert!(new_fence > old_fence, "{new_fence:?} {old_fence:?}");
@@ -92,18 +88,14 @@
 async fn new_version_loaded_without_failed_requests() {
     let site = Site::new();
     let engine = site.start_engine("e1", &json!({"step_us": 1000}));
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let instance = site.start_instance("i1", "h");
     wait_until_serving(&instance).await;
     let entry = instance.address("caller");
     // Slow down the weight store, so that the new version takes a while to load.
     site.set_platform_faults(&json!({"weight_bytes_per_s": 1000}))
         .await;
-    assert!(site.publish(&json!([model("2")])).status.success());
+    site.publish_accepted(&json!([model("2")]));
     let mut responses = 0;
     while orders(&engine).await["loaded"] != json!([{"name": "m", "version": "2"}]) {
         let response = complete(&entry, &json!({"max_tokens": 2})).await;
--- a/tests/promise_tokens.rs
+++ b/tests/promise_tokens.rs
@@ -47,7 +47,7 @@
     ];
     let mut published = config_objects("h", &[("e1", &engines[0]), ("e2", &engines[1])], &[]);
     published[1]["reproducible"] = json!(reproducible);
-    assert!(site.publish(&published).status.success());
+    site.publish_accepted(&published);
     let entries = vec![
         site.start_instance("i1", "h"),
         site.start_instance("i2", "h"),
@@ -185,7 +185,7 @@
     let link = TcpLink::open(engine.address("address")).await;
     let mut published = config_objects("h", &[("e1", &engine)], &[]);
     published[4]["address"] = json!(link.address);
-    assert!(site.publish(&published).status.success());
+    site.publish_accepted(&published);
     let instance = site.start_instance("i1", "h");
     wait_until_serving(&instance).await;
     let entry = instance.address("caller");
--- a/tests/regressions.rs
+++ b/tests/regressions.rs
@@ -20,7 +20,7 @@
         list.push(json!({"kind": "endpoint", "name": format!("gone-{index}"), "hall": hall, "address": "127.0.0.1:1",
             "type": "engine", "kv_capacity_tokens": 1000, "checks_fence": true}));
     }
-    assert!(site.publish(&published).status.success());
+    site.publish_accepted(&published);
     let instance = site.start_instance("i1", "dead-0");
     wait_until_serving(&instance).await;
     for _ in 0..20 {
--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -558,10 +558,10 @@
         .await;
     }
     let reads_through_a_peer = |instance: &Instance| {
-        let lines = instance.log_lines.lock().expect("lines");
-        lines.iter().any(|line| {
-            let source = line["kv"]["source"].as_str().unwrap_or_default();
-            line["payload"] == "store read through" && source.starts_with("Peer")
+        let read = instance.logged("store read through");
+        read.iter().any(|fields| {
+            let source = fields["source"].as_str().unwrap_or_default();
+            source.starts_with("Peer")
         })
     };
     wait_until("all but two readers read through peers", async || {
@@ -573,11 +573,9 @@
 
 /// Returns the source through which an instance last read a subject.
 fn source_of(instance: &Instance, subject: &str) -> String {
-    let lines = instance.log_lines.lock().expect("lines");
-    let mut used = lines
-        .iter()
-        .filter(|line| line["payload"] == "store read through" && line["kv"]["subject"] == subject);
-    let last = used.next_back().map(|line| line["kv"]["source"].clone());
+    let read = instance.logged("store read through").into_iter();
+    let mut used = read.filter(|fields| fields["subject"] == subject);
+    let last = used.next_back().map(|fields| fields["source"].clone());
     last.and_then(|source| source.as_str().map(str::to_owned))
         .unwrap_or_default()
 }
--- a/tests/site_endpoints.rs
+++ b/tests/site_endpoints.rs
@@ -181,10 +181,8 @@
         instance.state().await["config_version"] == 9
     })
     .await;
-    let lines = instance.log_lines.lock().expect("lines").clone();
-    let unknown = lines.iter().filter(|line| {
-        line["payload"] == "unknown on the platform" && line["kv"]["name"] == "something/new"
-    });
+    let unknown = instance.logged("unknown on the platform").into_iter();
+    let unknown = unknown.filter(|fields| fields["name"] == "something/new");
     assert_eq!(unknown.count(), 1);
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -215,6 +215,12 @@
         ])
     }
 
+    /// Publishes configuration objects, which are accepted.
+    pub fn publish_accepted(&self, objects: &Value) {
+        let published = self.publish(objects);
+        assert!(published.status.success(), "{published:?}");
+    }
+
     /// Writes a file to the temporary directory and returns its path.
     pub fn write_file(&self, name: &str, text: &str) -> PathBuf {
         let path = self.dir.path().join(name);
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -17,11 +17,7 @@
 async fn start_site() -> (TestSite, Process) {
     let site = Site::new();
     let engine = site.start_engine("e1", &engine_spec());
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let instance = site.start_instance("i1", "h");
     wait_until_serving(&instance).await;
     (
@@ -161,17 +157,8 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[expect(clippy::too_many_lines, reason = "a table of cases")]
 async fn invalid_request_typed_error_and_not_run() {
-    let site = Site::new();
-    let engine = site.start_engine("e1", &engine_spec());
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
-    let instance = site.start_instance("i1", "h");
-    wait_until_serving(&instance).await;
+    let (_site, instance) = start_site().await;
     let entry = instance.address("caller");
     let without_key = || reqwest::Client::new().post(format!("http://{entry}/v1/completions"));
     let with_key = || without_key().bearer_auth(KEY);
@@ -275,11 +262,7 @@
     let mut site = Site::new();
     site.times["entries_valid_ms"] = json!(100);
     let engine = site.start_engine("e1", &engine_spec());
-    assert!(
-        site.publish(&config_objects("h", &[("e1", &engine)], &[]))
-            .status
-            .success()
-    );
+    site.publish_accepted(&config_objects("h", &[("e1", &engine)], &[]));
     let mut instance = site.start_instance("i1", "h");
     wait_until_serving(&instance).await;
     let operator = instance.address("operator");
