--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -17,6 +17,7 @@
 use super::inbound_call::Call;
 use super::relay;
 use super::response_body::{ResponseBody, full_body};
+use super::retry_budgets::RepeatCause;
 use super::started_generation::{EngineAttempts, StartedGeneration, record_generation_end};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
@@ -154,7 +155,7 @@
                 break;
             }
         }
-        if attempts.sends > 0 && !gateway.try_spend_retry(&call.service) {
+        if attempts.sends > 0 && !gateway.try_spend_retry(call.repeat(RepeatCause::Retry)) {
             reason.push_str("; retry budget spent");
             break;
         }
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -8,6 +8,7 @@
 
 use super::message_heads::{CallHead, EndpointRequestHead};
 use super::node::{Gateway, InFlightGuard};
+use super::retry_budgets::{Repeat, RepeatCause};
 use super::version_choice::VersionChoice;
 use crate::kernel::byte_budget::HeldBytes;
 use crate::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
@@ -105,6 +106,15 @@
         }
     }
 
+    /// Returns a send of this call beyond its first.
+    pub(super) fn repeat(&self, cause: RepeatCause) -> Repeat<'_> {
+        Repeat {
+            service: &self.service,
+            request_id: &self.head.request_id,
+            cause,
+        }
+    }
+
     /// Returns the time since arrival.
     pub(crate) fn age(&self) -> Duration {
         self.gateway.now().saturating_sub(self.arrived)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 //! | `upstream` | connection pools of the endpoints |
 //! | `endpoint_signals` | handles the signals in the response headers of endpoints |
 //! | `endpoint_cooldowns` | effect of endpoint cooldowns on calls |
+//! | `retry_budgets` | the budget for sends beyond the first of a request |
 //! | `send_checks` | checks right before a request is sent |
 //! | `permits` | rate-limit permits for endpoints that announce a limit |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
@@ -72,6 +73,7 @@
 pub(crate) mod relay;
 pub(crate) mod request_handler;
 pub(crate) mod response_body;
+pub(crate) mod retry_budgets;
 pub(crate) mod rollout_reports;
 pub(crate) mod rollout_statuses;
 pub(crate) mod rollouts;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -23,6 +23,7 @@
 use super::held_calls::HeldCalls;
 use super::ledgers::Ledgers;
 use super::live_members::LiveMembers;
+use super::retry_budgets::RetryBudgets;
 use super::rollouts::Rollouts;
 use super::runs::RunRegistry;
 use super::shared_store::SharedStore;
@@ -42,7 +43,6 @@
 use crate::kernel::membership::{Incarnation, Members, PeerStatus};
 use crate::kernel::region::{AllowedRegions, HallRegions};
 use crate::kernel::response_time::ResponseTimeEstimate;
-use crate::kernel::retry::{RetryAllowance, RetryBudget};
 use crate::kernel::route::{RouteConfig, RouteTable};
 use crate::peer::client::PeerClients;
 use crate::settings::Settings;
@@ -116,14 +116,6 @@
     }
 }
 
-/// Budget for retries to one service from this instance.
-struct ServiceRetryBudget {
-    budget: RetryBudget,
-    /// Whether the slack on top of the retry share was added. It is added once
-    /// the instance has run for one retry window.
-    has_slack: bool,
-}
-
 /// An instance that serves routes.
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
@@ -152,9 +144,8 @@
     pub(crate) health: Mutex<EndpointHealth>,
     /// Limits the rate of plain calls from this instance to endpoints in cold start.
     pub(crate) cold_rate_limiter: Mutex<ColdRateLimiter>,
-    /// Retry budgets by service.
-    retry_budgets: Mutex<HashMap<String, ServiceRetryBudget>>,
-    started_at: Duration,
+    pub(crate) retry_budgets: Arc<RetryBudgets>,
+    pub(crate) started_at: Duration,
     /// Response-time estimates by service.
     response_times: Mutex<HashMap<String, ResponseTimeEstimate>>,
     pub(crate) upstream: Upstream,
@@ -249,7 +240,7 @@
             member_entries,
             health: Mutex::default(),
             cold_rate_limiter: Mutex::default(),
-            retry_budgets: Mutex::default(),
+            retry_budgets: Arc::default(),
             response_times: Mutex::default(),
             runs: RunRegistry::default(),
             ledgers,
@@ -407,50 +398,6 @@
         connections_per_instance(allowed, instances)
     }
 
-    /// Records a first attempt to a service, which adds to its retry budget.
-    pub(crate) fn record_first_attempt(&self, service: &str) {
-        self.with_retry_budget(service, RetryBudget::record_first_attempt);
-    }
-
-    /// Spends a retry from the budget of a service; returns `false` if it is exhausted.
-    pub(crate) fn try_spend_retry(&self, service: &str) -> bool {
-        let allowed =
-            self.knows_members() && self.with_retry_budget(service, RetryBudget::try_spend);
-        metrics::counter!("larkwick_retries_total", "allowed" => allowed.to_string()).increment(1);
-        allowed
-    }
-
-    /// Runs `change` on the retry budget of a service.
-    ///
-    /// The share of this instance is recomputed on each call, since the number of instances
-    /// changes: with shares fixed at the first call, their sum was several times the site-wide
-    /// allowance.
-    fn with_retry_budget<T>(&self, service: &str, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let instances = self.sharing_instance_count();
-        let (allowance, window) = {
-            let routing = self.routing.read();
-            let allowance = RetryAllowance {
-                share: routing.retry_share,
-                slack: routing.retry_slack,
-            };
-            (allowance, routing.retry_window())
-        };
-        let share = allowance.instance_budget(instances);
-        let is_warming_up = self.now().saturating_sub(self.started_at) < window;
-        let mut budgets = self.retry_budgets.lock();
-        let budget = budgets.entry(service.to_owned());
-        let budget = budget.or_insert_with(|| ServiceRetryBudget {
-            budget: share.without_slack(),
-            has_slack: false,
-        });
-        budget.budget.adjust_to(share);
-        if !budget.has_slack && !is_warming_up {
-            budget.budget.fill_up();
-            budget.has_slack = true;
-        }
-        change(&mut budget.budget)
-    }
-
     /// Returns the response-time estimate of a service, or `initial` if there is none.
     pub(crate) fn response_time(
         &self,
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -18,6 +18,7 @@
     send_attempt,
 };
 use super::response_body::{ResponseBody, full_body, held_body};
+use super::retry_budgets::RepeatCause;
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::cooldown::ServiceAvailability;
@@ -85,7 +86,11 @@
     }
     while let Some((endpoint, permit)) = next_endpoint(call, &attempts.tried).await {
         let is_retry = attempts.sends > 0;
-        if is_retry && !call.gateway.try_spend_retry(&call.service) {
+        if is_retry
+            && !call
+                .gateway
+                .try_spend_retry(call.repeat(RepeatCause::Retry))
+        {
             "retry budget spent".clone_into(&mut attempts.last_reason);
             break;
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use super::inbound_call::Call;
 use super::read_ahead::read_ahead;
 use super::response_body::{ResponseAborted, ResponseBody};
+use super::retry_budgets::RepeatCause;
 use super::runs::{Continuation, RunCommand};
 use super::started_generation::{
     EngineAttempts, ResponseStream, RunGuard, StartedGeneration, record_generation_end,
@@ -391,7 +392,7 @@
         self.is_stopping = false;
         self.source = None;
         let previous = self.run_guard.run.endpoint.lock().clone();
-        let (target, response) = match self.try_resume_at(&continuation).await {
+        let (target, response) = match self.try_resume_at(&continuation, RepeatCause::Move).await {
             Ok(response) => (continuation.target, response),
             Err(_) if continuation.target.id != previous.id => {
                 let call = &self.call;
@@ -404,7 +405,7 @@
                     counted: false,
                     ..continuation
                 };
-                let response = self.try_resume_at(&fallback).await?;
+                let response = self.try_resume_at(&fallback, RepeatCause::Return).await?;
                 (fallback.target, response)
             }
             Err(reason) => return Err(reason),
@@ -417,7 +418,13 @@
         Ok(())
     }
 
-    async fn try_resume_at(&self, continuation: &Continuation) -> Result<EndpointResponse, String> {
+    async fn try_resume_at(
+        &self,
+        continuation: &Continuation,
+        cause: RepeatCause,
+    ) -> Result<EndpointResponse, String> {
+        let repeat = self.call.repeat(cause);
+        self.call.gateway.log_repeat(repeat, "not_asked");
         let started_at = self.call.gateway.now();
         let after = self.last_event_id.as_deref();
         let resumed = takeover::resume(&self.call, continuation, after);
--- /dev/null
+++ b/src/gateway/retry_budgets.rs
@@ -0,0 +1,114 @@
+//! Retry budgets of the services. Each send beyond the first of a request is recorded here, with its
+//! cause.
+
+use std::collections::HashMap;
+
+use parking_lot::Mutex;
+use spdlog::info;
+
+use super::node::Gateway;
+use crate::kernel::retry::{RetryAllowance, RetryBudget};
+
+/// Why a request is sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RepeatCause {
+    /// The sends before it failed.
+    Retry,
+    /// It continues at another engine from its memory there.
+    Move,
+    /// It returns to the engine that stopped it, because the target of its move refused it.
+    Return,
+}
+
+impl RepeatCause {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Retry => "retry",
+            Self::Move => "move",
+            Self::Return => "return",
+        }
+    }
+}
+
+/// A send of a request beyond its first.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Repeat<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) request_id: &'a str,
+    pub(crate) cause: RepeatCause,
+}
+
+/// Budget for retries to one service from this instance.
+#[derive(Debug)]
+struct ServiceRetryBudget {
+    budget: RetryBudget,
+    /// Whether the slack on top of the retry share was added. It is added once the instance has run
+    /// for one retry window.
+    has_slack: bool,
+}
+
+/// Retry budgets by service.
+#[derive(Debug, Default)]
+pub(crate) struct RetryBudgets {
+    by_service: Mutex<HashMap<String, ServiceRetryBudget>>,
+}
+
+impl Gateway {
+    /// Records a first attempt to a service, which adds to its retry budget.
+    pub(crate) fn record_first_attempt(&self, service: &str) {
+        self.with_retry_budget(service, RetryBudget::record_first_attempt);
+    }
+
+    /// Spends a retry from the budget of a service; returns `false` if it is exhausted.
+    pub(crate) fn try_spend_retry(&self, repeat: Repeat<'_>) -> bool {
+        let allowed =
+            self.knows_members() && self.with_retry_budget(repeat.service, RetryBudget::try_spend);
+        self.log_repeat(repeat, if allowed { "true" } else { "false" });
+        allowed
+    }
+
+    /// Counts and logs a send beyond the first, with the balance that is left after it.
+    pub(crate) fn log_repeat(&self, repeat: Repeat<'_>, allowed: &'static str) {
+        let cause = repeat.cause.name();
+        metrics::counter!("larkwick_retries_total", "cause" => cause, "allowed" => allowed)
+            .increment(1);
+        if crate::log::should_log("request sent again") {
+            let balance_milli =
+                self.with_retry_budget(repeat.service, |budget| budget.balance_milli());
+            info!("request sent again", kv: {
+                request_id = repeat.request_id, service = repeat.service, cause, allowed, balance_milli:,
+            });
+        }
+    }
+
+    /// Runs `change` on the retry budget of a service.
+    ///
+    /// The share of this instance is recomputed on each call, since the number of instances
+    /// changes: with shares fixed at the first call, their sum was several times the site-wide
+    /// allowance.
+    fn with_retry_budget<T>(&self, service: &str, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let instances = self.sharing_instance_count();
+        let (allowance, window) = {
+            let routing = self.routing.read();
+            let allowance = RetryAllowance {
+                share: routing.retry_share,
+                slack: routing.retry_slack,
+            };
+            (allowance, routing.retry_window())
+        };
+        let share = allowance.instance_budget(instances);
+        let is_warming_up = self.now().saturating_sub(self.started_at) < window;
+        let mut budgets = self.retry_budgets.by_service.lock();
+        let budget = budgets.entry(service.to_owned());
+        let budget = budget.or_insert_with(|| ServiceRetryBudget {
+            budget: share.without_slack(),
+            has_slack: false,
+        });
+        budget.budget.adjust_to(share);
+        if !budget.has_slack && !is_warming_up {
+            budget.budget.fill_up();
+            budget.has_slack = true;
+        }
+        change(&mut budget.budget)
+    }
+}
--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -90,6 +90,12 @@
         self.balance_milli = self.balance_milli.min(self.balance_max_milli);
     }
 
+    /// Returns the balance, in thousandths of a retry.
+    #[must_use]
+    pub const fn balance_milli(&self) -> u64 {
+        self.balance_milli
+    }
+
     /// Records a first attempt.
     pub fn record_first_attempt(&mut self) {
         let earned = self.balance_milli + self.earned_per_attempt_milli;
