Moves of generations draw on the retry budget

Cause: the budget was asked before a second send of a call and of a generation. Whatever continues a generation from its memory (a move, a takeover, the return to the engine that stopped it) was sent without asking, and a move that its target refused was ordered again.

Change: a generation is stopped for a continuation only once two retries are set aside, for its target and for the return. What an engine accepts counts as the same run and is given back; what was sent and not accepted is spent. An order to move that could not be paid for is refused before its copy is made. takeover::resume tells what was sent from what was not.

--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -10,6 +10,7 @@
 
 use super::aborted_requests;
 use super::inbound_call::Call;
+use super::retry_budgets::RepeatCause;
 use super::runs::{RunCommand, RunHandle};
 use super::send_checks::{Withheld, check_before_send};
 use super::started_generation::{EngineAttempts, ResponseStream, RunGuard, StartedGeneration};
@@ -288,9 +289,10 @@
     };
     let may_have_run = |reason: String| SendError::MayHaveRun(reason);
     let taken_over = takeover::take_over(call, run, reason).await;
-    let continuation = taken_over.ok_or_else(|| may_have_run(reason.to_owned()))?;
-    let response = takeover::resume(call, &continuation, last_event_id).await;
-    let response = response.map_err(may_have_run)?;
+    let mut continuation = taken_over.ok_or_else(|| may_have_run(reason.to_owned()))?;
+    let response =
+        takeover::resume(call, &mut continuation, RepeatCause::Move, last_event_id).await;
+    let response = response.map_err(|error| may_have_run(error.to_string()))?;
     *run.endpoint.lock() = continuation.target;
     call.gateway.ledgers.runs_changed.notify_one();
     Ok(response)
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -7,6 +7,7 @@
 use spdlog::warn;
 
 use super::node::Gateway;
+use super::retry_budgets::{Repeat, RepeatCause};
 use super::runs::{Continuation, RunCommand, RunHandle};
 use crate::kernel::engine_ledger::MoveResult;
 use crate::kernel::fleet::EndpointEntry;
@@ -18,6 +19,17 @@
 /// Largest response to a copy request.
 const RESPONSE_MAX_BYTES: usize = 64 << 10;
 
+const RETRIES_SPENT: &str = "retry budget spent";
+
+/// Returns the send by which a generation continues at another engine.
+fn move_of(run: &RunHandle) -> Repeat<'_> {
+    Repeat {
+        service: &run.service,
+        request_id: &run.demand.run,
+        cause: RepeatCause::Move,
+    }
+}
+
 /// Moves a generation that this instance serves.
 ///
 /// Returns once the memory has been copied and its engine is being asked to stop it, so that the
@@ -50,6 +62,10 @@
             "the generation runs at another engine".to_owned(),
         );
     }
+    // Without the retries that the move may need, the copy would be made for nothing.
+    if gateway.reserve_continuation(move_of(&run)).is_none() {
+        return (MoveResult::Failed, RETRIES_SPENT.to_owned());
+    }
     let counted = order.target_counted;
     match copy_memory(gateway, &run, &source, &target, false).await {
         Ok(CopyOutcome::Done(_)) => {}
@@ -90,11 +106,15 @@
     target: &EndpointEntry,
     counted: bool,
 ) -> Result<Continuation, String> {
+    // Reserved before the stop: a stopped generation that may not be sent again is lost.
+    let reservation = gateway.reserve_continuation(move_of(run));
+    let reservation = reservation.ok_or(RETRIES_SPENT)?;
     let continue_at = |target: &EndpointEntry, copy, counted| Continuation {
         target: target.clone(),
         copy_address: source.address,
         copy,
         counted,
+        reservation,
     };
     match copy_memory(gateway, run, source, target, true).await? {
         CopyOutcome::Done(copy) => Ok(continue_at(target, copy, counted)),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,7 +23,7 @@
 use super::started_generation::{
     EngineAttempts, ResponseStream, RunGuard, StartedGeneration, record_generation_end,
 };
-use super::takeover::{self, StallDetector};
+use super::takeover::{self, ResumeError, StallDetector};
 use super::upstream::EndpointResponse;
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::START_WINDOW;
@@ -36,8 +36,6 @@
 const STREAM_CLOSE_TIMEOUT: Duration = Duration::from_millis(120);
 /// Maximum number of times that a generation is taken over from an engine whose stream broke.
 const TAKEOVERS_MAX: u32 = 2;
-/// Longest wait for the first event after a move.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 struct Relay {
     call: Arc<Call>,
@@ -388,54 +386,48 @@
 
     /// Resumes the generation at the target. If the target refuses, resumes it at the engine that
     /// stopped it, which still holds its memory.
-    async fn resume_at_target(&mut self, continuation: Continuation) -> Result<(), String> {
+    async fn resume_at_target(&mut self, mut continuation: Continuation) -> Result<(), String> {
         self.is_stopping = false;
         self.source = None;
         let previous = self.run_guard.run.endpoint.lock().clone();
-        let (target, response) = match self.try_resume_at(&continuation, RepeatCause::Move).await {
-            Ok(response) => (continuation.target, response),
+        let resumed = self.try_resume(&mut continuation, RepeatCause::Move).await;
+        let response = match resumed {
+            Ok(response) => response,
             Err(_) if continuation.target.id != previous.id => {
                 let call = &self.call;
                 let refused = &continuation.target.id;
                 call.gateway
                     .runs
                     .record_unavailable_engine(&call.service, refused, false);
-                let fallback = Continuation {
-                    target: previous,
-                    counted: false,
-                    ..continuation
-                };
-                let response = self.try_resume_at(&fallback, RepeatCause::Return).await?;
-                (fallback.target, response)
+                continuation.target = previous;
+                continuation.counted = false;
+                let returned = self.try_resume(&mut continuation, RepeatCause::Return);
+                returned.await.map_err(|error| error.to_string())?
             }
-            Err(reason) => return Err(reason),
+            Err(error) => return Err(error.to_string()),
         };
         self.moves += 1;
-        *self.run_guard.run.endpoint.lock() = target;
+        *self.run_guard.run.endpoint.lock() = continuation.target;
         self.call.gateway.ledgers.runs_changed.notify_one();
         self.source = Some(ResponseStream::new(response));
         self.first_event_at = None;
         Ok(())
     }
 
-    async fn try_resume_at(
+    async fn try_resume(
         &self,
-        continuation: &Continuation,
+        continuation: &mut Continuation,
         cause: RepeatCause,
-    ) -> Result<EndpointResponse, String> {
-        let repeat = self.call.repeat(cause);
-        self.call.gateway.log_repeat(repeat, "not_asked");
+    ) -> Result<EndpointResponse, ResumeError> {
         let started_at = self.call.gateway.now();
         let after = self.last_event_id.as_deref();
-        let resumed = takeover::resume(&self.call, continuation, after);
-        let resumed = tokio::time::timeout(RESUME_TIMEOUT, resumed).await;
-        let resumed = resumed.unwrap_or_else(|_| Err("no event in time".to_owned()));
+        let resumed = takeover::resume(&self.call, continuation, cause, after).await;
         let pause_ms = millis(self.call.gateway.now().saturating_sub(started_at));
         if crate::log::should_log("generation moved") {
-            let outcome = resumed.as_ref().err().map_or("gone on", String::as_str);
+            let error = resumed.as_ref().err().map(ToString::to_string);
             info!("generation moved", kv: {
                 request_id = self.call.head.request_id.as_str(),
-                target = continuation.target.id.as_str(), outcome, pause_ms:,
+                target = continuation.target.id.as_str(), outcome = error.as_deref().unwrap_or("gone on"), pause_ms:,
                 last_event_id:? = self.last_event_id,
             });
         }
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -1,7 +1,8 @@
-//! Retry budgets of the services. Each send beyond the first of a request is recorded here, with its
-//! cause.
+//! Retry budgets of the services. Each send beyond the first of a request draws on them and is
+//! recorded here, with its cause.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use parking_lot::Mutex;
 use spdlog::info;
@@ -9,6 +10,10 @@
 use super::node::Gateway;
 use crate::kernel::retry::{RetryAllowance, RetryBudget};
 
+/// Retries set aside for a continuation: one for its target and one for the return to the engine that
+/// stopped the generation.
+const CONTINUATION_RETRIES: u32 = 2;
+
 /// Why a request is sent once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RepeatCause {
@@ -53,6 +58,32 @@
     by_service: Mutex<HashMap<String, ServiceRetryBudget>>,
 }
 
+/// Retries that a continuation may need. Those that are not spent go back to the budget when it is
+/// dropped: a continuation that an engine accepts counts as the same run.
+#[derive(Debug)]
+pub(crate) struct RetryReservation {
+    budgets: Arc<RetryBudgets>,
+    service: String,
+    /// Retries that are set aside and not spent.
+    left: u32,
+}
+
+impl RetryReservation {
+    /// Spends one of the retries, for a continuation that was sent and not accepted.
+    pub(crate) fn spend(&mut self) {
+        self.left = self.left.saturating_sub(1);
+    }
+}
+
+impl Drop for RetryReservation {
+    fn drop(&mut self) {
+        let mut budgets = self.budgets.by_service.lock();
+        if let Some(budget) = budgets.get_mut(&self.service) {
+            budget.budget.give_back(self.left);
+        }
+    }
+}
+
 impl Gateway {
     /// Records a first attempt to a service, which adds to its retry budget.
     pub(crate) fn record_first_attempt(&self, service: &str) {
@@ -67,6 +98,22 @@
         allowed
     }
 
+    /// Sets aside the retries that the continuation of a generation may need; `None` if the budget
+    /// does not have them, so that the generation must not be stopped.
+    pub(crate) fn reserve_continuation(&self, repeat: Repeat<'_>) -> Option<RetryReservation> {
+        let reserve = |budget: &mut RetryBudget| budget.try_reserve(CONTINUATION_RETRIES);
+        let allowed = self.knows_members() && self.with_retry_budget(repeat.service, reserve);
+        if !allowed {
+            self.log_repeat(repeat, "false");
+            return None;
+        }
+        Some(RetryReservation {
+            budgets: self.retry_budgets.clone(),
+            service: repeat.service.to_owned(),
+            left: CONTINUATION_RETRIES,
+        })
+    }
+
     /// Counts and logs a send beyond the first, with the balance that is left after it.
     pub(crate) fn log_repeat(&self, repeat: Repeat<'_>, allowed: &'static str) {
         let cause = repeat.cause.name();
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -8,12 +8,13 @@
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
+use super::retry_budgets::RetryReservation;
 use crate::kernel::engine_ledger::{ReportedRun, RunDemand};
 use crate::kernel::fleet::EndpointEntry;
 
 /// Where a generation continues once the engine that ran it has stopped it; the stream of that
 /// engine closes by itself.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Continuation {
     /// Engine that runs the generation from now on.
     pub(crate) target: EndpointEntry,
@@ -23,6 +24,8 @@
     pub(crate) copy: String,
     /// Whether the continuation was counted against the rate limit that the engine announces.
     pub(crate) counted: bool,
+    /// Covers the sends of the continuation.
+    pub(crate) reservation: RetryReservation,
 }
 
 /// Command to the task that forwards a generation.
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -11,6 +11,7 @@
 
 use super::inbound_call::Call;
 use super::message_heads::{ContinueFrom, EndpointRequestHead};
+use super::retry_budgets::RepeatCause;
 use super::runs::{Continuation, RunHandle};
 use super::upstream::{ConnectionReuse, EndpointResponse};
 use super::{crash_suspects, engine_reports, moves};
@@ -24,6 +25,8 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for an engine's report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for the first event of a continuation.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long after the notice that an engine is leaving a generation is still resumed at that
 /// engine, if the engine stopped it. Two seconds are allowed from when the first instance learned
 /// of it; the others learn of it within half a second.
@@ -146,21 +149,59 @@
     closed_for.is_some_and(|closed_for| closed_for > RESUME_AFTER_LEAVING_MAX)
 }
 
-/// Resumes a generation at the engine that has its memory, after the last received event.
+/// Why a continuation did not start.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ResumeError {
+    /// Nothing was sent.
+    #[error("{0}")]
+    Unsent(String),
+    /// It was sent and not accepted.
+    #[error("{0}")]
+    NotAccepted(String),
+}
+
+fn unsent(reason: &str) -> ResumeError {
+    ResumeError::Unsent(reason.to_owned())
+}
+
+fn not_accepted(reason: &str) -> ResumeError {
+    ResumeError::NotAccepted(reason.to_owned())
+}
+
+/// Resumes a generation at the engine that has its memory, after the last received event. Spends a
+/// retry if the engine does not accept it.
 pub(super) async fn resume(
+    call: &Call,
+    continuation: &mut Continuation,
+    cause: RepeatCause,
+    last_event_id: Option<&str>,
+) -> Result<EndpointResponse, ResumeError> {
+    let sending = send_continuation(call, continuation, last_event_id);
+    let sent = tokio::time::timeout(RESUME_TIMEOUT, sending).await;
+    let resumed = sent.unwrap_or_else(|_| Err(not_accepted("no event in time")));
+    if let Err(ResumeError::NotAccepted(_)) = resumed {
+        continuation.reservation.spend();
+    }
+    if !matches!(resumed, Err(ResumeError::Unsent(_))) {
+        call.gateway.log_repeat(call.repeat(cause), "true");
+    }
+    resumed
+}
+
+async fn send_continuation(
     call: &Call,
     continuation: &Continuation,
     last_event_id: Option<&str>,
-) -> Result<EndpointResponse, String> {
+) -> Result<EndpointResponse, ResumeError> {
     let target = &continuation.target;
     if has_left_too_long_ago(call, target) {
-        return Err("the engine that has its memory left too long ago".to_owned());
+        return Err(unsent("the engine that has its memory left too long ago"));
     }
     if crash_suspects::current_verdict(call) == Verdict::Refused {
-        return Err("endpoints end under it".to_owned());
+        return Err(unsent("endpoints end under it"));
     }
     if !call.gateway.try_admit_exempt(&target.id) {
-        return Err("the engine that has its memory rests".to_owned());
+        return Err(unsent("the engine that has its memory rests"));
     }
     let permit = if continuation.counted {
         let now = call.gateway.now();
@@ -170,12 +211,13 @@
             .wait_for_permit(&call.service, &target.id)
             .await
     };
-    let permit = permit.ok_or("the engine that has its memory takes no more for now")?;
+    let permit =
+        permit.ok_or_else(|| unsent("the engine that has its memory takes no more for now"))?;
     let upstream = &call.gateway.upstream;
     let connection = upstream
         .acquire_connection(target, usize::MAX, ConnectionReuse::Never)
         .await;
-    let connection = connection.map_err(|error| error.to_string())?;
+    let connection = connection.map_err(|error| unsent(&error.to_string()))?;
     let send = EndpointRequestHead {
         continue_from: Some(ContinueFrom {
             copy_address: continuation.copy_address,
@@ -184,9 +226,15 @@
         ..call.endpoint_head(target, Some(last_event_id.unwrap_or("0")))
     };
     let request = engine::build_forwarded_request(&call.parts, call.body.clone(), &send);
-    let request = request.map_err(|error| error.to_string())?;
+    let request = request.map_err(|error| unsent(&error.to_string()))?;
     let response = connection.send(request, permit).await;
-    let response = response.map_err(|failure| failure.to_string())?;
+    let response = response.map_err(|failure| not_accepted(&failure.to_string()))?;
+    check_resumed(call, &response).map_err(|reason| not_accepted(&reason))?;
+    Ok(response)
+}
+
+/// Checks that a response continues the generation.
+fn check_resumed(call: &Call, response: &EndpointResponse) -> Result<(), String> {
     if response.parts.status != http::StatusCode::OK || !response.head.sealed {
         return Err(format!("engine answered {}", response.head.status));
     }
@@ -197,5 +245,5 @@
     if response.head.request_id.as_deref() != Some(call.head.request_id.as_str()) {
         return Err("the answer belongs to another request".to_owned());
     }
-    Ok(response)
+    Ok(())
 }
--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -104,10 +104,22 @@
 
     /// Spends one retry; returns whether the budget allowed it.
     pub fn try_spend(&mut self) -> bool {
-        if self.balance_milli < RETRY_COST_MILLI {
+        self.try_reserve(1)
+    }
+
+    /// Sets retries aside, all or none; returns whether the budget allowed it.
+    pub fn try_reserve(&mut self, retries: u32) -> bool {
+        let cost_milli = RETRY_COST_MILLI * u64::from(retries);
+        if self.balance_milli < cost_milli {
             return false;
         }
-        self.balance_milli -= RETRY_COST_MILLI;
+        self.balance_milli -= cost_milli;
         true
     }
+
+    /// Returns retries that were set aside and not needed.
+    pub fn give_back(&mut self, retries: u32) {
+        let returned = self.balance_milli + RETRY_COST_MILLI * u64::from(retries);
+        self.balance_milli = returned.min(self.balance_max_milli);
+    }
 }
--- a/tests/kernel/retry.rs
+++ b/tests/kernel/retry.rs
@@ -1,6 +1,7 @@
 //! Retry budgets of the instances of a site.
 
 use larkwick::kernel::retry::{RetryAllowance, RetryBudget};
+use proptest::prelude::*;
 
 const ALLOWANCE: RetryAllowance = RetryAllowance {
     share: 0.2,
@@ -48,3 +49,67 @@
     budget.fill_up();
     assert_eq!(spend_all(&mut budget), 12);
 }
+
+#[test]
+fn try_reserve_more_than_balance_nothing_taken() {
+    let mut budget = ALLOWANCE.instance_budget(32);
+    assert!(!budget.try_reserve(2), "1.5 are there");
+    assert!(budget.try_reserve(1));
+}
+
+#[test]
+fn give_back_after_refill_never_above_share() {
+    let mut budget = ALLOWANCE.instance_budget(4);
+    assert!(budget.try_reserve(12));
+    for _ in 0..1_000 {
+        budget.record_first_attempt();
+    }
+    budget.give_back(12);
+    assert_eq!(spend_all(&mut budget), 12);
+}
+
+/// What happens at a budget.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    FirstAttempt,
+    Retry,
+    /// Sets two retries aside.
+    MoveBegins,
+    /// Ends the oldest move, of which this many sends were not accepted.
+    MoveEnds(u32),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => Just(Event::FirstAttempt),
+        2 => Just(Event::Retry),
+        2 => Just(Event::MoveBegins),
+        2 => (0_u32..=2).prop_map(Event::MoveEnds),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn moves_and_retries_together_within_allowance(events in prop::collection::vec(event(), 1..400)) {
+        let mut budget = ALLOWANCE.instance_budget(4);
+        let (mut first_attempts, mut spent, mut open_moves) = (0_u32, 0_u32, 0_u32);
+        for event in events {
+            match event {
+                Event::FirstAttempt => {
+                    budget.record_first_attempt();
+                    first_attempts += 1;
+                }
+                Event::Retry => spent += u32::from(budget.try_spend()),
+                Event::MoveBegins => open_moves += u32::from(budget.try_reserve(2)),
+                Event::MoveEnds(refused) if open_moves > 0 => {
+                    open_moves -= 1;
+                    spent += refused;
+                    budget.give_back(2 - refused);
+                }
+                Event::MoveEnds(_) => {}
+            }
+            let allowed = 15.0 + 0.2 * f64::from(first_attempts);
+            prop_assert!(f64::from(spent) <= allowed, "{spent} of {allowed}");
+        }
+    }
+}
