--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -215,8 +215,9 @@
         let ledgers = Ledgers::for_instance(&settings.instance);
         let fleet: Arc<Mutex<Fleet>> = Arc::default();
         let endpoint_signals = Arc::new(EndpointSignalHandler::new(clock.clone(), fleet.clone()));
+        let forwarders = routing.endpoint_forwarders.clone();
         Self {
-            upstream: Upstream::new(clock.clone(), endpoint_signals.clone()),
+            upstream: Upstream::new(clock.clone(), endpoint_signals.clone(), forwarders),
             suspensions: Suspensions::default(),
             crash_suspects: Mutex::default(),
             suspects_changed: Notify::new(),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,7 +1,7 @@
 //! Connection pools of the endpoints. Each connection carries one request at a time, and each error
 //! says whether any byte of the request may have left.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -192,11 +192,18 @@
 pub(crate) struct Upstream {
     pools: Arc<Pools>,
     clock: Arc<dyn Clock>,
+    /// Addresses to connect to, by listed address, where a forwarder stands before an endpoint.
+    forwarders: BTreeMap<SocketAddr, SocketAddr>,
 }
 
 impl Upstream {
-    pub(crate) fn new(clock: Arc<dyn Clock>, signals: Arc<EndpointSignalHandler>) -> Self {
+    pub(crate) fn new(
+        clock: Arc<dyn Clock>,
+        signals: Arc<EndpointSignalHandler>,
+        forwarders: BTreeMap<SocketAddr, SocketAddr>,
+    ) -> Self {
         Self {
+            forwarders,
             pools: Arc::new(Pools {
                 clock: clock.clone(),
                 signals,
@@ -233,7 +240,7 @@
             return Ok(connection);
         }
         let open_guard = self.reserve_slot(endpoint, max_open)?;
-        let stream = connect(endpoint.address, timeout).await?;
+        let stream = self.connect(endpoint, timeout).await?;
         let (sender, driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|error| ConnectError::Other(error.to_string()))?;
@@ -255,7 +262,16 @@
         &self,
         endpoint: &EndpointEntry,
     ) -> Result<TcpStream, ConnectError> {
-        connect(endpoint.address, CONNECT_TIMEOUT_MAX).await
+        self.connect(endpoint, CONNECT_TIMEOUT_MAX).await
+    }
+
+    async fn connect(
+        &self,
+        endpoint: &EndpointEntry,
+        timeout: Duration,
+    ) -> Result<TcpStream, ConnectError> {
+        let forwarder = self.forwarders.get(&endpoint.address);
+        connect(*forwarder.unwrap_or(&endpoint.address), timeout).await
     }
 
     fn reserve_slot(
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -33,6 +33,10 @@
     /// front of this instance.
     #[serde(default)]
     pub peer_address_told: Option<SocketAddr>,
+    /// Addresses under which this instance reaches endpoints, by their listed address, where a
+    /// forwarder stands between them. Endpoints that are not named are reached as listed.
+    #[serde(default)]
+    pub endpoint_forwarders: BTreeMap<SocketAddr, SocketAddr>,
     /// Processor share of this instance, in cores.
     pub processor_cores: f64,
     /// Network bandwidth of this instance, in Mbit/s.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Starts the project's binaries on free ports and sends requests to them.
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod link;
 pub mod proxy;
 pub mod site;
 pub mod suspension;
