What one instance cannot reach is not taken from the others

The same class, found by reading and each shown or mended here: a lost way was counted as the end of endpoints under their requests (a test shows six of six `Ended`), which refuses the requests everywhere; and as failures of a roll-out's new version. Ruled out: engines that are full (none refused), other members that are silent.

Engines that could not be connected to are reported as such (RunsReport.unreached), not by an instance that is cut off; the owner holds the engine back at once, tries it itself, and gives it back unless it does not reach it either while it reaches another. An endpoint that refuses connections has ended under its requests only if the instance reaches another one, or a peer says so (rpc CheckEndpoint).

--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -83,9 +83,11 @@
         let gateway = &self.gateway;
         let probed = gateway.probe_result(probe, &self.endpoint, self.aborted_at);
         let (probe, result) = probed.await;
-        self.record(&result);
+        let is_running = result.presence == Presence::Listens;
+        let result = gateway.weigh_probe(&self.endpoint, self.aborted_at, result);
+        self.record(&result.await);
         gateway.presence_probes.remove_pending(self.fingerprint);
-        if result.presence == Presence::Listens {
+        if is_running {
             tokio::spawn(self.record_late_result(probe));
         }
     }
@@ -94,7 +96,8 @@
         let gateway = &self.gateway;
         let late_result = gateway.late_probe_result(&probe, &self.endpoint).await;
         if let Some(result) = late_result {
-            self.record(&result);
+            let result = gateway.weigh_probe(&self.endpoint, self.aborted_at, result);
+            self.record(&result.await);
         }
     }
 
--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -17,7 +17,7 @@
 use super::site_store::{self, SiteStore, Subject};
 use super::{
     coordinator, crash_suspects, endpoint_signals, engine_reports, heartbeat, operator_api,
-    rollout_reports, run_reports, store_follower, work_counters,
+    reach_monitor, rollout_reports, run_reports, store_follower, work_counters,
 };
 use crate::daemon::app::metrics_handle;
 use crate::kernel::backoff::Backoff;
@@ -144,6 +144,8 @@
             .push(tokio::spawn(heartbeat::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(coordinator::run(gateway.clone())));
+        self.tasks
+            .push(tokio::spawn(reach_monitor::run(gateway.clone())));
         self.tasks
             .push(tokio::spawn(run_reports::run(gateway.clone())));
         self.tasks
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -17,6 +17,7 @@
 use super::moves;
 use super::node::Gateway;
 use super::ownership::{acts_as_owner, owner_address, reachable_owner_address, record_owner_call};
+use super::reach_monitor::UnreachedVerdict;
 use super::runs::UnavailableEngines;
 use super::version_choice::{self, RolloutView};
 use crate::kernel::admission_queue::{Admission, AdmissionRequest};
@@ -301,7 +302,7 @@
 
 /// Applies a report of the runs of an entry instance.
 pub(crate) fn apply_run_report(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     service: &str,
     entry: &str,
     runs: Vec<ReportedRun>,
@@ -319,6 +320,12 @@
             info!("engine reported gone", kv: { service, endpoint = endpoint.as_str(), entry });
         }
     }
+    for endpoint in &unavailable.unreached {
+        shard.ledger.record_unreachable(endpoint, now);
+        if crate::log::should_log("engine reported unreached") {
+            info!("engine reported unreached", kv: { service, endpoint = endpoint.as_str(), entry });
+        }
+    }
     shard.ledger.apply_report(entry, runs, now);
     shard
         .ledger
@@ -328,6 +335,32 @@
     if has_pending_work {
         gateway.ledgers.wake_coordinator();
     }
+    // Another instance than the owner decides for itself alone.
+    if owner_address(gateway, service).is_none() {
+        for endpoint in &unavailable.unreached {
+            let judging = judge_unreached_engine(gateway.clone(), endpoint.clone(), now);
+            tokio::spawn(judging);
+        }
+    }
+}
+
+/// Makes an engine available again that an entry could not connect to, unless it cannot be connected
+/// to from here either, while another one can.
+async fn judge_unreached_engine(gateway: Arc<Gateway>, endpoint: String, recorded_at: Duration) {
+    let Some(engine) = gateway.fleet.lock().get(&endpoint).cloned() else {
+        return;
+    };
+    let verdict = gateway.judge_unreached(&engine).await;
+    if crate::log::should_log("unreached engine judged") {
+        info!("unreached engine judged", kv: {
+            service = engine.service.as_str(), endpoint = endpoint.as_str(), verdict:?,
+        });
+    }
+    if verdict != UnreachedVerdict::Down {
+        let shard = gateway.ledgers.shard(&engine.service);
+        let mut shard = shard.lock();
+        shard.ledger.withdraw_unreachable(&endpoint, recorded_at);
+    }
 }
 
 /// Processes the ledgers until the instance stops: grants capacity to waiting generations and moves
--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -12,6 +12,7 @@
 
 use super::node::Gateway;
 use super::presence_probe::{ProbeResult, closed, run_probe};
+use super::runs::Unavailability;
 use crate::kernel::fingerprint::RequestFingerprint;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::presence::Presence;
@@ -235,7 +236,9 @@
             if !is_listed {
                 break;
             }
+            let since = self.now();
             let (result, _) = run_probe(&self, &endpoint).await;
+            let result = self.weigh_probe(&endpoint, since, result).await;
             if result.presence == Presence::Listens {
                 info!("ended endpoint runs after all", kv: {
                     endpoint = endpoint.id.as_str(), probe = result.steps.as_str(),
@@ -257,7 +260,8 @@
     fn notify_placement(&self, endpoint: &EndpointEntry) {
         let EndpointEntry { id, service, .. } = endpoint;
         if self.has_engines(service) {
-            self.runs.record_unavailable_engine(service, id, true);
+            self.runs
+                .record_unavailable_engine(service, id, Unavailability::Gone);
             self.ledgers.runs_changed.notify_one();
         } else {
             self.health.lock().record_absent(id, self.now());
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -11,11 +11,11 @@
 use super::aborted_requests;
 use super::inbound_call::Call;
 use super::retry_budgets::RepeatCause;
-use super::runs::{RunCommand, RunHandle};
+use super::runs::{RunCommand, RunHandle, Unavailability};
 use super::send_checks::{Withheld, check_before_send};
 use super::started_generation::{EngineAttempts, ResponseStream, RunGuard, StartedGeneration};
 use super::takeover::{self, StallDetector};
-use super::upstream::{ConnectError, ConnectionReuse, EndpointResponse, SendError};
+use super::upstream::{ConnectionReuse, EndpointResponse, SendError};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::engine_ledger::RunDemand;
 use crate::kernel::fleet::EndpointEntry;
@@ -37,8 +37,8 @@
     /// Nothing was sent; another engine may be tried.
     Unsent {
         reason: String,
-        /// Whether the connection was refused at the engine's address.
-        connection_refused: bool,
+        /// Whether no connection to the engine could be made.
+        unreached: bool,
     },
     /// The request became a refused crash suspect after its placement. Nothing was sent.
     CrashSuspected,
@@ -71,23 +71,21 @@
         }
     }
 
-    /// Returns whether the engine is gone from its address: the connection was refused, or another
-    /// endpoint answered there.
+    /// Returns why the engine is reported as unavailable.
     ///
     /// This is reported to all instances that place generations, so that each does not have to find
     /// out by itself: without it, 631 of 3,427 generations were answered by other incarnations than
     /// the expected ones while a quarter of the endpoints restarted six times (one run).
-    pub(super) fn is_engine_gone(&self) -> bool {
-        matches!(
-            self,
+    pub(super) fn unavailability(&self) -> Unavailability {
+        match self {
             Self::Unsent {
-                connection_refused: true,
-                ..
-            } | Self::Refused {
-                misdirected: true,
-                ..
-            }
-        )
+                unreached: true, ..
+            } => Unavailability::Unreached,
+            Self::Refused {
+                misdirected: true, ..
+            } => Unavailability::Gone,
+            _ => Unavailability::Refused,
+        }
     }
 }
 
@@ -98,7 +96,7 @@
             Withheld::CrashSuspected => Self::CrashSuspected,
             Withheld::Unsent(reason) => Self::Unsent {
                 reason: reason.to_owned(),
-                connection_refused: false,
+                unreached: false,
             },
         }
     }
@@ -154,7 +152,7 @@
     let endpoint = gateway.fleet.lock().get(granted).cloned();
     let unsent = |reason: &str| AttemptFailure::Unsent {
         reason: reason.to_owned(),
-        connection_refused: false,
+        unreached: false,
     };
     let endpoint = endpoint.ok_or_else(|| unsent("engine unknown here"))?;
     let (run_guard, commands) = register_run(call, demand, &endpoint);
@@ -167,7 +165,7 @@
         .await;
     let connection = connection.map_err(|error| AttemptFailure::Unsent {
         reason: error.to_string(),
-        connection_refused: matches!(error, ConnectError::Refused(_)),
+        unreached: error.is_unreached(),
     })?;
     let permit = match counted_at {
         Some(_) => Some(gateway.permit_for_placement(granted, counted_at)),
@@ -188,8 +186,8 @@
         Some(Err(SendError::Unsent(reason))) => return Err(unsent(&reason)),
         Some(Err(SendError::NoPermit)) => return Err(AttemptFailure::RateLimited),
         Some(Err(SendError::MayHaveRun(reason))) => {
+            aborted_requests::report(call, endpoint.clone(), Duration::ZERO).await;
             record_outcome(call, &endpoint, true, sent_at);
-            aborted_requests::report(call, endpoint, Duration::ZERO).await;
             return Err(lost_run(call, ErrorKind::EndpointLost, &reason));
         }
         None => {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -1,5 +1,6 @@
 //! Places a generation on an engine and starts it there.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -197,13 +198,13 @@
             Err(failure) => failure,
         };
         reason = failure.reason();
-        let is_engine_gone = failure.is_engine_gone();
+        let unavailability = failure.unavailability();
         if failures.record(call, &attempts, failure) {
             break;
         }
         gateway
             .runs
-            .record_unavailable_engine(&call.service, &granted, is_engine_gone);
+            .record_unavailable_engine(&call.service, &granted, unavailability);
         gateway.ledgers.runs_changed.notify_one();
         attempts.excluded.push(granted);
     }
@@ -332,9 +333,31 @@
         gateway.avoided_endpoints(others)
     };
     excluded.extend(avoided);
+    excluded.extend(unreached_engines(call, &excluded));
     excluded.into_iter().collect()
 }
 
+/// Returns the engines that could not be connected to from here a short time ago; none if there is no
+/// other that is not excluded.
+fn unreached_engines(call: &Call, excluded: &BTreeSet<String>) -> BTreeSet<String> {
+    let unreached = call.gateway.reach.unreached_endpoints();
+    if unreached.is_empty() {
+        return unreached;
+    }
+    let fleet = call.gateway.fleet.lock();
+    let is_excluded =
+        |engine: &EndpointEntry| excluded.contains(&engine.id) || unreached.contains(&engine.id);
+    let has_other = call
+        .eligible_endpoints(&fleet, is_excluded)
+        .next()
+        .is_some();
+    if has_other {
+        unreached
+    } else {
+        BTreeSet::new()
+    }
+}
+
 /// Returns how long an engine may take to send its first event: all the time that is left, less the
 /// time that another engine needs if one can still be tried.
 ///
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 //! | `read_ahead` | reads generations ahead of callers that read slowly |
 //! | `takeover` | takes over generations whose connection to their engine stalled |
 //! | `upstream` | connection pools of the endpoints |
+//! | `reach_monitor` | which endpoints this instance reaches, and whether one that it does not reach is down |
 //! | `endpoint_signals` | handles the signals in the response headers of endpoints |
 //! | `endpoint_cooldowns` | effect of endpoint cooldowns on calls |
 //! | `retry_budgets` | the budget for sends beyond the first of a request |
@@ -69,6 +70,7 @@
 pub(crate) mod plain_attempt;
 pub(crate) mod plain_call;
 pub(crate) mod presence_probe;
+pub(crate) mod reach_monitor;
 pub(crate) mod read_ahead;
 pub(crate) mod relay;
 pub(crate) mod request_handler;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -23,6 +23,7 @@
 use super::held_calls::HeldCalls;
 use super::ledgers::Ledgers;
 use super::live_members::LiveMembers;
+use super::reach_monitor::ReachMonitor;
 use super::retry_budgets::RetryBudgets;
 use super::rollouts::Rollouts;
 use super::runs::RunRegistry;
@@ -149,6 +150,7 @@
     /// Response-time estimates by service.
     response_times: Mutex<HashMap<String, ResponseTimeEstimate>>,
     pub(crate) upstream: Upstream,
+    pub(crate) reach: Arc<ReachMonitor>,
     pub(crate) suspensions: Suspensions,
     /// Request fingerprints suspected of crashing endpoints.
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
@@ -215,9 +217,16 @@
         let ledgers = Ledgers::for_instance(&settings.instance);
         let fleet: Arc<Mutex<Fleet>> = Arc::default();
         let endpoint_signals = Arc::new(EndpointSignalHandler::new(clock.clone(), fleet.clone()));
+        let reach = Arc::new(ReachMonitor::new(clock.clone(), fleet.clone()));
         let forwarders = routing.endpoint_forwarders.clone();
         Self {
-            upstream: Upstream::new(clock.clone(), endpoint_signals.clone(), forwarders),
+            upstream: Upstream::new(
+                clock.clone(),
+                endpoint_signals.clone(),
+                reach.clone(),
+                forwarders,
+            ),
+            reach,
             suspensions: Suspensions::default(),
             crash_suspects: Mutex::default(),
             suspects_changed: Notify::new(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -143,6 +143,7 @@
             &UnavailableEngines {
                 refused: report.refused.into_iter().collect(),
                 gone: report.dead.into_iter().collect(),
+                unreached: report.unreached.into_iter().collect(),
                 cooling_down: report.resting.into_iter().collect(),
             },
         );
@@ -172,6 +173,17 @@
         }))
     }
 
+    async fn check_endpoint(
+        &self,
+        request: Request<wire::CheckEndpointRequest>,
+    ) -> Result<Response<wire::CheckEndpointReply>, Status> {
+        let endpoint = request.into_inner().endpoint;
+        let verdict = self.gateway.check_endpoint(&endpoint).await;
+        Ok(Response::new(wire::CheckEndpointReply {
+            verdict: verdict.encode(),
+        }))
+    }
+
     async fn move_run(
         &self,
         request: Request<wire::MoveRunRequest>,
--- a/src/gateway/presence_probe.rs
+++ b/src/gateway/presence_probe.rs
@@ -31,6 +31,9 @@
     /// Whether the endpoint accepts connections and does not answer, so that a request that is sent
     /// there waits in vain.
     pub(super) is_unanswered: bool,
+    /// Whether the result rests on a refused connection alone, which a lost way to the endpoint
+    /// looks like.
+    pub(super) is_refused: bool,
     /// The steps of the probe, for the log.
     pub(super) steps: String,
 }
@@ -41,6 +44,7 @@
         Self {
             presence: Presence::Unknown,
             is_unanswered: false,
+            is_refused: false,
             steps: String::new(),
         }
     }
@@ -61,6 +65,7 @@
             let result = ProbeResult {
                 presence,
                 is_unanswered: check.is_unanswered(),
+                is_refused: check.is_refused(),
                 steps: check.summary(),
             };
             return (result, connection);
@@ -68,6 +73,31 @@
     }
 }
 
+impl Gateway {
+    /// Returns the result of a probe that began at `since`, or that nothing is known: an endpoint that
+    /// refuses connections has ended only if its refusal is no lost way of this instance.
+    pub(super) async fn weigh_probe(
+        &self,
+        endpoint: &EndpointEntry,
+        since: Duration,
+        result: ProbeResult,
+    ) -> ProbeResult {
+        if result.presence != Presence::Ended || !result.is_refused {
+            return result;
+        }
+        let presence = if self.is_down_for_all(endpoint, since).await {
+            Presence::Ended
+        } else {
+            Presence::Unknown
+        };
+        ProbeResult {
+            presence,
+            is_refused: false,
+            ..result
+        }
+    }
+}
+
 async fn probe_once(gateway: &Gateway, endpoint: &EndpointEntry) -> (ProbeStep, Option<TcpStream>) {
     match question_permit(gateway, endpoint).await {
         Some(permit) => (ask(gateway, endpoint, permit).await, None),
@@ -101,7 +131,7 @@
 fn connect_step(error: &ConnectError) -> ProbeStep {
     match error {
         ConnectError::Refused(_) => ProbeStep::Refused,
-        ConnectError::Other(_) => ProbeStep::Unreachable,
+        ConnectError::Unreached(_) | ConnectError::Other(_) => ProbeStep::Unreachable,
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use super::read_ahead::read_ahead;
 use super::response_body::{ResponseAborted, ResponseBody};
 use super::retry_budgets::RepeatCause;
-use super::runs::{Continuation, RunCommand};
+use super::runs::{Continuation, RunCommand, Unavailability};
 use super::started_generation::{
     EngineAttempts, ResponseStream, RunGuard, StartedGeneration, record_generation_end,
 };
@@ -289,10 +289,10 @@
         let now = self.call.gateway.now();
         let ran_for = self.first_event_at.map(|at| now.saturating_sub(at));
         let latency = ran_for.unwrap_or_default();
+        aborted_requests::report(&self.call, endpoint.clone(), latency).await;
         self.call
             .gateway
             .record_rollout_outcome(&self.call, &endpoint, true, latency);
-        aborted_requests::report(&self.call, endpoint, ran_for.unwrap_or_default()).await;
     }
 
     /// Determines how to proceed after the stream broke: wait for the continuation of a stop,
@@ -393,12 +393,16 @@
         let resumed = self.try_resume(&mut continuation, RepeatCause::Move).await;
         let response = match resumed {
             Ok(response) => response,
-            Err(_) if continuation.target.id != previous.id => {
-                let call = &self.call;
-                let refused = &continuation.target.id;
-                call.gateway
-                    .runs
-                    .record_unavailable_engine(&call.service, refused, false);
+            Err(error) if continuation.target.id != previous.id => {
+                if let ResumeError::NotAccepted(_) = error {
+                    let call = &self.call;
+                    let refused = &continuation.target.id;
+                    call.gateway.runs.record_unavailable_engine(
+                        &call.service,
+                        refused,
+                        Unavailability::Refused,
+                    );
+                }
                 continuation.target = previous;
                 continuation.counted = false;
                 let returned = self.try_resume(&mut continuation, RepeatCause::Return);
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -370,6 +370,10 @@
         failed: bool,
         latency: Duration,
     ) {
+        // A lost way to the endpoints says nothing about their version.
+        if failed && self.reach.is_cut_off(&call.service) {
+            return;
+        }
         let observed_at = self.now();
         let mut services = self.rollouts.services.lock();
         let Some(rollout) = services.get_mut(&call.service) else {
--- a/src/gateway/run_reports.rs
+++ b/src/gateway/run_reports.rs
@@ -69,11 +69,15 @@
         .min(REPORT_INTERVAL_MAX)
 }
 
-async fn send_report(gateway: &Gateway, service: &str, runs: Vec<ReportedRun>) {
-    let unavailable = UnavailableEngines {
+async fn send_report(gateway: &Arc<Gateway>, service: &str, runs: Vec<ReportedRun>) {
+    let mut unavailable = UnavailableEngines {
         cooling_down: gateway.cooling_down_endpoints(),
         ..gateway.runs.take_unavailable_engines(service)
     };
+    // Who reaches no engine at all tells nothing about a single one.
+    if gateway.reach.is_cut_off(service) {
+        unavailable.unreached.clear();
+    }
     let own_name = &gateway.incarnation.name;
     // Also kept in the local ledger for when the owner is unreachable.
     apply_run_report(gateway, service, own_name, runs.clone(), &unavailable);
@@ -86,6 +90,7 @@
         runs: runs.iter().map(wire::Run::from).collect(),
         refused: unavailable.refused.into_iter().collect(),
         dead: unavailable.gone.into_iter().collect(),
+        unreached: unavailable.unreached.into_iter().collect(),
         resting: unavailable.cooling_down.into_iter().collect(),
     };
     let response = match gateway.peers.site_client(&address) {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -61,13 +61,27 @@
     }
 }
 
+/// Why an engine cannot be used for now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unavailability {
+    /// It refused a generation.
+    Refused,
+    /// It no longer runs at its address, by what was answered there.
+    Gone,
+    /// It could not be connected to from here, which does not show whether others can.
+    Unreached,
+}
+
 /// Engines that this instance cannot use for now.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct UnavailableEngines {
-    /// Engines that refused as full or could not be reached from here.
+    /// Engines that refused as full.
     pub(crate) refused: BTreeSet<String>,
-    /// Engines whose address refuses connections or answers for another endpoint.
+    /// Engines whose address answers for another endpoint, or accepts connections and does not
+    /// answer.
     pub(crate) gone: BTreeSet<String>,
+    /// Engines that could not be connected to from here.
+    pub(crate) unreached: BTreeSet<String>,
     /// Engines in a cooldown towards the reporting instance.
     pub(crate) cooling_down: BTreeSet<String>,
 }
@@ -121,15 +135,19 @@
         runs.map(|run| run.to_report()).collect()
     }
 
-    /// Records an engine that did not accept a generation; `is_gone` says that it no longer runs at
-    /// its address.
-    pub(crate) fn record_unavailable_engine(&self, service: &str, endpoint: &str, is_gone: bool) {
+    /// Records an engine that did not accept a generation.
+    pub(crate) fn record_unavailable_engine(
+        &self,
+        service: &str,
+        endpoint: &str,
+        unavailability: Unavailability,
+    ) {
         let mut unavailable = self.unavailable.lock();
         let unavailable = unavailable.entry(service.to_owned()).or_default();
-        let engines = if is_gone {
-            &mut unavailable.gone
-        } else {
-            &mut unavailable.refused
+        let engines = match unavailability {
+            Unavailability::Refused => &mut unavailable.refused,
+            Unavailability::Gone => &mut unavailable.gone,
+            Unavailability::Unreached => &mut unavailable.unreached,
         };
         engines.insert(endpoint.to_owned());
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -22,6 +22,7 @@
 use super::endpoint_signals::EndpointSignalHandler;
 use super::message_heads::ResponseHead;
 use super::permits::Permit;
+use super::reach_monitor::ReachMonitor;
 use crate::kernel::clock::Clock;
 use crate::kernel::connect_timeout::CONNECT_TIMEOUT_MAX;
 use crate::kernel::fleet::EndpointEntry;
@@ -58,11 +59,21 @@
     /// Nothing listens at the address.
     #[error("{0} refuses connections")]
     Refused(SocketAddr),
-    /// Any other failure, also an exhausted connection limit.
+    /// No connection was made in time, or there is no way to the address.
+    #[error("{0}")]
+    Unreached(String),
+    /// A failure of this instance, such as an exhausted connection limit.
     #[error("{0}")]
     Other(String),
 }
 
+impl ConnectError {
+    /// Returns whether the address was not reached. Whether others reach it is not known.
+    pub(crate) const fn is_unreached(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::Unreached(_))
+    }
+}
+
 /// Failure of a request that got no response.
 #[derive(Debug, Clone, thiserror::Error)]
 pub(crate) enum SendError {
@@ -192,6 +203,7 @@
 pub(crate) struct Upstream {
     pools: Arc<Pools>,
     clock: Arc<dyn Clock>,
+    reach: Arc<ReachMonitor>,
     /// Addresses to connect to, by listed address, where a forwarder stands before an endpoint.
     forwarders: BTreeMap<SocketAddr, SocketAddr>,
 }
@@ -200,9 +212,11 @@
     pub(crate) fn new(
         clock: Arc<dyn Clock>,
         signals: Arc<EndpointSignalHandler>,
+        reach: Arc<ReachMonitor>,
         forwarders: BTreeMap<SocketAddr, SocketAddr>,
     ) -> Self {
         Self {
+            reach,
             forwarders,
             pools: Arc::new(Pools {
                 clock: clock.clone(),
@@ -271,7 +285,15 @@
         timeout: Duration,
     ) -> Result<TcpStream, ConnectError> {
         let forwarder = self.forwarders.get(&endpoint.address);
-        connect(*forwarder.unwrap_or(&endpoint.address), timeout).await
+        let connected = connect(*forwarder.unwrap_or(&endpoint.address), timeout).await;
+        match &connected {
+            Ok(_) => self.reach.record_reached(endpoint),
+            Err(error) if error.is_unreached() => {
+                self.reach.record_unreached(endpoint, &error.to_string());
+            }
+            Err(_) => {}
+        }
+        connected
     }
 
     fn reserve_slot(
@@ -427,10 +449,10 @@
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting
         .await
-        .map_err(|_| ConnectError::Other(format!("{address} did not answer in time")))?
+        .map_err(|_| ConnectError::Unreached(format!("{address} did not answer in time")))?
         .map_err(|error| match error.kind() {
             std::io::ErrorKind::ConnectionRefused => ConnectError::Refused(address),
-            _ => ConnectError::Other(format!("{address}: {error}")),
+            _ => ConnectError::Unreached(format!("{address}: {error}")),
         })?;
     enable_dead_peer_detection(&stream).map_err(|error| ConnectError::Other(error.to_string()))?;
     Ok(stream)
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -526,6 +526,16 @@
         }
     }
 
+    /// Withdraws a record of [`Self::record_unreachable`] that was made at `recorded_at`, unless a
+    /// later one holds the engine back.
+    pub fn withdraw_unreachable(&mut self, endpoint: &str, recorded_at: Duration) {
+        if let Some(engine) = self.engines.get_mut(endpoint)
+            && engine.unavailable_until == recorded_at + UNREACHABLE_BACKOFF
+        {
+            engine.unavailable_until = recorded_at;
+        }
+    }
+
     /// Releases the grant of a generation that will not use it.
     pub fn release(&mut self, run: &str) {
         self.remove(run);
--- a/src/kernel/presence.rs
+++ b/src/kernel/presence.rs
@@ -82,6 +82,13 @@
         last.is_some_and(|(step, _)| *step == ProbeStep::Unanswered)
     }
 
+    /// Returns whether the last connection was refused.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        let last = self.steps.last();
+        last.is_some_and(|(step, _)| *step == ProbeStep::Refused)
+    }
+
     /// Returns the steps with their times, for the log.
     #[must_use]
     pub fn summary(&self) -> String {
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -366,6 +366,9 @@
     /// Engines that asked the entry for rest: nothing is to be moved to them for it.
     #[prost(string, repeated, tag = "6")]
     pub resting: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Engines that the entry could not connect to, while it reaches others.
+    #[prost(string, repeated, tag = "7")]
+    pub unreached: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RunsReply {}
@@ -451,6 +454,17 @@
     #[prost(uint64, tag = "2")]
     pub not_before_ms: u64,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CheckEndpointRequest {
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CheckEndpointReply {
+    /// 0 not known, 1 reached, 2 down: not reached, while another endpoint of its service is.
+    #[prost(uint32, tag = "1")]
+    pub verdict: u32,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -1311,6 +1325,31 @@
             req.extensions_mut().insert(GrpcMethod::new("larkwick.peer.Site", "Permit"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks whether an endpoint that the asker could not connect to is down for this instance, too.
+        pub async fn check_endpoint(
+            &mut self,
+            request: impl tonic::IntoRequest<super::CheckEndpointRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::CheckEndpointReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/CheckEndpoint",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "CheckEndpoint"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1384,6 +1423,14 @@
             &self,
             request: tonic::Request<super::PermitRequest>,
         ) -> std::result::Result<tonic::Response<super::PermitReply>, tonic::Status>;
+        /// Asks whether an endpoint that the asker could not connect to is down for this instance, too.
+        async fn check_endpoint(
+            &self,
+            request: tonic::Request<super::CheckEndpointRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::CheckEndpointReply>,
+            tonic::Status,
+        >;
     }
     /// Calls between instances that serve the routes of a site.
     #[derive(Debug)]
@@ -1812,6 +1859,51 @@
                     };
                     Box::pin(fut)
                 }
+                "/larkwick.peer.Site/CheckEndpoint" => {
+                    #[allow(non_camel_case_types)]
+                    struct CheckEndpointSvc<T: Site>(pub Arc<T>);
+                    impl<
+                        T: Site,
+                    > tonic::server::UnaryService<super::CheckEndpointRequest>
+                    for CheckEndpointSvc<T> {
+                        type Response = super::CheckEndpointReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::CheckEndpointRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::check_endpoint(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = CheckEndpointSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -19,7 +19,7 @@
 /// A site of which one instance reaches the endpoints through links of its own.
 struct CutSite {
     _site: RoutedSite,
-    _endpoints: Vec<Arc<Server>>,
+    endpoints: Vec<Arc<Server>>,
     links: Vec<Link>,
     /// The instance that can be cut off.
     cut_off: Instance,
@@ -55,7 +55,7 @@
         .await;
         Self {
             _site: site,
-            _endpoints: endpoints,
+            endpoints,
             links,
             cut_off,
             other,
@@ -133,6 +133,52 @@
     }
 }
 
+/// Guards against engines that are taken from the other instances because one instance does not reach
+/// them.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_that_one_instance_does_not_reach_stay_with_the_others() {
+    for cut in CUTS {
+        let site = CutSite::start("llm", ServerKind::Engine).await;
+        site.cut(cut).await;
+        let (_, at_other) = tokio::join!(
+            generate(&site.cut_off, "a", 20),
+            generate(&site.other, "b", 20)
+        );
+        assert!(at_other.is_empty(), "{cut:?}: {at_other:?}");
+    }
+}
+
+/// Guards against a lost way that is taken for the end of the endpoints: the request that ran when it
+/// was lost would be refused everywhere, as one under which endpoints end.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_that_are_out_of_reach_have_not_ended_under_their_requests() {
+    let site = CutSite::start("llm", ServerKind::Engine).await;
+    let running: Vec<_> = (0..6)
+        .map(|number| {
+            let request = site.cut_off.generation(200, &format!("r{number}"));
+            tokio::spawn(send_request(request))
+        })
+        .collect();
+    wait_until("generations running", async || {
+        let engines = site.endpoints.iter();
+        engines.map(|engine| engine.running_count()).sum::<usize>() == 6
+    })
+    .await;
+    site.cut(Cut::Resets).await;
+    for response in running {
+        response.await.expect("response received");
+    }
+    wait_until("six lines", async || {
+        site.cut_off.logged("endpoint broke off").len() >= 6
+    })
+    .await;
+    let lines = site.cut_off.logged("endpoint broke off");
+    let ended = lines.iter().filter(|line| line["presence"] == "Ended");
+    assert_eq!(ended.count(), 0, "{lines:?}");
+    let again = send_request(site.other.generation(200, "again")).await;
+    assert_eq!(again.status, 200, "{again:?}");
+}
+
 /// Guards against an instance that refuses all generations because it reaches no engine, and against
 /// engines that are taken from the other instances because that one does not reach them.
 #[tokio::test(flavor = "multi_thread")]
