Calls at an instance that reaches no endpoint are passed on to a peer

Cause: an instance tried endpoints and nothing else. Peers that it heard, and that reached the endpoints, were not asked. Leaving the directory's answer comes too late: callers hold it for seconds, and keep connections.

Change: an instance that is cut off from a service (kernel/reachability) passes its calls on to a live peer (rpc ForwardCall), as they came: the peer resolves route and key anew, by a configuration that is not older, and serves it as its own. One hop: what a peer passed on is not passed on again. The first attempt is recorded where the call is served, or where it was first; sends so far go with it, so that a second one draws on the budget. Bodies count as held at both; forwarded calls have connections of their own, with windows of 64 KB a call.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use spdlog::info;
 
+use super::call_forwarding;
 use super::coordinator::{self, Placement};
 use super::crash_suspects::{self, Admission};
 use super::endpoint_cooldowns;
@@ -48,11 +49,24 @@
 
 /// Handles a call for a generation and returns the response that streams its events.
 pub(crate) async fn handle_call(call: Call) -> Response<ResponseBody> {
-    call.gateway.record_first_attempt(&call.service);
     let call = Arc::new(call);
-    match start_generation(&call).await {
-        Ok(started) => relay::forward_response(call, started),
+    let before = call.origin.sends_before();
+    let declined = call.needs_forwarding();
+    if declined && let Some(response) = call_forwarding::forward(&call, before).await {
+        return response;
+    }
+    call.record_first_attempt();
+    let mut attempts = EngineAttempts::after(before);
+    attempts.may_forward = !declined;
+    match try_engines(&call, &mut attempts, last_event_id(&call)).await {
+        Ok(response) => relay::forward_response(call, response.into_started(attempts)),
         Err(error) => {
+            let before = attempts.sends_so_far();
+            if attempts.may_forward
+                && let Some(response) = call_forwarding::forward_failed(&call, &error, before).await
+            {
+                return response;
+            }
             record_generation_end(&call, &format!("{:?}", error.kind), &error.message, 0, 0);
             ingress::error_response(&error).map(full_body)
         }
@@ -100,11 +114,6 @@
     }
 }
 
-async fn start_generation(call: &Arc<Call>) -> Result<StartedGeneration, Error> {
-    let last_event_id = last_event_id(call);
-    start_from_event(call, EngineAttempts::default(), last_event_id).await
-}
-
 /// Returns the ID of the last event that the caller received, if the route's generations are
 /// resumable.
 pub(crate) fn last_event_id(call: &Call) -> Option<&str> {
@@ -121,13 +130,24 @@
         && call.time_left() > RESTART_TIME_LEFT_MIN
 }
 
-/// Tries one engine after another until one starts to answer, after the event `last_event_id` if it
-/// is given.
+/// Starts a generation again after the event `last_event_id`.
 pub(crate) async fn start_from_event(
     call: &Arc<Call>,
     mut attempts: EngineAttempts,
     last_event_id: Option<&str>,
 ) -> Result<StartedGeneration, Error> {
+    attempts.may_forward = false;
+    let response = try_engines(call, &mut attempts, last_event_id).await?;
+    Ok(response.into_started(attempts))
+}
+
+/// Tries one engine after another until one starts to answer, after the event `last_event_id` if it
+/// is given.
+async fn try_engines(
+    call: &Arc<Call>,
+    attempts: &mut EngineAttempts,
+    last_event_id: Option<&str>,
+) -> Result<AttemptResponse, Error> {
     let gateway = &call.gateway;
     if !has_allowed_engine(call) {
         return Err(no_allowed_engine_error(call));
@@ -140,6 +160,10 @@
             reason.push_str("; no time left");
             break;
         }
+        if attempts.may_forward && call.needs_forwarding() {
+            reason.push_str("; no engine reached from here");
+            break;
+        }
         // A refused crash suspect is sent to no further endpoint, whatever the result of its
         // earlier attempts.
         match crash_suspects::admission(call, attempts.restricted) {
@@ -160,13 +184,13 @@
             reason.push_str("; retry budget spent");
             break;
         }
-        let wait = capacity_wait(call, &attempts);
-        if !wait_for_available_engine(call, &attempts, wait).await {
+        let wait = capacity_wait(call, attempts);
+        if !wait_for_available_engine(call, attempts, wait).await {
             reason.push_str("; all engines rest, leave or have ended");
             break;
         }
-        let wait = capacity_wait(call, &attempts);
-        let excluded = excluded_engines(call, &attempts);
+        let wait = capacity_wait(call, attempts);
+        let excluded = excluded_engines(call, attempts);
         let placement = Box::pin(place(call, &mut demand, &excluded, wait)).await;
         let Some(Placement {
             engine: granted,
@@ -177,7 +201,7 @@
             break;
         };
         log_placement(call, &demand, &granted);
-        let response_timeout = response_timeout(call, &attempts);
+        let response_timeout = response_timeout(call, attempts);
         let restricted = attempts.restricted;
         let params = AttemptParams {
             granted: &granted,
@@ -189,7 +213,7 @@
         let result = try_engine(call, &demand, params).await;
         attempts.record(&result);
         let failure = match result {
-            Ok(attempt_response) => return Ok(attempt_response.into_started(attempts)),
+            Ok(attempt_response) => return Ok(attempt_response),
             Err(
                 AttemptFailure::CrashSuspected
                 | AttemptFailure::CoolingDown
@@ -199,7 +223,7 @@
         };
         reason = failure.reason();
         let unavailability = failure.unavailability();
-        if failures.record(call, &attempts, failure) {
+        if failures.record(call, attempts, failure) {
             break;
         }
         gateway
@@ -269,11 +293,11 @@
     fn into_result(
         self,
         call: &Call,
-        attempts: EngineAttempts,
+        attempts: &EngineAttempts,
         reason: &str,
-    ) -> Result<StartedGeneration, Error> {
+    ) -> Result<AttemptResponse, Error> {
         if let Some(attempt_response) = self.error_response {
-            return Ok(attempt_response.into_started(attempts));
+            return Ok(*attempt_response);
         }
         // Once an engine may have run the generation, a later refusal must not report it as not
         // run.
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -16,8 +16,39 @@
 use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{Route, RouteTable};
 
+/// What was sent to endpoints for a call before this instance got it or passed it on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct SendsBefore {
+    /// Number of requests that reached an endpoint.
+    pub(crate) sends: u32,
+    /// Number of them that may have run; never above `sends`.
+    pub(crate) runs: u32,
+    /// Whether its first attempt was recorded in a retry budget.
+    pub(crate) is_counted: bool,
+}
+
+/// From whom this instance got a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallOrigin {
+    /// From its caller.
+    Caller,
+    /// From a peer that reaches no endpoint of its service. It is not passed on again.
+    Peer(SendsBefore),
+}
+
+impl CallOrigin {
+    /// Returns what was sent for the call before this instance got it.
+    pub(crate) fn sends_before(self) -> SendsBefore {
+        match self {
+            Self::Caller => SendsBefore::default(),
+            Self::Peer(before) => before,
+        }
+    }
+}
+
 /// A call in flight.
 pub(crate) struct Call {
+    pub(crate) origin: CallOrigin,
     pub(crate) gateway: Arc<Gateway>,
     /// Configuration at the time of arrival; used until the call ends.
     pub(crate) table: Arc<RouteTable>,
@@ -106,6 +137,13 @@
         }
     }
 
+    /// Records the first attempt of this call, unless the peer that passed it on has.
+    pub(super) fn record_first_attempt(&self) {
+        if !self.origin.sends_before().is_counted {
+            self.gateway.record_first_attempt(&self.service);
+        }
+    }
+
     /// Returns a send of this call beyond its first.
     pub(super) fn repeat(&self, cause: RepeatCause) -> Repeat<'_> {
         Repeat {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 //! | `takeover` | takes over generations whose connection to their engine stalled |
 //! | `upstream` | connection pools of the endpoints |
 //! | `reach_monitor` | which endpoints this instance reaches, and whether one that it does not reach is down |
+//! | `call_forwarding`, `forwarded_call` | calls passed on to a peer that reaches the endpoints, and those that peers pass on |
 //! | `endpoint_signals` | handles the signals in the response headers of endpoints |
 //! | `endpoint_cooldowns` | effect of endpoint cooldowns on calls |
 //! | `retry_budgets` | the budget for sends beyond the first of a request |
@@ -42,6 +43,7 @@
 
 pub(crate) mod aborted_requests;
 pub mod app;
+pub(crate) mod call_forwarding;
 pub(crate) mod catch_up;
 pub mod chunked_pages;
 pub(crate) mod coordinator;
@@ -52,6 +54,7 @@
 pub(crate) mod endpoint_signals;
 pub(crate) mod engine_attempt;
 pub(crate) mod engine_reports;
+pub(crate) mod forwarded_call;
 pub(crate) mod generation;
 pub(crate) mod hall_evacuation;
 pub(crate) mod heartbeat;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 use uuid::Uuid;
 
+use super::call_forwarding::DecliningPeers;
 use super::endpoint_presence::PresenceProbes;
 use super::endpoint_signals::EndpointSignalHandler;
 use super::held_calls::HeldCalls;
@@ -151,6 +152,7 @@
     response_times: Mutex<HashMap<String, ResponseTimeEstimate>>,
     pub(crate) upstream: Upstream,
     pub(crate) reach: Arc<ReachMonitor>,
+    pub(crate) declining_peers: DecliningPeers,
     pub(crate) suspensions: Suspensions,
     /// Request fingerprints suspected of crashing endpoints.
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
@@ -227,6 +229,7 @@
                 forwarders,
             ),
             reach,
+            declining_peers: DecliningPeers::default(),
             suspensions: Suspensions::default(),
             crash_suspects: Mutex::default(),
             suspects_changed: Notify::new(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,10 +7,11 @@
 use tonic::{Request, Response, Status};
 
 use super::chunked_pages::EncodedPage;
+use super::forwarded_call::PartStream;
 use super::node::Gateway;
 use super::runs::UnavailableEngines;
 use super::work_counters::WorkKind;
-use super::{catch_up, coordinator, heartbeat, moves};
+use super::{catch_up, coordinator, forwarded_call, heartbeat, moves};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::ReportedRun;
 use crate::kernel::limit::LimitUpdate;
@@ -184,6 +185,16 @@
         }))
     }
 
+    type ForwardCallStream = PartStream;
+
+    async fn forward_call(
+        &self,
+        request: Request<wire::ForwardedCall>,
+    ) -> Result<Response<PartStream>, Status> {
+        let parts = forwarded_call::serve(&self.gateway, request.into_inner()).await?;
+        Ok(Response::new(parts))
+    }
+
     async fn move_run(
         &self,
         request: Request<wire::MoveRunRequest>,
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -10,7 +10,7 @@
 use super::aborted_requests;
 use super::crash_suspects;
 use super::endpoint_cooldowns;
-use super::inbound_call::Call;
+use super::inbound_call::{Call, SendsBefore};
 use super::node::Gateway;
 use super::permits::Permit;
 use super::send_checks::{Withheld, check_before_send};
@@ -92,6 +92,26 @@
     pub(super) restricted: bool,
 }
 
+impl Attempts {
+    /// Returns the state of a call for which some requests were sent already.
+    pub(super) fn after(before: SendsBefore) -> Self {
+        Self {
+            sends: before.sends,
+            may_have_run: before.runs,
+            ..Self::default()
+        }
+    }
+
+    /// Returns what was sent so far, for a peer that goes on.
+    pub(super) const fn sends_so_far(&self) -> SendsBefore {
+        SendsBefore {
+            sends: self.sends,
+            runs: self.may_have_run,
+            is_counted: true,
+        }
+    }
+}
+
 /// Returns whether the endpoint failed in an attempt; `None` if the attempt does not show it.
 pub(super) fn endpoint_failure(attempt: &Attempt) -> Option<bool> {
     match attempt {
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -2,11 +2,13 @@
 //! run a non-repeatable request twice.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
 use spdlog::info;
 
+use super::call_forwarding;
 use super::crash_suspects::{self, Admission};
 use super::endpoint_cooldowns;
 use super::endpoint_selection::select_endpoint;
@@ -33,9 +35,22 @@
 const PERMIT_DENIALS_MAX: u32 = 6;
 /// Handles a call and returns the response for its caller.
 pub(crate) async fn handle_call(call: Call) -> Response<ResponseBody> {
-    let mut attempts = Attempts::default();
-    call.gateway.record_first_attempt(&call.service);
-    let result = run_attempts(&call, &mut attempts).await;
+    let call = Arc::new(call);
+    let before = call.origin.sends_before();
+    let declined = call.needs_forwarding();
+    if declined && let Some(response) = call_forwarding::forward(&call, before).await {
+        return response;
+    }
+    call.record_first_attempt();
+    let mut attempts = Attempts::after(before);
+    let result = run_attempts(&call, &mut attempts, !declined).await;
+    if !declined
+        && let Err(error) = &result
+        && let Some(response) =
+            call_forwarding::forward_failed(&call, error, attempts.sends_so_far()).await
+    {
+        return response;
+    }
     let took_ms = millis(call.age());
     let (response, outcome) = match result {
         Ok(buffered) => {
@@ -73,7 +88,13 @@
     response
 }
 
-async fn run_attempts(call: &Call, attempts: &mut Attempts) -> Result<BufferedResponse, Error> {
+/// Tries endpoints one after the other. Stops early if this instance turns out to reach none of them
+/// and the call may be passed on.
+async fn run_attempts(
+    call: &Call,
+    attempts: &mut Attempts,
+    may_forward: bool,
+) -> Result<BufferedResponse, Error> {
     let repeatable = call.route.kind == CallKind::Repeatable;
     // A request that crashes endpoints is not sent to endpoints with the same software again.
     match crash_suspects::admission(call, false) {
@@ -85,6 +106,10 @@
         Admission::Refused => return Err(crash_suspects::refusal_error(call)),
     }
     while let Some((endpoint, permit)) = next_endpoint(call, &attempts.tried).await {
+        if may_forward && call.needs_forwarding() {
+            "no endpoint reached from here".clone_into(&mut attempts.last_reason);
+            break;
+        }
         let is_retry = attempts.sends > 0;
         if is_retry
             && !call
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use spdlog::info;
 
-use super::inbound_call::Call;
+use super::inbound_call::{Call, CallOrigin};
 use super::message_heads::CallHead;
 use super::node::{Gateway, Stage};
 use super::response_body::{ResponseBody, full_body};
@@ -68,10 +69,7 @@
     let arrived = gateway.now();
     let stage = gateway.in_flight.stage();
     let response = match accept_call(&gateway, request, arrived).await {
-        Ok(call) => match call.route.kind {
-            CallKind::Generation => Box::pin(generation::handle_call(call)).await,
-            CallKind::Once | CallKind::Repeatable => plain_call::handle_call(call).await,
-        },
+        Ok(call) => serve(call).await,
         Err(refused) => {
             log_refusal(&gateway, &refused, arrived);
             ingress::error_response(&refused.error).map(full_body)
@@ -87,6 +85,14 @@
     response
 }
 
+/// Serves a call that was accepted.
+pub(crate) async fn serve(call: Call) -> Response<ResponseBody> {
+    match call.route.kind {
+        CallKind::Generation => Box::pin(generation::handle_call(call)).await,
+        CallKind::Once | CallKind::Repeatable => plain_call::handle_call(call).await,
+    }
+}
+
 /// A call that was refused before it had a route.
 struct RefusedCall {
     request_id: String,
@@ -123,27 +129,17 @@
         error,
     };
     held_calls::hold_until_ready(gateway, &head).await;
-    let table = gateway
-        .table()
-        .ok_or_else(|| refused(gateway.not_ready_error()))?;
-    let routed = resolve_route(&table, &head).map_err(refused)?;
-    // Without the list, any endpoint that another instance grants would count as unusable here.
-    if !gateway.can_serve() {
-        return Err(refused(gateway.not_ready_error()));
-    }
-    if !fits_before_shutdown(gateway, &routed.route, &head) {
-        return Err(refused(stopping_error()));
-    }
-    let version_choice = gateway.rollouts.draw(&routed.service, gateway.now());
-    let deadline = head.deadline.unwrap_or(routed.route.timeout);
-    let deadline = arrived + deadline.min(routed.route.timeout);
+    let (table, routed) = accept_head(gateway, &head, None).map_err(refused)?;
     let body_max_bytes = table.config().limits.body_max_bytes;
     let (body, held_body) = read_body(gateway, body, body_max_bytes)
         .await
         .map_err(refused)?;
     Ok(Call {
+        origin: CallOrigin::Caller,
         gateway: gateway.clone(),
         table,
+        version_choice: gateway.rollouts.draw(&routed.service, gateway.now()),
+        deadline: call_deadline(&head, &routed.route, arrived),
         head,
         parts,
         body,
@@ -152,15 +148,81 @@
         account: routed.account,
         priority: routed.priority,
         regions: routed.regions,
-        version_choice,
         route: routed.route,
         arrived,
-        deadline,
         fingerprint: OnceLock::new(),
         _in_flight_guard: in_flight_guard,
     })
 }
 
+/// A call that a peer passes on.
+pub(super) struct ForwardedRequest {
+    pub(super) parts: Parts,
+    pub(super) body: Bytes,
+    /// Service to which the peer routed it.
+    pub(super) service: String,
+    pub(super) time_left: Duration,
+    pub(super) origin: CallOrigin,
+}
+
+/// Accepts a call that a peer passes on. Its route and key are resolved anew, by the configuration
+/// in force here.
+pub(super) fn accept_forwarded(
+    gateway: &Arc<Gateway>,
+    request: ForwardedRequest,
+    held_body: HeldBytes,
+) -> Result<Call> {
+    let arrived = gateway.now();
+    let mut head = ingress::decode_head(&request.parts)?;
+    head.deadline = Some(request.time_left);
+    let (table, routed) = accept_head(gateway, &head, Some(&request.service))?;
+    Ok(Call {
+        origin: request.origin,
+        gateway: gateway.clone(),
+        table,
+        version_choice: gateway.rollouts.draw(&routed.service, arrived),
+        deadline: call_deadline(&head, &routed.route, arrived),
+        head,
+        parts: request.parts,
+        body: request.body,
+        _held_body: held_body,
+        service: routed.service,
+        account: routed.account,
+        priority: routed.priority,
+        regions: routed.regions,
+        route: routed.route,
+        arrived,
+        fingerprint: OnceLock::new(),
+        _in_flight_guard: gateway.track_call(),
+    })
+}
+
+/// Resolves the route of a call and checks that this instance can serve it. `service` is the choice
+/// of a peer, which counts if the route leads there.
+fn accept_head(
+    gateway: &Gateway,
+    head: &CallHead,
+    service: Option<&str>,
+) -> Result<(Arc<RouteTable>, Routed)> {
+    let table = gateway.table().ok_or_else(|| gateway.not_ready_error())?;
+    let mut routed = resolve_route(&table, head)?;
+    if let Some(service) = service.filter(|service| routed.route.leads_to(service)) {
+        service.clone_into(&mut routed.service);
+    }
+    // Without the list, any endpoint that another instance grants would count as unusable here.
+    if !gateway.can_serve() {
+        return Err(gateway.not_ready_error());
+    }
+    if !fits_before_shutdown(gateway, &routed.route, head) {
+        return Err(stopping_error());
+    }
+    Ok((table, routed))
+}
+
+fn call_deadline(head: &CallHead, route: &Route, arrived: Duration) -> Duration {
+    arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout)
+}
+
 /// Returns whether a call will surely complete before this instance stops; always true if no stop
 /// was requested.
 fn fits_before_shutdown(gateway: &Gateway, route: &Route, head: &CallHead) -> bool {
--- a/src/gateway/started_generation.rs
+++ b/src/gateway/started_generation.rs
@@ -5,7 +5,7 @@
 use spdlog::info;
 use tokio::sync::mpsc;
 
-use super::inbound_call::Call;
+use super::inbound_call::{Call, SendsBefore};
 use super::runs::{RunCommand, RunHandle};
 use super::upstream::EndpointResponse;
 use crate::kernel::clock::millis;
@@ -68,6 +68,28 @@
     pub(crate) runs: u32,
     /// Whether the request is a crash suspect and only endpoints with other software may run it.
     pub(crate) restricted: bool,
+    /// Whether the generation is passed on to a peer if this instance reaches no engine.
+    pub(crate) may_forward: bool,
+}
+
+impl EngineAttempts {
+    /// Returns the attempts of a generation for which some requests were sent already.
+    pub(crate) fn after(before: SendsBefore) -> Self {
+        Self {
+            sends: before.sends,
+            runs: before.runs,
+            ..Self::default()
+        }
+    }
+
+    /// Returns what was sent so far, for a peer that goes on.
+    pub(crate) const fn sends_so_far(&self) -> SendsBefore {
+        SendsBefore {
+            sends: self.sends,
+            runs: self.runs,
+            is_counted: true,
+        }
+    }
 }
 
 /// Keeps a generation registered until it is dropped.
--- a/src/gateway/work_counters.rs
+++ b/src/gateway/work_counters.rs
@@ -27,17 +27,20 @@
     Permit,
     /// Handled a request to move a generation from this instance.
     Move,
+    /// Served a call of another instance.
+    ForwardedCall,
     /// Called the store.
     StoreCall,
 }
 
-const KINDS: [WorkKind; 7] = [
+const KINDS: [WorkKind; 8] = [
     WorkKind::Heartbeat,
     WorkKind::RelayedRead,
     WorkKind::Place,
     WorkKind::Report,
     WorkKind::Permit,
     WorkKind::Move,
+    WorkKind::ForwardedCall,
     WorkKind::StoreCall,
 ];
 
@@ -50,6 +53,7 @@
             Self::Report => "report",
             Self::Permit => "permit",
             Self::Move => "move",
+            Self::ForwardedCall => "forwarded_call",
             Self::StoreCall => "store_call",
         }
     }
@@ -81,10 +85,12 @@
             reports,
             permits,
             moves,
+            forwarded_calls,
             store_calls,
         ] = KINDS.map(|kind| self.counts[kind.index()].swap(0, Ordering::Relaxed));
         info!("work done", kv: {
-            heartbeats:, passed_on:, places:, reports:, permits:, moves:, store_calls:,
+            heartbeats:, passed_on:, places:, reports:, permits:, moves:, forwarded_calls:,
+            store_calls:,
         });
     }
 }
--- a/src/kernel/route.rs
+++ b/src/kernel/route.rs
@@ -301,6 +301,13 @@
 }
 
 impl Route {
+    /// Returns whether calls of this route may go to a service.
+    #[must_use]
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|weighted| weighted.weight > 0 && weighted.service == service)
+    }
+
     /// Returns the service for a call, chosen by weight with a random number evenly distributed
     /// from 0 to 1.
     #[must_use]
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -19,10 +19,17 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const MESSAGE_MAX_BYTES: usize = 64 << 20;
 
+/// Largest part of the response to a forwarded call that a peer sends ahead of its reader.
+const FORWARDED_STREAM_WINDOW_BYTES: u32 = 64 << 10;
+/// The same for all forwarded calls at one peer. Slow readers of some of them leave room for others.
+const FORWARDED_CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+
 /// Connections to peers. They are established on the first call, and the library reconnects them.
 #[derive(Default)]
 pub(crate) struct PeerClients {
     channels: Mutex<HashMap<String, PooledChannel>>,
+    /// Connections for forwarded calls: callers that read slowly hold up nothing else.
+    forwarding_channels: Mutex<HashMap<String, PooledChannel>>,
 }
 
 /// A connection to a peer.
@@ -74,43 +81,81 @@
         page.receive_rest().await
     }
 
+    /// Returns a client of the `Site` service at an address, for calls that are passed on.
+    pub(crate) fn forwarding_client(
+        &self,
+        address: &str,
+    ) -> Result<SiteClient<Channel>, tonic::Status> {
+        let channel = pooled_channel(&self.forwarding_channels, address, |endpoint| {
+            endpoint
+                .initial_stream_window_size(FORWARDED_STREAM_WINDOW_BYTES)
+                .initial_connection_window_size(FORWARDED_CONNECTION_WINDOW_BYTES)
+        })?;
+        Ok(SiteClient::new(channel))
+    }
+
     fn channel(&self, address: &str) -> Result<Channel, tonic::Status> {
-        let mut channels = self.channels.lock();
-        let channel = if let Some(pooled) = channels.get_mut(address) {
-            pooled.used = true;
-            pooled.channel.clone()
-        } else {
-            let endpoint = Endpoint::from_shared(format!("http://{address}"))
-                .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
-            let channel = endpoint
-                .connect_timeout(CONNECT_TIMEOUT)
-                .tcp_nodelay(true)
-                .tcp_keepalive(Some(KEEPALIVE_INTERVAL))
-                .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
-                .keep_alive_timeout(KEEPALIVE_INTERVAL)
-                .connect_lazy();
-            let pooled = PooledChannel {
-                channel: channel.clone(),
-                used: true,
-            };
-            channels.insert(address.to_owned(), pooled);
-            channel
-        };
-        Ok(channel)
+        pooled_channel(&self.channels, address, |endpoint| endpoint)
     }
 
     /// Drops the connections on which no call started since the previous invocation. Calls in
     /// flight keep their connection until they end.
     pub(crate) fn drop_idle(&self) {
-        self.channels
-            .lock()
-            .retain(|_, pooled| std::mem::replace(&mut pooled.used, false));
+        for channels in [&self.channels, &self.forwarding_channels] {
+            channels
+                .lock()
+                .retain(|_, pooled| std::mem::replace(&mut pooled.used, false));
+        }
     }
 
     /// Drops the connections to addresses for which `is_known` returns false.
     pub(crate) fn retain(&self, is_known: impl Fn(&str) -> bool) {
-        self.channels.lock().retain(|address, _| is_known(address));
+        for channels in [&self.channels, &self.forwarding_channels] {
+            channels.lock().retain(|address, _| is_known(address));
+        }
+    }
+}
+
+/// Returns the connection to an address, or a new one that is set up by `configure` on top of what all
+/// have in common.
+fn pooled_channel(
+    channels: &Mutex<HashMap<String, PooledChannel>>,
+    address: &str,
+    configure: impl FnOnce(Endpoint) -> Endpoint,
+) -> Result<Channel, tonic::Status> {
+    let mut channels = channels.lock();
+    if let Some(pooled) = channels.get_mut(address) {
+        pooled.used = true;
+        return Ok(pooled.channel.clone());
+    }
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| tonic::Status::invalid_argument(error.to_string()))?;
+    let endpoint = endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .tcp_keepalive(Some(KEEPALIVE_INTERVAL))
+        .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
+        .keep_alive_timeout(KEEPALIVE_INTERVAL);
+    let channel = configure(endpoint).connect_lazy();
+    let pooled = PooledChannel {
+        channel: channel.clone(),
+        used: true,
+    };
+    channels.insert(address.to_owned(), pooled);
+    Ok(channel)
+}
+
+/// Returns whether a call failed because its peer refused the connection, so that nothing was sent.
+pub(crate) fn is_connection_refused(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        let io_error = error.downcast_ref::<std::io::Error>();
+        if io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = error.source();
     }
+    false
 }
 
 fn message(status: &tonic::Status) -> String {
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -455,6 +455,68 @@
     pub not_before_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HeaderField {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: ::prost::alloc::vec::Vec<u8>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ForwardedCall {
+    #[prost(string, tag = "1")]
+    pub entry: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub method: ::prost::alloc::string::String,
+    /// Path and query.
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "4")]
+    pub headers: ::prost::alloc::vec::Vec<HeaderField>,
+    #[prost(bytes = "vec", tag = "5")]
+    pub body: ::prost::alloc::vec::Vec<u8>,
+    /// Service to which the call is routed; empty for the peer's own choice.
+    #[prost(string, tag = "6")]
+    pub service: ::prost::alloc::string::String,
+    /// Time left until the deadline of the call.
+    #[prost(uint64, tag = "7")]
+    pub time_left_ms: u64,
+    /// Configuration under which the entry accepted the call.
+    #[prost(uint64, tag = "8")]
+    pub config_version: u64,
+    /// Requests of the call that reached an endpoint, and those of them that may have run.
+    #[prost(uint32, tag = "9")]
+    pub sends: u32,
+    #[prost(uint32, tag = "10")]
+    pub runs: u32,
+    /// Whether the entry has counted the first attempt of the call.
+    #[prost(bool, tag = "11")]
+    pub counted: bool,
+}
+/// The first part declines the call or has the head of the response.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ForwardedPart {
+    /// Why the peer does not serve the call; nothing was sent to an endpoint. Empty where it does.
+    #[prost(string, tag = "1")]
+    pub declined: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub head: ::core::option::Option<ForwardedHead>,
+    #[prost(bytes = "vec", tag = "3")]
+    pub bytes: ::prost::alloc::vec::Vec<u8>,
+    /// Whether the response is complete with this part.
+    #[prost(bool, tag = "4")]
+    pub is_last: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ForwardedHead {
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    #[prost(message, repeated, tag = "2")]
+    pub headers: ::prost::alloc::vec::Vec<HeaderField>,
+    /// Length of the body, where it is known.
+    #[prost(uint64, optional, tag = "3")]
+    pub body_bytes: ::core::option::Option<u64>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CheckEndpointRequest {
     #[prost(string, tag = "1")]
     pub endpoint: ::prost::alloc::string::String,
@@ -1350,6 +1412,31 @@
                 .insert(GrpcMethod::new("larkwick.peer.Site", "CheckEndpoint"));
             self.inner.unary(req, path, codec).await
         }
+        /// Has a peer serve a call of an instance that reaches no endpoint of its service.
+        pub async fn forward_call(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ForwardedCall>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::ForwardedPart>>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/larkwick.peer.Site/ForwardCall",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("larkwick.peer.Site", "ForwardCall"));
+            self.inner.server_streaming(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1431,6 +1518,20 @@
             tonic::Response<super::CheckEndpointReply>,
             tonic::Status,
         >;
+        /// Server streaming response type for the ForwardCall method.
+        type ForwardCallStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::ForwardedPart, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// Has a peer serve a call of an instance that reaches no endpoint of its service.
+        async fn forward_call(
+            &self,
+            request: tonic::Request<super::ForwardedCall>,
+        ) -> std::result::Result<
+            tonic::Response<Self::ForwardCallStream>,
+            tonic::Status,
+        >;
     }
     /// Calls between instances that serve the routes of a site.
     #[derive(Debug)]
@@ -1904,6 +2005,52 @@
                     };
                     Box::pin(fut)
                 }
+                "/larkwick.peer.Site/ForwardCall" => {
+                    #[allow(non_camel_case_types)]
+                    struct ForwardCallSvc<T: Site>(pub Arc<T>);
+                    impl<
+                        T: Site,
+                    > tonic::server::ServerStreamingService<super::ForwardedCall>
+                    for ForwardCallSvc<T> {
+                        type Response = super::ForwardedPart;
+                        type ResponseStream = T::ForwardCallStream;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::ResponseStream>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ForwardedCall>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Site>::forward_call(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ForwardCallSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.server_streaming(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
