Forwarded calls: refused at once where nobody reaches an endpoint; two witnesses

A peer is asked about the endpoint itself now, and its answer counts. - Where all peers that were asked declined, the call went on to try all endpoints, up to 400 ms each; one is tried now. A call whose peer was lost counted its first attempt once more at the next one. Failures of this instance itself (no descriptors left) no longer count as a lost way.

--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -84,7 +84,7 @@
         let probed = gateway.probe_result(probe, &self.endpoint, self.aborted_at);
         let (probe, result) = probed.await;
         let is_running = result.presence == Presence::Listens;
-        let result = gateway.weigh_probe(&self.endpoint, self.aborted_at, result);
+        let result = gateway.weigh_probe(&self.endpoint, result);
         self.record(&result.await);
         gateway.presence_probes.remove_pending(self.fingerprint);
         if is_running {
@@ -96,7 +96,7 @@
         let gateway = &self.gateway;
         let late_result = gateway.late_probe_result(&probe, &self.endpoint).await;
         if let Some(result) = late_result {
-            let result = gateway.weigh_probe(&self.endpoint, self.aborted_at, result);
+            let result = gateway.weigh_probe(&self.endpoint, result);
             self.record(&result.await);
         }
     }
--- a/src/gateway/call_forwarding.rs
+++ b/src/gateway/call_forwarding.rs
@@ -19,6 +19,7 @@
 use super::response_body::{ResponseAborted, ResponseBody, held_body};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
+use crate::kernel::membership::Peer;
 use crate::kernel::route::CallKind;
 use crate::peer::client::is_connection_refused;
 use crate::peer::generated as wire;
@@ -66,6 +67,17 @@
     Lost(String),
 }
 
+/// What became of a call that was to be passed on.
+pub(super) enum Forwarding {
+    /// A peer serves it, or was lost with it.
+    Answered(Response<ResponseBody>),
+    /// All peers that were asked declined it: they reach no endpoint either. Nothing was sent to an
+    /// endpoint.
+    Declined,
+    /// There is no peer to ask.
+    NoPeer,
+}
+
 impl Call {
     /// Returns whether this instance should pass the call on instead of sending it.
     pub(super) fn needs_forwarding(&self) -> bool {
@@ -73,16 +85,15 @@
     }
 }
 
-/// Passes a call on to a peer and returns its response; `None` if no peer serves it, so that nothing
-/// was sent to an endpoint beyond `before`.
-pub(super) async fn forward(
-    call: &Arc<Call>,
-    mut before: SendsBefore,
-) -> Option<Response<ResponseBody>> {
+/// Passes a call on to a peer, after what was sent `before`.
+pub(super) async fn forward(call: &Arc<Call>, mut before: SendsBefore) -> Forwarding {
     if call.body.len() > BODY_MAX_BYTES {
-        return None;
+        return Forwarding::NoPeer;
     }
-    for (peer, address) in select_peers(call) {
+    let Some(peers) = select_peers(call) else {
+        return Forwarding::NoPeer;
+    };
+    for (peer, address) in peers {
         if call.time_left().is_zero() {
             break;
         }
@@ -90,7 +101,7 @@
         let reply = ask_peer(call, &address, before).await;
         log_reply(call, &peer, &reply, started_at);
         match reply {
-            Reply::Served(response) => return Some(response),
+            Reply::Served(response) => return Forwarding::Answered(response),
             Reply::Declined(_) => {
                 let declining = &call.gateway.declining_peers;
                 declining.record(&call.service, &peer, call.gateway.now());
@@ -98,13 +109,18 @@
             Reply::Lost(reason) => {
                 before.sends += 1;
                 before.runs += 1;
+                before.is_counted = true;
                 if !can_be_sent_again(call, before) {
-                    return Some(lost_response(call, &reason));
+                    return Forwarding::Answered(lost_response(call, &reason));
                 }
             }
         }
     }
-    (before.runs > 0).then(|| lost_response(call, "no instance reaches an endpoint"))
+    if before.runs > 0 {
+        let response = lost_response(call, "no instance reaches an endpoint");
+        return Forwarding::Answered(response);
+    }
+    Forwarding::Declined
 }
 
 /// Passes a call on that failed here, if this instance turned out to reach no endpoint; `None` if the
@@ -120,7 +136,10 @@
     if !may_forward {
         return None;
     }
-    forward(call, before).await
+    match forward(call, before).await {
+        Forwarding::Answered(response) => Some(response),
+        Forwarding::Declined | Forwarding::NoPeer => None,
+    }
 }
 
 /// Returns whether a call that may have run so often may be sent to another endpoint.
@@ -139,29 +158,33 @@
     ingress::error_response(&error).map(super::response_body::full_body)
 }
 
-/// Returns names and addresses of live peers in random order. Those in regions where the call must
-/// not go, and those that declined of late, are left out.
-fn select_peers(call: &Call) -> Vec<(String, String)> {
+/// Returns names and addresses of live peers in random order, without those that declined of late;
+/// `None` if there is no peer in the regions where the call may go.
+fn select_peers(call: &Call) -> Option<Vec<(String, String)>> {
     let gateway = &call.gateway;
     let now = gateway.now();
-    let live: Vec<(String, String)> = {
+    let mut peers: Vec<(String, String)> = {
         let members = gateway.members.lock();
-        let live = members.live(MEMBER_RING, now).map(|peer| {
+        let named = |peer: &Peer| {
             let status = &peer.status;
             (status.incarnation.name.clone(), status.peer_address.clone())
-        });
-        live.collect()
+        };
+        let live: Vec<_> = members.live(MEMBER_RING, now).map(named).collect();
+        // Right after a start no member has been heard yet.
+        if live.is_empty() {
+            members.all().map(named).collect()
+        } else {
+            live
+        }
     };
-    let mut peers: Vec<(String, String)> = live
-        .into_iter()
-        .filter(|(name, _)| may_pass_to(call, name))
-        .filter(|(name, _)| {
-            let declining = &gateway.declining_peers;
-            !declining.contains(&call.service, name, now)
-        })
-        .collect();
+    peers.retain(|(name, _)| may_pass_to(call, name));
+    if peers.is_empty() {
+        return None;
+    }
+    let declining = &gateway.declining_peers;
+    peers.retain(|(name, _)| !declining.contains(&call.service, name, now));
     let (chosen, _) = peers.partial_shuffle(&mut rand::rng(), PEERS_ASKED_MAX);
-    chosen.to_vec()
+    Some(chosen.to_vec())
 }
 
 /// Returns whether the regions of a call allow that it passes a peer.
--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -236,9 +236,8 @@
             if !is_listed {
                 break;
             }
-            let since = self.now();
             let (result, _) = run_probe(&self, &endpoint).await;
-            let result = self.weigh_probe(&endpoint, since, result).await;
+            let result = self.weigh_probe(&endpoint, result).await;
             if result.presence == Presence::Listens {
                 info!("ended endpoint runs after all", kv: {
                     endpoint = endpoint.id.as_str(), probe = result.steps.as_str(),
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use spdlog::info;
 
-use super::call_forwarding;
+use super::call_forwarding::{self, Forwarding};
 use super::coordinator::{self, Placement};
 use super::crash_suspects::{self, Admission};
 use super::endpoint_cooldowns;
@@ -31,6 +31,9 @@
 
 /// Maximum number of engines that are tried for one generation.
 const ENGINE_ATTEMPTS_MAX: u32 = 5;
+/// Engines that are tried although no peer that was asked reaches one either: one that has come back
+/// in the meantime is found.
+const ENGINES_OUT_OF_REACH: usize = 1;
 /// Minimum time left before the caller's deadline for restarting a generation, since its prompt has
 /// to be read once more.
 const RESTART_TIME_LEFT_MIN: Duration = Duration::from_millis(300);
@@ -51,13 +54,17 @@
 pub(crate) async fn handle_call(call: Call) -> Response<ResponseBody> {
     let call = Arc::new(call);
     let before = call.origin.sends_before();
-    let declined = call.needs_forwarding();
-    if declined && let Some(response) = call_forwarding::forward(&call, before).await {
-        return response;
+    let is_cut_off = call.needs_forwarding();
+    let mut attempts = EngineAttempts::after(before);
+    attempts.may_forward = !is_cut_off;
+    if is_cut_off {
+        match call_forwarding::forward(&call, before).await {
+            Forwarding::Answered(response) => return response,
+            Forwarding::Declined => attempts.out_of_reach = true,
+            Forwarding::NoPeer => {}
+        }
     }
     call.record_first_attempt();
-    let mut attempts = EngineAttempts::after(before);
-    attempts.may_forward = !declined;
     match try_engines(&call, &mut attempts, last_event_id(&call)).await {
         Ok(response) => relay::forward_response(call, response.into_started(attempts)),
         Err(error) => {
@@ -160,7 +167,9 @@
             reason.push_str("; no time left");
             break;
         }
-        if attempts.may_forward && call.needs_forwarding() {
+        let gives_up = attempts.may_forward
+            || (attempts.out_of_reach && attempts.excluded.len() >= ENGINES_OUT_OF_REACH);
+        if gives_up && call.needs_forwarding() {
             reason.push_str("; no engine reached from here");
             break;
         }
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -8,7 +8,7 @@
 use http::Response;
 use spdlog::info;
 
-use super::call_forwarding;
+use super::call_forwarding::{self, Forwarding};
 use super::crash_suspects::{self, Admission};
 use super::endpoint_cooldowns;
 use super::endpoint_selection::select_endpoint;
@@ -33,18 +33,34 @@
 /// Maximum endpoints for which one call requests a permit without a grant; each request may cost a
 /// round trip to another instance.
 const PERMIT_DENIALS_MAX: u32 = 6;
+/// Failed connections of a call after which it is passed on, if this instance reaches no endpoint.
+const CONNECTS_BEFORE_FORWARDING: usize = 0;
+/// Failed connections after which a call is refused, if no peer that was asked reaches an endpoint
+/// either: one that has come back in the meantime is found.
+const CONNECTS_OUT_OF_REACH: usize = 1;
+
 /// Handles a call and returns the response for its caller.
 pub(crate) async fn handle_call(call: Call) -> Response<ResponseBody> {
     let call = Arc::new(call);
     let before = call.origin.sends_before();
-    let declined = call.needs_forwarding();
-    if declined && let Some(response) = call_forwarding::forward(&call, before).await {
-        return response;
+    let is_cut_off = call.needs_forwarding();
+    let mut out_of_reach = false;
+    if is_cut_off {
+        match call_forwarding::forward(&call, before).await {
+            Forwarding::Answered(response) => return response,
+            Forwarding::Declined => out_of_reach = true,
+            Forwarding::NoPeer => {}
+        }
     }
     call.record_first_attempt();
     let mut attempts = Attempts::after(before);
-    let result = run_attempts(&call, &mut attempts, !declined).await;
-    if !declined
+    let connects_max = match (is_cut_off, out_of_reach) {
+        (false, _) => CONNECTS_BEFORE_FORWARDING,
+        (true, true) => CONNECTS_OUT_OF_REACH,
+        (true, false) => usize::MAX,
+    };
+    let result = run_attempts(&call, &mut attempts, connects_max).await;
+    if !is_cut_off
         && let Err(error) = &result
         && let Some(response) =
             call_forwarding::forward_failed(&call, error, attempts.sends_so_far()).await
@@ -88,12 +104,12 @@
     response
 }
 
-/// Tries endpoints one after the other. Stops early if this instance turns out to reach none of them
-/// and the call may be passed on.
+/// Tries endpoints one after the other. Stops early if this instance reaches none of them and
+/// `failed_connects_max` connections of this call have failed.
 async fn run_attempts(
     call: &Call,
     attempts: &mut Attempts,
-    may_forward: bool,
+    failed_connects_max: usize,
 ) -> Result<BufferedResponse, Error> {
     let repeatable = call.route.kind == CallKind::Repeatable;
     // A request that crashes endpoints is not sent to endpoints with the same software again.
@@ -106,7 +122,7 @@
         Admission::Refused => return Err(crash_suspects::refusal_error(call)),
     }
     while let Some((endpoint, permit)) = next_endpoint(call, &attempts.tried).await {
-        if may_forward && call.needs_forwarding() {
+        if attempts.failed_connects >= failed_connects_max && call.needs_forwarding() {
             "no endpoint reached from here".clone_into(&mut attempts.last_reason);
             break;
         }
--- a/src/gateway/presence_probe.rs
+++ b/src/gateway/presence_probe.rs
@@ -74,18 +74,17 @@
 }
 
 impl Gateway {
-    /// Returns the result of a probe that began at `since`, or that nothing is known: an endpoint that
-    /// refuses connections has ended only if its refusal is no lost way of this instance.
+    /// Returns the result of a probe, or that nothing is known: an endpoint that refuses connections has
+    /// ended only if no peer reaches it.
     pub(super) async fn weigh_probe(
         &self,
         endpoint: &EndpointEntry,
-        since: Duration,
         result: ProbeResult,
     ) -> ProbeResult {
         if result.presence != Presence::Ended || !result.is_refused {
             return result;
         }
-        let presence = if self.is_down_for_all(endpoint, since).await {
+        let presence = if self.is_down_for_all(endpoint).await {
             Presence::Ended
         } else {
             Presence::Unknown
--- a/src/gateway/reach_monitor.rs
+++ b/src/gateway/reach_monitor.rs
@@ -181,11 +181,8 @@
     }
 
     /// Returns whether an endpoint that refuses connections from here is down for the other instances,
-    /// too. If no peer can tell because none reaches any endpoint, it is.
-    pub(super) async fn is_down_for_all(&self, endpoint: &EndpointEntry, since: Duration) -> bool {
-        if self.reaches_another(endpoint, since).await {
-            return true;
-        }
+    /// too. If no peer can tell, because none reaches any endpoint or there is none, it is.
+    pub(super) async fn is_down_for_all(&self, endpoint: &EndpointEntry) -> bool {
         for address in self.random_peer_addresses(PEERS_ASKED_MAX) {
             match self.ask_for_verdict(&address, endpoint).await {
                 UnreachedVerdict::Reached => return false,
--- a/src/gateway/started_generation.rs
+++ b/src/gateway/started_generation.rs
@@ -70,6 +70,8 @@
     pub(crate) restricted: bool,
     /// Whether the generation is passed on to a peer if this instance reaches no engine.
     pub(crate) may_forward: bool,
+    /// Whether no peer that was asked reaches an engine either.
+    pub(crate) out_of_reach: bool,
 }
 
 impl EngineAttempts {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -445,6 +445,19 @@
     share.max(2)
 }
 
+/// Returns whether a failure to connect is due to the way to the address or its other end, rather than
+/// to this instance.
+fn is_network_failure(kind: std::io::ErrorKind) -> bool {
+    use std::io::ErrorKind;
+    matches!(
+        kind,
+        ErrorKind::TimedOut
+            | ErrorKind::ConnectionReset
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+    )
+}
+
 async fn connect(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ConnectError> {
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting
@@ -452,7 +465,10 @@
         .map_err(|_| ConnectError::Unreached(format!("{address} did not answer in time")))?
         .map_err(|error| match error.kind() {
             std::io::ErrorKind::ConnectionRefused => ConnectError::Refused(address),
-            _ => ConnectError::Unreached(format!("{address}: {error}")),
+            kind if is_network_failure(kind) => {
+                ConnectError::Unreached(format!("{address}: {error}"))
+            }
+            _ => ConnectError::Other(format!("{address}: {error}")),
         })?;
     enable_dead_peer_detection(&stream).map_err(|error| ConnectError::Other(error.to_string()))?;
     Ok(stream)
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -6,10 +6,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use larkwick::standin::site::server::{Server, ServerKind};
+use larkwick::standin::site::KEY;
+use larkwick::standin::site::server::{Server, ServerFault, ServerKind};
+use nix::sys::signal::Signal;
 use serde_json::json;
 use support::link::{Cut, Link};
-use support::site::{HttpResponse, Instance, RoutedSite, event_numbers, send_request, wait_until};
+use support::site::{
+    HttpResponse, Instance, RoutedSite, event_numbers, kill_until_refused, send_request, wait_until,
+};
 
 const CUTS: [Cut; 3] = [Cut::RefusesNew, Cut::Resets, Cut::Silent];
 const EVENTS: u32 = 20;
@@ -18,7 +22,7 @@
 
 /// A site of which one instance reaches the endpoints through links of its own.
 struct CutSite {
-    _site: RoutedSite,
+    site: RoutedSite,
     endpoints: Vec<Arc<Server>>,
     links: Vec<Link>,
     /// The instance that can be cut off.
@@ -54,7 +58,7 @@
         })
         .await;
         Self {
-            _site: site,
+            site,
             endpoints,
             links,
             cut_off,
@@ -122,11 +126,8 @@
         let site = CutSite::start("app", ServerKind::Plain).await;
         site.cut(cut).await;
         let failed = call_in_turn(&site.cut_off, "a", 20).await;
-        assert!(
-            failed.is_empty(),
-            "{cut:?}: {} of 20: {failed:?}",
-            failed.len()
-        );
+        let passed_on = site.cut_off.logged("call forwarded");
+        assert!(failed.is_empty(), "{cut:?}: {failed:?}, {passed_on:?}");
         site.restore().await;
         let failed = call_in_turn(&site.cut_off, "b", 10).await;
         assert!(failed.is_empty(), "after {cut:?}: {failed:?}");
@@ -197,3 +198,92 @@
         assert!(failed.is_empty(), "after {cut:?}: {failed:?}");
     }
 }
+
+/// Guards against a generation that runs on at its engine after the caller of the instance that passed
+/// it on has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_of_a_forwarded_generation_leaves_engine_stops() {
+    let site = CutSite::start("llm", ServerKind::Engine).await;
+    site.cut(Cut::Resets).await;
+    let running = async || {
+        let engines = site.endpoints.iter();
+        engines.map(|engine| engine.running_count()).sum::<usize>()
+    };
+    let request = site.cut_off.generation(4_000, "g");
+    let caller = tokio::spawn(send_request(request));
+    wait_until("the generation runs", async || running().await == 1).await;
+    caller.abort();
+    wait_until("the generation has ended", async || running().await == 0).await;
+}
+
+/// Guards against a call that is sent again, or said not to have run, when the peer is lost that
+/// served it.
+#[tokio::test(flavor = "multi_thread")]
+async fn peer_lost_with_a_forwarded_call_run_once_and_not_said_not_run() {
+    let site = CutSite::start("app", ServerKind::Plain).await;
+    site.cut(Cut::Resets).await;
+    for endpoint in &site.endpoints {
+        endpoint.set_fault(ServerFault::RunsAndHangs);
+    }
+    let call = tokio::spawn(send_request(site.cut_off.request("/once/x", "l")));
+    wait_until("the call runs or has ended", async || {
+        call.is_finished() || !site.site.standin.servers_that_ran("l").is_empty()
+    })
+    .await;
+    let passed_on = site.cut_off.logged("call forwarded");
+    assert!(!call.is_finished(), "{passed_on:?}");
+    site.other.signal(Signal::SIGKILL);
+    let response = call.await.expect("response received");
+    assert!([502, 504].contains(&response.status), "{response:?}");
+    assert_eq!(site.site.standin.servers_that_ran("l").len(), 1);
+}
+
+/// Guards against calls that are passed round, or held, when no instance reaches an endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_gone_for_all_calls_refused_and_passed_on_once_at_most() {
+    let site = CutSite::start("app", ServerKind::Plain).await;
+    site.cut(Cut::Resets).await;
+    for endpoint in &site.endpoints {
+        kill_until_refused(endpoint).await;
+    }
+    let refused = call_in_turn(&site.cut_off, "a", 10).await;
+    let (refused, others): (Vec<_>, Vec<_>) = refused
+        .into_iter()
+        .partition(|response| response.status == 503 && response.retry_after.is_some());
+    assert_eq!(refused.len(), 10, "{others:?}");
+    let passed_on = site.other.logged("call forwarded");
+    let again = passed_on.iter().filter(|line| {
+        let id = line["request_id"].as_str();
+        id.is_some_and(|id| id.starts_with("a-"))
+    });
+    assert_eq!(again.count(), 0, "passed on a second time");
+}
+
+/// Guards against a call that leaves its regions by way of a peer in another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_that_must_not_leave_its_regions_not_passed_on() {
+    let site = CutSite::start("app", ServerKind::Plain).await;
+    let mut config = site.site.standin.default_config(3, &[KEY]);
+    // The hall of all instances is in no region that is named.
+    config["routes"][0]["allowed-regions"] = json!(["north"]);
+    site.site.standin.publish_config(&config);
+    wait_until("configuration known", async || {
+        site.cut_off.state().await["config_version"] == 3
+            && site.other.state().await["config_version"] == 3
+    })
+    .await;
+    site.cut(Cut::Resets).await;
+    // Calls of another route show that the instance is cut off, and where they go.
+    let failed = call_in_turn(&site.cut_off, "a", 4).await;
+    assert_eq!(
+        failed.len(),
+        2,
+        "those that may not be passed on: {failed:?}"
+    );
+    let passed_on = site.cut_off.logged("call forwarded");
+    let left = passed_on.iter().filter(|line| {
+        let id = line["request_id"].as_str();
+        id.is_some_and(|id| ["a-0", "a-2"].contains(&id))
+    });
+    assert_eq!(left.count(), 0, "{passed_on:?}");
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -50,6 +50,8 @@
 mod placement;
 #[path = "kernel/presence.rs"]
 mod presence;
+#[path = "kernel/reachability.rs"]
+mod reachability;
 #[path = "kernel/region.rs"]
 mod region;
 #[path = "kernel/response_time.rs"]
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -110,6 +110,19 @@
     assert_eq!(ledger.place(&demand("r", 100), "n", &[], later), None);
 }
 
+#[test]
+fn withdraw_unreachable_engine_available_unless_reported_again() {
+    let mut ledger = ledger(&[engine("a", "h", false)]);
+    let later = NOW + Duration::from_millis(5);
+    ledger.record_unreachable("a", NOW);
+    ledger.withdraw_unreachable("a", NOW);
+    assert!(ledger.place(&demand("r1", 100), "n", &[], later).is_some());
+    ledger.record_unreachable("a", NOW);
+    ledger.record_unreachable("a", later);
+    ledger.withdraw_unreachable("a", NOW);
+    assert_eq!(ledger.place(&demand("r2", 100), "n", &[], later), None);
+}
+
 /// Guards against an engine that is asked again and again for a generation that it cannot copy,
 /// while its other generations wait for their moves.
 #[test]
