--- a/src/gateway/call_forwarding.rs
+++ b/src/gateway/call_forwarding.rs
@@ -16,12 +16,12 @@
 use super::inbound_call::{Call, CallOrigin, SendsBefore};
 use super::node::{Gateway, MEMBER_RING};
 use super::read_ahead::read_ahead;
-use super::response_body::{ResponseAborted, ResponseBody, held_body};
+use super::response_body::{ResponseAborted, ResponseBody, full_body, held_body};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::membership::Peer;
 use crate::kernel::route::CallKind;
-use crate::peer::client::is_connection_refused;
+use crate::peer::client::is_never_handled;
 use crate::peer::generated as wire;
 use crate::platform::ingress;
 
@@ -155,7 +155,7 @@
 fn lost_response(call: &Call, reason: &str) -> Response<ResponseBody> {
     let message = format!("service {}: {reason}; it may have run", call.service);
     let error = Error::new(ErrorKind::EndpointLost, message);
-    ingress::error_response(&error).map(super::response_body::full_body)
+    ingress::error_response(&error).map(full_body)
 }
 
 /// Returns names and addresses of live peers in random order, without those that declined of late;
@@ -231,8 +231,8 @@
     let (first, parts) = match asked.await {
         Some(Ok((Some(first), parts))) => (first, parts),
         Some(Ok((None, _))) => return Reply::Lost("the peer gave no response".to_owned()),
-        Some(Err(status)) if is_connection_refused(&status) => {
-            return Reply::Declined("the peer refuses connections".to_owned());
+        Some(Err(status)) if is_never_handled(&status) => {
+            return Reply::Declined(status.message().to_owned());
         }
         Some(Err(status)) => return Reply::Lost(status.message().to_owned()),
         None => return Reply::Lost("no response of the peer in time".to_owned()),
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -14,7 +14,7 @@
 
 use super::inbound_call::{Call, CallOrigin};
 use super::message_heads::CallHead;
-use super::node::{Gateway, Stage};
+use super::node::{Gateway, InFlightGuard, Stage};
 use super::response_body::{ResponseBody, full_body};
 use super::site_store::Subject;
 use super::{generation, held_calls, plain_call};
@@ -129,30 +129,21 @@
         error,
     };
     held_calls::hold_until_ready(gateway, &head).await;
-    let (table, routed) = accept_head(gateway, &head, None).map_err(refused)?;
-    let body_max_bytes = table.config().limits.body_max_bytes;
+    let accepted = accept_head(gateway, &head, None).map_err(refused)?;
+    let body_max_bytes = accepted.table.config().limits.body_max_bytes;
     let (body, held_body) = read_body(gateway, body, body_max_bytes)
         .await
         .map_err(refused)?;
-    Ok(Call {
+    let received = ReceivedRequest {
         origin: CallOrigin::Caller,
-        gateway: gateway.clone(),
-        table,
-        version_choice: gateway.rollouts.draw(&routed.service, gateway.now()),
-        deadline: call_deadline(&head, &routed.route, arrived),
         head,
         parts,
         body,
-        _held_body: held_body,
-        service: routed.service,
-        account: routed.account,
-        priority: routed.priority,
-        regions: routed.regions,
-        route: routed.route,
+        held_body,
         arrived,
-        fingerprint: OnceLock::new(),
-        _in_flight_guard: in_flight_guard,
-    })
+        in_flight_guard,
+    };
+    Ok(accepted.into_call(gateway, received))
 }
 
 /// A call that a peer passes on.
@@ -172,38 +163,68 @@
     request: ForwardedRequest,
     held_body: HeldBytes,
 ) -> Result<Call> {
-    let arrived = gateway.now();
     let mut head = ingress::decode_head(&request.parts)?;
     head.deadline = Some(request.time_left);
-    let (table, routed) = accept_head(gateway, &head, Some(&request.service))?;
-    Ok(Call {
+    let accepted = accept_head(gateway, &head, Some(&request.service))?;
+    let received = ReceivedRequest {
         origin: request.origin,
-        gateway: gateway.clone(),
-        table,
-        version_choice: gateway.rollouts.draw(&routed.service, arrived),
-        deadline: call_deadline(&head, &routed.route, arrived),
         head,
         parts: request.parts,
         body: request.body,
-        _held_body: held_body,
-        service: routed.service,
-        account: routed.account,
-        priority: routed.priority,
-        regions: routed.regions,
-        route: routed.route,
-        arrived,
-        fingerprint: OnceLock::new(),
-        _in_flight_guard: gateway.track_call(),
-    })
+        held_body,
+        arrived: gateway.now(),
+        in_flight_guard: gateway.track_call(),
+    };
+    Ok(accepted.into_call(gateway, received))
+}
+
+/// A request whose body has arrived.
+struct ReceivedRequest {
+    origin: CallOrigin,
+    head: CallHead,
+    parts: Parts,
+    body: Bytes,
+    held_body: HeldBytes,
+    arrived: Duration,
+    in_flight_guard: InFlightGuard,
+}
+
+/// The configuration under which a request was accepted, and its route.
+struct AcceptedHead {
+    table: Arc<RouteTable>,
+    routed: Routed,
+}
+
+impl AcceptedHead {
+    fn into_call(self, gateway: &Arc<Gateway>, request: ReceivedRequest) -> Call {
+        let Self { table, routed } = self;
+        let timeout = routed.route.timeout;
+        let time_left = request.head.deadline.unwrap_or(timeout).min(timeout);
+        Call {
+            origin: request.origin,
+            gateway: gateway.clone(),
+            table,
+            head: request.head,
+            parts: request.parts,
+            body: request.body,
+            _held_body: request.held_body,
+            version_choice: gateway.rollouts.draw(&routed.service, gateway.now()),
+            service: routed.service,
+            account: routed.account,
+            priority: routed.priority,
+            regions: routed.regions,
+            route: routed.route,
+            arrived: request.arrived,
+            deadline: request.arrived + time_left,
+            fingerprint: OnceLock::new(),
+            _in_flight_guard: request.in_flight_guard,
+        }
+    }
 }
 
 /// Resolves the route of a call and checks that this instance can serve it. `service` is the choice
 /// of a peer, which counts if the route leads there.
-fn accept_head(
-    gateway: &Gateway,
-    head: &CallHead,
-    service: Option<&str>,
-) -> Result<(Arc<RouteTable>, Routed)> {
+fn accept_head(gateway: &Gateway, head: &CallHead, service: Option<&str>) -> Result<AcceptedHead> {
     let table = gateway.table().ok_or_else(|| gateway.not_ready_error())?;
     let mut routed = resolve_route(&table, head)?;
     if let Some(service) = service.filter(|service| routed.route.leads_to(service)) {
@@ -216,11 +237,7 @@
     if !fits_before_shutdown(gateway, &routed.route, head) {
         return Err(stopping_error());
     }
-    Ok((table, routed))
-}
-
-fn call_deadline(head: &CallHead, route: &Route, arrived: Duration) -> Duration {
-    arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout)
+    Ok(AcceptedHead { table, routed })
 }
 
 /// Returns whether a call will surely complete before this instance stops; always true if no stop
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -145,8 +145,12 @@
     Ok(channel)
 }
 
-/// Returns whether a call failed because its peer refused the connection, so that nothing was sent.
-pub(crate) fn is_connection_refused(status: &tonic::Status) -> bool {
+/// Returns whether a call failed before its peer handled it: the peer refused the connection, or is of
+/// a version that does not know the call.
+pub(crate) fn is_never_handled(status: &tonic::Status) -> bool {
+    if status.code() == tonic::Code::Unimplemented {
+        return true;
+    }
     let mut source = std::error::Error::source(status);
     while let Some(error) = source {
         let io_error = error.downcast_ref::<std::io::Error>();
--- a/tests/support/link.rs
+++ b/tests/support/link.rs
@@ -28,6 +28,8 @@
 pub struct Link {
     pub address: SocketAddr,
     target: SocketAddr,
+    /// Held while the link is cut or restored.
+    changing: tokio::sync::Mutex<()>,
     /// Keeps the port while nothing listens on it.
     _port: Socket,
     accept_task: Mutex<Option<JoinHandle<()>>>,
@@ -54,6 +56,7 @@
         let link = Self {
             address: address.as_socket().expect("an IP address"),
             target,
+            changing: tokio::sync::Mutex::default(),
             _port: port,
             accept_task: Mutex::default(),
             connections: Arc::default(),
@@ -66,7 +69,9 @@
 
     /// Cuts the link.
     pub async fn cut(&self, cut: Cut) {
+        let _changing = self.changing.lock().await;
         self.stop_accepting().await;
+        self.full_queue.lock().take();
         match cut {
             Cut::RefusesNew => {}
             Cut::Resets => self.close_connections(),
@@ -76,6 +81,7 @@
 
     /// Ends the cut.
     pub async fn restore(&self) {
+        let _changing = self.changing.lock().await;
         self.stop_accepting().await;
         self.close_connections();
         self.full_queue.lock().take();
