A move is never held up by a share that is less than one retry

A reservation needs a balance that is not negative, and may leave a debt, which holds up everything else until it is given back or earned: one unfunded move at a time and service. What an instance may overshoot by is two retries, if both sends of one move are refused.

--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 /// Balance earned by each first attempt, in thousandths of a retry.
-const EARNED_PER_ATTEMPT_MILLI: u64 = 100;
-const RETRY_COST_MILLI: u64 = 1_000;
-const BALANCE_MAX_MILLI: u64 = 10_000;
+const EARNED_PER_ATTEMPT_MILLI: i64 = 100;
+const RETRY_COST_MILLI: i64 = 1_000;
+const BALANCE_MAX_MILLI: i64 = 10_000;
 /// Fraction of a site's allowance that the instances use. It leaves a margin because the site and
 /// the instances count requests slightly differently.
 const ALLOWANCE_FRACTION: f64 = 0.8;
@@ -18,10 +18,10 @@
     reason = "fields carry their unit as a suffix"
 )]
 pub struct RetryBudget {
-    /// Never above `balance_max_milli`.
-    balance_milli: u64,
-    balance_max_milli: u64,
-    earned_per_attempt_milli: u64,
+    /// Never above `balance_max_milli`, and below zero only by what one reservation takes.
+    balance_milli: i64,
+    balance_max_milli: i64,
+    earned_per_attempt_milli: i64,
 }
 
 impl Default for RetryBudget {
@@ -53,7 +53,7 @@
         let instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
         let milli = |retries: f64| {
             let duration = Duration::try_from_secs_f64(retries.max(0.0)).unwrap_or_default();
-            crate::kernel::clock::millis(duration)
+            i64::try_from(crate::kernel::clock::millis(duration)).unwrap_or(i64::MAX)
         };
         let balance_max_milli = milli(self.slack * ALLOWANCE_FRACTION / instances);
         RetryBudget {
@@ -92,7 +92,7 @@
 
     /// Returns the balance, in thousandths of a retry.
     #[must_use]
-    pub const fn balance_milli(&self) -> u64 {
+    pub const fn balance_milli(&self) -> i64 {
         self.balance_milli
     }
 
@@ -104,22 +104,28 @@
 
     /// Spends one retry; returns whether the budget allowed it.
     pub fn try_spend(&mut self) -> bool {
-        self.try_reserve(1)
+        if self.balance_milli < RETRY_COST_MILLI {
+            return false;
+        }
+        self.balance_milli -= RETRY_COST_MILLI;
+        true
     }
 
-    /// Sets retries aside, all or none; returns whether the budget allowed it.
+    /// Sets retries aside that are probably given back; returns whether the budget allowed it.
+    ///
+    /// A balance that is not negative is enough: on a large site the share of an instance is less than
+    /// one retry. The debt holds up everything else until it is given back or earned.
     pub fn try_reserve(&mut self, retries: u32) -> bool {
-        let cost_milli = RETRY_COST_MILLI * u64::from(retries);
-        if self.balance_milli < cost_milli {
+        if self.balance_milli < 0 {
             return false;
         }
-        self.balance_milli -= cost_milli;
+        self.balance_milli -= RETRY_COST_MILLI * i64::from(retries);
         true
     }
 
     /// Returns retries that were set aside and not needed.
     pub fn give_back(&mut self, retries: u32) {
-        let returned = self.balance_milli + RETRY_COST_MILLI * u64::from(retries);
+        let returned = self.balance_milli + RETRY_COST_MILLI * i64::from(retries);
         self.balance_milli = returned.min(self.balance_max_milli);
     }
 }
