--- a/src/gateway/reach_monitor.rs
+++ b/src/gateway/reach_monitor.rs
@@ -1,6 +1,7 @@
 //! Which endpoints this instance reaches, and what that says about an endpoint that it does not
 //! reach.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -111,7 +112,7 @@
     }
 
     /// Returns the endpoints that could not be connected to from here a short time ago.
-    pub(crate) fn unreached_endpoints(&self) -> std::collections::BTreeSet<String> {
+    pub(crate) fn unreached_endpoints(&self) -> BTreeSet<String> {
         let now = self.clock.now();
         self.reachability.lock().unreached_endpoints(now)
     }
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -98,8 +98,8 @@
         allowed
     }
 
-    /// Sets aside the retries that the continuation of a generation may need; `None` if the budget
-    /// does not have them, so that the generation must not be stopped.
+    /// Sets aside the retries that the continuation of a generation may need; `None` if the budget is
+    /// in debt, so that the generation must not be stopped.
     pub(crate) fn reserve_continuation(&self, repeat: Repeat<'_>) -> Option<RetryReservation> {
         let reserve = |budget: &mut RetryBudget| budget.try_reserve(CONTINUATION_RETRIES);
         let allowed = self.knows_members() && self.with_retry_budget(repeat.service, reserve);
