Segments of prompts are decoded with the head and named where an endpoint breaks off

Cause: nothing in the logs told which segments the prompts of broken requests share, so hypothesis 1 of docs/incidents/crashing-segments.md (counted by the whole request) could not be told from chance. What was decoded was read by nobody, needed valid token counts, took the first header line alone, left out what it could not read without a line, and was not bounded.

Change: platform/prompt_segments decodes all but the last segment, once, from all header lines; what is no number is told apart by its text, what comes after the 63rd counts as one; one bounded line of log each. The line 'endpoint broke off' names route and segments.

No decision changed.

--- a/benches/crashing.rs
+++ b/benches/crashing.rs
@@ -338,7 +338,7 @@
             self.ledger.release(&name);
             let ran_for = self.now.saturating_sub(run.placed_at + START_DELAY);
             let crash = EndpointCrash {
-                endpoint: larkwick::kernel::crash_suspects::short_hash(engine),
+                endpoint: larkwick::kernel::fingerprint::short_hash(engine),
                 software: 0,
                 at_start: ran_for < START_WINDOW,
             };
--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -15,15 +15,21 @@
 use crate::kernel::fingerprint::RequestFingerprint;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::presence::Presence;
+use crate::kernel::prompt_segments::SegmentId;
 
 /// Maximum wait for a probe: an endpoint that has exited refuses a connection within a round trip.
 const PROBE_WAIT_MAX: Duration = Duration::from_millis(50);
 
+/// Maximum number of segments of a prompt in a line of the log.
+const SEGMENTS_LOGGED_MAX: usize = 8;
+
 /// A request that its endpoint aborted.
 struct AbortedRequest {
     gateway: Arc<Gateway>,
     request_id: String,
     fingerprint: RequestFingerprint,
+    route: String,
+    segments: Vec<SegmentId>,
     endpoint: EndpointEntry,
     ran_for: Duration,
     aborted_at: Duration,
@@ -46,6 +52,8 @@
         gateway: gateway.clone(),
         request_id: call.head.request_id.clone(),
         fingerprint,
+        route: call.route.name.clone(),
+        segments: call.head.shared_segments.clone(),
         endpoint,
         ran_for,
         aborted_at: gateway.now(),
@@ -101,6 +109,13 @@
         }
     }
 
+    /// Returns the ids of the first segments of the prompt, for the log.
+    fn segment_names(&self) -> String {
+        let logged = self.segments.iter().take(SEGMENTS_LOGGED_MAX);
+        let names: Vec<String> = logged.map(ToString::to_string).collect();
+        names.join(" ")
+    }
+
     fn record(&self, result: &ProbeResult) {
         let presence = result.presence;
         let took = self.gateway.now().saturating_sub(self.aborted_at);
@@ -110,6 +125,8 @@
             info!("endpoint broke off", kv: {
                 request_id = self.request_id.as_str(),
                 content: = self.fingerprint,
+                route = self.route.as_str(),
+                segments = self.segment_names().as_str(),
                 endpoint = self.endpoint.id.as_str(),
                 presence:?,
                 probe = result.steps.as_str(),
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -15,9 +15,9 @@
 use crate::error::{Error, ErrorKind};
 use crate::kernel::backoff::Backoff;
 use crate::kernel::crash_suspects::{
-    EndpointCrash, START_WINDOW, SuspectChange, SuspectReport, Verdict, short_hash, software_id,
+    EndpointCrash, START_WINDOW, SuspectChange, SuspectReport, Verdict, software_id,
 };
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::{RequestFingerprint, short_hash};
 use crate::kernel::fleet::EndpointEntry;
 use crate::peer::convert::InvalidMessageField;
 use crate::peer::generated as wire;
--- a/src/gateway/message_heads.rs
+++ b/src/gateway/message_heads.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::kernel::endpoint_signals::EndpointSignals;
+use crate::kernel::prompt_segments::SegmentId;
 
 /// The head of a caller's request.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,6 +21,9 @@
     pub key: Option<String>,
     /// Token demand, if the request is a generation.
     pub tokens: Option<TokenDemand>,
+    /// Segments of the prompt that other prompts may have, too: all but the last, which belongs to
+    /// the request or its session.
+    pub shared_segments: Vec<SegmentId>,
     /// Last event that the caller received in an earlier attempt at the same generation.
     pub last_event_id: Option<String>,
 }
@@ -35,17 +39,6 @@
     pub generated_max_tokens: u32,
     /// Number of tokens that the caller expects to be generated.
     pub generated_hint_tokens: Option<f64>,
-    /// Segments of the prompt, in order; engines may already have them in their prefix cache.
-    pub segments: Vec<PromptSegment>,
-}
-
-/// A segment of a prompt. Requests share it if they name its id after the same preceding segments.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PromptSegment {
-    /// Identifies the segment.
-    pub id: u64,
-    /// Length in tokens.
-    pub tokens: u32,
 }
 
 /// Headers that larkwick sets on a request to an endpoint.
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -407,7 +407,7 @@
             .recent_updates(first)
             .into_iter();
         let updates = updates.map(|update| wire::EndpointLimit {
-            endpoint: crate::kernel::crash_suspects::short_hash(&update.endpoint),
+            endpoint: crate::kernel::fingerprint::short_hash(&update.endpoint),
             per_s: update.per_s.unwrap_or_default(),
             ended: update.per_s.is_none(),
             ms_ago: millis(update.age),
--- a/src/kernel/crash_suspects.rs
+++ b/src/kernel/crash_suspects.rs
@@ -19,7 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::fingerprint::{HeadHash, RequestFingerprint};
+use super::fingerprint::{HeadHash, RequestFingerprint, short_hash};
 
 /// A request that runs for longer than this after its first event did not crash its endpoint by
 /// starting. Crashes by a start come within a tenth of this time; even slow engines
@@ -202,14 +202,6 @@
     heads: HashMap<HeadHash, u32>,
 }
 
-/// Returns the first eight bytes of a hash, to identify an endpoint or its software in few bytes.
-#[must_use]
-pub fn short_hash(text: &str) -> u64 {
-    let mut prefix = [0; 8];
-    prefix.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..8]);
-    u64::from_be_bytes(prefix)
-}
-
 /// Returns the id of the software that a service's endpoints run.
 #[must_use]
 pub fn software_id(service: &str, version: &str) -> u64 {
--- a/src/kernel/fingerprint.rs
+++ b/src/kernel/fingerprint.rs
@@ -73,6 +73,14 @@
     }
 }
 
+/// Returns the first eight bytes of a hash, to identify something in few bytes.
+#[must_use]
+pub fn short_hash(text: &str) -> u64 {
+    let mut prefix = [0; 8];
+    prefix.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..8]);
+    u64::from_be_bytes(prefix)
+}
+
 fn update_delimited(hasher: &mut blake3::Hasher, field: &[u8]) {
     hasher.update(&length(field.len()));
     hasher.update(field);
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -6,9 +6,9 @@
 
 use serde::Serialize;
 
-use super::crash_suspects::short_hash;
 pub use super::endpoint_entry::{EndpointEntry, ListUpdate, incarnation_id};
 use super::evacuation::{ActiveEvacuations, EvacuatedHalls, HallChange, HallOrder};
+use super::fingerprint::short_hash;
 
 /// How long after an outage of the list a missing entry may reappear; the platform specifies two
 /// seconds.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -44,6 +44,7 @@
 pub mod policy;
 pub mod position;
 pub mod presence;
+pub mod prompt_segments;
 pub mod reachability;
 pub mod region;
 pub mod response_time;
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -9,9 +9,9 @@
 use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
 
-use super::names;
+use super::{names, prompt_segments};
 use crate::error::{Error, ErrorKind, Result};
-use crate::gateway::message_heads::{CallHead, PromptSegment, TokenDemand};
+use crate::gateway::message_heads::{CallHead, TokenDemand};
 
 /// Headers whose meaning would be ambiguous if they occurred more than once.
 const SINGLE_VALUE_HEADERS: [HeaderName; 8] = [
@@ -45,6 +45,7 @@
         deadline: parse_deadline(headers)?,
         key: header_text(headers, &names::API_KEY).map(str::to_owned),
         tokens: parse_token_demand(headers),
+        shared_segments: prompt_segments::decode_shared(headers),
         last_event_id: header_text(headers, &names::LAST_EVENT_ID).map(str::to_owned),
     })
 }
@@ -97,24 +98,9 @@
         generated_max_tokens: generated_max.trim().parse().ok()?,
         generated_hint_tokens: header_text(headers, &names::LENGTH_HINT)
             .and_then(|hint| hint.parse().ok()),
-        segments: parse_prompt_segments(headers),
     })
 }
 
-fn parse_prompt_segments(headers: &HeaderMap) -> Vec<PromptSegment> {
-    let segments = header_text(headers, &names::PROMPT_SEGMENTS).unwrap_or_default();
-    let segments = segments
-        .split(',')
-        .filter_map(|segment| segment.split_once(':'));
-    let segments = segments.filter_map(|(id, tokens)| {
-        Some(PromptSegment {
-            id: u64::from_str_radix(id.trim(), 16).ok()?,
-            tokens: tokens.trim().parse().ok()?,
-        })
-    });
-    segments.collect()
-}
-
 /// Builds the response for an error of larkwick itself.
 #[must_use]
 pub fn error_response(error: &Error) -> Response<Bytes> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 //! | `endpoint_entries` | entries that endpoints write about themselves |
 //! | `rollouts` | roll-out orders and their status |
 //! | `ingress` | requests of callers, and error responses to them |
+//! | `prompt_segments` | the segments that a request names for its prompt |
 //! | `directory` | response to the query for addresses to connect to |
 //! | `engine` | requests to endpoints and their responses |
 //! | `unknown_names` | logs and counts names that the adapter does not know |
@@ -20,6 +21,7 @@
 pub mod ingress;
 pub mod names;
 pub mod operator_config;
+mod prompt_segments;
 mod rollouts;
 pub mod store;
 mod store_records;
--- a/tests/kernel/parsers.rs
+++ b/tests/kernel/parsers.rs
@@ -2,8 +2,10 @@
 
 use larkwick::kernel::config::Record;
 use larkwick::kernel::object::ObjectKey;
+use larkwick::kernel::prompt_segments::{SEGMENTS_MAX, SegmentId};
 use larkwick::kernel::stream::{EventId, GenerationId, TokenAction, TokenCursor};
 use larkwick::kernel::ticket::Ticket;
+use larkwick::platform::ingress::decode_head;
 use larkwick::tool::check::parse_objects;
 use proptest::prelude::*;
 use uuid::Uuid;
@@ -70,3 +72,53 @@
         prop_assert_eq!(delivered, expected);
     }
 }
+
+fn shared_segments(prompts: &[&str]) -> Vec<SegmentId> {
+    let request = http::Request::builder().uri("/chat/1").header("host", "h");
+    let request = request.header("larkwick-request-id", "r");
+    let request = prompts.iter().fold(request, |request, prompt| {
+        request.header("larkwick-prompt-prefix", *prompt)
+    });
+    let (parts, ()) = request.body(()).expect("a request").into_parts();
+    decode_head(&parts).expect("a head").shared_segments
+}
+
+#[test]
+fn prompt_segments_all_but_the_last_shared() {
+    let ids = |ids: &[u64]| ids.iter().copied().map(SegmentId).collect::<Vec<_>>();
+    assert_eq!(shared_segments(&[]), []);
+    assert_eq!(shared_segments(&["ab:1"]), []);
+    assert_eq!(
+        shared_segments(&["ab:1, 00AB:1,c:2,d:3"]),
+        ids(&[0xab, 0xc])
+    );
+    assert_eq!(
+        shared_segments(&["ab:1,c:2", "d:3,e:4"]),
+        ids(&[0xab, 0xc, 0xd])
+    );
+    assert_eq!(shared_segments(&["ab:1,c:2,"]), ids(&[0xab]));
+}
+
+/// What cannot be read is told apart all the same, so that no caller can hide a segment.
+#[test]
+fn prompt_segments_unreadable_not_left_out() {
+    let strange = shared_segments(&["prompt one:5,ab,prompt one:7,,c:2"]);
+    assert_eq!(strange.len(), 2, "{strange:?}");
+    assert_eq!(strange[1], SegmentId(0xab));
+    assert_eq!(strange, shared_segments(&["prompt one:5", "ab:9", "d:1"]));
+}
+
+#[test]
+fn prompt_segments_too_many_rest_counts_as_one() {
+    let many = |first: usize, count: usize| {
+        let ids = first..first + count;
+        let ids: Vec<String> = ids.map(|id| format!("{id:x}:1")).collect();
+        shared_segments(&[&ids.join(",")])
+    };
+    let one = many(1_000, 10_000);
+    let other = many(100_000, SEGMENTS_MAX + 1);
+    assert_eq!(one.len(), SEGMENTS_MAX);
+    assert_eq!(one.last(), other.last());
+    assert_ne!(one[0], other[0]);
+    assert_eq!(many(1, SEGMENTS_MAX).len(), SEGMENTS_MAX - 1);
+}
