--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -327,6 +327,23 @@
         self.servers.add_crashing_body(body);
     }
 
+    /// Makes each server crash that starts to run a request whose prompt has this segment anywhere
+    /// but last, from now on.
+    pub fn crash_servers_on_segment(&self, segment: &'static str) {
+        self.servers.add_crashing_segment(segment);
+    }
+
+    /// Makes engines that crash send this number of events before, from now on.
+    pub fn set_events_before_crash(&self, events: u32) {
+        self.servers.set_events_before_crash(events);
+    }
+
+    /// Makes all servers answer with neither a length nor chunks, from now on: their answers end
+    /// with the connection.
+    pub fn end_responses_with_connection(&self) {
+        self.servers.end_responses_with_connection();
+    }
+
     /// Sets what becomes of the listening sockets of servers that crash from now on.
     pub fn set_socket_after_crash(&self, socket: SocketAfterCrash) {
         self.servers.set_socket_after_crash(socket);
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, TryStreamExt, stream};
 use http::header::{CONTENT_ENCODING, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, Request, Response};
 use http_body_util::{BodyExt, StreamBody};
@@ -177,6 +177,12 @@
     arrivals: Mutex<Vec<Arrival>>,
     /// Request bodies that crash a server.
     crashing_bodies: Mutex<Vec<&'static [u8]>>,
+    /// Ids of prompt segments that crash a server, wherever they stand but last.
+    crashing_segments: Mutex<Vec<&'static str>>,
+    /// Number of events that an engine sends before it crashes.
+    events_before_crash: AtomicU32,
+    /// Whether responses have neither a length nor chunks, and end with their connection.
+    ends_with_connection: AtomicBool,
     /// Ids of the crashed servers, in order.
     crashed: Mutex<Vec<String>>,
     socket_after_crash: Mutex<SocketAfterCrash>,
@@ -221,6 +227,18 @@
         self.crashing_bodies.lock().push(body);
     }
 
+    pub(super) fn add_crashing_segment(&self, segment: &'static str) {
+        self.crashing_segments.lock().push(segment);
+    }
+
+    pub(super) fn set_events_before_crash(&self, events: u32) {
+        self.events_before_crash.store(events, Ordering::Relaxed);
+    }
+
+    pub(super) fn end_responses_with_connection(&self) {
+        self.ends_with_connection.store(true, Ordering::Relaxed);
+    }
+
     pub(super) fn set_socket_after_crash(&self, socket: SocketAfterCrash) {
         *self.socket_after_crash.lock() = socket;
     }
@@ -233,8 +251,14 @@
         self.arrivals.lock().clone()
     }
 
-    fn crashes_on(&self, body: &[u8]) -> bool {
-        self.crashing_bodies.lock().contains(&body)
+    fn crashes_on(&self, headers: &HeaderMap, body: &[u8]) -> bool {
+        let crashing_segments = self.crashing_segments.lock();
+        let segments = header_text(headers, &names::PROMPT_SEGMENTS).unwrap_or_default();
+        let mut segments = segments.split(',');
+        // The last segment is the request's own.
+        segments.next_back();
+        let mut ids = segments.filter_map(|segment| segment.split(':').next());
+        ids.any(|id| crashing_segments.contains(&id)) || self.crashing_bodies.lock().contains(&body)
     }
 
     pub(super) fn servers_that_ran(&self, request: &str) -> Vec<String> {
@@ -387,6 +411,15 @@
         let at = Instant::now();
         self.arrival_times.lock().push(at);
         let mut response = self.clone().handle(request).await;
+        if self.ends_responses_with_connection()
+            && response.headers().contains_key(names::RESPONSE_SEAL)
+        {
+            // A body of unknown length has no chunks in this version of HTTP.
+            *response.version_mut() = http::Version::HTTP_10;
+            let (parts, body) = response.into_parts();
+            let frames = body.into_data_stream().map_ok(Frame::data);
+            response = Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(frames)));
+        }
         let signals = self.signals.lock().clone();
         signals.add_to(&mut response);
         if let (Some(request), Some(servers)) = (id, self.servers.upgrade()) {
@@ -442,9 +475,10 @@
         if from.is_none() {
             servers.runs.lock().push((self.id.clone(), id.clone()));
         }
-        if servers.crashes_on(&body) && !self.crash_proof.load(Ordering::Relaxed) {
+        if servers.crashes_on(&headers, &body) && !self.crash_proof.load(Ordering::Relaxed) {
             servers.crashed.lock().push(self.id.clone());
-            return self.crash(&id).await;
+            let events = servers.events_before_crash.load(Ordering::Relaxed);
+            return self.crash(&id, &body, events).await;
         }
         match fault {
             ServerFault::RunsAndHangs => std::future::pending().await,
@@ -470,21 +504,34 @@
         }
     }
 
-    /// Crashes while it responds: a plain server before the response head, an engine after it.
-    async fn crash(self: Arc<Self>, id: &str) -> Response<StandinBody> {
-        if self.kind == ServerKind::Plain {
+    /// Crashes while it responds: an engine after the response head and this number of events; a
+    /// plain server before the head, or within a body that ends with its connection.
+    async fn crash(self: Arc<Self>, id: &str, body: &Bytes, events: u32) -> Response<StandinBody> {
+        let is_engine = self.kind == ServerKind::Engine;
+        if !is_engine && !self.ends_responses_with_connection() {
             self.crash_listener().await;
             return std::future::pending().await;
         }
+        let first = if is_engine {
+            (1..=events).map(|number| self.event(number)).collect()
+        } else {
+            String::from_utf8_lossy(&body[..body.len() / 2]).into_owned()
+        };
+        let first = stream::iter([Ok(Frame::data(Bytes::from(first)))]);
         let crashing = stream::once(async move {
             tokio::time::sleep(EVENT_INTERVAL).await;
             self.crash_listener().await;
             std::future::pending().await
         });
-        let body = BodyExt::boxed_unsync(StreamBody::new(crashing));
+        let body = BodyExt::boxed_unsync(StreamBody::new(StreamExt::chain(first, crashing)));
         with_seal(Response::new(body), id)
     }
 
+    fn ends_responses_with_connection(&self) -> bool {
+        let servers = self.servers.upgrade();
+        servers.is_some_and(|servers| servers.ends_with_connection.load(Ordering::Relaxed))
+    }
+
     async fn crash_listener(&self) {
         let Some(listener) = self.listener.lock().take() else {
             return;
@@ -588,6 +635,10 @@
         with_seal(Response::new(body), id)
     }
 
+    fn event(&self, number: u32) -> String {
+        format!("id: {number}\ndata: event {number} of {}\n\n", self.id)
+    }
+
     async fn copy_memory(&self, request: Request<Incoming>) -> Response<StandinBody> {
         let body = request.into_body().collect().await;
         let body = body
@@ -655,17 +706,13 @@
         let number = self.next;
         self.next += 1;
         self.run.generated_events.store(number, Ordering::Relaxed);
-        let mut chunk = self.event(number);
+        let mut chunk = self.server.event(number);
         if *self.server.fault.lock() == ServerFault::SkipsEvent && number == SKIPPED_EVENT - 1 {
-            chunk.push_str(&self.event(SKIPPED_EVENT + 1));
+            chunk.push_str(&self.server.event(SKIPPED_EVENT + 1));
             self.next = SKIPPED_EVENT + 2;
         }
         Some(Ok(Frame::data(Bytes::from(chunk))))
     }
-
-    fn event(&self, number: u32) -> String {
-        format!("id: {number}\ndata: event {number} of {}\n\n", self.id)
-    }
 }
 
 impl Drop for EventStream {
--- /dev/null
+++ b/tests/connection_ended_answers.rs
@@ -0,0 +1,89 @@
+//! Answers with neither a length nor chunks, which end with their connection. When their endpoint
+//! crashes they end just as they do when they are whole.
+
+mod support;
+
+use support::site::{HttpResponse, Instance, RoutedSite, event_numbers, send_request, wait_until};
+
+const CRASHING_BODY: &[u8] = b"a body that no endpoint survives";
+/// Maximum endpoints that one request may crash, as in `crashing_requests`.
+const CRASHED_MAX: usize = 6;
+const ATTEMPTS: usize = 14;
+
+async fn start(apps: usize, engines: usize, instances: usize) -> (RoutedSite, Vec<Instance>) {
+    let site = RoutedSite::start(apps).await;
+    site.standin.end_responses_with_connection();
+    site.standin.crash_servers_on(CRASHING_BODY);
+    for _ in 0..engines {
+        site.start_engine().await;
+    }
+    let mut started = Vec::new();
+    for number in 0..instances {
+        started.push(site.start_instance(&format!("n{number}")).await);
+    }
+    for instance in &started {
+        wait_until("all members known", async || {
+            let members = instance.state().await["members"].clone();
+            members.as_array().map_or(0, Vec::len) + 1 >= instances
+        })
+        .await;
+    }
+    (site, started)
+}
+
+async fn crash(instance: &Instance, path: &str, id: &str) -> HttpResponse {
+    let request = instance.request(path, id).body(CRASHING_BODY);
+    let request = request.header("larkwick-model", "m");
+    send_request(request.header("larkwick-token-count", "1000,8")).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_running_endpoints_whole() {
+    let (_site, instances) = start(2, 2, 1).await;
+    for number in 0..4 {
+        let plain = instances[0].call("/calls/1", &format!("p{number}")).await;
+        assert!(plain.is_complete, "{plain:?}");
+        assert_eq!(plain.body, "hello");
+        let request = instances[0].generation(6, &format!("g{number}"));
+        let streamed = send_request(request).await;
+        assert!(streamed.is_complete, "{streamed:?}");
+        assert_eq!(event_numbers(&streamed.body), [1, 2, 3, 4, 5, 6]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_engine_crashed_not_whole_for_its_caller() {
+    for events in [0, 2] {
+        let (site, instances) = start(0, 3, 1).await;
+        site.standin.set_events_before_crash(events);
+        let response = crash(&instances[0], "/chat/8", "crash").await;
+        assert!(!response.is_complete, "{events} events: {response:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_endpoint_crashed_not_whole_for_its_caller() {
+    let (_site, instances) = start(3, 0, 1).await;
+    for path in ["/once/1", "/calls/1"] {
+        let response = crash(&instances[0], path, &format!("crash-{}", path.len())).await;
+        assert_ne!(response.status, 200, "{path}: {response:?}");
+    }
+}
+
+/// A crash that looks like a proper end does not clear the request that caused it.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_crashes_each_endpoint_refused_by_all_instances() {
+    for (path, events) in [("/chat/8", 0), ("/chat/8", 2), ("/calls/1", 0)] {
+        let (site, instances) = start(14, 14, 3).await;
+        site.standin.set_events_before_crash(events);
+        for number in 0..ATTEMPTS {
+            let instance = &instances[number % instances.len()];
+            crash(instance, path, &format!("try-{number}")).await;
+        }
+        let crashed = site.standin.crashed_servers().len();
+        assert!(
+            crashed <= CRASHED_MAX,
+            "{path}, {events} events: {crashed} endpoints crashed"
+        );
+    }
+}
