--- a/benches/crashing.rs
+++ b/benches/crashing.rs
@@ -18,7 +18,7 @@
 use larkwick::kernel::engine_ledger::{
     EngineLedger, EngineRequirements, ListedEngine, ReportedRun, RunDemand,
 };
-use larkwick::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
+use larkwick::kernel::fingerprint::{Fingerprint, FingerprintHead, HeadHash};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -100,8 +100,8 @@
     outcome: Outcome,
 }
 
-fn request_fingerprint(number: u128) -> RequestFingerprint {
-    RequestFingerprint {
+fn request_fingerprint(number: u128) -> Fingerprint {
+    Fingerprint {
         head: HeadHash(0),
         full: number,
     }
@@ -223,7 +223,7 @@
     fn place(&mut self, arrival: &Arrival) {
         let verdict = self
             .suspects
-            .verdict(request_fingerprint(arrival.fingerprint), self.now);
+            .verdict(&[request_fingerprint(arrival.fingerprint)], self.now);
         if verdict == Verdict::Refused {
             self.outcome.wrongly_refused +=
                 f64::from(u8::from(arrival.fingerprint != CRASHING_FINGERPRINT));
--- a/src/bin/larkwick/flags.rs
+++ b/src/bin/larkwick/flags.rs
@@ -74,7 +74,7 @@
             /// Operator address of the instance.
             required --operator operator: String
         }
-        /// Requests that are suspected of crashing endpoints, by their fingerprint.
+        /// Requests and prompt segments that are suspected of crashing endpoints, by their fingerprint.
         cmd suspects {
             /// List the suspects known to an instance.
             cmd list {
@@ -85,7 +85,7 @@
             }
             /// Release a suspect at all instances, after its endpoints were fixed: its crashes are counted from zero.
             cmd let-go {
-                /// Fingerprint of the request, as shown in the list and in the log field `content`.
+                /// Fingerprint of the request or segment, as shown in the list and in the log field `content`.
                 required content: String
                 /// Operator address of any instance.
                 required --operator operator: String
--- a/src/gateway/aborted_requests.rs
+++ b/src/gateway/aborted_requests.rs
@@ -12,10 +12,9 @@
 use super::presence_probe::ProbeResult;
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::Verdict;
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::presence::Presence;
-use crate::kernel::prompt_segments::SegmentId;
 
 /// Maximum wait for a probe: an endpoint that has exited refuses a connection within a round trip.
 const PROBE_WAIT_MAX: Duration = Duration::from_millis(50);
@@ -27,9 +26,10 @@
 struct AbortedRequest {
     gateway: Arc<Gateway>,
     request_id: String,
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
+    /// Fingerprints of the segments of its prompt.
+    segments: Vec<Fingerprint>,
     route: String,
-    segments: Vec<SegmentId>,
     endpoint: EndpointEntry,
     ran_for: Duration,
     aborted_at: Duration,
@@ -52,8 +52,8 @@
         gateway: gateway.clone(),
         request_id: call.head.request_id.clone(),
         fingerprint,
+        segments: call.segment_fingerprints().to_vec(),
         route: call.route.name.clone(),
-        segments: call.head.shared_segments.clone(),
         endpoint,
         ran_for,
         aborted_at: gateway.now(),
@@ -111,8 +111,11 @@
 
     /// Returns the ids of the first segments of the prompt, for the log.
     fn segment_names(&self) -> String {
-        let logged = self.segments.iter().take(SEGMENTS_LOGGED_MAX);
-        let names: Vec<String> = logged.map(ToString::to_string).collect();
+        let ids = self.segments.iter().filter_map(|one| one.segment());
+        let names: Vec<String> = ids
+            .take(SEGMENTS_LOGGED_MAX)
+            .map(|id| id.to_string())
+            .collect();
         names.join(" ")
     }
 
@@ -136,8 +139,10 @@
         }
         if presence == Presence::Ended {
             self.gateway.record_ended(&self.endpoint, result.clone());
+            let mut fingerprints = self.segments.clone();
+            fingerprints.push(self.fingerprint);
             self.gateway
-                .record_crash(self.fingerprint, &self.endpoint, self.ran_for);
+                .record_crash(&fingerprints, &self.endpoint, self.ran_for);
         }
     }
 }
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -17,7 +17,7 @@
 use crate::kernel::crash_suspects::{
     EndpointCrash, START_WINDOW, SuspectChange, SuspectReport, Verdict, software_id,
 };
-use crate::kernel::fingerprint::{RequestFingerprint, short_hash};
+use crate::kernel::fingerprint::{Fingerprint, short_hash};
 use crate::kernel::fleet::EndpointEntry;
 use crate::peer::convert::InvalidMessageField;
 use crate::peer::generated as wire;
@@ -50,23 +50,38 @@
 /// Returns the verdict on a request. The body is hashed only if a suspect has the same fingerprint
 /// head.
 pub(super) fn current_verdict(call: &Call) -> Verdict {
-    let gateway = &call.gateway;
-    if !may_be_known(call) {
+    let fingerprints = suspected_fingerprints(call);
+    if fingerprints.is_empty() {
         return Verdict::Allowed;
     }
-    let fingerprint = call.fingerprint();
+    let gateway = &call.gateway;
     let now = gateway.now();
-    gateway.crash_suspects.lock().verdict(fingerprint, now)
+    gateway.crash_suspects.lock().verdict(&fingerprints, now)
 }
 
-fn may_be_known(call: &Call) -> bool {
+/// Returns those fingerprints of a request and its segments that suspects may have.
+fn suspected_fingerprints(call: &Call) -> Vec<Fingerprint> {
     let suspects = &call.gateway.crash_suspects;
     // Usually there are no suspects, and nothing has to be hashed.
     if suspects.lock().is_empty() {
-        return false;
+        return Vec::new();
+    }
+    let request_head = call.fingerprint_head();
+    let segments = call.segment_fingerprints();
+    let (knows_request, knows_segments) = {
+        let suspects = suspects.lock();
+        let segment_head = segments.first().map(|segment| segment.head);
+        let knows_segments = segment_head.is_some_and(|head| suspects.has_head(head));
+        (suspects.has_head(request_head), knows_segments)
+    };
+    let mut fingerprints = Vec::new();
+    if knows_segments {
+        fingerprints.extend_from_slice(segments);
+    }
+    if knows_request {
+        fingerprints.push(call.fingerprint());
     }
-    let head = call.fingerprint_head();
-    suspects.lock().has_head(head)
+    fingerprints
 }
 
 /// Decides whether a request may be sent; `restricted` says that it was already admitted to some
@@ -93,10 +108,11 @@
 
 /// Returns a software version of the ready endpoints that has completed the request.
 fn proven_software(call: &Call, ready: &[EndpointEntry]) -> Option<u64> {
-    let fingerprint = call.fingerprint();
+    let fingerprints = call.all_fingerprints();
+    let now = call.gateway.now();
     let suspects = call.gateway.crash_suspects.lock();
     let mut versions = ready.iter().map(software);
-    versions.find(|software| suspects.has_finished_on(fingerprint, *software))
+    versions.find(|software| suspects.has_finished_on(&fingerprints, *software, now))
 }
 
 /// Starts a trial of the request on a software version that has not run it, and returns that
@@ -109,14 +125,14 @@
     if owner_address(gateway, &call.service).is_some() {
         return None;
     }
-    let fingerprint = call.fingerprint();
+    let fingerprints = call.all_fingerprints();
     let now = gateway.now();
     let trial_software = {
         let mut suspects = gateway.crash_suspects.lock();
         let mut versions = ready.iter().map(software);
-        versions.find(|software| suspects.begin_trial(fingerprint, *software, now))
+        versions.find(|software| suspects.begin_trial(&fingerprints, *software, now))
     }?;
-    info!("crashing content on trial", kv: { content: = fingerprint, service = call.service.as_str() });
+    info!("crashing content on trial", kv: { content: = call.fingerprint(), service = call.service.as_str() });
     Some(trial_software)
 }
 
@@ -126,60 +142,79 @@
 
 /// Returns the error for a request that is sent to no endpoint.
 pub(super) fn refusal_error(call: &Call) -> Error {
-    let fingerprint = call.fingerprint();
+    let cause = refusal_cause(call);
     if crate::log::should_log("crashing content refused") {
         info!("crashing content refused", kv: {
-            request_id = call.head.request_id.as_str(), content: = fingerprint, service = call.service.as_str(),
+            request_id = call.head.request_id.as_str(), content = cause.as_str(), service = call.service.as_str(),
         });
     }
     metrics::counter!("larkwick_suspects_refused_total").increment(1);
     let message = format!(
-        "endpoints of service {} end when they run this request; not run; ask the operators to let {fingerprint} go",
+        "endpoints of service {} end when they run this request; not run; ask the operators to let {cause} go",
         call.service
     );
     Error::new(ErrorKind::EndsEndpoints, message)
 }
 
-/// Records that an endpoint responded to a request with success and still runs: the request does
-/// not crash endpoints.
+/// Returns the fingerprint to release so that a refused request is sent again.
+fn refusal_cause(call: &Call) -> String {
+    let fingerprints = call.all_fingerprints();
+    let suspects = call.gateway.crash_suspects.lock();
+    let mut culprits = suspects.culprits().iter();
+    let culprit = culprits.find(|culprit| culprit.matches(&fingerprints));
+    let member = culprit.and_then(|culprit| culprit.members.first().copied());
+    // It may have been released meanwhile.
+    member.unwrap_or_else(|| call.fingerprint()).to_string()
+}
+
+/// Records that an endpoint responded to a request with success and still runs: neither the request
+/// nor any segment of its prompt crashes endpoints.
 pub(super) fn record_survival(call: &Call, endpoint: &EndpointEntry) {
-    if !may_be_known(call) {
-        return;
-    }
     let gateway = &call.gateway;
-    let fingerprint = call.fingerprint();
-    let change = gateway.crash_suspects.lock().record_survival(
-        fingerprint,
-        software(endpoint),
-        gateway.now(),
-    );
-    if change != SuspectChange::None {
-        info!("suspected content finished", kv: {
-            content: = fingerprint, endpoint = endpoint.id.as_str(), request_id = call.head.request_id.as_str(),
-        });
-        gateway.suspects_changed.notify_one();
+    let software = software(endpoint);
+    let now = gateway.now();
+    let mut fingerprints = call.segment_fingerprints().to_vec();
+    let suspected = suspected_fingerprints(call);
+    // Segments are remembered in any case; a request only matters once it is suspected.
+    fingerprints.extend(suspected.iter().filter(|one| one.segment().is_none()));
+    let mut changed = Vec::new();
+    {
+        let mut suspects = gateway.crash_suspects.lock();
+        for fingerprint in fingerprints {
+            let change = suspects.record_survival(fingerprint, software, now);
+            if change != SuspectChange::None {
+                changed.push((fingerprint, change));
+            }
+        }
+    }
+    for (fingerprint, change) in changed {
+        if crate::log::should_log("suspected content finished") {
+            info!("suspected content finished", kv: {
+                content: = fingerprint, endpoint = endpoint.id.as_str(), request_id = call.head.request_id.as_str(),
+            });
+        }
+        gateway.handle_suspect_change(fingerprint, change, "finished here");
     }
 }
 
 /// Records that an engine has run a generation past its start window.
 pub(super) fn record_ran_past_start(call: &Call) {
-    if !may_be_known(call) {
-        return;
-    }
     let gateway = &call.gateway;
-    let fingerprint = call.fingerprint();
-    gateway
-        .crash_suspects
-        .lock()
-        .record_ran_past_start(fingerprint, gateway.now());
+    let now = gateway.now();
+    for fingerprint in suspected_fingerprints(call) {
+        let mut suspects = gateway.crash_suspects.lock();
+        let change = suspects.record_ran_past_start(fingerprint, now);
+        drop(suspects);
+        gateway.handle_suspect_change(fingerprint, change, "ran on here");
+    }
 }
 
 impl Gateway {
-    /// Records that an endpoint crashed while it ran a request; `ran_for` is the time since the
-    /// first event.
+    /// Records that an endpoint crashed while it ran a request with these fingerprints; `ran_for` is
+    /// the time since the first event.
     pub(super) fn record_crash(
         self: &Arc<Self>,
-        fingerprint: RequestFingerprint,
+        fingerprints: &[Fingerprint],
         endpoint: &EndpointEntry,
         ran_for: Duration,
     ) {
@@ -188,12 +223,15 @@
             software: software(endpoint),
             at_start: ran_for < START_WINDOW,
         };
-        let change = self
-            .crash_suspects
-            .lock()
-            .record_crash(fingerprint, crash, self.now());
-        self.handle_suspect_change(fingerprint, change, "seen here");
-        if change != SuspectChange::None {
+        let mut has_changed = false;
+        for fingerprint in fingerprints {
+            let mut suspects = self.crash_suspects.lock();
+            let change = suspects.record_crash(*fingerprint, crash, self.now());
+            drop(suspects);
+            self.handle_suspect_change(*fingerprint, change, "seen here");
+            has_changed |= change != SuspectChange::None;
+        }
+        if has_changed {
             // The caller may retry at once at any instance. With regular heartbeats each 0.5 s, 14
             // attempts 28 ms apart at three instances crashed nine engines instead of three (six
             // runs).
@@ -203,7 +241,7 @@
 
     /// Releases a suspect at the request of an operator, here and, by gossip, at all instances.
     /// Returns whether it was known.
-    pub(super) fn release_suspect(self: &Arc<Self>, fingerprint: RequestFingerprint) -> bool {
+    pub(super) fn release_suspect(self: &Arc<Self>, fingerprint: Fingerprint) -> bool {
         let was_known = self.crash_suspects.lock().release(fingerprint, self.now());
         if was_known {
             info!("content let go by an operator", kv: { content: = fingerprint });
@@ -247,25 +285,29 @@
         updates.iter().map(Into::into).collect()
     }
 
-    fn handle_suspect_change(
-        &self,
-        fingerprint: RequestFingerprint,
-        change: SuspectChange,
-        source: &str,
-    ) {
+    fn handle_suspect_change(&self, fingerprint: Fingerprint, change: SuspectChange, source: &str) {
         if change == SuspectChange::None {
             return;
         }
         self.suspects_changed.notify_one();
-        let (known, refused) = {
+        let (known, culprits) = {
             let suspects = self.crash_suspects.lock();
-            (suspects.len(), suspects.refused_count())
+            (suspects.len(), suspects.culprits().to_vec())
         };
+        let refused = culprits.len();
         let gauge = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
         metrics::gauge!("larkwick_suspects", "kind" => "known").set(gauge(known));
         metrics::gauge!("larkwick_suspects", "kind" => "refused").set(gauge(refused));
         if change == SuspectChange::NowRefused {
-            warn!("crashing content found", kv: { content: = fingerprint, source, known:, refused: });
+            let culprit = culprits
+                .iter()
+                .find(|culprit| culprit.members.contains(&fingerprint));
+            let together = culprit.map_or(0, |culprit| culprit.members.len());
+            let segment = fingerprint.segment().map(|segment| segment.to_string());
+            let segment = segment.as_deref().unwrap_or_default();
+            warn!("crashing content found", kv: {
+                content: = fingerprint, segment, together:, source, known:, refused:
+            });
         }
     }
 
--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -13,7 +13,7 @@
 use super::node::Gateway;
 use super::presence_probe::{ProbeResult, closed, run_probe};
 use super::runs::Unavailability;
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::presence::Presence;
 
@@ -44,7 +44,7 @@
     /// with the result of their last probe.
     ended: Mutex<BTreeMap<String, ProbeResult>>,
     /// Number of aborted requests without a result, by fingerprint; none is zero.
-    pending: Mutex<HashMap<RequestFingerprint, u32>>,
+    pending: Mutex<HashMap<Fingerprint, u32>>,
 }
 
 impl PresenceProbes {
@@ -67,12 +67,12 @@
     }
 
     /// Returns whether an endpoint that aborted a request with this fingerprint is being probed.
-    pub(super) fn has_pending(&self, fingerprint: RequestFingerprint) -> bool {
+    pub(super) fn has_pending(&self, fingerprint: Fingerprint) -> bool {
         self.pending.lock().contains_key(&fingerprint)
     }
 
     /// Records that the result for an aborted request is known.
-    pub(super) fn remove_pending(&self, fingerprint: RequestFingerprint) {
+    pub(super) fn remove_pending(&self, fingerprint: Fingerprint) {
         let mut pending = self.pending.lock();
         if let Entry::Occupied(mut count) = pending.entry(fingerprint) {
             *count.get_mut() -= 1;
@@ -164,7 +164,7 @@
     pub(super) fn begin_probe(
         &self,
         endpoint: &EndpointEntry,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         aborted_at: Duration,
     ) -> Arc<PresenceProbe> {
         let probes = &self.presence_probes;
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -11,7 +11,7 @@
 use super::retry_budgets::{Repeat, RepeatCause};
 use super::version_choice::VersionChoice;
 use crate::kernel::byte_budget::HeldBytes;
-use crate::kernel::fingerprint::{FingerprintHead, HeadHash, RequestFingerprint};
+use crate::kernel::fingerprint::{Fingerprint, FingerprintHead, HeadHash};
 use crate::kernel::fleet::{EndpointEntry, Fleet};
 use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{Route, RouteTable};
@@ -73,7 +73,9 @@
     pub(crate) deadline: Duration,
     /// Request fingerprint, computed on first use: most calls never need it, so their bodies are
     /// not hashed.
-    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
+    /// Fingerprints of the segments of its prompt, computed on first use.
+    pub(crate) segment_fingerprints: OnceLock<Vec<Fingerprint>>,
     /// Delays the shutdown of the instance until the call ends.
     pub(crate) _in_flight_guard: InFlightGuard,
 }
@@ -94,11 +96,29 @@
     }
 
     /// Returns the request fingerprint, which includes the body.
-    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
         let compute = || self.fingerprint_head().with_body(&self.body);
         *self.fingerprint.get_or_init(compute)
     }
 
+    /// Returns the fingerprints of the segments of its prompt that other prompts may have, too.
+    pub(crate) fn segment_fingerprints(&self) -> &[Fingerprint] {
+        self.segment_fingerprints.get_or_init(|| {
+            let head = HeadHash::of_segments(&self.service);
+            let segments = self.head.shared_segments.iter();
+            segments
+                .map(|segment| head.with_segment(*segment))
+                .collect()
+        })
+    }
+
+    /// Returns the fingerprints of the request and of the segments of its prompt.
+    pub(crate) fn all_fingerprints(&self) -> Vec<Fingerprint> {
+        let mut fingerprints = self.segment_fingerprints().to_vec();
+        fingerprints.push(self.fingerprint());
+        fingerprints
+    }
+
     /// Returns the time left until the deadline; zero if it has passed.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.gateway.now())
--- a/src/gateway/operator_api.rs
+++ b/src/gateway/operator_api.rs
@@ -15,7 +15,7 @@
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::engine_ledger::EngineSummary;
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::fleet::{Availability, EndpointEntry};
 use crate::kernel::membership::PeerStatus;
 use crate::kernel::region::AllowedRegions;
@@ -134,11 +134,13 @@
     handle.render()
 }
 
-/// A request fingerprint suspected of crashing endpoints.
+/// A request or prompt segment suspected of crashing endpoints.
 #[derive(Serialize)]
 struct SuspectDump {
     #[serde(rename = "content")]
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
+    /// Id of the prompt segment, if it is one.
+    segment: Option<String>,
     verdict: Verdict,
     /// Whether an endpoint has completed a request with this fingerprint.
     innocent: bool,
@@ -155,7 +157,11 @@
     let suspects = gateway.crash_suspects.lock();
     let dumps = suspects.reports(now).map(|report| SuspectDump {
         fingerprint: report.fingerprint,
-        verdict: suspects.verdict(report.fingerprint, now),
+        segment: report
+            .fingerprint
+            .segment()
+            .map(|segment| segment.to_string()),
+        verdict: suspects.suspect_verdict(report.fingerprint, now),
         innocent: report.innocent,
         crashes: report.crashes.len(),
         last_crash_age_ms: millis(report.last_crash_age),
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -217,6 +217,7 @@
             arrived: request.arrived,
             deadline: request.arrived + time_left,
             fingerprint: OnceLock::new(),
+            segment_fingerprints: OnceLock::new(),
             _in_flight_guard: request.in_flight_guard,
         }
     }
--- a/src/gateway/shared_store.rs
+++ b/src/gateway/shared_store.rs
@@ -26,7 +26,7 @@
 use super::subject_cache::SubjectCache;
 use super::work_counters::{WorkCounters, WorkKind};
 use crate::kernel::clock::Clock;
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::freshness::Freshness;
 use crate::kernel::position::Position;
 use crate::kernel::rollout::RolloutStatus;
@@ -403,7 +403,7 @@
         self.store().store_suspect(suspect).await
     }
 
-    async fn delete_suspect(&self, fingerprint: RequestFingerprint) -> StoreResult<()> {
+    async fn delete_suspect(&self, fingerprint: Fingerprint) -> StoreResult<()> {
         self.store().delete_suspect(fingerprint).await
     }
 }
--- a/src/gateway/site_store.rs
+++ b/src/gateway/site_store.rs
@@ -11,7 +11,7 @@
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::SuspectReport;
 use crate::kernel::evacuation::{EvacuatedHalls, HallOrder};
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::position::Position;
 use crate::kernel::roles::{self, default_link_mbps};
@@ -92,7 +92,7 @@
 
     /// Returns the fingerprint of the suspect.
     #[must_use]
-    pub fn fingerprint(&self) -> RequestFingerprint {
+    pub fn fingerprint(&self) -> Fingerprint {
         self.report.fingerprint
     }
 
@@ -131,7 +131,7 @@
     /// A fingerprint suspected of crashing endpoints.
     Suspect(StoredSuspect),
     /// The record of a suspect was deleted.
-    SuspectGone(RequestFingerprint),
+    SuspectGone(Fingerprint),
     /// A record that could not be decoded.
     Unreadable {
         /// Its key.
@@ -214,7 +214,7 @@
     /// Writes the record of a suspect, replacing an earlier one.
     async fn store_suspect(&self, suspect: &StoredSuspect) -> StoreResult<()>;
     /// Deletes the record of a suspect.
-    async fn delete_suspect(&self, fingerprint: RequestFingerprint) -> StoreResult<()>;
+    async fn delete_suspect(&self, fingerprint: Fingerprint) -> StoreResult<()>;
 }
 
 /// A registered client of a store.
--- a/src/gateway/store_follower.rs
+++ b/src/gateway/store_follower.rs
@@ -12,7 +12,7 @@
 use super::node::{Gateway, MEMBER_RING};
 use super::site_store::{MemberEntry, SitePage, SiteRecord, SiteStore, StoreError, Subject};
 use crate::kernel::backoff::Backoff;
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::fleet::{FleetChange, ListUpdate};
 use crate::kernel::membership::{Incarnation, ListedPeer, PeerStatus};
 use crate::kernel::position::Position;
@@ -233,7 +233,7 @@
         SiteRecord::Suspect(stored) => Some(stored.fingerprint()),
         _ => None,
     });
-    let stored: BTreeSet<RequestFingerprint> = stored.collect();
+    let stored: BTreeSet<Fingerprint> = stored.collect();
     if gateway.crash_suspects.lock().sync_stored(&stored) {
         gateway.suspects_changed.notify_one();
     }
--- a/src/gateway/subject_cache.rs
+++ b/src/gateway/subject_cache.rs
@@ -8,7 +8,7 @@
 use super::chunked_pages::EncodedPage;
 use super::site_store::{SitePage, SiteRecord, Subject};
 use crate::kernel::evacuation::EvacuatedHalls;
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::position::Position;
 use crate::kernel::rollout_orders::RolloutOrders;
 use crate::kernel::route::RouteConfig;
@@ -284,7 +284,7 @@
 }
 
 /// Returns the cache key of a suspect, which cannot be the name of a member.
-fn suspect_key(fingerprint: RequestFingerprint) -> String {
+fn suspect_key(fingerprint: Fingerprint) -> String {
     format!("suspect/{fingerprint}")
 }
 
--- a/src/kernel/crash_suspects.rs
+++ b/src/kernel/crash_suspects.rs
@@ -1,65 +1,43 @@
-//! Crash suspects: requests that may crash the endpoints that run them, and which of them are no
-//! longer sent to any endpoint.
+//! Crash suspects: requests and prompt segments that may crash the endpoints that run them, and
+//! which of them are no longer sent to any endpoint.
 //!
 //! A request may crash every endpoint that starts to run it, and it may be sent again under a new
 //! request id to any instance, so attempts counted by request id would start from zero each time.
-//! Crashes are therefore counted by request fingerprint, and instances share them with each other
-//! and with the store.
+//! So may every request with some segment in its prompt, no two of them alike. Crashes are therefore
+//! counted by the fingerprints of the request and of its segments, and instances share them with
+//! each other and with the store.
 //!
 //! A single crash says little: everything that ran on the endpoint is cut off with it, and
 //! endpoints also crash for other reasons. A crash therefore counts in full only against requests
 //! that had just started there, and by half against the others; three full ones are needed to
-//! refuse a request; and a request that any endpoint has finished is innocent.
+//! refuse a request or segment; a request that any endpoint has finished is innocent, and a segment
+//! that any endpoint has finished needs twice as many. [`Culprit`] says which of several
+//! suspects is refused for the same crashes.
 //!
 //! Each fingerprint has an epoch, and reports of an earlier epoch are ignored. A new epoch starts
 //! when the request is found innocent or when an operator releases it.
 
+mod culprits;
+mod suspect;
+
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
-use super::fingerprint::{HeadHash, RequestFingerprint, short_hash};
+use super::fingerprint::{Fingerprint, HeadHash};
+use super::segment_survivals::SegmentSurvivals;
+pub use culprits::Culprit;
+use culprits::find_culprits;
+pub use suspect::{EndpointCrash, RefusalRules, SuspectReport, software_id};
+use suspect::{Suspect, SuspectKind};
 
 /// A request that runs for longer than this after its first event did not crash its endpoint by
 /// starting. Crashes by a start come within a tenth of this time; even slow engines
 /// generate several events in it.
 pub const START_WINDOW: Duration = Duration::from_secs(1);
 
-/// Points per crash, and the number of points at which a request is refused.
-///
-/// Engines also crash for unrelated reasons: rules that count all crashes alike would refuse
-/// innocent requests (`cargo bench --bench crashing`).
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RefusalRules {
-    /// Points of a crash under a request that had just started.
-    pub points_at_start: u32,
-    /// Points of a crash under a request that had run for longer.
-    pub points_later: u32,
-    /// A request with this many points is refused.
-    pub refuse_at_points: u32,
-}
-
-impl Default for RefusalRules {
-    /// Refuses a request after three crashes at its start, or after six later ones, so that
-    /// requests that crash endpoints late are found, too. With two, a request that happened to run
-    /// next to the cause twice would be refused: requests that are cut off together are also
-    /// retried together.
-    fn default() -> Self {
-        Self {
-            points_at_start: 2,
-            points_later: 1,
-            refuse_at_points: 6,
-        }
-    }
-}
-
-/// Number of crashes from which a suspect is written to the store, so that it survives the loss of
-/// all instances. A single crash is not worth a call, because most requests that are cut off once
-/// never are again.
-const STORED_FROM_CRASHES: usize = 2;
-/// Maximum number of crashes recorded per suspect; more than it takes to refuse it.
-const CRASHES_MAX: usize = 8;
 /// Maximum number of suspects, about 0.5 MB. An engine with 24 slots leaves 24 suspects per crash,
 /// so this covers 170 crashes within [`SUSPECTED_FOR`].
 const SUSPECTS_MAX: usize = 4_096;
@@ -68,12 +46,16 @@
 /// Maximum number of suspects in the store at a time, so that a client that crashes endpoints with
 /// ever new requests cannot fill it.
 pub const STORED_MAX: usize = 256;
+/// The rest of the places in the store is for suspects that are refused.
+const STORED_NOT_REFUSED_MAX: usize = STORED_MAX / 4 * 3;
 /// A suspect is forgotten this long after its last crash; a request that is sent so rarely crashes
 /// few endpoints.
 const SUSPECTED_FOR: Duration = Duration::from_hours(1);
 /// A refused request stays refused for this long after its last crash. This leaves time for a
 /// software release that fixes the endpoints, or for an operator to investigate.
 const REFUSED_FOR: Duration = Duration::from_hours(24);
+/// The same for segments, which many requests may have.
+const SEGMENT_REFUSED_FOR: Duration = SUSPECTED_FOR;
 /// After this time another instance writes a suspect to the store if the instance that saw the
 /// crash has not done so.
 const STORE_FALLBACK_AFTER: Duration = Duration::from_secs(1);
@@ -83,56 +65,6 @@
 /// Maximum number of suspects in one message, those with the most points first. About 60 bytes
 /// each.
 pub const UPDATES_MAX: usize = 16;
-/// Number of crashes after which users expect a request to be refused, apart from a few trials.
-const CRASHES_BEFORE_REFUSAL: usize = 3;
-/// How often a refused request is tried on software that has not crashed under it, since a software
-/// release may have fixed the fault. The first three crashes plus these trials are as many as users
-/// accept.
-const TRIALS_MAX: usize = 2;
-/// Maximum number of software versions recorded as finishing a request under which others crash.
-/// One is the common case, after a release that fixes the fault.
-const FINISHED_ON_MAX: usize = 4;
-/// A trial without a result counts as over after this time, which is longer than a generation
-/// takes.
-const TRIAL_TIMEOUT: Duration = Duration::from_mins(1);
-
-/// An endpoint crash, as counted against one request that ran on the endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct EndpointCrash {
-    /// Identifies the endpoint incarnation that crashed: the first bytes of a hash of
-    /// [`super::endpoint_entry::EndpointEntry::id`].
-    pub endpoint: u64,
-    /// Identifies the software of the endpoint, see [`software_id`].
-    pub software: u64,
-    /// Whether the request had just started on it, see [`START_WINDOW`].
-    #[serde(rename = "beginning")]
-    pub at_start: bool,
-}
-
-/// All that is shared about one suspect.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectReport {
-    /// Fingerprint of the request.
-    #[serde(rename = "content")]
-    pub fingerprint: RequestFingerprint,
-    /// Number of times that the suspect was found innocent or released.
-    #[serde(rename = "life")]
-    pub epoch: u32,
-    /// Whether an endpoint has finished the request.
-    pub innocent: bool,
-    /// Whether the request ran past its start on an endpoint in this epoch.
-    #[serde(rename = "ran_on")]
-    pub ran_past_start: bool,
-    /// Software that has finished the request although other software crashed under it; sorted.
-    #[serde(rename = "sound_on")]
-    pub finished_on: Vec<u64>,
-    /// Crashes in this epoch, at most one per endpoint; sorted.
-    #[serde(rename = "ends")]
-    pub crashes: Vec<EndpointCrash>,
-    /// Time since the last crash was first reported.
-    #[serde(rename = "last_end_ago")]
-    pub last_crash_age: Duration,
-}
 
 /// Whether a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -158,174 +90,19 @@
     NowRefused,
 }
 
-#[derive(Debug, Clone)]
-struct Suspect {
-    rules: RefusalRules,
-    epoch: u32,
-    innocent: bool,
-    ran_past_start: bool,
-    /// Software that has finished the request although other software crashed under it. Sorted, at
-    /// most [`FINISHED_ON_MAX`].
-    finished_on: Vec<u64>,
-    /// Sorted, at most one per endpoint and at most [`CRASHES_MAX`].
-    crashes: Vec<EndpointCrash>,
-    /// When the last crash became known, by this instance's clock. For a crash reported by another
-    /// instance it is backdated by the age in the report.
-    last_crash_at: Duration,
-    /// When this suspect last changed on this instance.
-    changed_at: Duration,
-    /// The state that the store is known to hold.
-    stored: Option<StoredState>,
-    /// Whether an endpoint crashed under a request from this instance, which must then write the
-    /// suspect to the store.
-    crashed_here: bool,
-    /// When this instance last sent the request on trial.
-    trial_at: Option<Duration>,
-}
-
-/// A summary of the state that the store holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct StoredState {
-    epoch: u32,
-    innocent: bool,
-    points: u32,
-    finished_on: usize,
-}
-
-/// The crash suspects, by request fingerprint.
+/// The crash suspects, by fingerprint.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     rules: RefusalRules,
     /// At most [`SUSPECTS_MAX`].
-    by_fingerprint: BTreeMap<RequestFingerprint, Suspect>,
+    by_fingerprint: BTreeMap<Fingerprint, Suspect>,
     /// Number of suspects per head; heads without suspects have no entry.
     heads: HashMap<HeadHash, u32>,
-}
-
-/// Returns the id of the software that a service's endpoints run.
-#[must_use]
-pub fn software_id(service: &str, version: &str) -> u64 {
-    short_hash(&format!("{service}/{version}"))
-}
-
-impl Suspect {
-    fn new(rules: RefusalRules, now: Duration) -> Self {
-        Self {
-            rules,
-            epoch: 0,
-            innocent: false,
-            ran_past_start: false,
-            finished_on: Vec::new(),
-            crashes: Vec::new(),
-            last_crash_at: now,
-            changed_at: now,
-            stored: None,
-            crashed_here: false,
-            trial_at: None,
-        }
-    }
-
-    fn points(&self) -> u32 {
-        let points = self.crashes.iter().map(|crash| {
-            if crash.at_start && !self.ran_past_start {
-                self.rules.points_at_start
-            } else {
-                self.rules.points_later
-            }
-        });
-        points.sum()
-    }
-
-    fn is_refused(&self) -> bool {
-        !self.innocent && self.points() >= self.rules.refuse_at_points
-    }
-
-    fn add_crash(&mut self, crash: EndpointCrash) -> bool {
-        if let Some(known) = self
-            .crashes
-            .iter_mut()
-            .find(|known| known.endpoint == crash.endpoint)
-        {
-            let is_changed = crash.at_start && !known.at_start;
-            known.at_start |= crash.at_start;
-            return is_changed;
-        }
-        if self.crashes.len() >= CRASHES_MAX {
-            return false;
-        }
-        self.crashes.push(crash);
-        self.crashes.sort_unstable();
-        true
-    }
-
-    fn add_finished_on(&mut self, software: u64) -> bool {
-        if self.finished_on.contains(&software) || self.finished_on.len() >= FINISHED_ON_MAX {
-            return false;
-        }
-        self.finished_on.push(software);
-        self.finished_on.sort_unstable();
-        true
-    }
-
-    fn start_epoch(&mut self, epoch: u32, innocent: bool, now: Duration) {
-        self.epoch = epoch;
-        self.innocent = innocent;
-        self.ran_past_start = false;
-        self.finished_on.clear();
-        self.crashes.clear();
-        self.trial_at = None;
-        self.changed_at = now;
-    }
-
-    fn expires_at(&self) -> Duration {
-        let retention = if self.is_refused() {
-            REFUSED_FOR
-        } else {
-            SUSPECTED_FOR
-        };
-        self.last_crash_at.saturating_add(retention)
-    }
-
-    fn report(&self, fingerprint: RequestFingerprint, now: Duration) -> SuspectReport {
-        SuspectReport {
-            fingerprint,
-            epoch: self.epoch,
-            innocent: self.innocent,
-            ran_past_start: self.ran_past_start,
-            finished_on: self.finished_on.clone(),
-            crashes: self.crashes.clone(),
-            last_crash_age: now.saturating_sub(self.last_crash_at),
-        }
-    }
-
-    fn stored_state(&self) -> StoredState {
-        StoredState {
-            epoch: self.epoch,
-            innocent: self.innocent,
-            points: self.points(),
-            finished_on: self.finished_on.len(),
-        }
-    }
-
-    /// Returns whether the store should hold another state than it does.
-    fn needs_storing(&self) -> bool {
-        match self.stored {
-            Some(stored) => stored != self.stored_state(),
-            None => !self.innocent && self.crashes.len() >= STORED_FROM_CRASHES,
-        }
-    }
-
-    fn has_crashed(&self, software: u64) -> bool {
-        self.crashes.iter().any(|crash| crash.software == software)
-    }
-
-    /// Returns whether the request may be tried on software that has not crashed under it.
-    fn can_be_tried(&self, now: Duration) -> bool {
-        let running = self
-            .trial_at
-            .filter(|at| now.saturating_sub(*at) < TRIAL_TIMEOUT);
-        running.is_none() && self.crashes.len() < CRASHES_BEFORE_REFUSAL + TRIALS_MAX
-    }
+    /// Suspects with enough points to be refused, unless something else explains their crashes.
+    with_enough_points: BTreeSet<Fingerprint>,
+    /// Derived from `with_enough_points`.
+    culprits: Vec<Culprit>,
+    survivals: SegmentSurvivals,
 }
 
 impl CrashSuspects {
@@ -350,11 +127,10 @@
         self.by_fingerprint.len()
     }
 
-    /// Returns the number of refused suspects.
+    /// Returns what is refused.
     #[must_use]
-    pub fn refused_count(&self) -> usize {
-        let all = self.by_fingerprint.values();
-        all.filter(|suspect| suspect.is_refused()).count()
+    pub fn culprits(&self) -> &[Culprit] {
+        &self.culprits
     }
 
     /// Returns whether a suspect has this head. If none has, a request's body need not be read.
@@ -363,86 +139,175 @@
         self.heads.contains_key(&head)
     }
 
-    /// Returns whether a request may be sent.
+    /// Returns whether a request with these fingerprints may be sent.
     #[must_use]
-    pub fn verdict(&self, fingerprint: RequestFingerprint, now: Duration) -> Verdict {
-        let Some(suspect) = self.by_fingerprint.get(&fingerprint) else {
-            return Verdict::Allowed;
-        };
-        if suspect.innocent || suspect.crashes.is_empty() || now >= suspect.expires_at() {
-            Verdict::Allowed
-        } else if suspect.is_refused() {
-            Verdict::Refused
-        } else {
+    pub fn verdict(&self, fingerprints: &[Fingerprint], now: Duration) -> Verdict {
+        if self.matching_culprits(fingerprints, now).next().is_some() {
+            return Verdict::Refused;
+        }
+        let mut suspects = fingerprints.iter().filter_map(|fingerprint| {
+            let suspect = self.by_fingerprint.get(fingerprint)?;
+            Some((fingerprint, suspect))
+        });
+        let is_suspected = suspects.any(|(fingerprint, suspect)| {
+            let is_current = now < self.expires_at(*fingerprint, suspect);
+            !suspect.innocent && !suspect.crashes.is_empty() && is_current
+        });
+        if is_suspected {
             Verdict::Suspected
+        } else {
+            Verdict::Allowed
         }
     }
 
+    /// Returns the verdict on one suspect by itself, and [`Verdict::Refused`] for each member of a
+    /// culprit.
+    #[must_use]
+    pub fn suspect_verdict(&self, fingerprint: Fingerprint, now: Duration) -> Verdict {
+        let culprit = self.culprit_of(fingerprint);
+        let members = culprit.map_or(vec![fingerprint], |culprit| culprit.members.clone());
+        self.verdict(&members, now)
+    }
+
+    fn matching_culprits<'a>(
+        &'a self,
+        fingerprints: &'a [Fingerprint],
+        now: Duration,
+    ) -> impl Iterator<Item = &'a Culprit> {
+        let is_current = move |fingerprint: &Fingerprint| {
+            let suspect = self.by_fingerprint.get(fingerprint);
+            suspect.is_some_and(|suspect| now < self.expires_at(*fingerprint, suspect))
+        };
+        let matching = self.culprits.iter();
+        let matching = matching.filter(move |culprit| culprit.matches(fingerprints));
+        matching.filter(move |culprit| culprit.members.iter().all(is_current))
+    }
+
+    fn culprit_of(&self, fingerprint: Fingerprint) -> Option<&Culprit> {
+        let mut culprits = self.culprits.iter();
+        culprits.find(|culprit| culprit.members.contains(&fingerprint))
+    }
+
+    fn expires_at(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Duration {
+        let is_refused = self.culprit_of(fingerprint).is_some();
+        let retention = match (is_refused, fingerprint.segment()) {
+            (true, None) => REFUSED_FOR,
+            (true, Some(_)) => SEGMENT_REFUSED_FOR,
+            (false, _) => SUSPECTED_FOR,
+        };
+        suspect.last_crash_at.saturating_add(retention)
+    }
+
+    /// Returns the refused suspects because of which a request with these fingerprints is refused.
+    fn refused_members(
+        &self,
+        fingerprints: &[Fingerprint],
+        now: Duration,
+    ) -> BTreeSet<Fingerprint> {
+        let culprits = self.matching_culprits(fingerprints, now);
+        culprits
+            .flat_map(|culprit| culprit.members.iter().copied())
+            .collect()
+    }
+
     /// Starts a trial of a refused request on endpoints with this software. Returns `false` if this
     /// software has crashed under the request, if a trial is running, or if too many trials were
     /// made. The instances must agree on the one that makes trials.
     pub fn begin_trial(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprints: &[Fingerprint],
         software: u64,
         now: Duration,
     ) -> bool {
-        let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
-            return false;
+        let members = self.refused_members(fingerprints, now);
+        let can_be_tried = |member: &Fingerprint| {
+            let suspect = self.by_fingerprint.get(member);
+            suspect
+                .is_some_and(|suspect| suspect.can_be_tried(now) && !suspect.has_crashed(software))
         };
-        let is_allowed = suspect.can_be_tried(now) && !suspect.has_crashed(software);
-        if is_allowed {
-            suspect.trial_at = Some(now);
+        if members.is_empty() || !members.iter().all(can_be_tried) {
+            return false;
+        }
+        for member in members {
+            if let Some(suspect) = self.by_fingerprint.get_mut(&member) {
+                suspect.trial_at = Some(now);
+            }
         }
-        is_allowed
+        true
     }
 
-    /// Records that an endpoint crashed while it ran a request.
+    /// Returns whether this software has finished all for which a request is refused.
+    #[must_use]
+    pub fn has_finished_on(
+        &self,
+        fingerprints: &[Fingerprint],
+        software: u64,
+        now: Duration,
+    ) -> bool {
+        let members = self.refused_members(fingerprints, now);
+        let has_finished = |member: &Fingerprint| {
+            let suspect = self.by_fingerprint.get(member);
+            let finished_unsuspected = self.survivals.contains(software, *member);
+            suspect.is_some_and(|suspect| {
+                suspect.finished_on.contains(&software)
+                    || finished_unsuspected && !suspect.has_crashed(software)
+            })
+        };
+        !members.is_empty() && members.iter().all(has_finished)
+    }
+
+    /// Records that an endpoint crashed while it ran a request or segment.
     pub fn record_crash(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         crash: EndpointCrash,
         now: Duration,
     ) -> SuspectChange {
+        let was_finished = self.survivals.contains(crash.software, fingerprint);
+        if was_finished && !crash.at_start {
+            // It was cut off while it ran on, as elsewhere.
+            return SuspectChange::None;
+        }
         self.make_room(fingerprint, now);
+        let known = self.by_fingerprint.get(&fingerprint);
+        let is_expired = known.is_some_and(|suspect| now >= self.expires_at(fingerprint, suspect));
         let suspect = self.entry(fingerprint, now);
-        if suspect.innocent {
+        if suspect.is_cleared_for_good() {
             return SuspectChange::None;
         }
-        if now >= suspect.expires_at() {
+        if is_expired {
             suspect.crashes.clear();
         }
-        let was_refused = suspect.is_refused();
+        suspect.innocent |= was_finished;
         if !suspect.add_crash(crash) {
             return SuspectChange::None;
         }
         suspect.last_crash_at = now;
         suspect.changed_at = now;
         suspect.crashed_here = true;
-        if suspect.is_refused() && !was_refused {
-            SuspectChange::NowRefused
-        } else {
-            SuspectChange::Updated
-        }
+        self.change_after_update(fingerprint)
     }
 
-    /// Records that an endpoint with this software finished a request and still runs. If other
-    /// endpoints with the same software had crashed, the request was not the cause and is innocent.
-    /// If only other software had crashed, the request may be sent to this software, and its other
-    /// state is unchanged.
+    /// Records that an endpoint with this software finished a request or segment and still runs. If
+    /// other endpoints with the same software had crashed, it was not the cause and is innocent. If
+    /// only other software had crashed, it may be sent to this software, and its other state is
+    /// unchanged.
     pub fn record_survival(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         software: u64,
         now: Duration,
     ) -> SuspectChange {
+        if fingerprint.segment().is_some() {
+            self.survivals.record(software, fingerprint, now);
+        }
         let suspect = self.by_fingerprint.get_mut(&fingerprint);
-        let Some(suspect) = suspect.filter(|suspect| !suspect.innocent) else {
+        let Some(suspect) = suspect.filter(|suspect| !suspect.has_nothing_against_it()) else {
             return SuspectChange::None;
         };
         if suspect.crashes.is_empty() || suspect.has_crashed(software) {
             suspect.start_epoch(suspect.epoch + 1, true, now);
-            return SuspectChange::Updated;
+            return self.change_after_update(fingerprint);
         }
         if !suspect.add_finished_on(software) {
             return SuspectChange::None;
@@ -451,74 +316,98 @@
         SuspectChange::Updated
     }
 
-    /// Returns whether this software has finished a request under which other software crashed.
-    #[must_use]
-    pub fn has_finished_on(&self, fingerprint: RequestFingerprint, software: u64) -> bool {
-        let suspect = self.by_fingerprint.get(&fingerprint);
-        suspect.is_some_and(|suspect| suspect.finished_on.contains(&software))
-    }
-
-    /// Records that a request ran past its start on an endpoint. Earlier crashes were then not
-    /// caused by its start: clients send identical requests by the hundred, and one that runs on
-    /// every endpoint is cut off by every crash.
+    /// Records that a request or segment ran past its start on an endpoint. Earlier crashes were
+    /// then not caused by its start: clients send identical requests by the hundred, and one that
+    /// runs on every endpoint is cut off by every crash.
     pub fn record_ran_past_start(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         now: Duration,
     ) -> SuspectChange {
         let suspect = self.by_fingerprint.get_mut(&fingerprint);
-        let Some(suspect) = suspect.filter(|suspect| !suspect.innocent && !suspect.ran_past_start)
+        let Some(suspect) =
+            suspect.filter(|suspect| !suspect.has_nothing_against_it() && !suspect.ran_past_start)
         else {
             return SuspectChange::None;
         };
         suspect.ran_past_start = true;
         suspect.changed_at = now;
-        SuspectChange::Updated
+        self.change_after_update(fingerprint)
     }
 
     /// Releases a suspect on behalf of an operator, so that its crashes are counted from zero.
+    /// Releases what is refused together with it, too, and what would be refused in its place.
     /// Returns whether the suspect was known.
-    pub fn release(&mut self, fingerprint: RequestFingerprint, now: Duration) -> bool {
-        let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
+    pub fn release(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
+        if !self.by_fingerprint.contains_key(&fingerprint) {
             return false;
-        };
-        suspect.start_epoch(suspect.epoch + 1, false, now);
+        }
+        let own = self.culprit_of(fingerprint);
+        let mut released = own.map_or_else(Vec::new, |culprit| culprit.members.clone());
+        released.push(fingerprint);
+        let others = self.with_enough_points.iter();
+        let explained = others.filter(|other| self.culprit_of(**other).is_none());
+        released.extend(explained);
+        for member in released {
+            if let Some(suspect) = self.by_fingerprint.get_mut(&member) {
+                suspect.start_epoch(suspect.epoch + 1, false, now);
+            }
+            self.change_after_update(member);
+        }
         true
     }
 
     /// Merges a report from a peer or from the store.
     pub fn merge(&mut self, report: &SuspectReport, now: Duration) -> SuspectChange {
-        self.make_room(report.fingerprint, now);
-        let suspect = self.entry(report.fingerprint, now);
+        let fingerprint = report.fingerprint;
+        let mut crashed_on = report.crashes.iter().map(|crash| crash.software);
+        let was_finished =
+            crashed_on.any(|software| self.survivals.contains(software, fingerprint));
+        self.make_room(fingerprint, now);
+        let suspect = self.entry(fingerprint, now);
         if report.epoch < suspect.epoch {
             return SuspectChange::None;
         }
-        let was_refused = suspect.is_refused();
-        let mut is_changed = report.epoch > suspect.epoch || report.innocent && !suspect.innocent;
-        if is_changed {
-            suspect.start_epoch(report.epoch, report.innocent, now);
-        }
-        if suspect.innocent {
+        let mut is_changed = suspect.begin_reported_epoch(report, now);
+        if suspect.is_cleared_for_good() {
             return if is_changed {
-                SuspectChange::Updated
+                self.change_after_update(fingerprint)
             } else {
                 SuspectChange::None
             };
         }
-        is_changed |= report.ran_past_start && !suspect.ran_past_start;
-        suspect.ran_past_start |= report.ran_past_start;
-        for software in &report.finished_on {
-            is_changed |= suspect.add_finished_on(*software);
-        }
-        for crash in &report.crashes {
-            is_changed |= suspect.add_crash(*crash);
+        is_changed |= suspect.merge_evidence(report);
+        if was_finished && !suspect.innocent {
+            suspect.innocent = true;
+            is_changed = true;
         }
         if !is_changed {
             return SuspectChange::None;
         }
         suspect.last_crash_at = now.saturating_sub(report.last_crash_age);
         suspect.changed_at = now;
-        if suspect.is_refused() && !was_refused {
+        self.change_after_update(fingerprint)
+    }
+
+    /// Finds the culprits again after a suspect has changed.
+    fn change_after_update(&mut self, fingerprint: Fingerprint) -> SuspectChange {
+        let suspect = self.by_fingerprint.get(&fingerprint);
+        let had_enough_points = self.with_enough_points.contains(&fingerprint);
+        if suspect.is_some_and(Suspect::has_enough_points) {
+            self.with_enough_points.insert(fingerprint);
+        } else if had_enough_points {
+            self.with_enough_points.remove(&fingerprint);
+        } else {
+            return SuspectChange::Updated;
+        }
+        let suspects = self.with_enough_points.iter().filter_map(|fingerprint| {
+            let suspect = self.by_fingerprint.get(fingerprint)?;
+            Some((*fingerprint, suspect))
+        });
+        let culprits = find_culprits(suspects);
+        let before = std::mem::replace(&mut self.culprits, culprits);
+        let mut culprits = self.culprits.iter();
+        if culprits.any(|culprit| !before.contains(culprit)) {
             SuspectChange::NowRefused
         } else {
             SuspectChange::Updated
@@ -528,20 +417,12 @@
     /// Records that the store holds this state of a suspect.
     pub fn mark_stored(&mut self, report: &SuspectReport) {
         if let Some(suspect) = self.by_fingerprint.get_mut(&report.fingerprint) {
-            let stored_suspect = Suspect {
-                epoch: report.epoch,
-                innocent: report.innocent,
-                ran_past_start: report.ran_past_start,
-                finished_on: report.finished_on.clone(),
-                crashes: report.crashes.clone(),
-                ..Suspect::new(suspect.rules, Duration::ZERO)
-            };
-            suspect.stored = Some(stored_suspect.stored_state());
+            suspect.stored = Some(suspect.reported_state(report));
         }
     }
 
     /// Records that the store no longer holds a suspect.
-    pub fn mark_not_stored(&mut self, fingerprint: RequestFingerprint) {
+    pub fn mark_not_stored(&mut self, fingerprint: Fingerprint) {
         if let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) {
             suspect.stored = None;
         }
@@ -549,7 +430,7 @@
 
     /// Records that the store holds exactly these suspects, so that the others are written again.
     /// Returns whether the store has lost any.
-    pub fn sync_stored(&mut self, stored: &BTreeSet<RequestFingerprint>) -> bool {
+    pub fn sync_stored(&mut self, stored: &BTreeSet<Fingerprint>) -> bool {
         let mut any_lost = false;
         for (fingerprint, suspect) in &mut self.by_fingerprint {
             if suspect.stored.is_some() && !stored.contains(fingerprint) {
@@ -560,8 +441,9 @@
         any_lost
     }
 
-    /// Returns the suspects to gossip to peers, for some time after each change. Those with the
-    /// most points come first, [`UPDATES_MAX`] at most.
+    /// Returns the suspects to gossip to peers, for some time after each change. Those that are not
+    /// innocent come first, then those with the most points, then the latest; [`UPDATES_MAX`] at
+    /// most.
     #[must_use]
     pub fn recent_updates(&self, now: Duration) -> Vec<SuspectReport> {
         let all = self.by_fingerprint.iter();
@@ -570,8 +452,10 @@
             has_state && now.saturating_sub(suspect.changed_at) < GOSSIP_FOR
         });
         let mut recent_updates: Vec<_> = recent.collect();
-        recent_updates
-            .sort_by_key(|(_, suspect)| (std::cmp::Reverse(suspect.points()), suspect.changed_at));
+        recent_updates.sort_by_key(|(_, suspect)| {
+            let points = Reverse(suspect.points());
+            (suspect.innocent, points, Reverse(suspect.changed_at))
+        });
         recent_updates.truncate(UPDATES_MAX);
         let recent_updates = recent_updates.into_iter();
         recent_updates
@@ -584,18 +468,21 @@
     /// should have written by now are included.
     #[must_use]
     pub fn due_for_store(&self, is_fallback_writer: bool, now: Duration) -> Vec<SuspectReport> {
+        let all = self.by_fingerprint.iter();
+        let due = all.filter(|(_, suspect)| {
+            let is_overdue = now.saturating_sub(suspect.changed_at) >= STORE_FALLBACK_AFTER;
+            suspect.needs_storing() && (suspect.crashed_here || is_fallback_writer && is_overdue)
+        });
+        let (known, new): (Vec<_>, Vec<_>) = due.partition(|(_, suspect)| suspect.stored.is_some());
+        let (refused, others): (Vec<_>, Vec<_>) = new
+            .into_iter()
+            .partition(|(fingerprint, _)| self.culprit_of(**fingerprint).is_some());
         let all = self.by_fingerprint.values();
         let stored = all.filter(|suspect| suspect.stored.is_some()).count();
-        let free_slots = STORED_MAX.saturating_sub(stored);
-        let all = self.by_fingerprint.iter();
-        let (known, new): (Vec<_>, Vec<_>) = all
-            .filter(|(_, suspect)| {
-                let is_overdue = now.saturating_sub(suspect.changed_at) >= STORE_FALLBACK_AFTER;
-                suspect.needs_storing()
-                    && (suspect.crashed_here || is_fallback_writer && is_overdue)
-            })
-            .partition(|(_, suspect)| suspect.stored.is_some());
-        let due = known.into_iter().chain(new.into_iter().take(free_slots));
+        let refused = refused.into_iter().take(STORED_MAX.saturating_sub(stored));
+        let others_max = STORED_NOT_REFUSED_MAX.saturating_sub(stored);
+        let due = known.into_iter().chain(refused);
+        let due = due.chain(others.into_iter().take(others_max));
         due.map(|(fingerprint, suspect)| suspect.report(*fingerprint, now))
             .collect()
     }
@@ -607,34 +494,30 @@
     }
 
     /// Removes suspects that have expired and returns those among them that the store still holds.
-    pub fn expire(&mut self, now: Duration) -> Vec<RequestFingerprint> {
-        let expired = self.by_fingerprint.iter();
-        let expired: Vec<RequestFingerprint> = expired
-            .filter(|(_, suspect)| now >= suspect.expires_at())
-            .map(|(fingerprint, _)| *fingerprint)
+    pub fn expire(&mut self, now: Duration) -> Vec<Fingerprint> {
+        let all = self.by_fingerprint.iter();
+        let expired: Vec<(Fingerprint, bool)> = all
+            .filter(|(fingerprint, suspect)| now >= self.expires_at(**fingerprint, suspect))
+            .map(|(fingerprint, suspect)| (*fingerprint, suspect.stored.is_some()))
             .collect();
-        let stored = expired.iter().copied().filter(|fingerprint| {
-            let suspect = self.by_fingerprint.get(fingerprint);
-            suspect.is_some_and(|suspect| suspect.stored.is_some())
-        });
-        let stored = stored.collect();
-        for fingerprint in expired {
-            self.remove(fingerprint);
+        for (fingerprint, _) in &expired {
+            self.remove(*fingerprint);
         }
-        stored
+        let stored = expired.into_iter().filter(|(_, is_stored)| *is_stored);
+        stored.map(|(fingerprint, _)| fingerprint).collect()
     }
 
-    fn entry(&mut self, fingerprint: RequestFingerprint, now: Duration) -> &mut Suspect {
+    fn entry(&mut self, fingerprint: Fingerprint, now: Duration) -> &mut Suspect {
         self.by_fingerprint.entry(fingerprint).or_insert_with(|| {
             *self.heads.entry(fingerprint.head).or_default() += 1;
-            Suspect::new(self.rules, now)
+            Suspect::new(self.rules, SuspectKind::of(fingerprint), now)
         })
     }
 
     /// Evicts the suspects with the fewest points, oldest first, if there is no room for one more.
     /// It evicts many at a time: one by one, recording a crash of a new suspect took 0.12 ms once
     /// the limit was reached; in batches it took 0.002 ms (a million suspects, one test).
-    fn make_room(&mut self, fingerprint: RequestFingerprint, now: Duration) {
+    fn make_room(&mut self, fingerprint: Fingerprint, now: Duration) {
         if self.by_fingerprint.len() < SUSPECTS_MAX
             || self.by_fingerprint.contains_key(&fingerprint)
         {
@@ -646,18 +529,22 @@
         }
         let all = self.by_fingerprint.iter();
         let mut by_points: Vec<_> = all
-            .map(|(fingerprint, suspect)| (suspect.points(), suspect.changed_at, *fingerprint))
+            .map(|(fingerprint, suspect)| {
+                let counts = (!suspect.innocent, suspect.points(), suspect.changed_at);
+                (counts, *fingerprint)
+            })
             .collect();
         by_points.sort_unstable();
-        for (_, _, fingerprint) in by_points.into_iter().take(EVICTION_BATCH) {
+        for (_, fingerprint) in by_points.into_iter().take(EVICTION_BATCH) {
             self.remove(fingerprint);
         }
     }
 
-    fn remove(&mut self, fingerprint: RequestFingerprint) {
+    fn remove(&mut self, fingerprint: Fingerprint) {
         if self.by_fingerprint.remove(&fingerprint).is_none() {
             return;
         }
+        self.change_after_update(fingerprint);
         if let Some(count) = self.heads.get_mut(&fingerprint.head) {
             *count -= 1;
             if *count == 0 {
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -55,6 +55,7 @@
 pub mod rollout_orders;
 pub mod route;
 pub mod rules;
+mod segment_survivals;
 pub mod store_contact;
 pub mod store_sources;
 pub mod stream;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -9,7 +9,7 @@
 use crate::kernel::crash_suspects::{EndpointCrash, SuspectReport};
 use crate::kernel::engine_ledger::{EngineRequirements, MoveResult, ReportedRun, RunDemand};
 use crate::kernel::evacuation::EvacuatedHalls;
-use crate::kernel::fingerprint::{HeadHash, RequestFingerprint};
+use crate::kernel::fingerprint::{Fingerprint, HeadHash};
 use crate::kernel::gossip::Gossip;
 use crate::kernel::group::ReserveRequest;
 use crate::kernel::member_states::MemberState;
@@ -187,7 +187,7 @@
             at_start: crash.beginning,
         });
         Ok(Self {
-            fingerprint: RequestFingerprint {
+            fingerprint: Fingerprint {
                 head: HeadHash(message.head),
                 full: u128::from_be_bytes(full),
             },
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -25,7 +25,7 @@
     MemberEntry, SitePage, SiteSample, SiteStore, SiteStorePlugin, StoreError, StoreResult,
     StoredSuspect, Subject,
 };
-use crate::kernel::fingerprint::RequestFingerprint;
+use crate::kernel::fingerprint::Fingerprint;
 use crate::kernel::position::Position;
 use crate::kernel::rollout::RolloutStatus;
 
@@ -483,7 +483,7 @@
         self.append_record(&key, &to_json(suspect)?, None).await
     }
 
-    async fn delete_suspect(&self, fingerprint: RequestFingerprint) -> StoreResult<()> {
+    async fn delete_suspect(&self, fingerprint: Fingerprint) -> StoreResult<()> {
         self.append_record(&suspect_key(fingerprint), &[], None)
             .await
     }
--- a/src/platform/store_records.rs
+++ b/src/platform/store_records.rs
@@ -10,7 +10,7 @@
 use super::{endpoint_entries, operator_config, rollouts, unknown_names};
 use crate::gateway::site_store::{SitePage, SiteRecord, Subject};
 use crate::kernel::evacuation::{EvacuatedHalls, HallOrder};
-use crate::kernel::fingerprint::{InvalidFingerprint, RequestFingerprint};
+use crate::kernel::fingerprint::{Fingerprint, InvalidFingerprint};
 use crate::kernel::position::Position;
 use crate::kernel::rollout_orders::{RolloutOrderChange, RolloutOrders};
 
@@ -104,7 +104,7 @@
 }
 
 /// Returns the key of a suspect's record.
-pub(super) fn suspect_key(fingerprint: RequestFingerprint) -> String {
+pub(super) fn suspect_key(fingerprint: Fingerprint) -> String {
     format!("{SUSPECT_KEY_PREFIX}{fingerprint}")
 }
 
--- a/src/tool/instance.rs
+++ b/src/tool/instance.rs
@@ -40,12 +40,12 @@
     match response.status() {
         reqwest::StatusCode::NOT_FOUND => {
             anyhow::bail!(
-                "{operator_address} does not know the request fingerprint {fingerprint:?}; see `larkwick suspects list`"
+                "{operator_address} does not know the fingerprint {fingerprint:?}; see `larkwick suspects list`"
             )
         }
         reqwest::StatusCode::BAD_REQUEST => {
             anyhow::bail!(
-                "invalid request fingerprint {fingerprint:?}: expected 48 hexadecimal digits"
+                "invalid fingerprint {fingerprint:?}: expected 48 hexadecimal digits"
             )
         }
         _ => Ok(response.error_for_status().map(drop)?),
--- a/tests/crashing_segments.rs
+++ b/tests/crashing_segments.rs
@@ -18,13 +18,13 @@
 const CRASHED_MAX: usize = 8;
 const ENGINES: usize = 20;
 
-struct Site {
+struct CrashingSite {
     site: RoutedSite,
     engines: Vec<Arc<Server>>,
     instances: Vec<Instance>,
 }
 
-impl Site {
+impl CrashingSite {
     async fn start(engines: usize, instances: usize) -> Self {
         let site = RoutedSite::start(0).await;
         site.standin.crash_servers_on_segment(CRASHING);
@@ -80,7 +80,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn segment_crashes_each_engine_refused_by_all_instances_and_others_served() {
     for position in ["first", "middle"] {
-        let site = Site::start(ENGINES, 3).await;
+        let site = CrashingSite::start(ENGINES, 3).await;
         let mut sound_served = Vec::new();
         let mut last_bad = Vec::new();
         for number in 0..ENGINES {
@@ -95,6 +95,7 @@
             }
         }
         let crashed = site.crashed();
+        println!("{position}: {crashed} of {ENGINES} engines crashed");
         assert!(
             crashed <= CRASHED_MAX,
             "{position}: {crashed} engines crashed"
@@ -112,7 +113,7 @@
 /// suspect as the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn segment_crashes_engines_from_the_start_others_served() {
-    let site = Site::start(ENGINES, 3).await;
+    let site = CrashingSite::start(ENGINES, 3).await;
     for number in 0..ENGINES {
         site.send(number, &["a1", CRASHING]).await;
     }
@@ -127,7 +128,7 @@
 /// Instances have no storage of their own.
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_segment_after_loss_of_all_instances_still_refused() {
-    let mut site = Site::start(ENGINES, 2).await;
+    let mut site = CrashingSite::start(ENGINES, 2).await;
     for number in 0..7 {
         site.send(2 * number, &["a1", CRASHING]).await;
         site.send(2 * number + 1, &["a1", "b2"]).await;
@@ -147,7 +148,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn aborted_request_log_names_its_segments() {
-    let site = Site::start(3, 1).await;
+    let site = CrashingSite::start(3, 1).await;
     for number in 0..3 {
         site.send(number, &["a1", CRASHING]).await;
     }
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -14,6 +14,8 @@
 mod cooldown;
 #[path = "kernel/crash_suspects.rs"]
 mod crash_suspects;
+#[path = "kernel/crashing_segments.rs"]
+mod crashing_segments;
 #[path = "kernel/engine_ledger.rs"]
 mod engine_ledger;
 #[path = "kernel/evacuation.rs"]
--- a/tests/kernel/crash_suspects.rs
+++ b/tests/kernel/crash_suspects.rs
@@ -7,14 +7,14 @@
 use larkwick::kernel::crash_suspects::{
     CrashSuspects, EndpointCrash, SuspectChange, SuspectReport, UPDATES_MAX, Verdict, software_id,
 };
-use larkwick::kernel::fingerprint::{FingerprintHead, RequestFingerprint};
+use larkwick::kernel::fingerprint::{Fingerprint, FingerprintHead};
 use proptest::prelude::*;
 
 use super::hall::{Hall, PERIOD};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn fingerprint(body: &str) -> RequestFingerprint {
+fn fingerprint(body: &str) -> Fingerprint {
     let head = FingerprintHead {
         method: "POST",
         host: "site.example",
@@ -41,7 +41,7 @@
 }
 
 /// Returns the state of one instance after these crashes.
-fn with_crashes(fingerprint: RequestFingerprint, crashes: &[EndpointCrash]) -> CrashSuspects {
+fn with_crashes(fingerprint: Fingerprint, crashes: &[EndpointCrash]) -> CrashSuspects {
     let mut suspects = CrashSuspects::default();
     for crash in crashes {
         suspects.record_crash(fingerprint, *crash, SECOND);
@@ -116,7 +116,7 @@
         "suspect",
         "+00000000000000000000000000000000000000000000000",
     ] {
-        assert!(wrong.parse::<RequestFingerprint>().is_err(), "{wrong:?}");
+        assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong:?}");
     }
 }
 
@@ -124,7 +124,7 @@
 fn verdict_three_crashes_at_start_refused() {
     let id = fingerprint("x");
     let mut suspects = with_crashes(id, &[crash_at_start(1), crash_at_start(2)]);
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Suspected);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Suspected);
     assert_eq!(
         suspects.record_crash(id, crash_at_start(2), SECOND),
         SuspectChange::None,
@@ -134,17 +134,20 @@
         suspects.record_crash(id, crash_at_start(3), SECOND),
         SuspectChange::NowRefused
     );
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
-    assert_eq!(suspects.verdict(fingerprint("y"), SECOND), Verdict::Allowed);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Refused);
+    assert_eq!(
+        suspects.verdict(&[fingerprint("y")], SECOND),
+        Verdict::Allowed
+    );
 }
 
 #[test]
 fn verdict_later_crashes_six_needed() {
     let id = fingerprint("x");
     let mut suspects = with_crashes(id, &[1, 2, 3, 4, 5].map(crash_later));
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Suspected);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Suspected);
     suspects.record_crash(id, crash_later(6), SECOND);
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Refused);
 }
 
 /// Identical requests that run on every endpoint are cut off by every crash. If one of them runs
@@ -156,7 +159,7 @@
     suspects.record_ran_past_start(id, SECOND);
     suspects.record_crash(id, crash_at_start(2), SECOND);
     suspects.record_crash(id, crash_at_start(3), SECOND);
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Suspected);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Suspected);
 }
 
 #[test]
@@ -173,7 +176,7 @@
     for endpoint in 4..12 {
         suspects.record_crash(id, crash_at_start(endpoint), SECOND);
     }
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Allowed);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Allowed);
 }
 
 #[test]
@@ -185,10 +188,10 @@
     );
     let mut other = CrashSuspects::default();
     other.merge(&reports(&one)[0], SECOND);
-    assert_eq!(other.verdict(id, SECOND), Verdict::Refused);
+    assert_eq!(other.verdict(&[id], SECOND), Verdict::Refused);
     one.record_survival(id, software_id("llm", "v1"), SECOND);
     other.merge(&reports(&one)[0], SECOND);
-    assert_eq!(other.verdict(id, SECOND), Verdict::Allowed);
+    assert_eq!(other.verdict(&[id], SECOND), Verdict::Allowed);
     // An outdated report arrives late.
     let late = reports(&with_crashes(
         id,
@@ -205,11 +208,11 @@
         &[crash_at_start(1), crash_at_start(2), crash_at_start(3)],
     );
     assert!(suspects.release(id, SECOND));
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Allowed);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Allowed);
     for endpoint in [4, 5, 6] {
         suspects.record_crash(id, crash_at_start(endpoint), SECOND);
     }
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Refused);
     assert!(!suspects.release(fingerprint("never seen"), SECOND));
 }
 
@@ -222,10 +225,10 @@
         &[crash_at_start(1), crash_at_start(2), crash_at_start(3)],
     );
     let in_two_hours = Duration::from_hours(2);
-    assert_eq!(suspected.verdict(id, in_two_hours), Verdict::Allowed);
-    assert_eq!(refused.verdict(id, in_two_hours), Verdict::Refused);
+    assert_eq!(suspected.verdict(&[id], in_two_hours), Verdict::Allowed);
+    assert_eq!(refused.verdict(&[id], in_two_hours), Verdict::Refused);
     assert_eq!(
-        refused.verdict(id, Duration::from_hours(25)),
+        refused.verdict(&[id], Duration::from_hours(25)),
         Verdict::Allowed
     );
 }
@@ -239,12 +242,12 @@
     );
     let version = |version: &str| software_id("llm", version);
     assert!(
-        !suspects.begin_trial(id, version("v1"), SECOND),
+        !suspects.begin_trial(&[id], version("v1"), SECOND),
         "this software crashed"
     );
-    assert!(suspects.begin_trial(id, version("v2"), SECOND));
+    assert!(suspects.begin_trial(&[id], version("v2"), SECOND));
     assert!(
-        !suspects.begin_trial(id, version("v3"), SECOND),
+        !suspects.begin_trial(&[id], version("v3"), SECOND),
         "a trial is running"
     );
     let crash_on = |endpoint, of: &str| EndpointCrash {
@@ -253,11 +256,11 @@
     };
     suspects.record_crash(id, crash_on(4, "v2"), SECOND);
     let later = Duration::from_mins(10);
-    assert!(!suspects.begin_trial(id, version("v2"), later));
-    assert!(suspects.begin_trial(id, version("v3"), later));
+    assert!(!suspects.begin_trial(&[id], version("v2"), later));
+    assert!(suspects.begin_trial(&[id], version("v3"), later));
     suspects.record_crash(id, crash_on(5, "v3"), later);
     assert!(
-        !suspects.begin_trial(id, version("v4"), later * 2),
+        !suspects.begin_trial(&[id], version("v4"), later * 2),
         "two trials were made"
     );
 }
@@ -306,14 +309,14 @@
     );
     let head = refused.head;
     for number in 0..1_000_000_u64 {
-        let id = RequestFingerprint {
+        let id = Fingerprint {
             head,
             full: u128::from(number),
         };
         suspects.record_crash(id, crash_at_start(number), SECOND);
     }
     assert!(suspects.len() <= 4_096, "{}", suspects.len());
-    assert_eq!(suspects.verdict(refused, SECOND), Verdict::Refused);
+    assert_eq!(suspects.verdict(&[refused], SECOND), Verdict::Refused);
     assert_eq!(suspects.recent_updates(SECOND).len(), UPDATES_MAX);
     assert_eq!(
         suspects.recent_updates(SECOND)[0].fingerprint,
@@ -365,7 +368,7 @@
         for report in &shuffled {
             other.merge(report, SECOND);
         }
-        prop_assert_eq!(one.verdict(id, SECOND), other.verdict(id, SECOND));
+        prop_assert_eq!(one.verdict(&[id], SECOND), other.verdict(&[id], SECOND));
         prop_assert_eq!(&reports(&one)[0].crashes, &reports(&other)[0].crashes);
     }
 }
@@ -383,12 +386,12 @@
         suspects.record_survival(id, fixed, SECOND),
         SuspectChange::Updated
     );
-    assert_eq!(suspects.verdict(id, SECOND), Verdict::Refused);
-    assert!(suspects.has_finished_on(id, fixed));
-    assert!(!suspects.has_finished_on(id, software_id("llm", "v1")));
+    assert_eq!(suspects.verdict(&[id], SECOND), Verdict::Refused);
+    assert!(suspects.has_finished_on(&[id], fixed, SECOND));
+    assert!(!suspects.has_finished_on(&[id], software_id("llm", "v1"), SECOND));
     let mut other = CrashSuspects::default();
     other.merge(&reports(&suspects)[0], SECOND);
-    assert!(other.has_finished_on(id, fixed));
+    assert!(other.has_finished_on(&[id], fixed, SECOND));
 }
 
 /// Returns the time until all instances know what one has seen, by heartbeats alone. This is the
@@ -403,7 +406,7 @@
     for endpoint in [1, 2, 3] {
         suspects[0].record_crash(id, crash_at_start(endpoint), seen_at);
     }
-    let refuses = |suspects: &CrashSuspects, now| suspects.verdict(id, now) == Verdict::Refused;
+    let refuses = |suspects: &CrashSuspects, now| suspects.verdict(&[id], now) == Verdict::Refused;
     while !suspects.iter().all(|one| refuses(one, seen_at)) {
         let now = hall.clock.now();
         let updates: Vec<Vec<SuspectReport>> =
