An answer that ends with its connection is whole only if its endpoint still runs

What callers saw: where answers have neither a length nor chunks, an engine's crash looked like the end of a whole answer, for generations and plain calls, and cleared the request that had caused it.

Cause: the end of a body was taken for the end of the answer whatever framed it. The class: the absence of an error taken for success. The same class beside it: any answer of an engine that came to its end counted as finished by it, a 504 after its queue included; only a success with events does now. An engine that was asked to stop a generation ends such a stream in the same way: the result of the stop is waited for first.

Change: platform/engine tells such answers; gateway/answer_ends looks for the endpoint 10 ms after the end, by the probe of aborted requests for engines, by a connection for plain calls; events are forwarded meanwhile, only the end waits. What nobody reaches counts as whole for its caller and clears nobody. A stream without an event is broken off.

Not solved: a process that goes on listening for more than 10 ms after it has closed its connections. Cost: one report or connection for each such answer.

--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -167,33 +167,61 @@
     member.unwrap_or_else(|| call.fingerprint()).to_string()
 }
 
-/// Records that an endpoint responded to a request with success and still runs: neither the request
-/// nor any segment of its prompt crashes endpoints.
-pub(super) fn record_survival(call: &Call, endpoint: &EndpointEntry) {
-    let gateway = &call.gateway;
-    let software = software(endpoint);
-    let now = gateway.now();
-    let mut fingerprints = call.segment_fingerprints().to_vec();
-    let suspected = suspected_fingerprints(call);
-    // Segments are remembered in any case; a request only matters once it is suspected.
-    fingerprints.extend(suspected.iter().filter(|one| one.segment().is_none()));
-    let mut changed = Vec::new();
-    {
-        let mut suspects = gateway.crash_suspects.lock();
-        for fingerprint in fingerprints {
-            let change = suspects.record_survival(fingerprint, software, now);
+/// What it says of a request and of the segments of its prompt that an endpoint finished it with
+/// success and still runs.
+pub(super) struct Survival {
+    gateway: Arc<Gateway>,
+    request_id: String,
+    /// Fingerprints of all shared segments, which are remembered in any case, and of the request if
+    /// it is suspected.
+    fingerprints: Vec<Fingerprint>,
+    concerns_suspect: bool,
+    endpoint: EndpointEntry,
+}
+
+impl Survival {
+    /// Returns what a response with success of this endpoint says of a request.
+    pub(super) fn of(call: &Call, endpoint: &EndpointEntry) -> Self {
+        let suspected = suspected_fingerprints(call);
+        let mut fingerprints = call.segment_fingerprints().to_vec();
+        fingerprints.extend(suspected.iter().filter(|one| one.segment().is_none()));
+        Self {
+            gateway: call.gateway.clone(),
+            request_id: call.head.request_id.clone(),
+            fingerprints,
+            concerns_suspect: !suspected.is_empty(),
+            endpoint: endpoint.clone(),
+        }
+    }
+
+    /// Returns whether the request or a segment may be suspected.
+    pub(super) fn concerns_suspect(&self) -> bool {
+        self.concerns_suspect
+    }
+
+    /// Records that neither the request nor any segment of its prompt crashes endpoints.
+    pub(super) fn record(self) {
+        let software = software(&self.endpoint);
+        let now = self.gateway.now();
+        for fingerprint in &self.fingerprints {
+            let mut suspects = self.gateway.crash_suspects.lock();
+            let change = suspects.record_survival(*fingerprint, software, now);
+            drop(suspects);
             if change != SuspectChange::None {
-                changed.push((fingerprint, change));
+                self.log(*fingerprint);
+                self.gateway
+                    .handle_suspect_change(*fingerprint, change, "finished here");
             }
         }
     }
-    for (fingerprint, change) in changed {
+
+    fn log(&self, fingerprint: Fingerprint) {
         if crate::log::should_log("suspected content finished") {
             info!("suspected content finished", kv: {
-                content: = fingerprint, endpoint = endpoint.id.as_str(), request_id = call.head.request_id.as_str(),
+                content: = fingerprint, endpoint = self.endpoint.id.as_str(),
+                request_id = self.request_id.as_str(),
             });
         }
-        gateway.handle_suspect_change(fingerprint, change, "finished here");
     }
 }
 
--- a/src/gateway/message_heads.rs
+++ b/src/gateway/message_heads.rs
@@ -88,6 +88,8 @@
     pub encoded: bool,
     /// Whether the endpoint closes the connection after this response.
     pub closes: bool,
+    /// Whether the body has neither a length nor chunks, and ends when the connection does.
+    pub ends_with_connection: bool,
     /// Time for which the endpoint keeps the connection open when idle.
     pub idle_timeout: Option<Duration>,
     /// Endpoint signals in the response headers: draining, cooldown and rate limit.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //! | `inbound_call`, `message_heads`, `response_body` | a call in flight, heads of requests and responses, and the response body |
 //! | `hall_evacuation` | evacuation of halls, by order of the operator or as received from members |
 //! | `aborted_requests`, `endpoint_presence`, `presence_probe` | requests that their endpoint aborted, which endpoints have ended, and the probe that tells |
+//! | `answer_ends` | whether an answer that ended with its connection is whole |
 //! | `crash_suspects` | requests that crash endpoints, and whether a request may be sent |
 //! | `held_calls` | calls held until the instance is ready |
 //! | `request_handler` | handles the requests of callers |
@@ -42,6 +43,7 @@
 //! | `run_reports` | reports the generations served here to the owners of their services |
 
 pub(crate) mod aborted_requests;
+mod answer_ends;
 pub mod app;
 pub(crate) mod call_forwarding;
 pub(crate) mod catch_up;
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -8,10 +8,10 @@
 use http_body_util::{BodyExt, Limited};
 
 use super::aborted_requests;
-use super::crash_suspects;
+use super::answer_ends;
+use super::crash_suspects::Survival;
 use super::endpoint_cooldowns;
 use super::inbound_call::{Call, SendsBefore};
-use super::node::Gateway;
 use super::permits::Permit;
 use super::send_checks::{Withheld, check_before_send};
 use super::upstream::{
@@ -41,6 +41,8 @@
 pub(super) struct BufferedResponse {
     pub(super) parts: Parts,
     pub(super) body: Bytes,
+    /// Whether the end of the connection alone told where the body ends.
+    pub(super) ended_with_connection: bool,
 }
 
 /// Outcome of an attempt at one endpoint.
@@ -195,7 +197,7 @@
         * OVERDUE_FACTOR;
     let response = Box::pin(async {
         let response = connection.send(request, permit).await?;
-        read_response(gateway, &call.head.request_id, response).await
+        read_response(call, endpoint, response).await
     });
     let response = await_response(idle_connections.as_ref(), overdue_after, response);
     let response = gateway.wait_for(timeout, response);
@@ -233,8 +235,14 @@
         let latency = gateway.now().saturating_sub(sent_at);
         gateway.record_rollout_outcome(call, endpoint, failed, latency);
     }
-    if matches!(&attempt, Attempt::Responded(response) if response.parts.status.is_success()) {
-        crash_suspects::record_survival(call, endpoint);
+    if let Attempt::Responded(response) = &attempt
+        && response.parts.status.is_success()
+    {
+        if response.ended_with_connection {
+            answer_ends::record_survival_if_still_running(call, endpoint);
+        } else {
+            Survival::of(call, endpoint).record();
+        }
     }
     if !matches!(
         attempt,
@@ -285,10 +293,12 @@
 
 /// Reads a response to its end and checks that it belongs to this request.
 async fn read_response(
-    gateway: &Gateway,
-    request_id: &str,
+    call: &Call,
+    endpoint: &EndpointEntry,
     response: EndpointResponse,
 ) -> Result<Attempt, SendError> {
+    let gateway = &call.gateway;
+    let request_id = &call.head.request_id;
     let EndpointResponse {
         parts,
         head,
@@ -306,6 +316,10 @@
     let collected = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
     let body = collected
         .map_err(|error| SendError::MayHaveRun(format!("the answer broke off: {error}")))?;
+    if head.ends_with_connection && gateway.has_ended_with_answer(endpoint).await {
+        let reason = "the endpoint ended with its answer".to_owned();
+        return Err(SendError::MayHaveRun(reason));
+    }
     gateway.upstream.return_to_pool(connection, &head);
     if head.misdirected {
         return Ok(Attempt::Misdirected);
@@ -324,5 +338,6 @@
     Ok(Attempt::Responded(BufferedResponse {
         parts,
         body: body.to_bytes(),
+        ended_with_connection: head.ends_with_connection,
     }))
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::aborted_requests;
-use super::crash_suspects;
+use super::crash_suspects::{self, Survival};
 use super::generation;
 use super::inbound_call::Call;
 use super::read_ahead::read_ahead;
@@ -27,6 +27,7 @@
 use super::upstream::EndpointResponse;
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::START_WINDOW;
+use crate::kernel::presence::Presence;
 use crate::platform::engine;
 
 /// Longest time from the request to stop a generation until its stream is closed and its
@@ -70,8 +71,10 @@
 enum Step {
     /// Events to forward.
     Events(Bytes),
-    /// The generation is complete.
-    End,
+    /// The generation is complete; the flag tells whether its engine was seen to run after it.
+    End { engine_survived: bool },
+    /// The connection was closed between two events, and nothing but that ends the stream.
+    ConnectionEnded,
     /// No event arrived for the stall timeout.
     Stalled,
     /// The stream broke.
@@ -135,13 +138,16 @@
             if let Step::Stalled = step {
                 step = self.query_stalled_engine().await;
             }
+            if let Step::ConnectionEnded = step {
+                step = self.judge_connection_end().await;
+            }
             if let Step::Aborted(reason) = step {
                 self.report_abort().await;
                 step = self.recover_from_abort(reason).await;
             }
             match step {
                 Step::Events(bytes) => return Some(Ok(Frame::data(bytes))),
-                Step::Pending | Step::Stalled => {}
+                Step::Pending | Step::Stalled | Step::ConnectionEnded => {}
                 Step::Continue(continuation) => {
                     if let Err(reason) = self.resume_or_restart(*continuation).await {
                         return Some(Err(self.fail(&reason)));
@@ -152,8 +158,8 @@
                         return Some(Err(self.fail(&reason)));
                     }
                 }
-                Step::End => {
-                    self.finish();
+                Step::End { engine_survived } => {
+                    self.finish(engine_survived);
                     return None;
                 }
                 Step::Aborted(reason) => return Some(Err(self.fail(&reason))),
@@ -186,8 +192,11 @@
                     None => Step::Pending,
                 },
                 Some(Err(error)) => Step::Aborted(error.to_string()),
-                None if source.splitter.is_between_events() => Step::End,
-                None => Step::Aborted("engine stream ended inside an event".to_owned()),
+                None if !source.splitter.is_between_events() => {
+                    Step::Aborted("engine stream ended inside an event".to_owned())
+                }
+                None if source.ends_with_connection() => Step::ConnectionEnded,
+                None => Step::End { engine_survived: source.is_success() },
             },
             Some(command) = self.commands.recv() => self.handle_command(command),
             () = gateway.sleep_for(timeout) => {
@@ -295,24 +304,50 @@
             .record_rollout_outcome(&self.call, &endpoint, true, latency);
     }
 
-    /// Determines how to proceed after the stream broke: wait for the continuation of a stop,
-    /// restart, take the generation over, or fail.
-    async fn recover_from_abort(&mut self, reason: String) -> Step {
-        self.source = None;
+    /// Determines whether a generation is complete whose stream ended with its connection, between
+    /// two events: it ends like that, too, if its engine crashes or was asked to stop it.
+    async fn judge_connection_end(&mut self) -> Step {
+        if let Some(continuation) = self.stop_result().await {
+            return Step::Continue(continuation);
+        }
+        if self.events == 0 {
+            return Step::Aborted("engine stream ended before its first event".to_owned());
+        }
+        let engine = self.run_guard.run.endpoint.lock().clone();
+        let presence = self.call.gateway.presence_after_answer(&engine).await;
+        if presence == Presence::Ended {
+            return Step::Aborted("the engine ended with its stream".to_owned());
+        }
+        Step::End {
+            engine_survived: presence == Presence::Listens,
+        }
+    }
+
+    /// Waits for the result of the stop that was requested, if any, and returns where the generation
+    /// continues.
+    async fn stop_result(&mut self) -> Option<Box<Continuation>> {
         if let Some(continuation) = self.pending_continuation.take() {
-            return Step::Continue(Box::new(continuation));
+            return Some(Box::new(continuation));
         }
         while self.is_stopping {
             let commands = &mut self.commands;
             let command = self.call.gateway.wait_for(STOP_TIMEOUT, commands.recv());
             match command.await {
-                Some(Some(RunCommand::Continue(continuation))) => {
-                    return Step::Continue(continuation);
-                }
+                Some(Some(RunCommand::Continue(continuation))) => return Some(continuation),
                 Some(Some(RunCommand::Stopping)) => {}
                 Some(Some(RunCommand::StopFailed) | None) | None => self.is_stopping = false,
             }
         }
+        None
+    }
+
+    /// Determines how to proceed after the stream broke: wait for the continuation of a stop,
+    /// restart, take the generation over, or fail.
+    async fn recover_from_abort(&mut self, reason: String) -> Step {
+        self.source = None;
+        if let Some(continuation) = self.stop_result().await {
+            return Step::Continue(continuation);
+        }
         if generation::can_restart(&self.call, &self.attempts) {
             return Step::Restart(reason);
         }
@@ -438,10 +473,12 @@
         resumed
     }
 
-    fn finish(&mut self) {
+    fn finish(&mut self, engine_survived: bool) {
         self.has_ended = true;
-        let engine = self.run_guard.run.endpoint.lock().clone();
-        crash_suspects::record_survival(&self.call, &engine);
+        if engine_survived && self.events > 0 {
+            let engine = self.run_guard.run.endpoint.lock().clone();
+            Survival::of(&self.call, &engine).record();
+        }
         record_generation_end(&self.call, "whole", "", self.events, self.moves);
         self.source = None;
     }
--- a/src/gateway/started_generation.rs
+++ b/src/gateway/started_generation.rs
@@ -24,6 +24,16 @@
             splitter: EventSplitter::default(),
         }
     }
+
+    /// Returns whether nothing but the end of the connection ends the stream.
+    pub(crate) const fn ends_with_connection(&self) -> bool {
+        self.response.head.ends_with_connection
+    }
+
+    /// Returns whether the engine answered with success.
+    pub(crate) fn is_success(&self) -> bool {
+        self.response.parts.status.is_success()
+    }
 }
 
 /// Logs and counts the end of a generation.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -134,6 +134,7 @@
         misdirected,
         encoded: headers.contains_key(CONTENT_ENCODING),
         closes: has_connection_close(headers),
+        ends_with_connection: ends_with_connection(parts),
         idle_timeout: keep_alive_timeout(headers),
         signals: decode_signals(parts.status, headers),
     }
@@ -219,6 +220,17 @@
     (number.is_finite() && number >= 0.0).then_some(number)
 }
 
+/// Returns whether nothing but the end of the connection tells where the body ends.
+fn ends_with_connection(parts: &response::Parts) -> bool {
+    let has_no_body = matches!(
+        parts.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    let headers = &parts.headers;
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    !is_framed && !has_no_body
+}
+
 fn has_connection_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
     let values = values.filter_map(|value| value.to_str().ok());
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -344,6 +344,12 @@
         self.servers.end_responses_with_connection();
     }
 
+    /// Makes servers that crash close their connections some milliseconds before they cease to
+    /// listen, from now on.
+    pub fn close_connections_first(&self) {
+        self.servers.close_connections_first();
+    }
+
     /// Sets what becomes of the listening sockets of servers that crash from now on.
     pub fn set_socket_after_crash(&self, socket: SocketAfterCrash) {
         self.servers.set_socket_after_crash(socket);
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -22,6 +22,9 @@
 
 /// Interval between two events of an engine; short, so that tests run quickly.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Time for which a server that crashes still listens after it has closed its connections, if it
+/// closes these first.
+const LISTENING_AFTER_CLOSE: Duration = Duration::from_millis(3);
 /// Duration of a memory copy.
 const COPY_DURATION: Duration = Duration::from_millis(40);
 
@@ -183,6 +186,8 @@
     events_before_crash: AtomicU32,
     /// Whether responses have neither a length nor chunks, and end with their connection.
     ends_with_connection: AtomicBool,
+    /// Whether a server that crashes closes its connections before its listening socket.
+    closes_connections_first: AtomicBool,
     /// Ids of the crashed servers, in order.
     crashed: Mutex<Vec<String>>,
     socket_after_crash: Mutex<SocketAfterCrash>,
@@ -239,6 +244,10 @@
         self.ends_with_connection.store(true, Ordering::Relaxed);
     }
 
+    pub(super) fn close_connections_first(&self) {
+        self.closes_connections_first.store(true, Ordering::Relaxed);
+    }
+
     pub(super) fn set_socket_after_crash(&self, socket: SocketAfterCrash) {
         *self.socket_after_crash.lock() = socket;
     }
@@ -518,15 +527,29 @@
             String::from_utf8_lossy(&body[..body.len() / 2]).into_owned()
         };
         let first = stream::iter([Ok(Frame::data(Bytes::from(first)))]);
+        // The crash belongs to no single frame, and ends the body without one of its own.
         let crashing = stream::once(async move {
             tokio::time::sleep(EVENT_INTERVAL).await;
+            if self.closes_connections_first() {
+                tokio::spawn(async move {
+                    tokio::time::sleep(LISTENING_AFTER_CLOSE).await;
+                    self.crash_listener().await;
+                });
+                return None;
+            }
             self.crash_listener().await;
             std::future::pending().await
         });
+        let crashing = crashing.filter_map(|frame: Option<_>| async { frame });
         let body = BodyExt::boxed_unsync(StreamBody::new(StreamExt::chain(first, crashing)));
         with_seal(Response::new(body), id)
     }
 
+    fn closes_connections_first(&self) -> bool {
+        let servers = self.servers.upgrade();
+        servers.is_some_and(|servers| servers.closes_connections_first.load(Ordering::Relaxed))
+    }
+
     fn ends_responses_with_connection(&self) -> bool {
         let servers = self.servers.upgrade();
         servers.is_some_and(|servers| servers.ends_with_connection.load(Ordering::Relaxed))
--- a/src/tool/instance.rs
+++ b/src/tool/instance.rs
@@ -44,9 +44,7 @@
             )
         }
         reqwest::StatusCode::BAD_REQUEST => {
-            anyhow::bail!(
-                "invalid fingerprint {fingerprint:?}: expected 48 hexadecimal digits"
-            )
+            anyhow::bail!("invalid fingerprint {fingerprint:?}: expected 48 hexadecimal digits")
         }
         _ => Ok(response.error_for_status().map(drop)?),
     }
--- a/tests/connection_ended_answers.rs
+++ b/tests/connection_ended_answers.rs
@@ -53,9 +53,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn generation_engine_crashed_not_whole_for_its_caller() {
-    for events in [0, 2] {
+    for (events, closes_first) in [(0, false), (2, false), (2, true)] {
         let (site, instances) = start(0, 3, 1).await;
         site.standin.set_events_before_crash(events);
+        if closes_first {
+            site.standin.close_connections_first();
+        }
         let response = crash(&instances[0], "/chat/8", "crash").await;
         assert!(!response.is_complete, "{events} events: {response:?}");
     }
@@ -63,18 +66,33 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn call_endpoint_crashed_not_whole_for_its_caller() {
-    let (_site, instances) = start(3, 0, 1).await;
-    for path in ["/once/1", "/calls/1"] {
-        let response = crash(&instances[0], path, &format!("crash-{}", path.len())).await;
-        assert_ne!(response.status, 200, "{path}: {response:?}");
+    for closes_first in [false, true] {
+        let (site, instances) = start(3, 0, 1).await;
+        if closes_first {
+            site.standin.close_connections_first();
+        }
+        for path in ["/once/1", "/calls/1"] {
+            let response = crash(&instances[0], path, &format!("crash-{}", path.len())).await;
+            assert_ne!(response.status, 200, "{path}: {response:?}");
+        }
     }
 }
 
 /// A crash that looks like a proper end does not clear the request that caused it.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_crashes_each_endpoint_refused_by_all_instances() {
-    for (path, events) in [("/chat/8", 0), ("/chat/8", 2), ("/calls/1", 0)] {
+    let cases = [
+        ("/chat/8", 0, false),
+        ("/chat/8", 2, false),
+        ("/chat/8", 2, true),
+        ("/calls/1", 0, false),
+        ("/calls/1", 0, true),
+    ];
+    for (path, events, closes_first) in cases {
         let (site, instances) = start(14, 14, 3).await;
+        if closes_first {
+            site.standin.close_connections_first();
+        }
         site.standin.set_events_before_crash(events);
         for number in 0..ATTEMPTS {
             let instance = &instances[number % instances.len()];
@@ -87,3 +105,30 @@
         );
     }
 }
+
+/// An engine that was asked to stop a generation ends its stream like one that is whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_moved_to_another_engine_whole() {
+    let (site, instances) = start(0, 0, 1).await;
+    let leaving = site.start_engine().await;
+    let request = instances[0].generation(60, "moved");
+    let running = tokio::spawn(send_request(request));
+    wait_until("it runs", async || {
+        !site.standin.servers_that_ran("moved").is_empty()
+    })
+    .await;
+    let staying = site.start_engine().await;
+    wait_until("both engines known", async || {
+        instances[0].state().await["endpoints"][&staying.id].is_object()
+    })
+    .await;
+    site.standin.list_server(&leaving, "draining");
+    let response = running.await.expect("response received");
+    assert!(response.is_complete, "{response:?}");
+    let expected: Vec<u32> = (1..=60).collect();
+    assert_eq!(event_numbers(&response.body), expected);
+    assert_eq!(
+        site.standin.servers_that_ran("moved"),
+        [leaving.id.as_str()]
+    );
+}
