An engine's error answer reaches its caller whole

What callers saw: a 500 or 504 of an engine whose body does not end in a blank line came with its status and broke off.

Change: bodies of answers without success are passed on as they come.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -211,6 +211,10 @@
         let Some(source) = &mut self.source else {
             return Step::Pending;
         };
+        if !source.is_success() {
+            // The body of an error is not a stream of events.
+            return Step::Events(Bytes::copy_from_slice(data));
+        }
         let events = match source.splitter.push(data) {
             Ok(events) => events,
             Err(error) => return Step::Aborted(error.to_string()),
@@ -310,7 +314,8 @@
         if let Some(continuation) = self.stop_result().await {
             return Step::Continue(continuation);
         }
-        if self.events == 0 {
+        let is_success = self.source.as_ref().is_some_and(ResponseStream::is_success);
+        if is_success && self.events == 0 {
             return Step::Aborted("engine stream ended before its first event".to_owned());
         }
         let engine = self.run_guard.run.endpoint.lock().clone();
@@ -319,7 +324,7 @@
             return Step::Aborted("the engine ended with its stream".to_owned());
         }
         Step::End {
-            engine_survived: presence == Presence::Listens,
+            engine_survived: is_success && presence == Presence::Listens,
         }
     }
 
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -500,6 +500,9 @@
             _ => {}
         }
         match self.kind {
+            ServerKind::Engine if fault == ServerFault::InternalError => {
+                Self::plain_response(&id, fault, &body)
+            }
             ServerKind::Plain => Self::plain_response(&id, fault, &body),
             ServerKind::Engine => {
                 let start = from.unwrap_or_else(|| last_event(&headers));
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -353,3 +353,16 @@
     assert_eq!(response.status, 502);
     assert_eq!(site.standin.servers_that_ran("c4").len(), 1);
 }
+
+/// The body of an error is not a stream of events.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_engine_error_response_forwarded_whole() {
+    let site = RoutedSite::start(0).await;
+    let engine = site.start_engine().await;
+    engine.set_fault(ServerFault::InternalError);
+    let instance = site.start_instance("n1").await;
+    let response = send_request(instance.generation(20, "g1")).await;
+    assert_eq!(response.status, 500, "{response:?}");
+    assert!(response.is_complete, "{response:?}");
+    assert_eq!(response.body, "hello");
+}
