Soak and large site: segments that crash engines, beside sound requests with the same segments

The soak sends requests with a crashing segment in series, no two alike, beside the crashing body; all its generations share the other segment, and are served at each instance in the end.

--- a/tests/kernel/crashing_segments.rs
+++ b/tests/kernel/crashing_segments.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use larkwick::kernel::clock::Clock;
 use larkwick::kernel::crash_suspects::{
     CrashSuspects, EndpointCrash, STORED_MAX, SuspectChange, SuspectReport, UPDATES_MAX, Verdict,
     software_id,
@@ -10,6 +11,8 @@
 use larkwick::kernel::prompt_segments::{SEGMENTS_MAX, SegmentId};
 use proptest::prelude::*;
 
+use super::hall::{Hall, PERIOD};
+
 const SECOND: Duration = Duration::from_secs(1);
 
 fn segment(id: u64) -> Fingerprint {
@@ -300,3 +303,61 @@
         prop_assert_eq!(one.culprits(), other.culprits());
     }
 }
+
+/// Crashes at a large site, each at another instance and beside generations of 24 others that are
+/// cut off with it, by heartbeats alone. All refuse the segment and nothing else of what they share
+/// within two `touch-ms` (6 s) of the fifth crash.
+#[test]
+fn news_site_of_300_beside_victims_segment_refused_by_all() {
+    const INSTANCES: usize = 300;
+    const CRASHES: u64 = 5;
+    const VICTIMS: u64 = 24;
+    let (sound, bad) = (segment(1), segment(2));
+    let mut hall = Hall::of(INSTANCES);
+    hall.run_for(SECOND);
+    let mut all: Vec<CrashSuspects> = (0..INSTANCES).map(|_| CrashSuspects::default()).collect();
+    let now = hall.clock.now();
+    all[INSTANCES - 1].record_survival(sound, software(), now);
+    let mut victim = 0;
+    for endpoint in 1..=CRASHES {
+        let at = usize::try_from(endpoint).expect("a small number") * 50;
+        let own = request(&format!("request {endpoint}"));
+        for fingerprint in [sound, bad, own] {
+            all[at].record_crash(fingerprint, crash(endpoint), now);
+        }
+        for _ in 0..VICTIMS {
+            victim += 1;
+            let at = usize::try_from(victim).expect("a small number") * 7 % INSTANCES;
+            for id in [
+                sound,
+                segment(1_000 + victim),
+                request(&format!("victim {victim}")),
+            ] {
+                all[at].record_crash(id, crash(endpoint), now);
+            }
+        }
+    }
+    let seen_at = now;
+    let is_known = |one: &CrashSuspects, now| {
+        one.verdict(&[sound, bad], now) == Verdict::Refused
+            && one.verdict(&[sound], now) != Verdict::Refused
+    };
+    while !all.iter().all(|one| is_known(one, hall.clock.now())) {
+        let now = hall.clock.now();
+        let told: Vec<Vec<SuspectReport>> = all.iter().map(|one| one.recent_updates(now)).collect();
+        for from in 0..INSTANCES {
+            for to in hall.targets_of(from) {
+                for report in &told[from] {
+                    all[to].merge(report, now);
+                }
+                for report in &told[to] {
+                    all[from].merge(report, now);
+                }
+            }
+        }
+        hall.clock.advance(PERIOD);
+        let took = hall.clock.now().saturating_sub(seen_at);
+        assert!(took <= SECOND * 6, "not known by all after {took:?}");
+    }
+    println!("known after {:?}", hall.clock.now().saturating_sub(seen_at));
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -61,9 +61,15 @@
 
 /// Request body that crashes each endpoint that starts to run it.
 const CRASHING_BODY: &[u8] = b"a body that no endpoint survives";
-/// Maximum number of endpoints that the crashing request may crash after all faults are over.
+/// Prompt segment that crashes each engine that starts to answer it.
+const CRASHING_SEGMENT: &str = "bad0";
+const PROMPT: &str = "larkwick-prompt-prefix";
+/// Prompt segment of all generations, sound or not.
+const SHARED_SEGMENT: &str = "a1";
+/// Maximum number of endpoints that the crashing request, or requests with the crashing segment,
+/// may crash after all faults are over.
 ///
-/// Three until its fingerprint is refused, and three for further sends of the request.
+/// Three until it is refused, and three for further sends.
 const CRASHES_MAX: usize = 6;
 /// Limit that one plain endpoint and one engine announce: they accept nothing and are only probed.
 const ANNOUNCED_LIMIT: &str = "0";
@@ -82,6 +88,21 @@
 /// Maximum length of a simulated suspension.
 const SUSPENSION_MAX_MS: u64 = 6_000;
 
+/// What makes a request crash the endpoints that run it.
+#[derive(Debug, Clone, Copy)]
+enum Crash {
+    /// Its body, the same each time.
+    Body,
+    /// A segment of its prompt; no two of these requests are alike.
+    Segment,
+}
+
+/// Returns the segments of a prompt: these and one of its own.
+fn prompt(shared: &[&str], own: &str) -> String {
+    let shared = shared.iter().map(|id| format!("{id}:300,"));
+    shared.chain([format!("{own}:20")]).collect()
+}
+
 struct Soak {
     /// In-process instance whose suspension is simulated.
     suspendable: SuspendableInstance,
@@ -108,6 +129,7 @@
         let store_proxy = Arc::new(Proxy::start(site.standin.store_address()).await);
         site.set_store_address(store_proxy.address);
         site.standin.crash_servers_on(CRASHING_BODY);
+        site.standin.crash_servers_on_segment(CRASHING_SEGMENT);
         let suspendable = SuspendableInstance::start(&site, "suspended").await;
         let soak = Self {
             suspendable,
@@ -158,11 +180,18 @@
         }
     }
 
-    /// Sends the crashing request to an instance; returns the response status, if any.
-    async fn send_crashing_request(&self, caller: &Caller) -> Option<u16> {
+    /// Sends a crashing request to an instance; returns the response status, if any.
+    async fn send_crashing_request(&self, caller: &Caller, crash: Crash) -> Option<u16> {
         let number = self.crashing_requests.fetch_add(1, Ordering::Relaxed);
         let id = format!("crashing-{number}");
-        let request = caller.generation(2, &id).body(CRASHING_BODY);
+        let request = caller.generation(2, &id);
+        let request = match crash {
+            Crash::Body => request.body(CRASHING_BODY),
+            Crash::Segment => {
+                let prompt = prompt(&[SHARED_SEGMENT, CRASHING_SEGMENT], &id);
+                request.body(id.clone()).header(PROMPT, prompt)
+            }
+        };
         let record = send_and_record(request, id, None).await;
         if record.status == Some(503) {
             let ran = self.site.standin.servers_that_ran(&record.id);
@@ -171,36 +200,47 @@
         record.status
     }
 
-    /// Sends the crashing request repeatedly to random instances.
-    fn send_crashing_requests(self: &Arc<Self>, random: &mut StdRng) {
+    /// Sends crashing requests repeatedly to random instances.
+    fn send_crashing_requests(self: &Arc<Self>, random: &mut StdRng, crash: Crash) {
         let callers: Vec<Caller> = (0..CRASHING_ATTEMPTS)
             .filter_map(|_| self.random_caller(random))
             .collect();
         let soak = self.clone();
         tokio::spawn(async move {
             for caller in callers {
-                soak.send_crashing_request(&caller).await;
+                soak.send_crashing_request(&caller, crash).await;
             }
         });
     }
 
-    /// Checks that all instances refuse the crashing request, after at most [`CRASHES_MAX`] more
-    /// crashes.
+    /// Checks that all instances refuse what crashes endpoints, after at most [`CRASHES_MAX`] more
+    /// crashes each, and still serve the sound requests that share a segment with it.
     ///
     /// All other faults must be over.
     async fn check_crashing_refused(&self) {
-        let before = self.site.standin.crashed_servers().len();
+        for crash in [Crash::Body, Crash::Segment] {
+            let before = self.site.standin.crashed_servers().len();
+            for caller in self.callers() {
+                wait_until("the crashing request is refused", async || {
+                    self.send_crashing_request(&caller, crash).await == Some(503)
+                })
+                .await;
+            }
+            let more = self.site.standin.crashed_servers().len() - before;
+            assert!(
+                more <= CRASHES_MAX,
+                "{more} endpoints crashed by {crash:?} after all faults were over"
+            );
+        }
         for caller in self.callers() {
-            wait_until("the crashing request is refused", async || {
-                self.send_crashing_request(&caller).await == Some(503)
+            wait_until("a sound generation is served", async || {
+                let request = caller.generation(2, "sound");
+                let request = request.header(PROMPT, prompt(&[SHARED_SEGMENT], "sound"));
+                let record = send_and_record(request, String::new(), None).await;
+                record.status == Some(200) && record.is_complete
             })
             .await;
         }
-        let more = self.site.standin.crashed_servers().len() - before;
-        assert!(
-            more <= CRASHES_MAX,
-            "{more} endpoints crashed after all faults were over"
-        );
     }
 
     /// Returns callers of all running instances.
@@ -317,7 +357,8 @@
             21 => self.evacuate_for(duration),
             22 => self.restart_app(random),
             23 => self.corrupt_entry(random, duration),
-            24 | 25 => self.send_crashing_requests(random),
+            24 => self.send_crashing_requests(random, Crash::Body),
+            25 => self.send_crashing_requests(random, Crash::Segment),
             27 | 28 => self.drain_by_responses_only(random).await,
             29 => self.start_cooldown_fault(random, duration),
             30 | 31 => self.restore_store(random, duration),
@@ -596,7 +637,9 @@
             let id = format!("c{number}-{}", records.len());
             let events = random.random_bool(0.5).then(|| random.random_range(1..40));
             let request = match events {
-                Some(events) => caller.generation(events, &id),
+                Some(events) => caller
+                    .generation(events, &id)
+                    .header(PROMPT, prompt(&[SHARED_SEGMENT], &id)),
                 None => caller.request("/once/1", &id),
             };
             let result = send_and_record(request, id, events).await;
