--- a/tests/crashing_segments.rs
+++ b/tests/crashing_segments.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 
 use larkwick::standin::site::server::Server;
+use reqwest::RequestBuilder;
+use serde_json::{Value, json};
+use support::run_tool;
 use support::site::{HttpResponse, Instance, RoutedSite, send_request, wait_until};
 
 const CRASHING: &str = "bad0";
@@ -58,12 +61,7 @@
     /// body.
     async fn send(&self, number: usize, segments: &[&str]) -> HttpResponse {
         let instance = &self.instances[number % self.instances.len()];
-        let id = format!("r{number}-{}", segments.join("-"));
-        let own = format!("{:x}:20", 0x10_0000 + number);
-        let named = segments.iter().map(|segment| format!("{segment}:300"));
-        let prompt: Vec<String> = named.chain([own]).collect();
-        let request = instance.generation(2, &id).body(id.clone());
-        send_request(request.header("larkwick-prompt-prefix", prompt.join(","))).await
+        send_request(generation(instance, number, segments)).await
     }
 
     fn crashed(&self) -> usize {
@@ -71,6 +69,19 @@
     }
 }
 
+fn generation(instance: &Instance, number: usize, segments: &[&str]) -> RequestBuilder {
+    let id = format!("r{number}-{}", segments.join("-"));
+    let request = instance.generation(2, &id).body(id.clone());
+    request.header("larkwick-prompt-prefix", prompt(number, segments))
+}
+
+fn prompt(number: usize, segments: &[&str]) -> String {
+    let own = format!("{:x}:20", 0x10_0000 + number);
+    let named = segments.iter().map(|segment| format!("{segment}:300"));
+    let prompt: Vec<String> = named.chain([own]).collect();
+    prompt.join(",")
+}
+
 fn is_served(response: &HttpResponse) -> bool {
     response.status == 200 && response.is_complete
 }
@@ -168,3 +179,89 @@
         .collect();
     assert_eq!(contents.len(), 3, "no two requests are alike: {lines:?}");
 }
+
+/// Endpoints also crash for reasons of their own, and cut off what runs on them.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_crash_by_themselves_beside_it_others_served() {
+    let mut site = CrashingSite::start(ENGINES, 3).await;
+    let mut served = 0;
+    let mut sent = 0;
+    for number in 0..ENGINES {
+        site.send(3 * number, &["a1", CRASHING]).await;
+        if number % 3 == 0 {
+            let running: Vec<_> = (0..4)
+                .map(|one| {
+                    let instance = &site.instances[one % 3];
+                    let long = instance.generation(40, &format!("long-{number}-{one}"));
+                    let prompt = prompt(1_000 + 4 * number + one, &["a1", "c3"]);
+                    tokio::spawn(send_request(long.header("larkwick-prompt-prefix", prompt)))
+                })
+                .collect();
+            wait_until("they run", async || {
+                site.engines.iter().any(|engine| engine.running_count() > 0)
+            })
+            .await;
+            let busy = site.engines.iter().position(|one| one.running_count() > 0);
+            if let Some(busy) = busy {
+                site.engines.remove(busy).kill().await;
+                site.engines.push(site.site.start_engine().await);
+            }
+            for one in running {
+                one.await.expect("response received");
+            }
+        }
+        for sound in [3 * number + 1, 3 * number + 2] {
+            sent += 1;
+            let response = site.send(sound, &["a1", "c3"]).await;
+            served += usize::from(is_served(&response));
+        }
+    }
+    let crashed = site.crashed();
+    println!("{crashed} crashed, {served} of {sent} sound ones served");
+    assert!(crashed <= CRASHED_MAX, "{crashed} engines crashed");
+    assert!(served * 2 >= sent, "{served} of {sent} served");
+}
+
+/// Generations that are restarted at another engine look the segment up each time.
+#[tokio::test(flavor = "multi_thread")]
+async fn segment_on_resumable_route_restarts_refused() {
+    let site = CrashingSite::start(ENGINES, 3).await;
+    for number in 0..ENGINES {
+        let instance = &site.instances[number % 3];
+        let request = instance
+            .caller()
+            .resumable_generation(4, &format!("r{number}"));
+        let prompt = prompt(number, &["a1", CRASHING]);
+        let request = request.body(format!("body {number}"));
+        send_request(request.header("larkwick-prompt-prefix", prompt)).await;
+    }
+    let crashed = site.crashed();
+    assert!(crashed <= CRASHED_MAX, "{crashed} engines crashed");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn segment_released_by_operator_sent_again_by_all_instances() {
+    let site = CrashingSite::start(ENGINES, 2).await;
+    for number in 0..8 {
+        site.send(2 * number, &["a1", CRASHING]).await;
+        site.send(2 * number + 1, &["a1", "b2"]).await;
+    }
+    let operator = site.instances[0].operator_address();
+    let listed = run_tool(&["suspects", "list", "--operator", &operator, "--json"]);
+    let listed: Vec<Value> = serde_json::from_slice(&listed.stdout).expect("a list");
+    let refused = listed.iter().find(|one| one["segment"] == CRASHING);
+    let refused = refused.expect("the segment is listed");
+    assert_eq!(refused["verdict"], json!("refused"), "{listed:?}");
+    for engine in &site.engines {
+        engine.make_crash_proof();
+    }
+    let content = refused["content"].as_str().expect("a fingerprint");
+    let released = run_tool(&["suspects", "let-go", content, "--operator", &operator]);
+    assert!(released.status.success(), "{released:?}");
+    let mut number = 100;
+    wait_until("served at the other instance", async || {
+        number += 2;
+        is_served(&site.send(number + 1, &["a1", CRASHING]).await)
+    })
+    .await;
+}
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -287,3 +287,27 @@
     });
     assert_eq!(left.count(), 0, "{passed_on:?}");
 }
+
+/// Guards against a segment that crashes engines and reaches them by way of a peer.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_segments_at_an_instance_that_reaches_no_engine_are_refused_by_its_peer() {
+    let site = CutSite::start("llm", ServerKind::Engine).await;
+    site.site.standin.crash_servers_on_segment("bad0");
+    let mut started = Vec::new();
+    for _ in 0..12 {
+        started.push(site.site.start_engine().await);
+    }
+    let generation = |instance: &Instance, id: &str, segments: &str| {
+        let request = instance.generation(2, id).body(id.to_owned());
+        let prompt = format!("{segments},{}:20", id.len());
+        send_request(request.header("larkwick-prompt-prefix", prompt))
+    };
+    site.cut(Cut::RefusesNew).await;
+    for number in 0..12 {
+        generation(&site.cut_off, &format!("bad-{number}"), "a1:300,bad0:200").await;
+    }
+    let crashed = site.site.standin.crashed_servers().len();
+    assert!(crashed <= 8, "{crashed} engines crashed");
+    let sound = generation(&site.cut_off, "sound", "a1:300,b2:200").await;
+    assert_eq!(sound.status, 200, "{sound:?}");
+}
