A state of a withdrawn roll-out that is read late is not taken for the next one's

Cause, by reading: orders and states are in two topics that are read independently. The test withdraws the order once the state is in the store; an instance that reads the withdrawal first forgets the state, reads it after that, and takes the next order for the same version as reverted from its start.

Change: the last roll-out of each service whose order is gone is remembered, and its state is ignored; of its start and its end the nearer one tells whether a state is its own, as clocks differ. RolloutStatuses moved to the kernel, where it is tested: kernel/rollout_statuses, failed with the check switched off.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,7 @@
 //! | `engine_reports` | polls engines for whether they drain while the endpoint list is not updated |
 //! | `ownership` | which instance owns the engines of a service |
 //! | `ledgers`, `coordinator` | placement and moves of generations, by the owner, or by this instance alone if it cannot reach the owner |
-//! | `rollouts`, `rollout_reports`, `rollout_statuses`, `version_choice` | orders of roll-outs, the reports to the owner and its decisions, what the store has recorded, and which version a request goes to |
+//! | `rollouts`, `rollout_reports`, `version_choice` | orders of roll-outs, the reports to the owner and its decisions, what the store has recorded, and which version a request goes to |
 //! | `run_reports` | reports the generations served here to the owners of their services |
 
 pub(crate) mod aborted_requests;
@@ -82,7 +82,6 @@
 pub(crate) mod response_body;
 pub(crate) mod retry_budgets;
 pub(crate) mod rollout_reports;
-pub(crate) mod rollout_statuses;
 pub(crate) mod rollouts;
 pub(crate) mod run_reports;
 pub(crate) mod runs;
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -16,9 +16,8 @@
 
 use super::inbound_call::Call;
 use super::node::Gateway;
-use super::rollout_statuses::RolloutStatuses;
 use super::version_choice::{RolloutView, VersionChoice, canary_endpoint_count};
-use crate::kernel::clock::millis;
+use crate::kernel::clock::{Clock, millis};
 use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::rollout::{
     CanaryLimits, Phase, RequestCounts, RolloutController, RolloutOrder, RolloutState,
@@ -26,6 +25,7 @@
 };
 use crate::kernel::rollout_evidence::{RolloutOutcome, Score, Version};
 use crate::kernel::rollout_orders::{RolloutOrderChange, RolloutOrders};
+use crate::kernel::rollout_statuses::{EndedRollout, RolloutStatuses};
 
 /// Time for which a directive of the owner holds.
 const DIRECTIVE_VALID_FOR: Duration = Duration::from_millis(2_500);
@@ -205,16 +205,17 @@
 
 impl Rollouts {
     /// Applies all orders in force.
-    pub(crate) fn apply_orders(&self, orders: &RolloutOrders, now: Duration) {
-        self.update_orders(now, |known| known.replace_if_older(orders));
+    pub(crate) fn apply_orders(&self, orders: &RolloutOrders, clock: &dyn Clock) {
+        self.update_orders(clock, |known| known.replace_if_older(orders));
     }
 
     /// Applies a change of one order.
-    pub(crate) fn apply_change(&self, change: RolloutOrderChange, now: Duration) {
-        self.update_orders(now, |known| known.apply(change));
+    pub(crate) fn apply_change(&self, change: RolloutOrderChange, clock: &dyn Clock) {
+        self.update_orders(clock, |known| known.apply(change));
     }
 
-    fn update_orders(&self, now: Duration, update: impl FnOnce(&mut RolloutOrders)) {
+    fn update_orders(&self, clock: &dyn Clock, update: impl FnOnce(&mut RolloutOrders)) {
+        let (now, unix_now) = (clock.now(), clock.unix_time());
         let orders = {
             let mut known = self.orders.lock();
             update(&mut known);
@@ -229,7 +230,12 @@
                 info!("roll-out order withdrawn or replaced", kv: { service = service.as_str(),
                     target_version = rollout.order.target_version.as_str() });
                 // A later order for the same version is compared anew.
-                self.statuses.lock().forget(service);
+                let ended = EndedRollout {
+                    target_version: rollout.order.target_version.clone(),
+                    started_at_unix: rollout.started_at_unix(now, unix_now),
+                    ended_at_unix: unix_now,
+                };
+                self.statuses.lock().forget(service, ended);
             }
             is_same
         });
@@ -256,9 +262,11 @@
     pub(crate) fn apply_status(&self, status: RolloutStatus, now: Duration) {
         info!("roll-out status", kv: { service = status.service.as_str(),
             target_version = status.target_version.as_str(), state:? = status.state });
-        self.statuses.lock().record(&status);
+        let is_current = self.statuses.lock().record(&status);
         let mut services = self.services.lock();
-        if let Some(rollout) = services.get_mut(&status.service) {
+        if let Some(rollout) = services.get_mut(&status.service)
+            && is_current
+        {
             rollout.apply_status(status, now);
         }
         self.version.fetch_add(1, Ordering::Relaxed);
--- a/src/gateway/store_follower.rs
+++ b/src/gateway/store_follower.rs
@@ -295,8 +295,12 @@
         SiteRecord::SuspectGone(fingerprint) => {
             gateway.crash_suspects.lock().mark_not_stored(fingerprint);
         }
-        SiteRecord::RolloutChange(change) => gateway.rollouts.apply_change(change, gateway.now()),
-        SiteRecord::RolloutOrders(orders) => gateway.rollouts.apply_orders(&orders, gateway.now()),
+        SiteRecord::RolloutChange(change) => gateway
+            .rollouts
+            .apply_change(change, gateway.clock.as_ref()),
+        SiteRecord::RolloutOrders(orders) => gateway
+            .rollouts
+            .apply_orders(&orders, gateway.clock.as_ref()),
         SiteRecord::RolloutStatus(status) => gateway.rollouts.apply_status(status, gateway.now()),
         SiteRecord::HallOrder(order) => gateway.apply_hall_order(&order),
         SiteRecord::EvacuatedHalls(halls) => gateway.merge_evacuated_halls(&halls, "store"),
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -53,6 +53,7 @@
 pub mod rollout;
 pub mod rollout_evidence;
 pub mod rollout_orders;
+pub mod rollout_statuses;
 pub mod route;
 pub mod rules;
 mod segment_survivals;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -62,6 +62,8 @@
 mod retry;
 #[path = "kernel/rollout.rs"]
 mod rollout;
+#[path = "kernel/rollout_statuses.rs"]
+mod rollout_statuses;
 #[path = "kernel/routes.rs"]
 mod routes;
 #[path = "kernel/rules.rs"]
