--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -225,16 +225,27 @@
     }
 }
 
-/// Records that an engine has run a generation past its start window.
-pub(super) fn record_ran_past_start(call: &Call) {
+/// Records that an engine has run a generation past its start window. Its segments have survived:
+/// only crashes at the start count against them.
+pub(super) fn record_ran_past_start(call: &Call, endpoint: &EndpointEntry) {
+    let survival = Survival::of(call, endpoint);
+    let (segments, requests) = survival
+        .fingerprints
+        .iter()
+        .partition(|one| one.segment().is_some());
     let gateway = &call.gateway;
     let now = gateway.now();
-    for fingerprint in suspected_fingerprints(call) {
+    for fingerprint in requests {
         let mut suspects = gateway.crash_suspects.lock();
         let change = suspects.record_ran_past_start(fingerprint, now);
         drop(suspects);
         gateway.handle_suspect_change(fingerprint, change, "ran on here");
     }
+    let segments = Survival {
+        fingerprints: segments,
+        ..survival
+    };
+    segments.record();
 }
 
 impl Gateway {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,5 +1,7 @@
 //! Forwards a generation to its caller event by event, also when it continues at another engine.
 
+mod continuation;
+
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,7 +11,6 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use spdlog::info;
 use tokio::sync::mpsc;
 
 use super::aborted_requests;
@@ -18,14 +19,11 @@
 use super::inbound_call::Call;
 use super::read_ahead::read_ahead;
 use super::response_body::{ResponseAborted, ResponseBody};
-use super::retry_budgets::RepeatCause;
-use super::runs::{Continuation, RunCommand, Unavailability};
+use super::runs::{Continuation, RunCommand};
 use super::started_generation::{
     EngineAttempts, ResponseStream, RunGuard, StartedGeneration, record_generation_end,
 };
-use super::takeover::{self, ResumeError, StallDetector};
-use super::upstream::EndpointResponse;
-use crate::kernel::clock::millis;
+use super::takeover::StallDetector;
 use crate::kernel::crash_suspects::START_WINDOW;
 use crate::kernel::presence::Presence;
 use crate::platform::engine;
@@ -241,7 +239,8 @@
         let first_event_at = *self.first_event_at.get_or_insert(now);
         if !self.ran_past_start && now.saturating_sub(first_event_at) > START_WINDOW {
             self.ran_past_start = true;
-            crash_suspects::record_ran_past_start(&self.call);
+            let engine = self.run_guard.run.endpoint.lock().clone();
+            crash_suspects::record_ran_past_start(&self.call, &engine);
         }
         let generated = self.events.saturating_mul(self.event_tokens);
         let run = &self.run_guard.run;
@@ -373,111 +372,6 @@
         abort_reason.map_or(Step::Pending, |reason| Step::Aborted(reason.to_owned()))
     }
 
-    /// Asks the engine of a broken stream to stop the generation and returns its continuation,
-    /// unless it has been taken over too often.
-    async fn take_over(&mut self, reason: &str) -> Option<Continuation> {
-        if self.takeovers >= TAKEOVERS_MAX {
-            return None;
-        }
-        self.takeovers += 1;
-        takeover::take_over(&self.call, &self.run_guard.run, reason).await
-    }
-
-    async fn resume_or_restart(&mut self, continuation: Continuation) -> Result<(), String> {
-        match self.resume_at_target(continuation).await {
-            Err(reason) if generation::can_restart(&self.call, &self.attempts) => {
-                self.restart(reason).await
-            }
-            other => other,
-        }
-    }
-
-    /// Restarts the generation at another engine, which continues after the last forwarded event.
-    async fn restart(&mut self, reason: String) -> Result<(), String> {
-        let engine = self.run_guard.run.endpoint.lock().id.clone();
-        let mut attempts = std::mem::take(&mut self.attempts);
-        attempts.excluded.push(engine);
-        let after = self.last_event_id.clone();
-        let started = generation::start_from_event(&self.call, attempts, after.as_deref()).await;
-        let outcome = started
-            .as_ref()
-            .err()
-            .map_or("begun", |error| &error.message);
-        if crate::log::should_log("generation begun anew") {
-            info!("generation begun anew", kv: {
-                request_id = self.call.head.request_id.as_str(), why = reason.as_str(), outcome,
-                last_event_id:? = after,
-            });
-        }
-        let started = started.map_err(|error| error.message)?;
-        if !started.source.response.parts.status.is_success() {
-            return Err(format!(
-                "engine answered {}",
-                started.source.response.head.status
-            ));
-        }
-        self.run_guard = started.run_guard;
-        self.commands = started.commands;
-        self.attempts = started.attempts;
-        self.source = Some(started.source);
-        self.first_event_at = None;
-        Ok(())
-    }
-
-    /// Resumes the generation at the target. If the target refuses, resumes it at the engine that
-    /// stopped it, which still holds its memory.
-    async fn resume_at_target(&mut self, mut continuation: Continuation) -> Result<(), String> {
-        self.is_stopping = false;
-        self.source = None;
-        let previous = self.run_guard.run.endpoint.lock().clone();
-        let resumed = self.try_resume(&mut continuation, RepeatCause::Move).await;
-        let response = match resumed {
-            Ok(response) => response,
-            Err(error) if continuation.target.id != previous.id => {
-                if let ResumeError::NotAccepted(_) = error {
-                    let call = &self.call;
-                    let refused = &continuation.target.id;
-                    call.gateway.runs.record_unavailable_engine(
-                        &call.service,
-                        refused,
-                        Unavailability::Refused,
-                    );
-                }
-                continuation.target = previous;
-                continuation.counted = false;
-                let returned = self.try_resume(&mut continuation, RepeatCause::Return);
-                returned.await.map_err(|error| error.to_string())?
-            }
-            Err(error) => return Err(error.to_string()),
-        };
-        self.moves += 1;
-        *self.run_guard.run.endpoint.lock() = continuation.target;
-        self.call.gateway.ledgers.runs_changed.notify_one();
-        self.source = Some(ResponseStream::new(response));
-        self.first_event_at = None;
-        Ok(())
-    }
-
-    async fn try_resume(
-        &self,
-        continuation: &mut Continuation,
-        cause: RepeatCause,
-    ) -> Result<EndpointResponse, ResumeError> {
-        let started_at = self.call.gateway.now();
-        let after = self.last_event_id.as_deref();
-        let resumed = takeover::resume(&self.call, continuation, cause, after).await;
-        let pause_ms = millis(self.call.gateway.now().saturating_sub(started_at));
-        if crate::log::should_log("generation moved") {
-            let error = resumed.as_ref().err().map(ToString::to_string);
-            info!("generation moved", kv: {
-                request_id = self.call.head.request_id.as_str(),
-                target = continuation.target.id.as_str(), outcome = error.as_deref().unwrap_or("gone on"), pause_ms:,
-                last_event_id:? = self.last_event_id,
-            });
-        }
-        resumed
-    }
-
     fn finish(&mut self, engine_survived: bool) {
         self.has_ended = true;
         if engine_survived && self.events > 0 {
--- a/src/kernel/crash_suspects.rs
+++ b/src/kernel/crash_suspects.rs
@@ -9,8 +9,8 @@
 //!
 //! A single crash says little: everything that ran on the endpoint is cut off with it, and
 //! endpoints also crash for other reasons. A crash therefore counts in full only against requests
-//! that had just started there, and by half against the others; three full ones are needed to
-//! refuse a request or segment; a request that any endpoint has finished is innocent, and a segment
+//! that had just started there, by half against other requests, and not at all against their
+//! segments; three full ones are needed to refuse a request or segment; a request that any endpoint has finished is innocent, and a segment
 //! that any endpoint has finished needs twice as many. [`Culprit`] says which of several
 //! suspects is refused for the same crashes.
 //!
@@ -18,9 +18,9 @@
 //! when the request is found innocent or when an operator releases it.
 
 mod culprits;
+mod sharing;
 mod suspect;
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -30,6 +30,7 @@
 use super::segment_survivals::SegmentSurvivals;
 pub use culprits::Culprit;
 use culprits::find_culprits;
+pub use sharing::{STORED_MAX, UPDATES_MAX};
 pub use suspect::{EndpointCrash, RefusalRules, SuspectReport, software_id};
 use suspect::{Suspect, SuspectKind};
 
@@ -43,11 +44,6 @@
 const SUSPECTS_MAX: usize = 4_096;
 /// Number of suspects that are evicted at once when the limit is reached.
 const EVICTION_BATCH: usize = SUSPECTS_MAX / 8;
-/// Maximum number of suspects in the store at a time, so that a client that crashes endpoints with
-/// ever new requests cannot fill it.
-pub const STORED_MAX: usize = 256;
-/// The rest of the places in the store is for suspects that are refused.
-const STORED_NOT_REFUSED_MAX: usize = STORED_MAX / 4 * 3;
 /// A suspect is forgotten this long after its last crash; a request that is sent so rarely crashes
 /// few endpoints.
 const SUSPECTED_FOR: Duration = Duration::from_hours(1);
@@ -56,15 +52,6 @@
 const REFUSED_FOR: Duration = Duration::from_hours(24);
 /// The same for segments, which many requests may have.
 const SEGMENT_REFUSED_FOR: Duration = SUSPECTED_FOR;
-/// After this time another instance writes a suspect to the store if the instance that saw the
-/// crash has not done so.
-const STORE_FALLBACK_AFTER: Duration = Duration::from_secs(1);
-/// How long a change is gossiped; all of 2,300 instances know of it after 2 s
-/// (`news_site_of_2300_*`).
-const GOSSIP_FOR: Duration = Duration::from_secs(10);
-/// Maximum number of suspects in one message, those with the most points first. About 60 bytes
-/// each.
-pub const UPDATES_MAX: usize = 16;
 
 /// Whether a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -263,11 +250,11 @@
         crash: EndpointCrash,
         now: Duration,
     ) -> SuspectChange {
-        let was_finished = self.survivals.contains(crash.software, fingerprint);
-        if was_finished && !crash.at_start {
-            // It was cut off while it ran on, as elsewhere.
+        if fingerprint.segment().is_some() && !crash.at_start {
+            // What shares a segment also shares the load: it is cut off by every crash.
             return SuspectChange::None;
         }
+        let was_finished = self.survivals.contains(crash.software, fingerprint);
         self.make_room(fingerprint, now);
         let known = self.by_fingerprint.get(&fingerprint);
         let is_expired = known.is_some_and(|suspect| now >= self.expires_at(fingerprint, suspect));
@@ -414,85 +401,6 @@
         }
     }
 
-    /// Records that the store holds this state of a suspect.
-    pub fn mark_stored(&mut self, report: &SuspectReport) {
-        if let Some(suspect) = self.by_fingerprint.get_mut(&report.fingerprint) {
-            suspect.stored = Some(suspect.reported_state(report));
-        }
-    }
-
-    /// Records that the store no longer holds a suspect.
-    pub fn mark_not_stored(&mut self, fingerprint: Fingerprint) {
-        if let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) {
-            suspect.stored = None;
-        }
-    }
-
-    /// Records that the store holds exactly these suspects, so that the others are written again.
-    /// Returns whether the store has lost any.
-    pub fn sync_stored(&mut self, stored: &BTreeSet<Fingerprint>) -> bool {
-        let mut any_lost = false;
-        for (fingerprint, suspect) in &mut self.by_fingerprint {
-            if suspect.stored.is_some() && !stored.contains(fingerprint) {
-                suspect.stored = None;
-                any_lost = true;
-            }
-        }
-        any_lost
-    }
-
-    /// Returns the suspects to gossip to peers, for some time after each change. Those that are not
-    /// innocent come first, then those with the most points, then the latest; [`UPDATES_MAX`] at
-    /// most.
-    #[must_use]
-    pub fn recent_updates(&self, now: Duration) -> Vec<SuspectReport> {
-        let all = self.by_fingerprint.iter();
-        let recent = all.filter(|(_, suspect)| {
-            let has_state = suspect.epoch > 0 || !suspect.crashes.is_empty();
-            has_state && now.saturating_sub(suspect.changed_at) < GOSSIP_FOR
-        });
-        let mut recent_updates: Vec<_> = recent.collect();
-        recent_updates.sort_by_key(|(_, suspect)| {
-            let points = Reverse(suspect.points());
-            (suspect.innocent, points, Reverse(suspect.changed_at))
-        });
-        recent_updates.truncate(UPDATES_MAX);
-        let recent_updates = recent_updates.into_iter();
-        recent_updates
-            .map(|(fingerprint, suspect)| suspect.report(*fingerprint, now))
-            .collect()
-    }
-
-    /// Returns the suspects that this instance must write to the store. Those that crashed an
-    /// endpoint here are due at once. With `is_fallback_writer`, suspects that other instances
-    /// should have written by now are included.
-    #[must_use]
-    pub fn due_for_store(&self, is_fallback_writer: bool, now: Duration) -> Vec<SuspectReport> {
-        let all = self.by_fingerprint.iter();
-        let due = all.filter(|(_, suspect)| {
-            let is_overdue = now.saturating_sub(suspect.changed_at) >= STORE_FALLBACK_AFTER;
-            suspect.needs_storing() && (suspect.crashed_here || is_fallback_writer && is_overdue)
-        });
-        let (known, new): (Vec<_>, Vec<_>) = due.partition(|(_, suspect)| suspect.stored.is_some());
-        let (refused, others): (Vec<_>, Vec<_>) = new
-            .into_iter()
-            .partition(|(fingerprint, _)| self.culprit_of(**fingerprint).is_some());
-        let all = self.by_fingerprint.values();
-        let stored = all.filter(|suspect| suspect.stored.is_some()).count();
-        let refused = refused.into_iter().take(STORED_MAX.saturating_sub(stored));
-        let others_max = STORED_NOT_REFUSED_MAX.saturating_sub(stored);
-        let due = known.into_iter().chain(refused);
-        let due = due.chain(others.into_iter().take(others_max));
-        due.map(|(fingerprint, suspect)| suspect.report(*fingerprint, now))
-            .collect()
-    }
-
-    /// Returns all suspects, for the state dump.
-    pub fn reports(&self, now: Duration) -> impl Iterator<Item = SuspectReport> {
-        let all = self.by_fingerprint.iter();
-        all.map(move |(fingerprint, suspect)| suspect.report(*fingerprint, now))
-    }
-
     /// Removes suspects that have expired and returns those among them that the store still holds.
     pub fn expire(&mut self, now: Duration) -> Vec<Fingerprint> {
         let all = self.by_fingerprint.iter();
