A refused segment is tried again after a pause; an innocent one is not written each time

A segment that all requests of a service share and that was refused in error could be cleared by none of them for an hour: the service's owner tries it five minutes after its last crash, twice at most, which is within the three further sends that users accept. A segment once stored and then found innocent was written again with each crash: 2 writes in place of one a crash (the test counts them). Refusals of plain calls are not looked at again.

--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -316,10 +316,6 @@
     let collected = Limited::new(body, RESPONSE_MAX_BYTES).collect().await;
     let body = collected
         .map_err(|error| SendError::MayHaveRun(format!("the answer broke off: {error}")))?;
-    if head.ends_with_connection && gateway.has_ended_with_answer(endpoint).await {
-        let reason = "the endpoint ended with its answer".to_owned();
-        return Err(SendError::MayHaveRun(reason));
-    }
     gateway.upstream.return_to_pool(connection, &head);
     if head.misdirected {
         return Ok(Attempt::Misdirected);
@@ -330,6 +326,10 @@
             head.status
         )));
     }
+    if head.ends_with_connection && gateway.has_ended_with_answer(endpoint).await {
+        let reason = "the endpoint ended with its answer".to_owned();
+        return Err(SendError::MayHaveRun(reason));
+    }
     let is_success = parts.status.is_success();
     if is_success && (!head.sealed || head.encoded || head.request_id.is_none()) {
         let reason = "the answer is not the endpoint's own".to_owned();
--- a/src/kernel/crash_suspects.rs
+++ b/src/kernel/crash_suspects.rs
@@ -198,8 +198,9 @@
     }
 
     /// Starts a trial of a refused request on endpoints with this software. Returns `false` if this
-    /// software has crashed under the request, if a trial is running, or if too many trials were
-    /// made. The instances must agree on the one that makes trials.
+    /// software has crashed under the request (of late, if it is refused for segments), if a trial is
+    /// running, or if too many trials were made. The instances must agree on the one that makes
+    /// trials.
     pub fn begin_trial(
         &mut self,
         fingerprints: &[Fingerprint],
@@ -209,15 +210,14 @@
         let members = self.refused_members(fingerprints, now);
         let can_be_tried = |member: &Fingerprint| {
             let suspect = self.by_fingerprint.get(member);
-            suspect
-                .is_some_and(|suspect| suspect.can_be_tried(now) && !suspect.has_crashed(software))
+            suspect.is_some_and(|suspect| suspect.can_be_tried(software, now))
         };
         if members.is_empty() || !members.iter().all(can_be_tried) {
             return false;
         }
         for member in members {
             if let Some(suspect) = self.by_fingerprint.get_mut(&member) {
-                suspect.trial_at = Some(now);
+                suspect.begin_trial(software, now);
             }
         }
         true
--- a/src/kernel/crash_suspects/suspect.rs
+++ b/src/kernel/crash_suspects/suspect.rs
@@ -25,6 +25,11 @@
 /// Maximum number of software versions recorded as finishing a request under which others crash.
 /// One is the common case, after a release that fixes the fault.
 const FINISHED_ON_MAX: usize = 4;
+/// A refused segment is tried again on software that crashed under it this long after the last
+/// crash.
+const SEGMENT_RETRIED_AFTER: Duration = Duration::from_mins(5);
+/// How often that is done; users accept three further sends.
+const SEGMENT_RETRIALS_MAX: u32 = 2;
 /// A trial without a result counts as over after this time, which is longer than a generation
 /// takes.
 const TRIAL_TIMEOUT: Duration = Duration::from_mins(1);
@@ -140,6 +145,8 @@
     pub(super) crashed_here: bool,
     /// When this instance last sent the request on trial.
     pub(super) trial_at: Option<Duration>,
+    /// Number of trials from here on software that had crashed under it, in this epoch.
+    retrials: u32,
 }
 
 /// A summary of the state that the store holds.
@@ -172,6 +179,7 @@
             stored: None,
             crashed_here: false,
             trial_at: None,
+            retrials: 0,
         }
     }
 
@@ -259,6 +267,7 @@
         self.finished_on.clear();
         self.crashes.clear();
         self.trial_at = None;
+        self.retrials = 0;
         self.changed_at = now;
     }
 
@@ -327,6 +336,8 @@
     /// Returns whether the store should hold another state than it does.
     pub(super) fn needs_storing(&self) -> bool {
         match self.stored {
+            // It is cut off and finished again all the time; that it is innocent is enough to know.
+            Some(stored) if stored.innocent && self.innocent && !self.has_enough_points() => false,
             Some(stored) => stored != self.stored_state(),
             None => !self.innocent && self.crashes.len() >= STORED_FROM_CRASHES,
         }
@@ -337,11 +348,26 @@
         self.crashes.iter().any(|crash| crash.software == software)
     }
 
-    /// Returns whether it may be tried on software that has not crashed under it.
-    pub(super) fn can_be_tried(&self, now: Duration) -> bool {
-        let running = self
-            .trial_at
-            .filter(|at| now.saturating_sub(*at) < TRIAL_TIMEOUT);
-        running.is_none() && self.crashes.len() < CRASHES_BEFORE_REFUSAL + TRIALS_MAX
+    /// Returns whether it may be tried on this software.
+    ///
+    /// On software that has not crashed under it a few trials are made at once. A segment is tried
+    /// again on any software after a pause: all that share it are refused, and if that is every
+    /// request of a service, none could ever clear it.
+    pub(super) fn can_be_tried(&self, software: u64, now: Duration) -> bool {
+        let is_running = |at: Duration| now.saturating_sub(at) < TRIAL_TIMEOUT;
+        if self.trial_at.is_some_and(is_running) {
+            return false;
+        }
+        let trials_left = self.crashes.len() < CRASHES_BEFORE_REFUSAL + TRIALS_MAX;
+        let has_paused = now.saturating_sub(self.last_crash_at) >= SEGMENT_RETRIED_AFTER;
+        let is_retried =
+            self.kind == SuspectKind::Segment && has_paused && self.retrials < SEGMENT_RETRIALS_MAX;
+        trials_left && !self.has_crashed(software) || is_retried
+    }
+
+    /// Records that it is tried on this software.
+    pub(super) fn begin_trial(&mut self, software: u64, now: Duration) {
+        self.trial_at = Some(now);
+        self.retrials += u32::from(self.has_crashed(software));
     }
 }
--- a/tests/kernel/crashing_segments.rs
+++ b/tests/kernel/crashing_segments.rs
@@ -265,6 +265,50 @@
     assert!(suspects.is_empty() && suspects.culprits().is_empty());
 }
 
+/// A segment of all requests that was refused in error would never be finished again: it is tried
+/// after a pause, twice at most, and cleared by what survives.
+#[test]
+fn begin_trial_segment_on_crashed_software_after_pause_only() {
+    let common = segment(1);
+    let mut suspects = CrashSuspects::default();
+    for endpoint in 1..=8 {
+        record(&mut suspects, &[common], endpoint);
+    }
+    let minute = Duration::from_mins(1);
+    assert!(!suspects.begin_trial(&[common], software(), minute));
+    assert!(suspects.begin_trial(&[common], software(), minute * 6));
+    assert!(!suspects.begin_trial(&[common], software(), minute * 6));
+    assert!(suspects.begin_trial(&[common], software(), minute * 12));
+    assert!(!suspects.begin_trial(&[common], software(), minute * 24));
+    suspects.record_survival(common, software(), minute * 24);
+    assert_eq!(suspects.verdict(&[common], minute * 24), Verdict::Allowed);
+    let whole = request("again");
+    for endpoint in 1..=8 {
+        record(&mut suspects, &[whole], endpoint);
+    }
+    assert!(!suspects.begin_trial(&[whole], software(), minute * 6));
+}
+
+/// A segment that is cut off and finished all the time costs no call to the store each time.
+#[test]
+fn due_for_store_innocent_segment_not_written_again() {
+    let common = segment(1);
+    let mut suspects = CrashSuspects::default();
+    for endpoint in 1..=2 {
+        record(&mut suspects, &[common], endpoint);
+    }
+    let mut written = 0;
+    for endpoint in 10..30 {
+        for report in suspects.due_for_store(true, SECOND) {
+            suspects.mark_stored(&report);
+            written += 1;
+        }
+        suspects.record_survival(common, software(), SECOND);
+        record(&mut suspects, &[common], endpoint);
+    }
+    assert_eq!(written, 2, "suspected, and then innocent");
+}
+
 proptest! {
     /// Instances that receive the same reports refuse the same, in any order and with duplicates.
     #[test]
