--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -30,7 +30,10 @@
 /// 31026: late entries of former incarnations remained the latest ones of all plain endpoints, so
 /// that an instance started afterwards knew no endpoint. The simulated endpoints now rewrite their
 /// entries.
-const REGRESSION_SEEDS: [u64; 1] = [31026];
+///
+/// 5030: up to five calls reached an endpoint within the rest that its former start had asked for
+/// (2 of 19 runs). The check now ends with the start.
+const REGRESSION_SEEDS: [u64; 2] = [31026, 5030];
 /// Number of instances unless `SOAK_INSTANCES` is set.
 const DEFAULT_INSTANCES: u64 = 4;
 /// Additional routes of a large configuration; as many as in the largest one in use.
@@ -119,6 +122,8 @@
     config_version: AtomicU32,
     /// Start time of the next incarnation of an endpoint, as in the field `born` of its entry.
     next_born: AtomicU32,
+    /// Ids of plain endpoints that started anew, and when.
+    app_starts: Mutex<Vec<(String, Instant)>>,
     /// Set when the callers are to stop.
     is_over: AtomicBool,
 }
@@ -142,6 +147,7 @@
             instances_started: AtomicU32::new(0),
             config_version: AtomicU32::new(2),
             next_born: AtomicU32::new(1),
+            app_starts: Mutex::default(),
             is_over: AtomicBool::new(false),
         };
         for _ in 0..4 {
@@ -430,12 +436,27 @@
         self.site.standin.list_server_with(app, &fields);
     }
 
+    fn record_start(&self, app: &Server) {
+        let start = (app.id.clone(), Instant::now());
+        self.app_starts.lock().push(start);
+    }
+
+    /// Returns when a server first started anew after this time, if it did.
+    fn next_start(&self, server: &str, after: Instant) -> Option<Instant> {
+        let starts = self.app_starts.lock();
+        let later = starts
+            .iter()
+            .filter(|(id, at)| id == server && *at >= after);
+        later.map(|(_, at)| *at).min()
+    }
+
     /// Restarts a plain endpoint under its id.
     ///
     /// A late entry of the former incarnation follows its new entry, and later the new entry again.
     fn restart_app(self: &Arc<Self>, random: &mut StdRng) {
         let app = self.random_app(random);
         let born = self.next_born.fetch_add(2, Ordering::Relaxed);
+        self.record_start(&app);
         self.list_with_start_time(&app, "draining", born);
         self.list_with_start_time(&app, "ready", born + 1);
         self.list_with_start_time(&app, "draining", born);
@@ -455,6 +476,7 @@
         tokio::spawn(async move {
             tokio::time::sleep(duration).await;
             let born = soak.next_born.fetch_add(2, Ordering::Relaxed);
+            soak.record_start(&app);
             soak.list_with_start_time(&app, "ready", born);
         });
     }
@@ -615,7 +637,11 @@
                 && matches!(call.status, Some(200 | 503))
             {
                 cooldown_count += 1;
-                let in_cooldown = later.filter(|arrival| arrival.at < cooldown_until).count();
+                // What one start asked for does not bind the next one. In seed 5030 an endpoint
+                // starts anew 0.6 s after it began to ask for 0.7 s.
+                let next_start = self.next_start(&signalled.server, signalled.at);
+                let until = next_start.map_or(cooldown_until, |start| start.min(cooldown_until));
+                let in_cooldown = later.filter(|arrival| arrival.at < until).count();
                 assert!(
                     in_cooldown <= COOLDOWN_REQUESTS_MAX,
                     "{in_cooldown} reached {}",
