--- a/tests/connection_ended_answers.rs
+++ b/tests/connection_ended_answers.rs
@@ -17,17 +17,7 @@
     for _ in 0..engines {
         site.start_engine().await;
     }
-    let mut started = Vec::new();
-    for number in 0..instances {
-        started.push(site.start_instance(&format!("n{number}")).await);
-    }
-    for instance in &started {
-        wait_until("all members known", async || {
-            let members = instance.state().await["members"].clone();
-            members.as_array().map_or(0, Vec::len) + 1 >= instances
-        })
-        .await;
-    }
+    let started = site.start_instances(instances).await;
     (site, started)
 }
 
--- a/tests/crashed_endpoints.rs
+++ b/tests/crashed_endpoints.rs
@@ -34,21 +34,6 @@
     (site, started)
 }
 
-async fn start_instances(site: &RoutedSite, count: usize) -> Vec<Instance> {
-    let mut instances = Vec::new();
-    for number in 0..count {
-        instances.push(site.start_instance(&format!("n{number}")).await);
-    }
-    for instance in &instances {
-        wait_until("all members known", async || {
-            let members = instance.state().await["members"].clone();
-            members.as_array().map_or(0, Vec::len) + 1 >= count
-        })
-        .await;
-    }
-    instances
-}
-
 async fn send_crashing(instance: &Instance, path: &str, id: &str) -> HttpResponse {
     let request = instance.request(path, id).body(CRASHING_BODY);
     let request = request.header("larkwick-model", "m");
@@ -94,7 +79,7 @@
 async fn engine_crashed_child_holds_socket_found_ended() {
     let (site, _engines) = start_site(0, 3).await;
     site.standin.set_socket_after_crash(FOREVER);
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     for number in 0..3 {
         send_crashing(&instances[0], "/chat/2", &format!("try-{number}")).await;
     }
@@ -109,7 +94,7 @@
 async fn call_endpoint_socket_closed_late_crash_counted() {
     let (site, _) = start_site(3, 0).await;
     site.standin.set_socket_after_crash(A_WHILE);
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     // A call may still go to an endpoint that has crashed and whose socket is open.
     let mut sent = 0;
     while site.standin.crashed_servers().len() < 3 {
@@ -130,7 +115,7 @@
 async fn generation_crashes_engines_with_held_sockets_refused_after_a_few() {
     let (site, _engines) = start_site(0, 12).await;
     site.standin.set_socket_after_crash(FOREVER);
-    let instances = start_instances(&site, 3).await;
+    let instances = site.start_instances(3).await;
     for (number, instance) in (0..14).zip(instances.iter().cycle()) {
         send_crashing(instance, "/chat/2", &format!("try-{number}")).await;
     }
@@ -142,7 +127,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoint_aborts_then_crashes_probed_again() {
     let (site, _) = start_site(1, 0).await;
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     site.apps[0].set_fault(ServerFault::RunsAndCloses);
     instances[0].call("/once/1", "aborted").await;
     wait_for_aborts(&instances[0], 1).await;
@@ -159,7 +144,7 @@
 async fn generation_engine_ended_caller_told_without_takeover() {
     let (site, _engines) = start_site(0, 2).await;
     site.standin.set_socket_after_crash(FOREVER);
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     send_crashing(&instances[0], "/chat/2", "crashing").await;
     let taken_over = wait_for_line(&instances[0], "generation taken over", "crashing").await;
     assert_eq!(taken_over["outcome"], "the engine has ended");
@@ -170,7 +155,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_ended_still_listed_gets_no_later_placement() {
     let (site, _engines) = start_site(0, 2).await;
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     send_crashing(&instances[0], "/chat/2", "crashing").await;
     let crashed = site.standin.crashed_servers();
     wait_until(
@@ -193,7 +178,7 @@
 async fn engine_being_probed_gets_no_placement() {
     let (site, _engines) = start_site(0, 2).await;
     site.standin.set_socket_after_crash(FOREVER);
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     let beside = tokio::spawn(send_request(instances[0].generation(80, "beside")));
     wait_until("one runs", async || {
         !instances[0].logged("generation placed").is_empty()
@@ -213,7 +198,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_crashed_no_generation_left_owner_told() {
     let (site, _engines) = start_site(0, 2).await;
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     send_crashing(&instances[0], "/chat/2", "crashing").await;
     let crashed = site.standin.crashed_servers();
     wait_until("the owner is told", async || {
@@ -232,7 +217,7 @@
 async fn generation_all_engines_ended_refused_at_once_until_one_starts() {
     let (site, _engines) = start_site(0, 2).await;
     site.standin.set_socket_after_crash(FOREVER);
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     for number in 0..2 {
         send_crashing(&instances[0], "/chat/2", &format!("crashing-{number}")).await;
     }
@@ -261,7 +246,7 @@
 async fn generation_sent_while_only_engine_is_probed_told_before_its_deadline() {
     let (site, _engines) = start_site(0, 1).await;
     site.standin.set_socket_after_crash(FOREVER);
-    let instances = start_instances(&site, 1).await;
+    let instances = site.start_instances(1).await;
     send_crashing(&instances[0], "/chat/2", "crashing").await;
     let told = send_request(instances[0].generation(2, "during")).await;
     assert!([502, 503].contains(&told.status), "{told:?}");
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -49,24 +49,10 @@
             let engine = started.site.start_engine().await;
             started.engines.push(engine);
         }
-        started.start_instances(instances).await;
+        started.instances = started.site.start_instances(instances).await;
         started
     }
 
-    async fn start_instances(&mut self, count: usize) {
-        for number in 0..count {
-            let instance = self.site.start_instance(&format!("n{number}")).await;
-            self.instances.push(instance);
-        }
-        for instance in &self.instances {
-            wait_until("all members known", async || {
-                let members = instance.state().await["members"].clone();
-                members.as_array().map_or(0, Vec::len) + 1 >= count
-            })
-            .await;
-        }
-    }
-
     /// Sends the request to the instances in turn, under a new id each time.
     async fn call_in_turn(&self, path: &str, attempts: u32) -> Vec<(String, HttpResponse)> {
         let mut responses = Vec::new();
@@ -351,7 +337,7 @@
     // Leaves time to write the suspect to the store before the instances are lost.
     tokio::time::sleep(std::time::Duration::from_millis(500)).await;
     crashing.instances.clear();
-    crashing.start_instances(2).await;
+    crashing.instances = crashing.site.start_instances(2).await;
     crashing.call_in_turn("/chat/2", ATTEMPTS / 2).await;
     let crashed = crashing.crashed();
     assert!(crashed <= CRASHED_MAX, "{crashed} engines crashed");
--- a/tests/crashing_segments.rs
+++ b/tests/crashing_segments.rs
@@ -39,24 +39,10 @@
         for _ in 0..engines {
             started.engines.push(started.site.start_engine().await);
         }
-        started.start_instances(instances).await;
+        started.instances = started.site.start_instances(instances).await;
         started
     }
 
-    async fn start_instances(&mut self, count: usize) {
-        for number in 0..count {
-            let instance = self.site.start_instance(&format!("n{number}")).await;
-            self.instances.push(instance);
-        }
-        for instance in &self.instances {
-            wait_until("all members known", async || {
-                let members = instance.state().await["members"].clone();
-                members.as_array().map_or(0, Vec::len) + 1 >= count
-            })
-            .await;
-        }
-    }
-
     /// Sends a request whose prompt has these segments and one of its own. No two have the same
     /// body.
     async fn send(&self, number: usize, segments: &[&str]) -> HttpResponse {
@@ -147,7 +133,7 @@
     // Leaves time to write what is known to the store before the instances are lost.
     tokio::time::sleep(std::time::Duration::from_millis(500)).await;
     site.instances.clear();
-    site.start_instances(2).await;
+    site.instances = site.site.start_instances(2).await;
     for number in 20..34 {
         site.send(number, &["a1", CRASHING]).await;
     }
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -116,6 +116,22 @@
         instance
     }
 
+    /// Starts instances and waits until all know each other.
+    pub async fn start_instances(&self, count: usize) -> Vec<Instance> {
+        let mut instances = Vec::new();
+        for number in 0..count {
+            instances.push(self.start_instance(&format!("n{number}")).await);
+        }
+        for instance in &instances {
+            wait_until("all members known", async || {
+                let members = instance.state().await["members"].clone();
+                members.as_array().map_or(0, Vec::len) + 1 >= count
+            })
+            .await;
+        }
+        instances
+    }
+
     /// Starts an instance without waiting until it is ready.
     pub fn start_instance_unready(&self, name: &str) -> Instance {
         self.start_instance_with_peers(name, &[])
