What an endpoint said of itself outlasts its entry for a moment

Cause, by reading: rests, limits and health of endpoints that the list lacks are dropped at once, and the copy lacks what was written after it.

Change: kernel/recently_listed keeps them for 10 s; idle connections are closed as before. Its test fails without (the cooldown is gone at the next prune).

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -23,6 +23,7 @@
 use crate::kernel::backoff::Backoff;
 use crate::kernel::clock::{Clock, SystemClock, millis};
 use crate::kernel::membership::LivenessCounts;
+use crate::kernel::recently_listed::RecentlyListed;
 use crate::peer::generated::site_server::SiteServer;
 use crate::settings::Settings;
 use crate::standin::server::{Server, build_rocket, start_server, stop_servers};
@@ -328,6 +329,7 @@
 async fn run_maintenance(gateway: Arc<Gateway>) {
     let mut rounds: u32 = 0;
     let mut pruned_version = None;
+    let mut recently_listed = RecentlyListed::default();
     loop {
         tokio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
         gateway.check_for_suspension();
@@ -346,15 +348,13 @@
         if pruned_version.replace(fleet_version) == Some(fleet_version) {
             continue;
         }
-        let known: std::collections::HashSet<String> = {
-            let fleet = gateway.fleet.lock();
-            fleet
-                .all_endpoints()
-                .map(|(entry, _)| entry.id.clone())
-                .collect()
-        };
         let now = gateway.now();
-        let is_known = |endpoint: &str| known.contains(endpoint);
+        {
+            let fleet = gateway.fleet.lock();
+            let listed = fleet.all_endpoints().map(|(entry, _)| entry.id.as_str());
+            recently_listed.update(listed, now);
+        }
+        let is_known = |endpoint: &str| recently_listed.contains(endpoint);
         gateway
             .endpoint_signals
             .cooldowns
@@ -363,10 +363,7 @@
         gateway.endpoint_signals.permits.prune(is_known);
         gateway
             .upstream
-            .prune_idle(|endpoint| known.contains(endpoint));
-        gateway
-            .health
-            .lock()
-            .prune(|endpoint| known.contains(endpoint));
+            .prune_idle(|endpoint| recently_listed.is_listed(endpoint, now));
+        gateway.health.lock().prune(is_known);
     }
 }
--- a/src/kernel/crash_suspects/culprits.rs
+++ b/src/kernel/crash_suspects/culprits.rs
@@ -2,8 +2,8 @@
 //!
 //! When an endpoint crashes, all that ran on it is cut off, and all segments of each prompt are
 //! suspected alike. Those that are not the cause share only some of its crashes. The suspect with
-//! the most crashes is therefore taken for the cause of all of these, and what is left of the others
-//! is judged by their remaining crashes. A request goes before segments with the same crashes, as
+//! the most crashes is therefore taken for the cause of all of these, and the others are judged by
+//! their remaining crashes. A request goes before segments with the same crashes, as
 //! it is the narrower explanation; what has run on or been finished goes after all that has not.
 //!
 //! Segments that have exactly the same crashes cannot be told apart. They are refused only
--- a/src/kernel/crash_suspects/suspect.rs
+++ b/src/kernel/crash_suspects/suspect.rs
@@ -34,7 +34,7 @@
 /// takes.
 const TRIAL_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Points per crash, and the number of points at which a request is refused.
+/// Points per crash, and the number of points at which a request or segment is refused.
 ///
 /// Engines also crash for unrelated reasons: rules that count all crashes alike would refuse
 /// innocent requests (`cargo bench --bench crashing`).
@@ -62,15 +62,16 @@
     }
 }
 
-/// An endpoint crash, as counted against one request that ran on the endpoint.
+/// An endpoint crash, as counted against one request that ran on the endpoint, or against a segment of
+/// its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointCrash {
     /// Identifies the endpoint incarnation that crashed: the first bytes of a hash of
-    /// [`super::endpoint_entry::EndpointEntry::id`].
+    /// `EndpointEntry::id`.
     pub endpoint: u64,
     /// Identifies the software of the endpoint, see [`software_id`].
     pub software: u64,
-    /// Whether the request had just started on it, see [`START_WINDOW`].
+    /// Whether the request had just started on it, see [`super::START_WINDOW`].
     #[serde(rename = "beginning")]
     pub at_start: bool,
 }
@@ -78,13 +79,13 @@
 /// All that is shared about one suspect.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or segment.
     #[serde(rename = "content")]
     pub fingerprint: Fingerprint,
     /// Number of times that the suspect was found innocent or released.
     #[serde(rename = "life")]
     pub epoch: u32,
-    /// Whether an endpoint has finished the request.
+    /// Whether an endpoint has finished the request, or answered the segment past its start.
     pub innocent: bool,
     /// Whether the request ran past its start on an endpoint in this epoch.
     #[serde(rename = "ran_on")]
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -46,6 +46,7 @@
 pub mod presence;
 pub mod prompt_segments;
 pub mod reachability;
+pub mod recently_listed;
 pub mod region;
 pub mod response_time;
 pub mod retry;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -54,6 +54,8 @@
 mod presence;
 #[path = "kernel/reachability.rs"]
 mod reachability;
+#[path = "kernel/recently_listed.rs"]
+mod recently_listed;
 #[path = "kernel/region.rs"]
 mod region;
 #[path = "kernel/response_time.rs"]
