A call that ran before a peer got it is not refused as not run

What callers saw: 503, 'not run', for a call under which two endpoints had crashed (REFUSED).

Cause: an instance under whose calls two endpoints ended takes itself for cut off and passes the call on, with the number of runs so far. The peer looked up whether the request crashes endpoints and refused it as not run, whatever had run. The class: a promise made from one part of a request's history.

Change: with runs before it, it is answered as one that may have run.

--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -119,7 +119,14 @@
             attempts.restricted = true;
             attempts.tried.extend(excluded);
         }
-        Admission::Refused => return Err(crash_suspects::refusal_error(call)),
+        Admission::Refused if attempts.may_have_run == 0 => {
+            return Err(crash_suspects::refusal_error(call));
+        }
+        // It may have run before a peer passed it on.
+        Admission::Refused => {
+            "endpoints end under it".clone_into(&mut attempts.last_reason);
+            return Err(failure_error(call, attempts));
+        }
     }
     while let Some((endpoint, permit)) = next_endpoint(call, &attempts.tried).await {
         if attempts.failed_connects >= failed_connects_max && call.needs_forwarding() {
