Interfaces for load: who asks, until when, and the ledger by job

Change: the demand carries the client account and the route's longest pause; a placement request carries the part of the waiting time in which its objective can still be met; a listed engine may tell when it leaves. Settings have a block `routing.load`, everything in it off. The ledger is split into its engines, reports and summary, placement has a file of its own, and the waiting times of generations and the engines they must avoid leave `generation.rs`. No decision changes.

Ruled out: fields of the waiting time in the demand itself, which every report of a running generation would carry.

--- a/benches/crashing.rs
+++ b/benches/crashing.rs
@@ -15,9 +15,7 @@
 use larkwick::kernel::crash_suspects::{
     CrashSuspects, EndpointCrash, RefusalRules, START_WINDOW, Verdict,
 };
-use larkwick::kernel::engine_ledger::{
-    EngineLedger, EngineRequirements, ListedEngine, ReportedRun, RunDemand,
-};
+use larkwick::kernel::engine_ledger::{EngineLedger, ListedEngine, ReportedRun, RunDemand};
 use larkwick::kernel::fingerprint::{Fingerprint, FingerprintHead, HeadHash};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -150,9 +148,7 @@
             memory_tokens: 34_000,
             leaving: false,
             closed: false,
-            supports_migration: false,
-            cold: None,
-            limit: None,
+            ..ListedEngine::default()
         });
         self.ledger.set_engines(entries.collect());
     }
@@ -238,7 +234,7 @@
             generated_max_tokens: 600,
             generated_hint_tokens: Some(arrival.run_time.as_secs_f64() * TOKENS_PER_S),
             priority: 1,
-            requirements: EngineRequirements::default(),
+            ..RunDemand::default()
         };
         let granted = self.ledger.place(&demand, "n1", &excluded, self.now);
         let granted = granted.or_else(|| self.ledger.place(&demand, "n1", &[], self.now));
--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -61,6 +61,15 @@
     running.filter_map(|id| fleet.get(id).cloned()).collect()
 }
 
+/// How long a generation may wait for capacity.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct CapacityWait {
+    /// Time within which its first event can still meet the latency objective.
+    pub(crate) within_objective: Duration,
+    /// Time after which it is refused; not shorter than `within_objective`.
+    pub(crate) total: Duration,
+}
+
 /// A granted placement of a generation.
 pub(crate) struct Placement {
     pub(crate) engine: String,
@@ -76,7 +85,7 @@
     service: &str,
     demand: &RunDemand,
     excluded: &[String],
-    wait: Duration,
+    wait: CapacityWait,
 ) -> Option<Placement> {
     let own_name = gateway.incarnation.name.clone();
     let Some(address) = reachable_owner_address(gateway, service) else {
@@ -97,7 +106,7 @@
                 demand,
                 &own_name,
                 excluded,
-                Duration::ZERO,
+                CapacityWait::default(),
             )
             .await
         }
@@ -110,18 +119,20 @@
     service: &str,
     demand: &RunDemand,
     excluded: &[String],
-    wait: Duration,
+    wait: CapacityWait,
 ) -> Result<Option<Placement>, tonic::Status> {
     let mut client = gateway.peers.site_client(address)?;
     let request = wire::PlaceRequest {
         service: service.to_owned(),
         entry: gateway.incarnation.name.clone(),
         demand: Some(demand.into()),
-        wait_ms: millis(wait),
+        wait_ms: millis(wait.total),
         excluded: excluded.to_vec(),
+        objective_wait_ms: millis(wait.within_objective),
     };
     let requested_at = gateway.now();
-    let reply = call_with_timeout(wait + PLACEMENT_REPLY_MARGIN, client.place(request)).await?;
+    let reply =
+        call_with_timeout(wait.total + PLACEMENT_REPLY_MARGIN, client.place(request)).await?;
     // On this instance's clock, and no later than the actual time: if this instance was suspended
     // meanwhile, it sees that the placement is old.
     let counted_at = requested_at + ms(reply.waited_ms);
@@ -136,7 +147,7 @@
     demand: &RunDemand,
     entry: &str,
     excluded: &[String],
-    wait: Duration,
+    wait: CapacityWait,
 ) -> Option<Placement> {
     let shard = gateway.ledgers.shard(service);
     let now = gateway.now();
@@ -144,7 +155,8 @@
         demand: demand.clone(),
         entry: entry.to_owned(),
         excluded: excluded.to_vec(),
-        deadline: now + wait,
+        objective_at: now + wait.within_objective,
+        deadline: now + wait.total,
     };
     let reply = {
         let mut shard = shard.lock();
@@ -221,6 +233,7 @@
             slots: capabilities.slots,
             memory_tokens: capabilities.memory_tokens,
             leaving: availability == Availability::Leaving || rollout.is_given_up(entry),
+            leaves_at: None,
             // Generations in an evacuated hall finish where they run. Moving them, as is done off
             // leaving engines, would overload the other halls.
             closed: !fleet.can_accept_work(&entry.id) || rollout.is_closed(entry),
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -1,21 +1,22 @@
 //! Places a generation on an engine and starts it there.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
-use rand::RngExt;
 use spdlog::info;
 
 use super::call_forwarding::{self, Forwarding};
-use super::coordinator::{self, Placement};
+use super::capacity_wait::{
+    capacity_wait, no_allowed_engine_error, no_capacity_error, wait_for_available_engine,
+};
+use super::coordinator::{self, CapacityWait, Placement};
 use super::crash_suspects::{self, Admission};
-use super::endpoint_cooldowns;
 use super::engine_attempt::{
     AttemptFailure, AttemptParams, AttemptResponse, INITIAL_FIRST_EVENT_TIME, may_have_run_error,
     try_engine,
 };
+use super::excluded_engines::excluded_engines;
 use super::inbound_call::Call;
 use super::relay;
 use super::response_body::{ResponseBody, full_body};
@@ -23,9 +24,7 @@
 use super::started_generation::{EngineAttempts, StartedGeneration, record_generation_end};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
-use crate::kernel::cooldown::ServiceAvailability;
 use crate::kernel::engine_ledger::{EngineRequirements, RunDemand};
-use crate::kernel::fleet::EndpointEntry;
 use crate::kernel::rollout_evidence::Version;
 use crate::platform::ingress;
 
@@ -37,15 +36,6 @@
 /// Minimum time left before the caller's deadline for restarting a generation, since its prompt has
 /// to be read once more.
 const RESTART_TIME_LEFT_MIN: Duration = Duration::from_millis(300);
-/// Callers honour a `Retry-After` of at most their remaining time divided by this; the users of the
-/// service state this.
-const RETRY_AFTER_MAX_DIVISOR: u32 = 3;
-/// Prior for how long engines stay full once they are. Callers come back once, so an early return
-/// is refused for good.
-const EXPECTED_OVERLOAD_DURATION: Duration = Duration::from_secs(5);
-/// Lower end of the random `Retry-After`, as a share of its upper end. The spread keeps callers
-/// from retrying at the same moment.
-const RETRY_AFTER_MIN_SHARE: f64 = 0.6;
 /// Assumed sizes of a medium request, for callers that send no token counts.
 const DEFAULT_PROMPT_TOKENS: u32 = 1_000;
 const DEFAULT_GENERATED_TOKENS: u32 = 500;
@@ -91,6 +81,8 @@
         }),
         generated_hint_tokens: tokens.and_then(|tokens| tokens.generated_hint_tokens),
         priority: u32::from(call.priority),
+        account: call.account.clone(),
+        pause_max: call.route.pause_max,
         requirements: EngineRequirements {
             version: call
                 .version_choice
@@ -194,7 +186,7 @@
             break;
         }
         let wait = capacity_wait(call, attempts);
-        if !wait_for_available_engine(call, attempts, wait).await {
+        if !wait_for_available_engine(call, attempts, wait.total).await {
             reason.push_str("; all engines rest, leave or have ended");
             break;
         }
@@ -250,11 +242,11 @@
     call: &Call,
     demand: &mut RunDemand,
     excluded: &[String],
-    wait: Duration,
+    wait: CapacityWait,
 ) -> Option<Placement> {
     let gateway = &call.gateway;
     if demand.requirements.version == Version::Target {
-        let no_wait = Duration::ZERO;
+        let no_wait = CapacityWait::default();
         let placed = coordinator::place(gateway, &call.service, demand, excluded, no_wait).await;
         demand.requirements.version = Version::Current;
         if placed.is_some() {
@@ -320,77 +312,6 @@
     }
 }
 
-/// Returns how long to wait for capacity.
-///
-/// A generation that has not run waits as long as its first event can still meet the latency
-/// objective; one that may have run waits as long as it can still be served before its deadline.
-fn capacity_wait(call: &Call, attempts: &EngineAttempts) -> Duration {
-    let typical = call
-        .gateway
-        .response_time(&call.service, INITIAL_FIRST_EVENT_TIME)
-        .typical();
-    let budget = if attempts.runs > 0 {
-        call.time_left()
-    } else {
-        call.route.latency_objective.saturating_sub(call.age())
-    };
-    budget.saturating_sub(typical)
-}
-
-/// Waits until an eligible engine is out of cooldown, for at most `wait`. Returns whether there is
-/// one, without a wait if an engine is available now.
-async fn wait_for_available_engine(call: &Call, attempts: &EngineAttempts, wait: Duration) -> bool {
-    let gateway = &call.gateway;
-    let wait_deadline = gateway.now().saturating_add(wait);
-    let is_excluded = |engine: &EndpointEntry| attempts.excluded.contains(&engine.id);
-    match endpoint_cooldowns::service_availability(call, is_excluded, wait_deadline) {
-        ServiceAvailability::Available => true,
-        ServiceAvailability::AvailableAt { at } => {
-            gateway.sleep_until(at).await;
-            true
-        }
-        ServiceAvailability::Unavailable { .. } => false,
-    }
-}
-
-/// Returns the engines that must not be granted: those that did not accept the generation, those
-/// in a cooldown towards this instance, and those that it avoids. The owner does not know of these
-/// yet and would grant the engines for as long as they look empty.
-fn excluded_engines(call: &Call, attempts: &EngineAttempts) -> Vec<String> {
-    let gateway = &call.gateway;
-    let mut excluded = gateway.cooling_down_endpoints();
-    excluded.extend(attempts.excluded.iter().cloned());
-    let avoided = {
-        let fleet = gateway.fleet.lock();
-        let others = call.eligible_endpoints(&fleet, |engine| excluded.contains(&engine.id));
-        gateway.avoided_endpoints(others)
-    };
-    excluded.extend(avoided);
-    excluded.extend(unreached_engines(call, &excluded));
-    excluded.into_iter().collect()
-}
-
-/// Returns the engines that could not be connected to from here a short time ago; none if there is no
-/// other that is not excluded.
-fn unreached_engines(call: &Call, excluded: &BTreeSet<String>) -> BTreeSet<String> {
-    let unreached = call.gateway.reach.unreached_endpoints();
-    if unreached.is_empty() {
-        return unreached;
-    }
-    let fleet = call.gateway.fleet.lock();
-    let is_excluded =
-        |engine: &EndpointEntry| excluded.contains(&engine.id) || unreached.contains(&engine.id);
-    let has_other = call
-        .eligible_endpoints(&fleet, is_excluded)
-        .next()
-        .is_some();
-    if has_other {
-        unreached
-    } else {
-        BTreeSet::new()
-    }
-}
-
 /// Returns how long an engine may take to send its first event: all the time that is left, less the
 /// time that another engine needs if one can still be tried.
 ///
@@ -415,35 +336,6 @@
     !call.regions.is_restricted() || allowed.next().is_some()
 }
 
-fn no_allowed_engine_error(call: &Call) -> Error {
-    Error::new(
-        ErrorKind::NoEndpoint,
-        format!(
-            "service {}: no engine in the allowed regions; not run",
-            call.service
-        ),
-    )
-    .with_retry_after(capacity_retry_after(call))
-}
-
-fn no_capacity_error(call: &Call, reason: &str) -> Error {
-    Error::new(
-        ErrorKind::NoRoom,
-        format!("service {}: {reason}; not run", call.service),
-    )
-    .with_retry_after(
-        endpoint_cooldowns::retry_after_cooldown(call)
-            .unwrap_or_else(|| capacity_retry_after(call)),
-    )
-}
-
-/// Returns when to retry while the engines are full. A caller retries once: if it does so too
-/// early, the engines are still overloaded.
-fn capacity_retry_after(call: &Call) -> Duration {
-    let upper_bound = (call.time_left() / RETRY_AFTER_MAX_DIVISOR).min(EXPECTED_OVERLOAD_DURATION);
-    upper_bound.mul_f64(rand::rng().random_range(RETRY_AFTER_MIN_SHARE..1.0))
-}
-
 fn log_placement(call: &Call, demand: &RunDemand, granted: &str) {
     if crate::log::should_log("generation placed") {
         info!("generation placed", kv: {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 //! | `request_handler` | handles the requests of callers |
 //! | `plain_call`, `plain_attempt`, `endpoint_selection` | calls with a single response, one attempt of a call, and the selection of its endpoint |
 //! | `generation`, `engine_attempt`, `started_generation`, `relay` | placement of generations, attempts at engines, and forwarding of their events, also after a move |
+//! | `capacity_wait`, `excluded_engines` | how long a generation waits for capacity, and the engines that it must not be placed on |
 //! | `read_ahead` | reads generations ahead of callers that read slowly |
 //! | `takeover` | takes over generations whose connection to their engine stalled |
 //! | `upstream` | connection pools of the endpoints |
@@ -46,6 +47,7 @@
 mod answer_ends;
 pub mod app;
 pub(crate) mod call_forwarding;
+pub(crate) mod capacity_wait;
 pub(crate) mod catch_up;
 pub mod chunked_pages;
 pub(crate) mod coordinator;
@@ -56,6 +58,7 @@
 pub(crate) mod endpoint_signals;
 pub(crate) mod engine_attempt;
 pub(crate) mod engine_reports;
+pub(crate) mod excluded_engines;
 pub(crate) mod forwarded_call;
 pub(crate) mod generation;
 pub(crate) mod hall_evacuation;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,6 +7,7 @@
 use tonic::{Request, Response, Status};
 
 use super::chunked_pages::EncodedPage;
+use super::coordinator::CapacityWait;
 use super::forwarded_call::PartStream;
 use super::node::Gateway;
 use super::runs::UnavailableEngines;
@@ -108,13 +109,17 @@
         let started_at = self.gateway.now();
         let request = request.into_inner();
         let demand = request.demand.ok_or(InvalidMessageField("demand"))?.into();
+        let wait = CapacityWait {
+            within_objective: ms(request.objective_wait_ms.min(request.wait_ms)),
+            total: ms(request.wait_ms),
+        };
         let placing = coordinator::place_locally(
             &self.gateway,
             &request.service,
             &demand,
             &request.entry,
             &request.excluded,
-            ms(request.wait_ms),
+            wait,
         );
         let placed = placing.await;
         let waited = self.gateway.now().saturating_sub(started_at);
--- a/src/kernel/admission_queue.rs
+++ b/src/kernel/admission_queue.rs
@@ -31,6 +31,8 @@
     pub entry: String,
     /// Engines that must not be chosen.
     pub excluded: Vec<String>,
+    /// Time until which a placement can still meet its latency objective; at most `deadline`.
+    pub objective_at: Duration,
     /// End of its waiting time; a time that has passed if it does not wait.
     pub deadline: Duration,
 }
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -23,7 +23,7 @@
 const HINT_WEIGHT: f64 = 0.5;
 
 /// Resources that a generation needs.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct RunDemand {
     /// Id of the generation.
     pub run: String,
@@ -37,6 +37,10 @@
     pub generated_hint_tokens: Option<f64>,
     /// Priority; 0 is served first.
     pub priority: u32,
+    /// Client account that asked for it; `None` if calls need no key.
+    pub account: Option<String>,
+    /// Longest pause between events at which the answer is still in time.
+    pub pause_max: Option<Duration>,
     /// Requirements for the engine, apart from its capacity.
     pub requirements: EngineRequirements,
 }
@@ -51,7 +55,7 @@
 }
 
 /// An engine as described by the endpoint list and the configuration.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct ListedEngine {
     /// Id of this incarnation of the engine.
     pub id: String,
@@ -67,6 +71,8 @@
     pub memory_tokens: u32,
     /// Whether its generations have to be moved off.
     pub leaving: bool,
+    /// Time at which it is expected to end, if it is leaving and the time is known.
+    pub leaves_at: Option<Duration>,
     /// Whether it accepts no new generations, although running ones may stay.
     pub closed: bool,
     /// Whether generations can be moved off it.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -17,6 +17,7 @@
 pub mod endpoint_signals;
 pub mod engine_ledger;
 mod engine_moves;
+mod engine_placement;
 mod engine_run;
 pub mod evacuation;
 pub mod event_split;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -238,6 +238,11 @@
     })
 }
 
+/// Returns the whole milliseconds of a time, at most the largest number.
+fn millis_u32(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn non_empty(text: String) -> Option<String> {
     (!text.is_empty()).then_some(text)
 }
@@ -259,6 +264,8 @@
             target_version: demand.requirements.version == Version::Target,
             restricts_regions: demand.requirements.regions.is_restricted(),
             regions: regions.cloned().collect(),
+            account: demand.account.clone().unwrap_or_default(),
+            pause_max_ms: demand.pause_max.map_or(0, millis_u32),
         }
     }
 }
@@ -272,6 +279,9 @@
             generated_max_tokens: message.made_max_tokens,
             generated_hint_tokens: (hint > 0.0).then_some(hint),
             priority: message.priority,
+            account: non_empty(message.account),
+            pause_max: (message.pause_max_ms > 0)
+                .then(|| Duration::from_millis(u64::from(message.pause_max_ms))),
             requirements: EngineRequirements {
                 version: version_from_wire(message.target_version),
                 regions: if message.restricts_regions {
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -313,6 +313,12 @@
     pub restricts_regions: bool,
     #[prost(string, repeated, tag = "8")]
     pub regions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Client account; empty if calls need no key.
+    #[prost(string, tag = "9")]
+    pub account: ::prost::alloc::string::String,
+    /// Longest pause between events at which the answer is still in time; 0 if the route sets none.
+    #[prost(uint32, tag = "10")]
+    pub pause_max_ms: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PlaceRequest {
@@ -327,6 +333,9 @@
     /// Engines that refused this generation.
     #[prost(string, repeated, tag = "5")]
     pub excluded: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Part of wait_ms within which the generation can still meet its latency objective.
+    #[prost(uint64, tag = "6")]
+    pub objective_wait_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PlaceReply {
--- /dev/null
+++ b/src/settings/load.rs
@@ -0,0 +1,55 @@
+//! Settings of how an instance decides when load exceeds the engines or is uneven.
+
+use std::collections::BTreeMap;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::error::SettingsError;
+
+/// Largest weight of a client account; a larger one would leave the others next to nothing.
+const ACCOUNT_WEIGHT_MAX: f64 = 1_000.0;
+
+/// How an instance decides when load exceeds the engines or is uneven. Everything is off unless it
+/// is set, and can be changed while the instance runs.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switches a part of its own"
+)]
+pub struct LoadSettings {
+    /// Whether waiting generations of the same priority get freed capacity in turn by client
+    /// account, rather than by arrival.
+    pub fair_accounts: bool,
+    /// Weights of client accounts that get more or less than others; 1 for all that are not named.
+    pub account_weights: BTreeMap<String, f64>,
+    /// Whether generations of a lower priority leave room for those of a higher one that are
+    /// expected to arrive.
+    pub reserve_for_urgent: bool,
+    /// Whether a generation that can no longer meet its latency objective waits on, rather than
+    /// being refused, as long as its caller does.
+    pub wait_past_objective: bool,
+    /// Whether the observed pace of each engine decides which generations are placed on it.
+    pub engine_pace: bool,
+    /// Whether generations are moved off leaving engines by a schedule that ends before they do, and
+    /// keep room for that.
+    pub scheduled_moves: bool,
+}
+
+impl LoadSettings {
+    /// Validates what the types of the fields do not ensure.
+    ///
+    /// # Errors
+    /// Names the first invalid field.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        let is_valid = |weight: &f64| *weight > 0.0 && *weight <= ACCOUNT_WEIGHT_MAX;
+        if self.account_weights.values().all(is_valid) {
+            return Ok(());
+        }
+        Err(SettingsError {
+            field: "account_weights",
+            allowed: format!("numbers above 0, at most {ACCOUNT_WEIGHT_MAX}"),
+        })
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! | file | subject |
 //! |---|---|
 //! | `error` | the error for invalid settings |
+//! | `load` | settings of how an instance decides under load |
 //! | `routing` | settings of an instance that serves the routes of a site |
 
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use crate::{endpoint, kernel::policy, log_service};
 
 pub mod error;
+pub mod load;
 pub mod routing;
 
 pub use error::{SettingsError, ms};
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::error::{SettingsError, ms};
+use super::load::LoadSettings;
 use crate::gateway::site_store;
 use crate::kernel::freshness::Freshness;
 use crate::kernel::roles::default_link_mbps;
@@ -77,6 +78,9 @@
     /// and the endpoints are known.
     #[serde(default = "default_hold_max_ms")]
     pub hold_max_ms: u64,
+    /// How the instance decides when load exceeds the engines or is uneven.
+    #[serde(default)]
+    pub load: LoadSettings,
 }
 
 /// The memory of the users' smaller instances.
@@ -163,7 +167,7 @@
         if !(1.0..=3_600.0).contains(&self.stop_within_s) {
             return invalid("stop_within_s", "a number from 1 to 3600");
         }
-        Ok(())
+        self.load.validate()
     }
 
     /// Returns the time after a request to stop at which the process is killed.
--- a/tests/kernel/admission_queue.rs
+++ b/tests/kernel/admission_queue.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use larkwick::kernel::admission_queue::{Admission, AdmissionQueue, AdmissionRequest, QueueTicket};
-use larkwick::kernel::engine_ledger::{
-    EngineLedger, EngineRequirements, ListedEngine, ReportedRun, RunDemand,
-};
+use larkwick::kernel::engine_ledger::{EngineLedger, ListedEngine, ReportedRun, RunDemand};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -22,9 +20,8 @@
         memory_tokens: 33_000,
         leaving: false,
         closed: false,
-        cold: None,
-        limit: None,
         supports_migration: true,
+        ..ListedEngine::default()
     }
 }
 
@@ -36,10 +33,11 @@
             generated_max_tokens: 400,
             generated_hint_tokens: None,
             priority,
-            requirements: EngineRequirements::default(),
+            ..RunDemand::default()
         },
         entry: "n".to_owned(),
         excluded: Vec::new(),
+        objective_at: deadline,
         deadline,
     }
 }
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use larkwick::kernel::engine_ledger::{
-    EngineLedger, EngineRequirements, ListedEngine, MoveResult, ReportedRun, RunDemand,
+    EngineLedger, ListedEngine, MoveResult, ReportedRun, RunDemand,
 };
 use larkwick::kernel::permits::{IssuerShare, LimitShare};
 use proptest::prelude::*;
@@ -21,9 +21,8 @@
         memory_tokens: 34_000,
         leaving,
         closed: false,
-        cold: None,
-        limit: None,
         supports_migration: true,
+        ..ListedEngine::default()
     }
 }
 
@@ -34,7 +33,7 @@
         generated_max_tokens: 2_000,
         generated_hint_tokens: Some(800.0),
         priority: 1,
-        requirements: EngineRequirements::default(),
+        ..RunDemand::default()
     }
 }
 
