Soak: engines that leave two at a time at short notice, with all decisions under load on

Cause: the soak's engines leave one by one, 1.5 s after their notice, and its instances run with the default settings.

Change: seeds of odd number turn on `routing.load` whole and have two engines leave at once, 0.3 to 1.5 s after their reports and their entries say so, from random numbers of their own; even seeds, the two regression seeds among them, run as before. The stand-in's report tells when it leaves.

--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -152,6 +152,8 @@
     fault: Mutex<ServerFault>,
     /// Whether it survives the requests that crash other servers.
     crash_proof: AtomicBool,
+    /// Time at which it stops, as its reports tell; `None` if they tell none.
+    leaves_at: Mutex<Option<Instant>>,
     /// Endpoint signals that are added to all responses.
     signals: Mutex<ResponseSignals>,
     /// Arrival times of all requests, queries and orders included.
@@ -206,6 +208,7 @@
             kind,
             fault: Mutex::default(),
             crash_proof: AtomicBool::new(false),
+            leaves_at: Mutex::default(),
             signals: Mutex::default(),
             arrival_times: Mutex::default(),
             listener: Mutex::default(),
@@ -374,6 +377,11 @@
         self.signals.lock().draining = Some(value);
     }
 
+    /// Tells in its reports that it leaves after `notice`.
+    pub fn announce_leave(&self, notice: Duration) {
+        *self.leaves_at.lock() = Some(Instant::now() + notice);
+    }
+
     /// Sets the cooldown in seconds that each refusal asks for; `None` omits the header.
     pub fn set_cooldown(&self, seconds: Option<&'static str>) {
         self.signals.lock().cooldown = seconds;
@@ -586,7 +594,13 @@
         let runs: Vec<Value> = runs
             .map(|(id, run)| json!([id, 1_000, run.generated_events.load(Ordering::Relaxed), 5]))
             .collect();
-        json!({"state": "ready", "queued": 0, "runs": runs})
+        let mut report = json!({"state": "ready", "queued": 0, "runs": runs});
+        if let Some(leaves_at) = *self.leaves_at.lock() {
+            let left = leaves_at.saturating_duration_since(Instant::now());
+            report["state"] = json!("draining");
+            report["leaves_ms"] = json!(left.as_secs_f64() * 1_000.0);
+        }
+        report
     }
 
     fn plain_response(id: &str, fault: ServerFault, body: &Bytes) -> Response<StandinBody> {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -43,6 +43,10 @@
 /// Interval between two faults.
 const FAULT_INTERVAL: Duration = Duration::from_millis(120);
 const CALLERS: usize = 6;
+/// Time between two rounds in which engines leave at short notice.
+const SHORT_NOTICE_PAUSE_MS: std::ops::Range<u64> = 300..900;
+/// Time from the notice of such an engine to its end.
+const NOTICE_MS: std::ops::Range<u64> = 300..1_500;
 
 /// Time after which a server rewrites its entry.
 const ENTRY_REWRITE_DELAY: Duration = Duration::from_millis(150);
@@ -129,8 +133,11 @@
 }
 
 impl Soak {
-    async fn start() -> Arc<Self> {
+    async fn start(decides_under_load: bool) -> Arc<Self> {
         let mut site = RoutedSite::start(3).await;
+        if decides_under_load {
+            site.turn_on_load_decisions();
+        }
         let store_proxy = Arc::new(Proxy::start(site.standin.store_address()).await);
         site.set_store_address(store_proxy.address);
         site.standin.crash_servers_on(CRASHING_BODY);
@@ -501,6 +508,32 @@
         });
     }
 
+    /// Replaces two engines at once that leave at short notice, again and again.
+    async fn replace_engines_at_short_notice(self: Arc<Self>, seed: u64) {
+        let mut random = StdRng::seed_from_u64(!seed);
+        loop {
+            let pause = Duration::from_millis(random.random_range(SHORT_NOTICE_PAUSE_MS));
+            tokio::time::sleep(pause).await;
+            for _ in 0..2 {
+                self.add_engine().await;
+                let notice = Duration::from_millis(random.random_range(NOTICE_MS));
+                tokio::spawn(self.remove_oldest_engine(notice));
+            }
+        }
+    }
+
+    /// Has the engine that runs longest leave after `notice`.
+    fn remove_oldest_engine(&self, notice: Duration) -> impl Future<Output = ()> + use<> {
+        let (leaving, proxy) = self.engines.lock().remove(0);
+        leaving.announce_leave(notice);
+        self.site.standin.list_server(&leaving, "draining");
+        async move {
+            tokio::time::sleep(notice).await;
+            leaving.kill().await;
+            drop(proxy);
+        }
+    }
+
     /// Replaces an engine that announces draining in its responses only.
     ///
     /// Its entry stays ready until the engine has stopped.
@@ -798,8 +831,12 @@
 /// Runs the soak test with one seed.
 async fn run_seed(seed: u64) {
     println!("soak seed {seed}");
-    let soak = Soak::start().await;
+    // Earlier seeds stay as they are; those of odd number have engines that leave at short notice.
+    let decides_under_load = seed % 2 == 1;
+    let soak = Soak::start(decides_under_load).await;
     let replacement = tokio::spawn(soak.clone().replace_crashed());
+    let short_notices = decides_under_load
+        .then(|| tokio::spawn(soak.clone().replace_engines_at_short_notice(seed)));
     let limited = soak.announce_limits();
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| tokio::spawn(soak.clone().call_until_over(seed, number)))
@@ -831,6 +868,9 @@
     soak.check_recovery().await;
     soak.check_crashing_refused().await;
     replacement.abort();
+    if let Some(short_notices) = short_notices {
+        short_notices.abort();
+    }
     soak.suspendable.abort().await;
 }
 
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -27,6 +27,8 @@
     dir: TempDir,
     /// Store address that started instances use; a proxy may be in front of the store.
     store_address: SocketAddr,
+    /// How started instances decide under load; `null` for the default.
+    load: Value,
 }
 
 /// An instance that runs as a process.
@@ -69,6 +71,7 @@
             apps: Vec::new(),
             dir: tempfile::tempdir().expect("temporary directory"),
             store_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            load: Value::Null,
         };
         site.store_address = site.standin.store_address();
         for _ in 0..app_count {
@@ -148,6 +151,14 @@
         self.store_address = address;
     }
 
+    /// Turns on all parts of how instances that are started from now on decide under load.
+    pub fn turn_on_load_decisions(&mut self) {
+        self.load = json!({
+            "fair_accounts": true, "reserve_for_urgent": true, "wait_past_objective": true,
+            "engine_pace": true, "scheduled_moves": true,
+        });
+    }
+
     /// Returns the store address of instances that are started from now on.
     pub fn store_address_for_instances(&self) -> SocketAddr {
         self.store_address
@@ -210,6 +221,9 @@
                 "retry_share": 0.2, "retry_slack": 60, "retry_window_s": 0.0,
             },
         });
+        if !self.load.is_null() {
+            settings["routing"]["load"] = self.load.clone();
+        }
         if let Value::Object(fields) = routing {
             let routing_settings = settings["routing"].as_object_mut().expect("an object");
             routing_settings.extend(fields);
