Placement by the pace of engines; timing of each stream

Cause: the ledger counts memory alone. Where engines differ several times in pace, long streams with a limit for every pause are spread over all of them, and the slow ones break the limit whenever a prompt is read beside in a moment of slowness. The log told neither a stream's first event nor its longest pause nor what made it.

Change: each stream keeps its time to the first event, its longest pause and whether the engine, a move or the caller made it (`generation ended`, two histograms). With `routing.load.engine_pace`, which is off by default, entries report the pauses of their engines by class of length (`RunsReport.paces`); the owner keeps a mean for each start of an engine and a pooled distribution of pauses relative to it, and predicts from both the longest pause of a stream. Long streams go to engines within their limit as long as one has room, short ones to the others first, moves prefer targets within the limit, and predicted memory follows the relative decode rate. The dump, a log line and a histogram of the error show the estimates. Where all engines with room keep the limit, or none does, placements are as before. The relay's choice of events has a file of its own.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -24,9 +24,11 @@
 use crate::kernel::clock::millis;
 use crate::kernel::cold_start::Sender;
 use crate::kernel::engine_ledger::{
-    ColdLimit, EngineLedger, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
+    ColdLimit, EngineLedger, ListedEngine, MoveOrder, MoveResult, PaceChange, PacePolicy,
+    ReportedRun, RunDemand,
 };
 use crate::kernel::fleet::{Availability, EndpointEntry, Fleet};
+use crate::kernel::pause_counts::EnginePauses;
 use crate::kernel::permits::LimitShare;
 use crate::kernel::rollout::Phase;
 use crate::kernel::rollout_evidence::Version;
@@ -200,6 +202,10 @@
     let Some(capabilities) = capabilities else {
         return;
     };
+    shard.ledger.set_pace_policy(PacePolicy {
+        is_enabled: gateway.routing.read().load.engine_pace,
+        event_tokens: capabilities.event_tokens,
+    });
     let cold_start = table
         .service(service)
         .and_then(|service| service.cold_start);
@@ -320,8 +326,10 @@
     entry: &str,
     runs: Vec<ReportedRun>,
     unavailable: &UnavailableEngines,
+    pauses: &[EnginePauses],
 ) {
     let now = gateway.now();
+    let is_owner = acts_as_owner(gateway, service);
     let shard = gateway.ledgers.shard(service);
     let mut shard = shard.lock();
     for endpoint in &unavailable.refused {
@@ -340,6 +348,12 @@
         }
     }
     shard.ledger.apply_report(entry, runs, now);
+    let errors = shard.ledger.apply_pauses(pauses, now);
+    if is_owner {
+        for error in errors {
+            metrics::histogram!("larkwick_engine_pace_error_ratio").record(error);
+        }
+    }
     shard
         .ledger
         .set_cooling_down(entry, unavailable.cooling_down.clone());
@@ -400,7 +414,7 @@
 ) -> Duration {
     let now = gateway.now();
     let is_owner = acts_as_owner(gateway, service);
-    let (orders, is_busy) = {
+    let (orders, pace_changes, is_busy) = {
         let mut shard = shard.lock();
         // The list may have thousands of engines, and other instances only need it once they place
         // generations themselves.
@@ -408,6 +422,7 @@
             refresh_engines(gateway, service, &mut shard);
         }
         shard.ledger.expire(now);
+        shard.ledger.refresh_paces(now);
         notify_waiters(&mut shard, now);
         let orders = if is_owner {
             shard.ledger.plan_moves(now)
@@ -416,8 +431,9 @@
         };
         let is_busy =
             !shard.waiters.is_empty() || (is_owner && shard.ledger.has_runs_on_leaving_engines());
-        (orders, is_busy)
+        (orders, shard.ledger.take_pace_changes(), is_busy)
     };
+    log_pace_changes(service, &pace_changes);
     for order in orders {
         tokio::spawn(execute_move(gateway.clone(), service.to_owned(), order));
     }
@@ -430,6 +446,19 @@
     }
 }
 
+fn log_pace_changes(service: &str, changes: &[PaceChange]) {
+    for change in changes {
+        if crate::log::should_log("engine pace changed") {
+            info!("engine pace changed", kv: {
+                service, endpoint = change.endpoint.as_str(), keeps_pace: = change.keeps_pace,
+                mean_pause_ms: = change.mean_pause_ms.round(),
+                predicted_pause_ms: = change.predicted_pause_ms.round(),
+                pause_max_ms: = change.pause_max_ms.round(),
+            });
+        }
+    }
+}
+
 fn notify_waiters(shard: &mut ServiceShard, now: Duration) {
     let ServiceShard {
         ledger,
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -21,7 +21,9 @@
 use super::relay;
 use super::response_body::{ResponseBody, full_body};
 use super::retry_budgets::RepeatCause;
-use super::started_generation::{EngineAttempts, StartedGeneration, record_generation_end};
+use super::started_generation::{
+    EngineAttempts, StartedGeneration, StreamSummary, record_generation_end,
+};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::{EngineRequirements, RunDemand};
@@ -64,7 +66,8 @@
             {
                 return response;
             }
-            record_generation_end(&call, &format!("{:?}", error.kind), &error.message, 0, 0);
+            let outcome = format!("{:?}", error.kind);
+            record_generation_end(&call, &outcome, &error.message, &StreamSummary::default());
             ingress::error_response(&error).map(full_body)
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::ReportedRun;
 use crate::kernel::limit::LimitUpdate;
+use crate::kernel::pause_counts::EnginePauses;
 use crate::kernel::permits::PermitDecision;
 use crate::peer::convert::{self, InvalidMessageField};
 use crate::peer::generated as wire;
@@ -141,6 +142,7 @@
         let report = request.into_inner();
         let runs: Result<Vec<ReportedRun>, InvalidMessageField> =
             report.runs.into_iter().map(ReportedRun::try_from).collect();
+        let pauses: Vec<EnginePauses> = report.paces.into_iter().map(EnginePauses::from).collect();
         coordinator::apply_run_report(
             &self.gateway,
             &report.service,
@@ -152,6 +154,7 @@
                 unreached: report.unreached.into_iter().collect(),
                 cooling_down: report.resting.into_iter().collect(),
             },
+            &pauses,
         );
         Ok(Response::new(wire::RunsReply {}))
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,12 +1,13 @@
 //! Forwards a generation to its caller event by event, also when it continues at another engine.
 
 mod continuation;
+mod events;
+mod timing;
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::stream;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
@@ -14,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use super::aborted_requests;
-use super::crash_suspects::{self, Survival};
+use super::crash_suspects::Survival;
 use super::generation;
 use super::inbound_call::Call;
 use super::read_ahead::read_ahead;
@@ -24,8 +25,8 @@
     EngineAttempts, ResponseStream, RunGuard, StartedGeneration, record_generation_end,
 };
 use super::takeover::StallDetector;
-use crate::kernel::crash_suspects::START_WINDOW;
 use crate::kernel::presence::Presence;
+use crate::kernel::stream_timing::StreamTiming;
 use crate::platform::engine;
 
 /// Longest time from the request to stop a generation until its stream is closed and its
@@ -55,6 +56,9 @@
     ran_past_start: bool,
     last_event_id: Option<String>,
     moves: u32,
+    timing: StreamTiming,
+    /// When the last frame was handed over to the caller; `None` once it asked for the next one.
+    handed_over_at: Option<Duration>,
     stall_detector: StallDetector,
     /// Why the stream has to be given up once the events before the fault were forwarded.
     pending_abort: Option<String>,
@@ -111,6 +115,8 @@
         ran_past_start: false,
         last_event_id: generation::last_event_id(&call).map(str::to_owned),
         moves: 0,
+        timing: StreamTiming::starting_at(call.gateway.now().saturating_sub(call.age())),
+        handed_over_at: None,
         stall_detector: StallDetector::start(),
         pending_abort: None,
         takeovers: 0,
@@ -119,7 +125,10 @@
         call: call.clone(),
     };
     let frames = stream::unfold(relay, |mut relay| async {
-        relay.next_frame().await.map(|frame| (frame, relay))
+        relay.record_caller_wait();
+        let frame = relay.next_frame().await?;
+        relay.record_handover();
+        Some((frame, relay))
     });
     let frames = read_ahead(call, frames);
     let (parts, ()) = response.into_parts();
@@ -205,76 +214,6 @@
         }
     }
 
-    fn process_data(&mut self, data: &[u8]) -> Step {
-        let Some(source) = &mut self.source else {
-            return Step::Pending;
-        };
-        if !source.is_success() {
-            // The body of an error is not a stream of events.
-            return Step::Events(Bytes::copy_from_slice(data));
-        }
-        let events = match source.splitter.push(data) {
-            Ok(events) => events,
-            Err(error) => return Step::Aborted(error.to_string()),
-        };
-        let mut bytes = BytesMut::new();
-        for event in events {
-            if !self.is_contiguous(event.id.as_deref()) {
-                // The events before it are forwarded first: what continues the generation does so
-                // after the last of them.
-                self.pending_abort = Some("engine stream skipped an event".to_owned());
-                break;
-            }
-            if self.is_already_forwarded(event.id.as_deref()) {
-                continue;
-            }
-            self.events += 1;
-            if event.id.is_some() {
-                self.last_event_id = event.id;
-            }
-            bytes.extend_from_slice(&event.bytes);
-        }
-        self.stall_detector = StallDetector::start();
-        let now = self.call.gateway.now();
-        let first_event_at = *self.first_event_at.get_or_insert(now);
-        if !self.ran_past_start && now.saturating_sub(first_event_at) > START_WINDOW {
-            self.ran_past_start = true;
-            let engine = self.run_guard.run.endpoint.lock().clone();
-            crash_suspects::record_ran_past_start(&self.call, &engine);
-        }
-        let generated = self.events.saturating_mul(self.event_tokens);
-        let run = &self.run_guard.run;
-        run.generated_tokens.store(generated, Ordering::Relaxed);
-        if bytes.is_empty() {
-            Step::Pending
-        } else {
-            Step::Events(bytes.freeze())
-        }
-    }
-
-    fn last_event_number(&self) -> Option<u64> {
-        self.last_event_id.as_ref()?.parse().ok()
-    }
-
-    /// Returns whether an event was already forwarded from the previous engine.
-    fn is_already_forwarded(&self, id: Option<&str>) -> bool {
-        let number = id.and_then(|id| id.parse::<u64>().ok());
-        match (number, self.last_event_number()) {
-            (Some(number), Some(last)) => number <= last,
-            _ => false,
-        }
-    }
-
-    /// Returns whether no event is missing before this one. Event IDs are consecutive numbers.
-    fn is_contiguous(&self, id: Option<&str>) -> bool {
-        let number = id.and_then(|id| id.parse::<u64>().ok());
-        match (number, self.last_event_number()) {
-            (Some(number), Some(last)) => number <= last + 1,
-            (Some(number), None) => number <= 1,
-            _ => true,
-        }
-    }
-
     fn handle_command(&mut self, command: RunCommand) -> Step {
         match command {
             RunCommand::Stopping => {
@@ -378,14 +317,14 @@
             let engine = self.run_guard.run.endpoint.lock().clone();
             Survival::of(&self.call, &engine).record();
         }
-        record_generation_end(&self.call, "whole", "", self.events, self.moves);
+        record_generation_end(&self.call, "whole", "", &self.summary());
         self.source = None;
     }
 
     fn fail(&mut self, reason: &str) -> ResponseAborted {
         self.has_ended = true;
         self.source = None;
-        record_generation_end(&self.call, "broken", reason, self.events, self.moves);
+        record_generation_end(&self.call, "broken", reason, &self.summary());
         ResponseAborted(reason.to_owned())
     }
 }
@@ -393,7 +332,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.has_ended {
-            record_generation_end(&self.call, "caller gone", "", self.events, self.moves);
+            record_generation_end(&self.call, "caller gone", "", &self.summary());
         }
     }
 }
--- a/src/gateway/relay/continuation.rs
+++ b/src/gateway/relay/continuation.rs
@@ -64,6 +64,7 @@
         self.attempts = started.attempts;
         self.source = Some(started.source);
         self.first_event_at = None;
+        self.timing.record_move();
         Ok(())
     }
 
@@ -98,6 +99,7 @@
         self.call.gateway.ledgers.runs_changed.notify_one();
         self.source = Some(ResponseStream::new(response));
         self.first_event_at = None;
+        self.timing.record_move();
         Ok(())
     }
 
--- a/src/gateway/run_reports.rs
+++ b/src/gateway/run_reports.rs
@@ -1,6 +1,6 @@
 //! Reports the generations that this instance serves to the owners of their services.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use super::ownership::{owner_address, record_owner_call};
 use super::runs::UnavailableEngines;
 use crate::kernel::engine_ledger::ReportedRun;
+use crate::kernel::pause_counts::PauseBuffer;
 use crate::peer::client::call_with_timeout;
 use crate::peer::generated as wire;
 
@@ -31,6 +32,8 @@
 /// Reports this instance's generations to the owners until the instance stops.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     let mut reported: BTreeSet<String> = BTreeSet::new();
+    // Pauses that no owner has accepted yet, by service.
+    let mut undelivered: HashMap<String, PauseBuffer> = HashMap::new();
     loop {
         let mut services: BTreeSet<String> = gateway.runs.services();
         // A service whose last generation has ended is reported once more.
@@ -42,7 +45,8 @@
             if !runs.is_empty() {
                 reported.insert(service.clone());
             }
-            send_report(&gateway, service, runs).await;
+            let undelivered = undelivered.entry(service.clone()).or_default();
+            send_report(&gateway, service, runs, undelivered).await;
         }
         tokio::select! {
             () = tokio::time::sleep(report_interval(&gateway)) => {}
@@ -69,7 +73,14 @@
         .min(REPORT_INTERVAL_MAX)
 }
 
-async fn send_report(gateway: &Arc<Gateway>, service: &str, runs: Vec<ReportedRun>) {
+/// Reports to the owner of a service. The pauses of reports that it did not accept are `undelivered`
+/// and sent with the next one.
+async fn send_report(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    runs: Vec<ReportedRun>,
+    undelivered: &mut PauseBuffer,
+) {
     let mut unavailable = UnavailableEngines {
         cooling_down: gateway.cooling_down_endpoints(),
         ..gateway.runs.take_unavailable_engines(service)
@@ -80,7 +91,17 @@
     }
     let own_name = &gateway.incarnation.name;
     // Also kept in the local ledger for when the owner is unreachable.
-    apply_run_report(gateway, service, own_name, runs.clone(), &unavailable);
+    let pauses = gateway.runs.take_pauses(service);
+    apply_run_report(
+        gateway,
+        service,
+        own_name,
+        runs.clone(),
+        &unavailable,
+        &pauses,
+    );
+    undelivered.restore(&pauses);
+    let pauses = undelivered.take();
     let Some(address) = owner_address(gateway, service) else {
         return;
     };
@@ -92,12 +113,16 @@
         dead: unavailable.gone.into_iter().collect(),
         unreached: unavailable.unreached.into_iter().collect(),
         resting: unavailable.cooling_down.into_iter().collect(),
+        paces: pauses.iter().map(wire::EnginePaces::from).collect(),
     };
     let response = match gateway.peers.site_client(&address) {
         Ok(mut client) => call_with_timeout(REPORT_TIMEOUT, client.report_runs(report)).await,
         Err(status) => Err(status),
     };
     record_owner_call(gateway, service, response.is_ok());
+    if response.is_err() {
+        undelivered.restore(&pauses);
+    }
     if let Err(status) = response
         && crate::log::should_log("report not taken")
     {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -11,6 +11,8 @@
 use super::retry_budgets::RetryReservation;
 use crate::kernel::engine_ledger::{ReportedRun, RunDemand};
 use crate::kernel::fleet::EndpointEntry;
+use crate::kernel::pause_counts::{EnginePauses, PauseBuffer};
+use crate::kernel::stream_timing::EventPauses;
 
 /// Where a generation continues once the engine that ran it has stopped it; the stream of that
 /// engine closes by itself.
@@ -92,6 +94,8 @@
     runs: Mutex<HashMap<String, Arc<RunHandle>>>,
     /// Engines found unavailable since the last report, by service.
     unavailable: Mutex<HashMap<String, UnavailableEngines>>,
+    /// Pauses between events observed since the last report, by service.
+    pauses: Mutex<HashMap<String, PauseBuffer>>,
 }
 
 impl RunRegistry {
@@ -157,6 +161,22 @@
         self.unavailable.lock().keys().cloned().collect()
     }
 
+    /// Records pauses between events of the engine that runs a generation.
+    pub(crate) fn record_pauses(&self, run: &RunHandle, pauses: EventPauses) {
+        let mut buffers = self.pauses.lock();
+        let buffer = buffers.entry(run.service.clone()).or_default();
+        buffer.record(&run.endpoint.lock().id, pauses.length, pauses.count);
+    }
+
+    /// Takes the pauses of a service's engines observed since the last call.
+    pub(crate) fn take_pauses(&self, service: &str) -> Vec<EnginePauses> {
+        let mut buffers = self.pauses.lock();
+        buffers
+            .get_mut(service)
+            .map(PauseBuffer::take)
+            .unwrap_or_default()
+    }
+
     /// Takes the unavailable engines recorded since the last call.
     pub(crate) fn take_unavailable_engines(&self, service: &str) -> UnavailableEngines {
         self.unavailable.lock().remove(service).unwrap_or_default()
--- a/src/gateway/started_generation.rs
+++ b/src/gateway/started_generation.rs
@@ -10,6 +10,7 @@
 use super::upstream::EndpointResponse;
 use crate::kernel::clock::millis;
 use crate::kernel::event_split::EventSplitter;
+use crate::kernel::stream_timing::StreamTiming;
 
 /// An engine's response and the splitter of its events.
 pub(crate) struct ResponseStream {
@@ -36,21 +37,41 @@
     }
 }
 
+/// What a caller got of a generation.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct StreamSummary {
+    pub(crate) events: u32,
+    pub(crate) moves: u32,
+    /// `None` if no engine answered.
+    pub(crate) timing: Option<StreamTiming>,
+}
+
 /// Logs and counts the end of a generation.
 pub(crate) fn record_generation_end(
     call: &Call,
     outcome: &str,
     reason: &str,
-    events: u32,
-    moves: u32,
+    summary: &StreamSummary,
 ) {
+    let first_event = summary.timing.and_then(|timing| timing.first_event());
+    let pause = summary.timing.and_then(|timing| timing.longest_pause());
+    let pause_cause = pause.map_or("", |pause| pause.cause.name());
+    if let Some(first_event) = first_event {
+        metrics::histogram!("larkwick_first_event_seconds").record(first_event.as_secs_f64());
+    }
+    if let Some(pause) = pause {
+        metrics::histogram!("larkwick_longest_pause_seconds", "cause" => pause_cause)
+            .record(pause.length.as_secs_f64());
+    }
     metrics::counter!("larkwick_generations_total", "outcome" => outcome.to_owned()).increment(1);
     metrics::histogram!("larkwick_generation_seconds").record(call.age().as_secs_f64());
     if crate::log::should_log("generation ended") {
         info!("generation ended", kv: {
             request_id = call.head.request_id.as_str(),
             route = call.route.name.as_str(),
-            outcome, why = reason, events:, moves:,
+            outcome, why = reason, events: = summary.events, moves: = summary.moves,
+            first_event_ms: = first_event.map_or(0, millis),
+            pause_max_ms: = pause.map_or(0, |pause| millis(pause.length)), pause_cause,
             config_version: = call.table.version(),
             took_ms: = millis(call.age()),
         });
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -7,6 +7,7 @@
 //! it for every placement and every query took the owner a quarter of a core.
 
 mod engine;
+mod pace;
 mod reports;
 mod summary;
 
@@ -21,9 +22,12 @@
     ColdLimit, EngineRequirements, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
 pub(super) use engine::{Engine, Run};
+pub(super) use pace::LongStream;
+pub use pace::{PaceChange, PacePolicy};
 pub use summary::EngineSummary;
 
 use engine::EngineUsage;
+use pace::LedgerPace;
 
 /// Share of an engine's memory that may be filled by a moved generation, or by one that is expected
 /// to end within the prediction horizon and so frees its memory before others need it.
@@ -76,6 +80,8 @@
     permits: PermitIssuer,
     /// Engines in cooldown for any entry instance: the union of all `cooling_down` sets.
     pub(super) cooling_down_engines: BTreeSet<String>,
+    /// What is known of the pace of all engines.
+    pub(super) pace: LedgerPace,
 }
 
 impl EngineLedger {
@@ -125,10 +131,11 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
+        let decode_tokens_per_s = engine.decode_tokens_per_s();
         let mut usage = EngineUsage::default();
         for (names, runs_here) in [(&engine.runs, true), (&engine.incoming, false)] {
             for run in names.iter().filter_map(|name| self.runs.get(name)) {
-                usage.add(&run.reported, runs_here);
+                usage.add(&run.reported, runs_here, decode_tokens_per_s);
             }
         }
         engine.usage = usage;
--- a/src/kernel/engine_ledger/engine.rs
+++ b/src/kernel/engine_ledger/engine.rs
@@ -5,7 +5,9 @@
 
 use serde::Serialize;
 
+use super::pace::ObservedPace;
 use super::{ListedEngine, MoveResult, ReportedRun};
+use crate::kernel::engine_run::DECODE_TOKENS_PER_S;
 
 /// A failed move is retried after this delay, which doubles with each further failure of the
 /// generation.
@@ -75,6 +77,8 @@
     pub(in crate::kernel) incoming: BTreeSet<String>,
     /// Usage by `runs` and `incoming` together.
     pub(in crate::kernel) usage: EngineUsage,
+    /// What is known of its pace.
+    pub(in crate::kernel) pace: ObservedPace,
 }
 
 /// Memory and slots used on an engine.
@@ -116,6 +120,11 @@
         fill + self.tie_breaker
     }
 
+    /// Returns the tokens of one generation that the engine decodes in a second.
+    pub(super) fn decode_tokens_per_s(&self) -> f64 {
+        self.pace.decode_tokens_per_s.unwrap_or(DECODE_TOKENS_PER_S)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.runs.is_empty() && self.incoming.is_empty()
     }
@@ -128,14 +137,15 @@
         run: &ReportedRun,
         fill_max: f64,
     ) -> Option<f64> {
-        let fill = (self.usage.tokens + run.predicted_tokens()) / f64::from(listed.memory_tokens);
+        let run_tokens = run.predicted_tokens(self.decode_tokens_per_s());
+        let fill = (self.usage.tokens + run_tokens) / f64::from(listed.memory_tokens);
         (self.usage.used_slots < listed.slots && fill <= fill_max).then_some(fill)
     }
 }
 
 impl EngineUsage {
-    pub(super) fn add(&mut self, run: &ReportedRun, runs_here: bool) {
-        self.tokens += run.predicted_tokens();
+    pub(super) fn add(&mut self, run: &ReportedRun, runs_here: bool, decode_tokens_per_s: f64) {
+        self.tokens += run.predicted_tokens(decode_tokens_per_s);
         self.used_slots += 1;
         if runs_here && run.generated_tokens == 0 {
             self.prefill_backlog_tokens += f64::from(run.demand.prompt_tokens);
--- a/src/kernel/engine_ledger/reports.rs
+++ b/src/kernel/engine_ledger/reports.rs
@@ -101,6 +101,7 @@
             self.remove(name);
         }
         self.cold_rate_limiter.prune(now);
+        self.pace.estimates.expire(now);
         let before = self.entries.len();
         self.entries.retain(|_, entry| {
             let at = entry.reported_at;
--- a/src/kernel/engine_ledger/summary.rs
+++ b/src/kernel/engine_ledger/summary.rs
@@ -20,6 +20,12 @@
     pub leaving: bool,
     /// Whether it accepts no new generations, although running ones may stay.
     pub closed: bool,
+    /// Estimated mean pause between two events, if engines are placed on by pace.
+    pub mean_pause_ms: Option<f64>,
+    /// Predicted longest pause of a long stream as recently placed.
+    pub predicted_pause_ms: Option<f64>,
+    /// Whether that is within what such streams' callers accept.
+    pub keeps_pace: Option<bool>,
 }
 
 impl EngineLedger {
@@ -34,6 +40,9 @@
                 memory_tokens: listed.memory_tokens,
                 leaving: listed.leaving,
                 closed: listed.closed,
+                mean_pause_ms: engine.pace.mean_pause_ms,
+                predicted_pause_ms: engine.pace.predicted_pause_ms,
+                keeps_pace: engine.pace.keeps_pace,
             };
             Some((id.clone(), summary))
         });
--- a/src/kernel/engine_moves.rs
+++ b/src/kernel/engine_moves.rs
@@ -85,10 +85,15 @@
             } else {
                 CROSS_HALL_PENALTY
             };
-            Some((engine.comparison_score(fill) + hall_penalty, listed))
+            let breaks_limit = !self.keeps_pace(&listed.id, &run.reported.demand);
+            let score = engine.comparison_score(fill) + hall_penalty;
+            Some((breaks_limit, score, listed))
         });
-        let best = fits.min_by(|left, right| left.0.total_cmp(&right.0));
-        best.map(|(_, engine)| engine.id.clone())
+        let best = fits.min_by(|left, right| {
+            let by_limit = left.0.cmp(&right.0);
+            by_limit.then(left.1.total_cmp(&right.1))
+        });
+        best.map(|(_, _, engine)| engine.id.clone())
     }
 
     /// Returns whether a leaving engine may be sent an order to move a generation of an entry
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -9,7 +9,7 @@
 use super::rollout_evidence::Version;
 
 /// Tokens that a generation decodes in a second on an engine shared with several others.
-const DECODE_TOKENS_PER_S: f64 = 64.0;
+pub(super) const DECODE_TOKENS_PER_S: f64 = 64.0;
 /// How far ahead memory use is predicted. It is longer than an owner takes to learn that a
 /// generation ended, and no longer than new generations wait for capacity: tokens generated later
 /// use memory that others have freed by then.
@@ -146,8 +146,8 @@
 }
 
 /// Returns the number of tokens that a generation decodes within the horizon.
-fn growth_within_horizon() -> f64 {
-    DECODE_TOKENS_PER_S * PREDICTION_HORIZON.as_secs_f64()
+fn growth_within_horizon(tokens_per_s: f64) -> f64 {
+    tokens_per_s * PREDICTION_HORIZON.as_secs_f64()
 }
 
 impl RunDemand {
@@ -165,12 +165,13 @@
 
     /// Returns whether the generation is expected to end within the horizon.
     pub(super) fn ends_within_horizon(&self) -> bool {
-        self.expected_output_tokens() <= growth_within_horizon()
+        self.expected_output_tokens() <= growth_within_horizon(DECODE_TOKENS_PER_S)
     }
 
     /// Returns the predicted memory, in tokens, at the end of the horizon after the start.
     pub(super) fn predicted_tokens_at_start(&self) -> f64 {
-        f64::from(self.prompt_tokens) + self.expected_output_tokens().min(growth_within_horizon())
+        let growth_tokens = growth_within_horizon(DECODE_TOKENS_PER_S);
+        f64::from(self.prompt_tokens) + self.expected_output_tokens().min(growth_tokens)
     }
 }
 
@@ -192,9 +193,11 @@
             .max(0.0)
     }
 
-    /// Returns the predicted memory, in tokens, at the end of the horizon.
-    pub(super) fn predicted_tokens(&self) -> f64 {
-        self.current_tokens() + self.remaining_tokens().min(growth_within_horizon())
+    /// Returns the predicted memory, in tokens, at the end of the horizon on an engine that decodes
+    /// this many tokens of it in a second.
+    pub(super) fn predicted_tokens(&self, tokens_per_s: f64) -> f64 {
+        let growth_tokens = growth_within_horizon(tokens_per_s);
+        self.current_tokens() + self.remaining_tokens().min(growth_tokens)
     }
 
     pub(super) fn is_ending_soon(&self) -> bool {
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -14,6 +14,7 @@
 use crate::kernel::group::ReserveRequest;
 use crate::kernel::member_states::MemberState;
 use crate::kernel::membership::{Incarnation, PeerStatus};
+use crate::kernel::pause_counts::{EnginePauses, PauseCounts};
 use crate::kernel::position::Position;
 use crate::kernel::region::AllowedRegions;
 use crate::kernel::rollout::Phase;
@@ -362,6 +363,27 @@
     }
 }
 
+impl From<&EnginePauses> for wire::EnginePaces {
+    fn from(engine: &EnginePauses) -> Self {
+        let (classes, counts) = engine.pauses.classes().unzip();
+        Self {
+            endpoint: engine.endpoint.clone(),
+            classes,
+            counts,
+        }
+    }
+}
+
+impl From<wire::EnginePaces> for EnginePauses {
+    fn from(message: wire::EnginePaces) -> Self {
+        let classes = message.classes.into_iter().zip(message.counts);
+        Self {
+            endpoint: message.endpoint,
+            pauses: PauseCounts::from_classes(classes),
+        }
+    }
+}
+
 impl TryFrom<wire::Run> for ReportedRun {
     type Error = InvalidMessageField;
 
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -378,6 +378,22 @@
     /// Engines that the entry could not connect to, while it reaches others.
     #[prost(string, repeated, tag = "7")]
     pub unreached: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Pauses between events that the entry observed since its last report that was accepted.
+    #[prost(message, repeated, tag = "8")]
+    pub paces: ::prost::alloc::vec::Vec<EnginePaces>,
+}
+/// Pauses between consecutive events of one engine.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EnginePaces {
+    /// The start of the engine.
+    #[prost(string, tag = "1")]
+    pub endpoint: ::prost::alloc::string::String,
+    /// Classes of length, in sixteenths of an octave above a millisecond.
+    #[prost(uint32, repeated, tag = "2")]
+    pub classes: ::prost::alloc::vec::Vec<u32>,
+    /// Number of pauses in each of these classes.
+    #[prost(uint32, repeated, tag = "3")]
+    pub counts: ::prost::alloc::vec::Vec<u32>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RunsReply {}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -18,6 +18,8 @@
 mod crashing_segments;
 #[path = "kernel/engine_ledger.rs"]
 mod engine_ledger;
+#[path = "kernel/engine_pace.rs"]
+mod engine_pace;
 #[path = "kernel/evacuation.rs"]
 mod evacuation;
 #[path = "kernel/fleet.rs"]
@@ -74,5 +76,7 @@
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
 mod store_sources;
+#[path = "kernel/stream_timing.rs"]
+mod stream_timing;
 #[path = "kernel/transfer_budget.rs"]
 mod transfer_budget;
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -6,6 +6,7 @@
 use larkwick::standin::site::server::{Server, ServerFault};
 use larkwick::standin::site::{HOST, KEY};
 use nix::sys::signal::Signal;
+use serde_json::{Value, json};
 use support::site::{
     HttpResponse, RoutedSite, event_numbers, kill_until_refused, send_request, wait_until,
 };
@@ -366,3 +367,47 @@
     assert!(response.is_complete, "{response:?}");
     assert_eq!(response.body, "hello");
 }
+
+/// Pauses that an instance observes count in the owner's estimate, though none of the owner's own
+/// generations runs on the engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_pace_observed_by_entry_known_to_owner() {
+    let site = RoutedSite::start(0).await;
+    let mut config = site.standin.default_config(3, &[KEY]);
+    config["routes"][2]["gap_aim_ms"] = json!(180);
+    site.standin.publish_config(&config);
+    let engine = site.start_engine().await;
+    let routing = json!({"load": {"engine_pace": true}});
+    let instances =
+        ["n1", "n2"].map(|name| site.start_instance_with_settings(name, routing.clone()));
+    for instance in &instances {
+        instance.wait_until_ready().await;
+        wait_until("all instances named", async || {
+            instance.directory_addresses().await.len() == 2
+        })
+        .await;
+    }
+    // The owner alone lists the engines in its ledger.
+    let engine_at = async |number: usize| {
+        let state: Value = instances[number].state().await;
+        state["engines"]["llm"][&engine.id].clone()
+    };
+    assert_complete(&send_request(instances[0].generation(3, "s")).await, 3);
+    wait_until("one owner", async || {
+        engine_at(0).await.is_object() != engine_at(1).await.is_object()
+    })
+    .await;
+    let owner = usize::from(engine_at(1).await.is_object());
+    let entry = &instances[1 - owner];
+    let requests = (0..8).map(|number| entry.generation(80, &format!("p{number}")));
+    let running: Vec<_> = requests
+        .map(|request| tokio::spawn(send_request(request)))
+        .collect();
+    for generation in running {
+        assert_complete(&generation.await.expect("response received"), 80);
+    }
+    wait_until("pace known to the owner", async || {
+        engine_at(owner).await["mean_pause_ms"].is_number()
+    })
+    .await;
+}
