Moves off leaving engines by a schedule that ends before they do

Cause: moves were planned one at a time for each engine, by work per token alone: no deadline, no link rate, emptier engines in other halls preferred although copies there take twice as long, 120 ms to 1.9 s of delay after a failure, 3 s of wait for a lost order, and up to 20 ms of idle link between two copies. `leaves_ms` was decoded into a bool and forgotten.

Ruled out: two copies at once from one engine (the second would go ahead of the last step of the first, for which a stopped generation waits); an extra report of each leaving engine (priced, and half a second old); an exact choice of what fits.

Change, with `routing.load.scheduled_moves`, off by default: the end of an engine is what it announced, or else the first notice plus what recent engines of the service gave; generations are moved by work lost per token copied, those that may end by themselves and those that cannot be copied in time last; the same hall first while the link is short; the next order goes out with the result of the last; a refused or lost order is repeated at once elsewhere, three times in a row; a second order for a generation on the move is refused by its entry instance; copies of moves that were given up are freed; each generation that is not moved in time is logged and counted with one of seven reasons. Off: `plan_moves` is as it was; leaves_at is set but read by the schedule only.

Its own test shows that an unused copy stays with the switch off and is freed with it on.

No existing test was changed.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 
 use super::ledgers::{EngineListKey, ServiceShard, Waiter};
-use super::moves;
+use super::move_orders;
 use super::node::Gateway;
 use super::ownership::{acts_as_owner, owner_address, reachable_owner_address, record_owner_call};
 use super::reach_monitor::UnreachedVerdict;
@@ -23,9 +23,7 @@
 use crate::kernel::admission_queue::{Admission, AdmissionRequest};
 use crate::kernel::clock::millis;
 use crate::kernel::cold_start::Sender;
-use crate::kernel::engine_ledger::{
-    ColdLimit, EngineLedger, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
-};
+use crate::kernel::engine_ledger::{ColdLimit, EngineLedger, ListedEngine, ReportedRun, RunDemand};
 use crate::kernel::fleet::{Availability, EndpointEntry, Fleet};
 use crate::kernel::permits::LimitShare;
 use crate::kernel::rollout::Phase;
@@ -44,8 +42,6 @@
 const STANDBY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time allowed for the owner's response, beyond the requested wait.
 const PLACEMENT_REPLY_MARGIN: Duration = Duration::from_millis(150);
-/// Longest time for copying a generation's memory; a copy of all of it takes half of this time.
-const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Returns the engines that this instance owns, that run generations, and that are not known to be
 /// leaving.
@@ -233,7 +229,7 @@
             slots: capabilities.slots,
             memory_tokens: capabilities.memory_tokens,
             leaving: availability == Availability::Leaving || rollout.is_given_up(entry),
-            leaves_at: None,
+            leaves_at: fleet.expected_end(&entry.id),
             // Generations in an evacuated hall finish where they run. Moving them, as is done off
             // leaving engines, would overload the other halls.
             closed: !fleet.can_accept_work(&entry.id) || rollout.is_closed(entry),
@@ -400,7 +396,8 @@
 ) -> Duration {
     let now = gateway.now();
     let is_owner = acts_as_owner(gateway, service);
-    let (orders, is_busy) = {
+    let scheduling_link = move_orders::scheduling_link(gateway, service);
+    let (due_moves, is_busy) = {
         let mut shard = shard.lock();
         // The list may have thousands of engines, and other instances only need it once they place
         // generations themselves.
@@ -409,18 +406,16 @@
         }
         shard.ledger.expire(now);
         notify_waiters(&mut shard, now);
-        let orders = if is_owner {
-            shard.ledger.plan_moves(now)
+        let due_moves = if is_owner {
+            move_orders::plan_due_moves(service, &mut shard, scheduling_link, now)
         } else {
             Vec::new()
         };
         let is_busy =
             !shard.waiters.is_empty() || (is_owner && shard.ledger.has_runs_on_leaving_engines());
-        (orders, is_busy)
+        (due_moves, is_busy)
     };
-    for order in orders {
-        tokio::spawn(execute_move(gateway.clone(), service.to_owned(), order));
-    }
+    move_orders::start_moves(gateway, service, due_moves);
     if is_busy {
         BUSY_INTERVAL
     } else if is_owner {
@@ -453,57 +448,3 @@
         }
     }
 }
-
-/// Executes a planned move through the entry instance that serves the generation.
-async fn execute_move(gateway: Arc<Gateway>, service: String, order: MoveOrder) {
-    let started_at = gateway.now();
-    let request = wire::MoveRunRequest {
-        service: service.clone(),
-        run: order.run.clone(),
-        source: order.source.clone(),
-        target: order.target.clone(),
-        target_counted: order.target_counted,
-    };
-    let (result, reason) = if order.entry == gateway.incarnation.name {
-        moves::move_run(&gateway, &request).await
-    } else {
-        request_move(&gateway, &order.entry, request).await
-    };
-    let now = gateway.now();
-    let took_ms = millis(now.saturating_sub(started_at));
-    if crate::log::should_log("move ended") {
-        info!("move ended", kv: {
-            request_id = order.run.as_str(), source = order.source.as_str(), target = order.target.as_str(),
-            result:?, reason = reason.as_str(), took_ms:,
-        });
-    }
-    metrics::counter!("larkwick_moves_total", "result" => format!("{result:?}")).increment(1);
-    let shard = gateway.ledgers.shard(&service);
-    shard.lock().ledger.record_move_result(&order, result, now);
-    gateway.ledgers.wake_coordinator();
-}
-
-async fn request_move(
-    gateway: &Gateway,
-    entry: &str,
-    request: wire::MoveRunRequest,
-) -> (MoveResult, String) {
-    let address = {
-        let members = gateway.members.lock();
-        members
-            .get(entry)
-            .map(|peer| peer.status.peer_address.clone())
-    };
-    let Some(address) = address else {
-        return (MoveResult::RunGone, "entry unknown".to_owned());
-    };
-    let client = gateway.peers.site_client(&address);
-    let response = match client {
-        Ok(mut client) => call_with_timeout(MOVE_TIMEOUT, client.move_run(request)).await,
-        Err(status) => Err(status),
-    };
-    match response {
-        Ok(reply) => (convert::decode_move_result(reply.result), reply.reason),
-        Err(status) => (MoveResult::Failed, status.message().to_owned()),
-    }
-}
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -2,7 +2,7 @@
 //! response.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -126,6 +126,7 @@
         demand: demand.clone(),
         endpoint: Mutex::new(engine.clone()),
         generated_tokens: AtomicU32::new(0),
+        is_moving: AtomicBool::new(false),
         commands: sender,
     });
     call.gateway.runs.insert(run.clone());
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -15,6 +15,8 @@
 /// Interval between two rounds of polling. Engines announce that they leave at least 1.5 s ahead,
 /// and their reports show it with a delay of 0.6 s.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// How long before its arrival a report describes the engine.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Maximum wait for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest accepted report.
@@ -43,11 +45,19 @@
     let of_this_incarnation = report.filter(|report| {
         report.born_ms.is_none() || engine.born_ms.is_none() || report.born_ms == engine.born_ms
     });
-    if of_this_incarnation.is_some_and(|report| report.draining) {
+    let Some(report) = of_this_incarnation.filter(|report| report.draining) else {
+        return;
+    };
+    if let Some(leaves_in) = report.leaves_in {
+        let end_at = gateway.now() + leaves_in.saturating_sub(REPORT_DELAY);
         gateway
-            .endpoint_signals
-            .record_draining(&engine.id, "report");
+            .fleet
+            .lock()
+            .record_announced_end(&engine.id, end_at);
     }
+    gateway
+        .endpoint_signals
+        .record_draining(&engine.id, "report");
 }
 
 /// Returns an engine's report if it arrives within the timeout; logs why there is none.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,6 +69,7 @@
 pub(crate) mod listener;
 pub(crate) mod live_members;
 pub mod message_heads;
+mod move_orders;
 pub(crate) mod moves;
 pub(crate) mod node;
 pub(crate) mod operator_api;
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -2,10 +2,12 @@
 //! stopped and the remainder is copied.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use spdlog::warn;
+use spdlog::{info, warn};
 
+use super::move_orders;
 use super::node::Gateway;
 use super::retry_budgets::{Repeat, RepeatCause};
 use super::runs::{Continuation, RunCommand, RunHandle};
@@ -18,9 +20,44 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Largest response to a copy request.
 const RESPONSE_MAX_BYTES: usize = 64 << 10;
+/// Time after which a generation that its engine no longer runs has continued elsewhere or ended.
+const TAKEOVER_MAX: Duration = Duration::from_millis(700);
+/// Longest wait for an engine to free a copy.
+const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
 const RETRIES_SPENT: &str = "retry budget spent";
 
+/// Marks a generation as being moved until it is dropped.
+struct MoveGuard(Arc<RunHandle>);
+
+impl MoveGuard {
+    /// Returns `None` if a move of the generation is in progress.
+    fn begin(run: &Arc<RunHandle>) -> Option<Self> {
+        let was_moving = run.is_moving.swap(true, Ordering::AcqRel);
+        (!was_moving).then(|| Self(run.clone()))
+    }
+}
+
+impl Drop for MoveGuard {
+    fn drop(&mut self) {
+        self.0.is_moving.store(false, Ordering::Release);
+    }
+}
+
+/// Why a generation was not stopped for its move.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum StopError {
+    /// Its engine was not asked, since no retry is left for the continuation.
+    #[error("{RETRIES_SPENT}")]
+    RetriesSpent,
+    /// It has ended, or its stream broke and it was taken over meanwhile.
+    #[error("the generation no longer runs there")]
+    NotRunning,
+    /// It may have been stopped; the outcome did not arrive.
+    #[error("{0}")]
+    Unknown(String),
+}
+
 /// Returns the send by which a generation continues at another engine.
 fn move_of(run: &RunHandle) -> Repeat<'_> {
     Repeat {
@@ -66,13 +103,28 @@
     if gateway.reserve_continuation(move_of(&run)).is_none() {
         return (MoveResult::Failed, RETRIES_SPENT.to_owned());
     }
+    // An order that comes twice, or from two owners, must not stop the generation twice.
+    let is_scheduled = move_orders::scheduling_link(gateway, &run.service).is_some();
+    let guard = MoveGuard::begin(&run);
+    if is_scheduled && guard.is_none() {
+        return (MoveResult::Failed, "a move is in progress".to_owned());
+    }
     let counted = order.target_counted;
-    match copy_memory(gateway, &run, &source, &target, false).await {
-        Ok(CopyOutcome::Done(_)) => {}
+    let copy = match copy_memory(gateway, &run, &source, &target, false).await {
+        Ok(CopyOutcome::Done(copy)) => copy,
         other => return copy_failure(other),
-    }
+    };
     let gateway = gateway.clone();
-    tokio::spawn(async move { finish_move(&gateway, &run, &source, &target, counted).await });
+    tokio::spawn(async move {
+        let finished = finish_move(&gateway, &run, &source, &target, counted).await;
+        drop(guard);
+        if is_scheduled
+            && let Err(error) = finished
+            && is_copy_unused(&gateway, &run, &error).await
+        {
+            free_copy(&gateway, &run, &source, &copy).await;
+        }
+    });
     (MoveResult::Copied, String::new())
 }
 
@@ -82,18 +134,58 @@
     source: &EndpointEntry,
     target: &EndpointEntry,
     counted: bool,
-) {
+) -> Result<(), StopError> {
     send_command(run, RunCommand::Stopping);
     match stop_run(gateway, run, source, target, counted).await {
-        Ok(continuation) => send_command(run, RunCommand::Continue(Box::new(continuation))),
-        Err(reason) => {
+        Ok(continuation) => {
+            send_command(run, RunCommand::Continue(Box::new(continuation)));
+            Ok(())
+        }
+        Err(error) => {
             send_command(run, RunCommand::StopFailed);
             if crate::log::should_log("generation not stopped") {
+                let reason = error.to_string();
                 warn!("generation not stopped", kv: {
                     request_id = run.demand.run.as_str(), source = source.id.as_str(), why = reason.as_str(),
                 });
             }
+            Err(error)
+        }
+    }
+}
+
+/// Returns whether the copy of a move that failed with this error is certainly not used any more.
+async fn is_copy_unused(gateway: &Gateway, run: &RunHandle, error: &StopError) -> bool {
+    match error {
+        StopError::RetriesSpent => true,
+        StopError::NotRunning => {
+            tokio::time::sleep(TAKEOVER_MAX).await;
+            gateway.runs.get(&run.demand.run).is_none()
         }
+        StopError::Unknown(_) => false,
+    }
+}
+
+/// Frees the copy of a move that was given up, which takes memory and a slot at its target. A copy
+/// that is not freed is dropped by the engines after a time that the configuration states.
+async fn free_copy(gateway: &Gateway, run: &RunHandle, source: &EndpointEntry, copy: &str) {
+    let freeing = async {
+        let request = engine::build_free_copy_request(source.address, copy);
+        let request = request.map_err(|error| error.to_string())?;
+        let permit = gateway.request_permit(&source.service, &source.id).await;
+        let permit = permit.ok_or("no permit for the engine")?;
+        let upstream = &gateway.upstream;
+        let response = upstream.send_control_request(source, request, RESPONSE_MAX_BYTES, permit);
+        response.await.map(|(status, _)| status)
+    };
+    let freed = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
+    let freed = freed.unwrap_or_else(|_| Err("no response in time".to_owned()));
+    metrics::counter!("larkwick_move_copies_freed_total").increment(u64::from(freed.is_ok()));
+    if crate::log::should_log("copy of a move freed") {
+        let outcome = freed.map_or_else(|reason| reason, |status| status.to_string());
+        info!("copy of a move freed", kv: {
+            request_id = run.demand.run.as_str(), source = source.id.as_str(), outcome = outcome.as_str(),
+        });
     }
 }
 
@@ -105,10 +197,10 @@
     source: &EndpointEntry,
     target: &EndpointEntry,
     counted: bool,
-) -> Result<Continuation, String> {
+) -> Result<Continuation, StopError> {
     // Reserved before the stop: a stopped generation that may not be sent again is lost.
     let reservation = gateway.reserve_continuation(move_of(run));
-    let reservation = reservation.ok_or(RETRIES_SPENT)?;
+    let reservation = reservation.ok_or(StopError::RetriesSpent)?;
     let continue_at = |target: &EndpointEntry, copy, counted| Continuation {
         target: target.clone(),
         copy_address: source.address,
@@ -116,11 +208,13 @@
         counted,
         reservation,
     };
-    match copy_memory(gateway, run, source, target, true).await? {
+    let outcome = copy_memory(gateway, run, source, target, true).await;
+    match outcome.map_err(StopError::Unknown)? {
         CopyOutcome::Done(copy) => Ok(continue_at(target, copy, counted)),
         // The generation was stopped and its engine still has its memory, so it continues there.
         CopyOutcome::NoRoom(Some(kept)) => Ok(continue_at(source, kept, false)),
-        other => Err(format!("{other:?}")),
+        CopyOutcome::NotRunning => Err(StopError::NotRunning),
+        other => Err(StopError::Unknown(format!("{other:?}"))),
     }
 }
 
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
@@ -48,6 +48,8 @@
     /// Engine that runs the generation.
     pub(crate) endpoint: Mutex<EndpointEntry>,
     pub(crate) generated_tokens: AtomicU32,
+    /// Whether a move of it is in progress.
+    pub(crate) is_moving: AtomicBool,
     pub(crate) commands: mpsc::UnboundedSender<RunCommand>,
 }
 
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -129,7 +129,9 @@
     }?;
     // An engine that has ended stops nothing, and would be waited for in vain.
     let stopped = tokio::select! {
-        stopped = moves::stop_run(gateway, run, &source, &target, false) => stopped,
+        stopped = moves::stop_run(gateway, run, &source, &target, false) => {
+            stopped.map_err(|error| error.to_string())
+        }
         () = gateway.endpoint_ended(&source) => Err("the engine has ended".to_owned()),
     };
     if crate::log::should_log("generation taken over") {
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -15,6 +15,7 @@
 
 use super::cold_start::ColdRateLimiter;
 use super::membership::rendezvous_share;
+use super::move_schedule::MoveRecords;
 use super::permits::{LimitShare, PermitDecision, PermitIssuer};
 
 pub use super::engine_run::{
@@ -70,6 +71,8 @@
     unconfirmed: BTreeSet<String>,
     /// Generations that are being moved.
     pub(super) moving: BTreeSet<String>,
+    /// Past moves, if they are scheduled by the ends of the engines.
+    pub(super) move_records: MoveRecords,
     /// Requests recently sent to cold engines.
     pub(super) cold_rate_limiter: ColdRateLimiter,
     /// Permits granted for engines that announce a rate limit.
--- a/src/kernel/engine_moves.rs
+++ b/src/kernel/engine_moves.rs
@@ -23,20 +23,25 @@
             if let Some(order) = self.next_move(&source, &busy, now) {
                 busy.insert(order.source.clone());
                 busy.insert(order.target.clone());
-                let target = order.target.clone();
-                let target_counted = self.record_sent_request(&target, &order.entry, now);
-                self.update_run(&order.run, |run| run.moving_to = Some(target));
-                orders.push(MoveOrder {
-                    target_counted,
-                    ..order
-                });
+                orders.push(self.start_move(order, now));
             }
         }
         orders
     }
 
+    /// Records that a move starts, and returns its order.
+    pub(super) fn start_move(&mut self, order: MoveOrder, now: Duration) -> MoveOrder {
+        let target = order.target.clone();
+        let target_counted = self.record_sent_request(&target, &order.entry, now);
+        self.update_run(&order.run, |run| run.moving_to = Some(target));
+        MoveOrder {
+            target_counted,
+            ..order
+        }
+    }
+
     /// Returns the source and target engines of moves in progress.
-    fn engines_in_moves(&self) -> BTreeSet<String> {
+    pub(super) fn engines_in_moves(&self) -> BTreeSet<String> {
         let mut busy = BTreeSet::new();
         for run in self.moving.iter().filter_map(|name| self.runs.get(name)) {
             busy.extend(run.moving_to.clone());
@@ -45,7 +50,8 @@
         busy
     }
 
-    fn leaving_engines(&self) -> Vec<ListedEngine> {
+    /// Returns the engines whose generations have to be moved off and can be.
+    pub(super) fn leaving_engines(&self) -> Vec<ListedEngine> {
         let engines = self.engines.values();
         let running = engines.filter(|engine| !engine.runs.is_empty());
         let listed = running.filter_map(|engine| engine.listed.as_ref());
@@ -57,7 +63,7 @@
 
     /// Returns the target engine with the most free capacity for a generation, preferring engines
     /// in the same hall.
-    fn best_target(
+    pub(super) fn best_target(
         &self,
         run: &Run,
         source: &ListedEngine,
@@ -97,6 +103,21 @@
         source.limit.is_none() || self.can_accept_request(source, entry, now)
     }
 
+    /// Returns the generations on an engine that can be moved off it now.
+    pub(super) fn movable_runs(&self, source: &ListedEngine, now: Duration) -> Vec<&Run> {
+        let engine: Option<&Engine> = self.engines.get(&source.id);
+        let names = engine.into_iter().flat_map(|engine| &engine.runs);
+        let on_source = names.filter_map(|name| self.runs.get(name));
+        let movable = on_source.filter(|run| {
+            run.moving_to.is_none()
+                && run.confirmed
+                && run.reported.generated_tokens > 0
+                && now >= run.next_move_at
+                && self.can_accept_order(source, &run.entry, now)
+        });
+        movable.collect()
+    }
+
     /// Chooses the next generation to move off an engine: the one with the most work to lose per
     /// token of memory to be copied.
     fn next_move(
@@ -105,16 +126,7 @@
         busy: &BTreeSet<String>,
         now: Duration,
     ) -> Option<MoveOrder> {
-        let engine: &Engine = self.engines.get(&source.id)?;
-        let on_source = engine.runs.iter().filter_map(|name| self.runs.get(name));
-        let movable = on_source.filter(|run| {
-            run.moving_to.is_none()
-                && run.confirmed
-                && run.reported.generated_tokens > 0
-                && now >= run.next_move_at
-                && self.can_accept_order(source, &run.entry, now)
-        });
-        let mut candidates: Vec<&Run> = movable.collect();
+        let mut candidates = self.movable_runs(source, now);
         // Generations that are about to end come last: hints are often too short.
         candidates.sort_by(|left, right| {
             let by_ending_soon = left
@@ -139,7 +151,11 @@
 
 /// Returns the work that is lost with a generation, per token of memory that has to be copied.
 fn loss_per_copied_token(run: &Run) -> f64 {
+    lost_work_tokens(run) / run.reported.current_tokens()
+}
+
+/// Returns the work that is lost with a generation, as a number of prompt tokens.
+pub(super) fn lost_work_tokens(run: &Run) -> f64 {
     let demand = &run.reported.demand;
-    let size = f64::from(demand.prompt_tokens) + 10.0 * demand.expected_output_tokens();
-    size / run.reported.current_tokens()
+    f64::from(demand.prompt_tokens) + 10.0 * demand.expected_output_tokens()
 }
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -9,7 +9,7 @@
 use super::rollout_evidence::Version;
 
 /// Tokens that a generation decodes in a second on an engine shared with several others.
-const DECODE_TOKENS_PER_S: f64 = 64.0;
+pub(super) const DECODE_TOKENS_PER_S: f64 = 64.0;
 /// How far ahead memory use is predicted. It is longer than an owner takes to learn that a
 /// generation ended, and no longer than new generations wait for capacity: tokens generated later
 /// use memory that others have freed by then.
@@ -182,7 +182,7 @@
 
     /// Returns the expected number of tokens still to be generated, at most up to the maximum. It is
     /// at least a quarter of those generated so far, because hints are often too short.
-    fn remaining_tokens(&self) -> f64 {
+    pub(super) fn remaining_tokens(&self) -> f64 {
         let generated = f64::from(self.generated_tokens);
         let max_tokens = f64::from(self.demand.generated_max_tokens);
         let expected = self.demand.expected_output_tokens() - generated;
--- a/src/kernel/fleet.rs
+++ b/src/kernel/fleet.rs
@@ -9,6 +9,7 @@
 pub use super::endpoint_entry::{EndpointEntry, ListUpdate, incarnation_id};
 use super::evacuation::{ActiveEvacuations, EvacuatedHalls, HallChange, HallOrder};
 use super::fingerprint::short_hash;
+use super::notice_times::NoticeTimes;
 
 /// How long after an outage of the list a missing entry may reappear; the platform specifies two
 /// seconds.
@@ -64,6 +65,11 @@
     /// When a source other than the list reported that it is draining; `None` once the list reports
     /// it.
     drain_notice_at: Option<Duration>,
+    /// When this instance first learned that it leaves, or that its entry vanished; `None` if it is
+    /// not known to leave.
+    leaving_noticed_at: Option<Duration>,
+    /// Earliest end that it announced.
+    announced_end_at: Option<Duration>,
     /// Identifies this incarnation in messages between instances.
     short_name: u64,
 }
@@ -79,6 +85,7 @@
     /// Marks it as leaving, regardless of later entries in the list.
     fn mark_leaving(&mut self, now: Duration) {
         self.entry.leaving = true;
+        self.leaving_noticed_at.get_or_insert(now);
         if self.availability != Availability::Leaving {
             self.availability = Availability::Leaving;
             self.since = now;
@@ -114,6 +121,8 @@
     halls: ActiveEvacuations,
     /// When the list last recovered from an outage.
     list_recovered_at: Option<Duration>,
+    /// Times from notice to end of endpoints that were seen to end.
+    notice_times: NoticeTimes,
     /// Incremented on every change.
     version: u64,
 }
@@ -270,6 +279,8 @@
             None => now.saturating_add(entry.cold_left),
         };
         let drain_notice_at = known.and_then(|known| known.drain_notice_at);
+        let noticed_at = known.and_then(|known| known.leaving_noticed_at);
+        let announced_end_at = known.and_then(|known| known.announced_end_at);
         let short_name = known.map_or_else(|| short_hash(&entry.id), |known| known.short_name);
         let listed_leaving = entry.leaving;
         let mut entry = entry;
@@ -287,6 +298,8 @@
             cold_until,
             listed: true,
             drain_notice_at: drain_notice_at.filter(|_| !listed_leaving),
+            leaving_noticed_at: is_leaving.then(|| noticed_at.unwrap_or(now)),
+            announced_end_at,
             short_name,
         };
         self.endpoints.insert(known.entry.id.clone(), known);
@@ -328,11 +341,24 @@
         let relist_deadline = self.list_recovered_at.map(|at| at + RELIST_TIMEOUT);
         let after_outage = relist_deadline.filter(|until| now < *until);
         let known = self.endpoints.get_mut(id)?;
-        known.listed = false;
-        known.drain_notice_at = None;
+        let was_listed = std::mem::replace(&mut known.listed, false);
+        // An endpoint whose drain notice is not in the list may drop its entry and go on serving.
+        let listed_leaving =
+            known.drain_notice_at.take().is_none() && known.availability == Availability::Leaving;
+        if was_listed
+            && listed_leaving
+            && after_outage.is_none()
+            && let Some(noticed_at) = known.leaving_noticed_at
+        {
+            let after_notice = now.saturating_sub(noticed_at);
+            self.notice_times
+                .record_end(&known.entry.service, after_notice);
+            self.version += 1;
+        }
         if !known.can_vanish() {
             return None;
         }
+        known.leaving_noticed_at.get_or_insert(now);
         known.since = now;
         self.version += 1;
         if (after_outage.is_some() || is_mass_vanish) && known.availability == Availability::Ready {
@@ -382,6 +408,28 @@
         was_usable.then(|| FleetChange::Left(known.entry.clone()))
     }
 
+    /// Records the end that an endpoint announced. The earliest one counts.
+    pub fn record_announced_end(&mut self, id: &str, end_at: Duration) {
+        if let Some(known) = self.endpoints.get_mut(id)
+            && known.announced_end_at.is_none_or(|known| end_at < known)
+        {
+            known.announced_end_at = Some(end_at);
+            self.version += 1;
+        }
+    }
+
+    /// Returns when an endpoint that is leaving is expected to end: as it announced, or else by the
+    /// notice that others of its service gave. `None` if it is not known to leave.
+    #[must_use]
+    pub fn expected_end(&self, id: &str) -> Option<Duration> {
+        let known = self.endpoints.get(id)?;
+        let noticed_at = known
+            .leaving_noticed_at
+            .filter(|_| known.availability == Availability::Leaving)?;
+        let predicted = || noticed_at + self.notice_times.estimate(&known.entry.service);
+        Some(known.announced_end_at.unwrap_or_else(predicted))
+    }
+
     /// Returns the short names of endpoints that were recently reported as draining by another
     /// source than the list, unless the list reports it now, for other members. `offset` selects
     /// the first one if there are too many for one heartbeat.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -316,6 +316,18 @@
         .body(Bytes::from(body))
 }
 
+/// Builds the request to free a copy that an engine made, at both engines.
+///
+/// # Errors
+/// Returns an error if the name of the copy cannot be part of a path.
+pub fn build_free_copy_request(source: SocketAddr, copy: &str) -> http::Result<Request<Bytes>> {
+    Request::builder()
+        .method(Method::DELETE)
+        .uri(format!("{}{copy}", names::COPY_PATH))
+        .header(HOST, source.to_string())
+        .body(Bytes::new())
+}
+
 /// Decodes the response to [`build_move_request`].
 #[must_use]
 pub fn decode_copy_outcome(status: u16, body: &[u8]) -> CopyOutcome {
@@ -357,6 +369,8 @@
 pub struct EngineReport {
     /// Whether the engine is draining.
     pub draining: bool,
+    /// Time from the report to the engine's planned end, if it is known.
+    pub leaves_in: Option<Duration>,
     /// Start time, in milliseconds since the Unix epoch, if reported.
     pub born_ms: Option<u64>,
     /// Whether the engine reported that it has no queued requests.
@@ -415,7 +429,11 @@
         let (request_id, events) = (run.get(0)?.as_str()?, run.get(2)?.as_u64()?);
         Some((request_id.to_owned(), events))
     });
+    let leaves_ms = wire.leaves_ms.filter(|leaves_ms| leaves_ms.is_finite());
+    let leaves_in =
+        leaves_ms.and_then(|leaves_ms| Duration::try_from_secs_f64(leaves_ms.max(0.0) / 1e3).ok());
     Ok(EngineReport {
+        leaves_in,
         draining: wire.state == "draining" || wire.leaves_ms.is_some(),
         born_ms: wire.born,
         is_queue_empty: wire.queued.is_some_and(|queued| queued <= 0.0),
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -85,6 +85,8 @@
 pub const REPORT_PATH: &str = "/larkwick/report";
 /// Path at an engine that copies the KV memory of a running generation.
 pub const MOVE_PATH: &str = "/larkwick/kv-move";
+/// Path prefix at an engine of the copies that it made, by name.
+pub const COPY_PATH: &str = "/larkwick/kv-handle/";
 
 /// Path at the store for appending records.
 pub const STORE_APPEND_PATH: &str = "/larkwick/log-append";
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -372,4 +372,10 @@
     pub fn servers_that_ran(&self, request: &str) -> Vec<String> {
         self.servers.servers_that_ran(request)
     }
+
+    /// Returns the number of memory copies that are neither used nor freed.
+    #[must_use]
+    pub fn copy_count(&self) -> usize {
+        self.servers.copy_count()
+    }
 }
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -62,6 +62,8 @@
     InternalError,
     /// Omits the response seal.
     Unsealed,
+    /// Copies the memory of its generations, and does not stop them for a move.
+    RefusesStops,
     /// Refuses to receive memory copies.
     RefusesCopies,
     /// Receives memory copies and refuses to continue from them.
@@ -275,6 +277,10 @@
         let of_request = runs.iter().filter(|(_, run)| run == request);
         of_request.map(|(server, _)| server.clone()).collect()
     }
+
+    pub(super) fn copy_count(&self) -> usize {
+        self.copies.lock().len()
+    }
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
@@ -453,6 +459,9 @@
             names::REPORT_PATH => return build_response(200, self.run_report().to_string()),
             _ => {}
         }
+        if let Some(copy) = path.strip_prefix(names::COPY_PATH) {
+            return self.free_copy(copy);
+        }
         let headers = request.headers().clone();
         let id = header_text(&headers, &names::REQUEST_ID)
             .unwrap_or_default()
@@ -665,6 +674,13 @@
         format!("id: {number}\ndata: event {number} of {}\n\n", self.id)
     }
 
+    fn free_copy(&self, copy: &str) -> Response<StandinBody> {
+        let key = (self.address(), copy.to_owned());
+        let servers = self.servers.upgrade();
+        let freed = servers.and_then(|servers| servers.copies.lock().remove(&key));
+        build_response(if freed.is_some() { 200 } else { 404 }, "")
+    }
+
     async fn copy_memory(&self, request: Request<Incoming>) -> Response<StandinBody> {
         let body = request.into_body().collect().await;
         let body = body
@@ -685,6 +701,9 @@
             return build_response(503, "no room");
         }
         let is_last = order["last"].as_bool().unwrap_or_default();
+        if is_last && *self.fault.lock() == ServerFault::RefusesStops {
+            return build_response(404, "no such run");
+        }
         if is_last {
             run.stop_requested.store(true, Ordering::Relaxed);
             run.stop_signal.notify_waiters();
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -42,6 +42,8 @@
 mod member_states;
 #[path = "kernel/membership.rs"]
 mod membership;
+#[path = "kernel/move_schedule.rs"]
+mod move_schedule;
 #[path = "kernel/owner_contact.rs"]
 mod owner_contact;
 #[path = "kernel/parsers.rs"]
--- a/tests/kernel/fleet.rs
+++ b/tests/kernel/fleet.rs
@@ -359,3 +359,29 @@
     assert_eq!(left.count(), 100);
     assert_eq!(fleet.ready_endpoints("s").count(), LISTED - 100);
 }
+
+/// Engines that say only that they are leaving: the next one is expected to end as the others of its
+/// service did after their first notice, unless it announces its end. Nothing is known of its next
+/// start.
+#[test]
+fn expected_end_announced_or_as_others_of_the_service() {
+    let mut fleet = fleet(5);
+    let ms = |ms| NOW + Duration::from_millis(ms);
+    for (id, leaves_ms) in ids(&["e0", "e1", "e2", "e3"])
+        .iter()
+        .zip((0..).step_by(3_000))
+    {
+        assert_eq!(fleet.expected_end(id), None);
+        apply(&mut fleet, vec![entry(id, true)], &[], ms(leaves_ms));
+        assert!(fleet.expected_end(id) >= Some(ms(leaves_ms + 1_500)));
+        apply(&mut fleet, Vec::new(), &ids(&[id]), ms(leaves_ms + 2_000));
+    }
+    fleet.record_drain_notice("e4", ms(20_000));
+    apply(&mut fleet, vec![entry("e4", true)], &[], ms(20_300));
+    assert_eq!(fleet.expected_end("e4"), Some(ms(22_000)));
+    fleet.record_announced_end("e4", ms(21_700));
+    fleet.record_announced_end("e4", ms(21_800));
+    assert_eq!(fleet.expected_end("e4"), Some(ms(21_700)));
+    apply(&mut fleet, vec![started("e4", 1, false)], &[], ms(23_000));
+    assert_eq!(fleet.expected_end(&incarnation_id("e4", Some(1))), None);
+}
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -6,6 +6,7 @@
 use larkwick::standin::site::server::{Server, ServerFault};
 use larkwick::standin::site::{HOST, KEY};
 use nix::sys::signal::Signal;
+use serde_json::json;
 use support::site::{
     HttpResponse, RoutedSite, event_numbers, kill_until_refused, send_request, wait_until,
 };
@@ -60,6 +61,67 @@
     }
 }
 
+/// An engine that seems to have room refuses every copy; the other one gets all of them before their
+/// engine ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_scheduled_move_refused_other_target_tried() {
+    let site = RoutedSite::start(0).await;
+    let leaving = site.start_engine().await;
+    let settings = json!({"load": {"scheduled_moves": true}});
+    let instance = site.start_instance_with_settings("n1", settings);
+    instance.wait_until_ready().await;
+    let running: Vec<_> = (0..3)
+        .map(|number| tokio::spawn(send_request(instance.generation(80, &format!("s{number}")))))
+        .collect();
+    wait_until("generations running", async || leaving.running_count() == 3).await;
+    let refusing = site.start_engine().await;
+    refusing.set_fault(ServerFault::RefusesCopies);
+    let staying = site.start_engine().await;
+    wait_until("all engines known", async || {
+        let state = instance.state().await;
+        let mut engines = [&refusing, &staying].into_iter();
+        engines.all(|engine| state["endpoints"][&engine.id].is_object())
+    })
+    .await;
+    site.standin.list_server(&leaving, "draining");
+    wait_until("generations moved", async || staying.running_count() == 3).await;
+    leaving.kill().await;
+    for (number, generation) in running.into_iter().enumerate() {
+        assert_complete(&generation.await.expect("response received"), 80);
+        let runs = site.standin.servers_that_ran(&format!("s{number}"));
+        assert_eq!(runs, [leaving.id.as_str()]);
+    }
+}
+
+/// Guards against copies of moves that were given up: each takes memory and a slot at its target.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_scheduled_move_given_up_copy_freed() {
+    for is_scheduled in [false, true] {
+        let site = RoutedSite::start(0).await;
+        let leaving = site.start_engine().await;
+        leaving.set_fault(ServerFault::RefusesStops);
+        let settings = json!({"load": {"scheduled_moves": is_scheduled}});
+        let instance = site.start_instance_with_settings("n1", settings);
+        instance.wait_until_ready().await;
+        let running = tokio::spawn(send_request(instance.generation(60, "f1")));
+        wait_until("generation running", async || leaving.running_count() == 1).await;
+        let staying = site.start_engine().await;
+        wait_until("both engines known", async || {
+            instance.state().await["endpoints"][&staying.id].is_object()
+        })
+        .await;
+        site.standin.list_server(&leaving, "draining");
+        assert_complete(&running.await.expect("response received"), 60);
+        let is_freed = async || site.standin.copy_count() == 0;
+        if is_scheduled {
+            wait_until("copy freed", is_freed).await;
+            assert!(instance.has_log_line("copy of a move freed"));
+        } else {
+            assert!(!is_freed().await, "a copy was made");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn generation_target_without_capacity_continues_at_source() {
     let site = RoutedSite::start(0).await;
