--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -183,7 +183,7 @@
 
     /// Returns the expected number of tokens still to be generated, at most up to the maximum. It is
     /// at least a quarter of those generated so far, because hints are often too short.
-    fn remaining_tokens(&self) -> f64 {
+    pub(super) fn remaining_tokens(&self) -> f64 {
         let generated = f64::from(self.generated_tokens);
         let max_tokens = f64::from(self.demand.generated_max_tokens);
         let expected = self.demand.expected_output_tokens() - generated;
