Room under load: reserves, shares of accounts, waits past the objective

Cause: the queue orders by priority and arrival. Long generations take all room the moment they come and hold it for ten seconds, so urgent short ones and moves off leaving engines find none; one account's burst takes what the others need; and the forecast by placements of the last second falls to nothing when engines have just left, so that those are refused whom the next second would serve.

Change, each part behind its own setting of `routing.load`, all off: - `reserve_for_urgent`: a new generation leaves free what is expected of higher priorities while it runs; engines are told the call's priority. `scheduled_moves`: new long ones leave free what is moved next off leaving engines. - `fair_accounts`, `account_weights`: start-time fair queueing within a priority, charged in tokens x seconds. A new owner charges the accounts for a second with what the reports say they run. - `wait_past_objective`: who can no longer meet its objective waits behind all that can, until its caller would leave (new field of routes, `caller_patience`). A call whose owner is lost or replaced while it waits asks the next one for the rest of the wait. `PlaceReply.room_in_ms` spreads `Retry-After` over the time at which room is expected. - With any of them, the forecast is by running generations over their holding time (Little's law), less the lower quartile of arrivals where these would overtake. New arrivals count on three quarters of it. - Refusals are logged with account, reason, wait, number ahead and reserve; the dump has the 32 largest accounts.

Tests: urgent ones, moves, waits past the objective and the large account are replayed with and without their setting, and ask that it goes worse without, which is the queue as it was. Weights, the largest tenth, the lost owner and the fair bound run with the settings alone: that they fail without was not shown. tests/kernel/routes.rs gets the new field in its literal; no other test was changed.

--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -13,6 +13,7 @@
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
 
+use super::admission_policy::{record_refusal, sync_policy};
 use super::ledgers::{EngineListKey, ServiceShard, Waiter};
 use super::moves;
 use super::node::Gateway;
@@ -20,7 +21,7 @@
 use super::reach_monitor::UnreachedVerdict;
 use super::runs::UnavailableEngines;
 use super::version_choice::{self, RolloutView};
-use crate::kernel::admission_queue::{Admission, AdmissionRequest};
+use crate::kernel::admission_queue::{Admission, AdmissionRequest, WaitOutcome};
 use crate::kernel::clock::millis;
 use crate::kernel::cold_start::Sender;
 use crate::kernel::engine_ledger::{
@@ -44,6 +45,8 @@
 const STANDBY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time allowed for the owner's response, beyond the requested wait.
 const PLACEMENT_REPLY_MARGIN: Duration = Duration::from_millis(150);
+/// Interval at which a generation that waits checks that its owner is still the owner.
+const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time for copying a generation's memory; a copy of all of it takes half of this time.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -70,6 +73,16 @@
     pub(crate) total: Duration,
 }
 
+impl CapacityWait {
+    /// Returns what is left of it after some time.
+    fn after(self, waited: Duration) -> Self {
+        Self {
+            within_objective: self.within_objective.saturating_sub(waited),
+            total: self.total.saturating_sub(waited),
+        }
+    }
+}
+
 /// A granted placement of a generation.
 pub(crate) struct Placement {
     pub(crate) engine: String,
@@ -78,6 +91,13 @@
     pub(crate) counted_at: Option<Duration>,
 }
 
+/// No engine was granted to a generation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct PlacementRefused {
+    /// Time until there is room for a new generation; `None` if it is not known.
+    pub(crate) room_in: Option<Duration>,
+}
+
 /// Finds an engine for a generation through the owner, or from this instance's own ledger if the
 /// owner is unreachable.
 pub(crate) async fn place(
@@ -86,31 +106,68 @@
     demand: &RunDemand,
     excluded: &[String],
     wait: CapacityWait,
-) -> Option<Placement> {
+) -> Result<Placement, PlacementRefused> {
     let own_name = gateway.incarnation.name.clone();
     let Some(address) = reachable_owner_address(gateway, service) else {
         return place_locally(gateway, service, demand, &own_name, excluded, wait).await;
     };
-    match place_by_owner(gateway, &address, service, demand, excluded, wait).await {
-        Ok(granted) => granted,
-        Err(status) => {
+    let waits_on = gateway.routing.read().load.wait_past_objective;
+    let started_at = gateway.now();
+    let placing = place_by_owner(gateway, &address, service, demand, excluded, wait);
+    let reply = tokio::select! {
+        reply = placing => Some(reply),
+        () = until_owner_changes(gateway, service, &address), if waits_on => None,
+    };
+    let error = match reply {
+        Some(Ok(granted)) => return granted,
+        Some(Err(status)) => {
             record_owner_call(gateway, service, false);
-            if crate::log::should_log("owner not reached") {
-                warn!("owner not reached; placing alone", kv: {
-                    request_id = demand.run.as_str(), service, owner = address.as_str(), why = status.message(),
-                });
-            }
-            place_locally(
-                gateway,
-                service,
-                demand,
-                &own_name,
-                excluded,
-                CapacityWait::default(),
-            )
-            .await
+            status.message().to_owned()
         }
+        None => "another owner".to_owned(),
+    };
+    if crate::log::should_log("owner not reached") {
+        warn!("owner not reached; placing alone", kv: {
+            request_id = demand.run.as_str(), service, owner = address.as_str(), why = error.as_str(),
+        });
+    }
+    let waited = gateway.now().saturating_sub(started_at);
+    if waits_on {
+        let left = wait.after(waited);
+        return place_anew(gateway, service, demand, excluded, left).await;
     }
+    let no_wait = CapacityWait::default();
+    place_locally(gateway, service, demand, &own_name, excluded, no_wait).await
+}
+
+/// Returns once a service's reachable owner is no longer at `address`. A generation may wait for
+/// longer than an owner that is lost or frozen keeps its calls open.
+async fn until_owner_changes(gateway: &Gateway, service: &str, address: &str) {
+    loop {
+        tokio::time::sleep(OWNER_CHECK_INTERVAL).await;
+        if reachable_owner_address(gateway, service).as_deref() != Some(address) {
+            return;
+        }
+    }
+}
+
+/// Places a generation whose owner was lost while it waited: at the next owner, where it queues for
+/// the rest of its wait, or here.
+async fn place_anew(
+    gateway: &Arc<Gateway>,
+    service: &str,
+    demand: &RunDemand,
+    excluded: &[String],
+    wait: CapacityWait,
+) -> Result<Placement, PlacementRefused> {
+    if let Some(address) = reachable_owner_address(gateway, service)
+        && let Ok(placed) = place_by_owner(gateway, &address, service, demand, excluded, wait).await
+    {
+        return placed;
+    }
+    let own_name = gateway.incarnation.name.clone();
+    // Who places alone knows little of the room, but only its own generations wait here.
+    place_locally(gateway, service, demand, &own_name, excluded, wait).await
 }
 
 async fn place_by_owner(
@@ -120,7 +177,7 @@
     demand: &RunDemand,
     excluded: &[String],
     wait: CapacityWait,
-) -> Result<Option<Placement>, tonic::Status> {
+) -> Result<Result<Placement, PlacementRefused>, tonic::Status> {
     let mut client = gateway.peers.site_client(address)?;
     let request = wire::PlaceRequest {
         service: service.to_owned(),
@@ -137,7 +194,9 @@
     // meanwhile, it sees that the placement is old.
     let counted_at = requested_at + ms(reply.waited_ms);
     let counted_at = reply.counted.then_some(counted_at);
-    Ok(convert::granted_endpoint(reply).map(|engine| Placement { engine, counted_at }))
+    let room_in = (reply.room_in_ms > 0).then(|| ms(reply.room_in_ms));
+    let engine = convert::granted_endpoint(reply).ok_or(PlacementRefused { room_in });
+    Ok(engine.map(|engine| Placement { engine, counted_at }))
 }
 
 /// Finds an engine from this instance's own ledger and waits for capacity if necessary.
@@ -148,28 +207,40 @@
     entry: &str,
     excluded: &[String],
     wait: CapacityWait,
-) -> Option<Placement> {
+) -> Result<Placement, PlacementRefused> {
     let shard = gateway.ledgers.shard(service);
     let now = gateway.now();
+    let waits_on = gateway.routing.read().load.wait_past_objective;
+    let objective_wait = if waits_on {
+        wait.within_objective
+    } else {
+        wait.total
+    };
     let request = AdmissionRequest {
         demand: demand.clone(),
         entry: entry.to_owned(),
         excluded: excluded.to_vec(),
-        objective_at: now + wait.within_objective,
+        objective_at: now + objective_wait,
         deadline: now + wait.total,
     };
     let reply = {
         let mut shard = shard.lock();
         refresh_engines(gateway, service, &mut shard);
+        sync_policy(gateway, &mut shard);
         let ServiceShard {
             ledger,
             queue,
             waiters,
             ..
         } = &mut *shard;
-        match queue.request_admission(ledger, request, now) {
-            Admission::Granted(engine) => return Some(placement(ledger, engine, now)),
-            Admission::Refused => return None,
+        match queue.request_admission(ledger, request.clone(), now) {
+            Admission::Granted(engine) => return Ok(placement(ledger, engine, now)),
+            Admission::Refused => {
+                let refusal = queue.explain_refusal(ledger, &request, now);
+                record_refusal(service, demand, entry, &refusal);
+                let room_in = refusal.room_in;
+                return Err(PlacementRefused { room_in });
+            }
             Admission::Queued(ticket) => {
                 let (reply_sender, reply) = oneshot::channel();
                 let run = demand.run.clone();
@@ -180,9 +251,16 @@
     };
     gateway.ledgers.wake_coordinator();
     // The sender is dropped only when the instance stops.
-    let engine = reply.await.ok().flatten()?;
+    let outcome = reply.await.map_err(|_| PlacementRefused::default())?;
+    let Some(engine) = outcome.granted else {
+        if let Some(refusal) = &outcome.refusal {
+            record_refusal(service, demand, entry, refusal);
+        }
+        let room_in = outcome.refusal.and_then(|refusal| refusal.room_in);
+        return Err(PlacementRefused { room_in });
+    };
     let shard = shard.lock();
-    Some(placement(&shard.ledger, engine, gateway.now()))
+    Ok(placement(&shard.ledger, engine, gateway.now()))
 }
 
 fn placement(ledger: &EngineLedger, engine: String, now: Duration) -> Placement {
@@ -407,6 +485,7 @@
         if is_owner || !shard.waiters.is_empty() {
             refresh_engines(gateway, service, &mut shard);
         }
+        sync_policy(gateway, &mut shard);
         shard.ledger.expire(now);
         notify_waiters(&mut shard, now);
         let orders = if is_owner {
@@ -448,7 +527,11 @@
         let Some(waiter) = waiters.remove(&outcome.ticket) else {
             continue;
         };
-        if let Err(Some(_)) = waiter.reply_sender.send(outcome.granted) {
+        let unheard = waiter.reply_sender.send(outcome);
+        if let Err(WaitOutcome {
+            granted: Some(_), ..
+        }) = unheard
+        {
             ledger.release(&waiter.run);
         }
     }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -10,7 +10,7 @@
 use super::capacity_wait::{
     capacity_wait, no_allowed_engine_error, no_capacity_error, wait_for_available_engine,
 };
-use super::coordinator::{self, CapacityWait, Placement};
+use super::coordinator::{self, CapacityWait, Placement, PlacementRefused};
 use super::crash_suspects::{self, Admission};
 use super::engine_attempt::{
     AttemptFailure, AttemptParams, AttemptResponse, INITIAL_FIRST_EVENT_TIME, may_have_run_error,
@@ -193,13 +193,13 @@
         let wait = capacity_wait(call, attempts);
         let excluded = excluded_engines(call, attempts);
         let placement = Box::pin(place(call, &mut demand, &excluded, wait)).await;
-        let Some(Placement {
-            engine: granted,
-            counted_at,
-        }) = placement
-        else {
-            reason.push_str("; no room");
-            break;
+        let (granted, counted_at) = match placement {
+            Ok(placement) => (placement.engine, placement.counted_at),
+            Err(refused) => {
+                attempts.room_in = refused.room_in;
+                reason.push_str("; no room");
+                break;
+            }
         };
         log_placement(call, &demand, &granted);
         let response_timeout = response_timeout(call, attempts);
@@ -243,13 +243,13 @@
     demand: &mut RunDemand,
     excluded: &[String],
     wait: CapacityWait,
-) -> Option<Placement> {
+) -> Result<Placement, PlacementRefused> {
     let gateway = &call.gateway;
     if demand.requirements.version == Version::Target {
         let no_wait = CapacityWait::default();
         let placed = coordinator::place(gateway, &call.service, demand, excluded, no_wait).await;
         demand.requirements.version = Version::Current;
-        if placed.is_some() {
+        if placed.is_ok() {
             return placed;
         }
     }
@@ -304,7 +304,7 @@
         // run.
         Err(self.error.unwrap_or_else(|| {
             if attempts.runs == 0 {
-                no_capacity_error(call, reason)
+                no_capacity_error(call, attempts, reason)
             } else {
                 may_have_run_error(call, ErrorKind::EndpointLost, reason)
             }
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -14,7 +14,10 @@
 use crate::kernel::fingerprint::{Fingerprint, FingerprintHead, HeadHash};
 use crate::kernel::fleet::{EndpointEntry, Fleet};
 use crate::kernel::region::AllowedRegions;
-use crate::kernel::route::{Route, RouteTable};
+use crate::kernel::route::{CallKind, Route, RouteTable};
+
+/// Least urgent priority that engines know.
+const ENGINE_PRIORITY_MAX: u8 = 9;
 
 /// What was sent to endpoints for a call before this instance got it or passed it on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -151,12 +154,20 @@
             endpoint_id: &endpoint.listed_id,
             time_left: self.time_left(),
             account: self.account.as_deref(),
-            priority: None,
+            priority: self.engine_priority(),
             continue_from: None,
             last_event_id,
         }
     }
 
+    /// Returns the priority that engines are told, so that they preempt what the queue would have
+    /// let wait. Without a reserve for urgent ones, all generations are alike to them.
+    fn engine_priority(&self) -> Option<u8> {
+        let is_told = self.route.kind == CallKind::Generation
+            && self.gateway.routing.read().load.reserve_for_urgent;
+        is_told.then(|| self.priority.min(ENGINE_PRIORITY_MAX))
+    }
+
     /// Records the first attempt of this call, unless the peer that passed it on has.
     pub(super) fn record_first_attempt(&self) {
         if !self.origin.sends_before().is_counted {
--- a/src/gateway/ledgers.rs
+++ b/src/gateway/ledgers.rs
@@ -3,21 +3,23 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
-use crate::kernel::admission_queue::{AdmissionQueue, QueueTicket};
+use crate::kernel::admission_queue::{AccountSummary, AdmissionQueue, QueueTicket, WaitOutcome};
 use crate::kernel::cold_start::Sender;
 use crate::kernel::engine_ledger::{EngineLedger, EngineSummary};
 use crate::kernel::owner_contact::OwnerContact;
 use crate::kernel::permits::IssuerShare;
+use crate::settings::load::LoadSettings;
 
 /// A generation that waits for capacity.
 pub(crate) struct Waiter {
     /// Request ID by which the engines know the generation.
     pub(crate) run: String,
-    pub(crate) reply_sender: oneshot::Sender<Option<String>>,
+    pub(crate) reply_sender: oneshot::Sender<WaitOutcome>,
 }
 
 /// The inputs from which a ledger's engines were built; the engines are rebuilt when they change.
@@ -41,6 +43,8 @@
     /// Inputs from which the ledger's engines were built.
     pub(crate) engine_list_key: Option<EngineListKey>,
     pub(crate) queue: AdmissionQueue,
+    /// Settings that the queue follows.
+    pub(crate) load: LoadSettings,
     /// The generations in the queue.
     pub(crate) waiters: HashMap<QueueTicket, Waiter>,
 }
@@ -99,4 +103,15 @@
         all.map(|(name, shard)| (name, shard.lock().ledger.summary()))
             .collect()
     }
+
+    /// Returns the client accounts with the most waiting generations, by service, for the debug
+    /// dump.
+    pub(crate) fn dump_accounts(&self, now: Duration) -> HashMap<String, Vec<AccountSummary>> {
+        let all = self.all().into_iter();
+        all.map(|(name, shard)| {
+            let shard = shard.lock();
+            (name, shard.queue.account_summary(&shard.ledger, now))
+        })
+        .collect()
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 //! | `run_reports` | reports the generations served here to the owners of their services |
 
 pub(crate) mod aborted_requests;
+mod admission_policy;
 mod answer_ends;
 pub mod app;
 pub(crate) mod call_forwarding;
--- a/src/gateway/operator_api.rs
+++ b/src/gateway/operator_api.rs
@@ -12,6 +12,7 @@
 
 use super::node::{Gateway, Stage};
 use super::rollouts::RolloutDump;
+use crate::kernel::admission_queue::AccountSummary;
 use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::engine_ledger::EngineSummary;
@@ -44,6 +45,8 @@
     members: Vec<MemberDump>,
     endpoints: BTreeMap<String, EndpointDump>,
     engines: HashMap<String, BTreeMap<String, EngineSummary>>,
+    /// Client accounts with the most waiting generations, by service.
+    accounts: HashMap<String, Vec<AccountSummary>>,
     /// Roll-outs by service.
     rollouts: BTreeMap<String, RolloutDump>,
 }
@@ -125,6 +128,7 @@
         members,
         endpoints,
         engines: gateway.ledgers.dump(),
+        accounts: gateway.ledgers.dump_accounts(now),
         rollouts: gateway.rollouts.dump(now),
     })
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -123,13 +123,20 @@
         );
         let placed = placing.await;
         let waited = self.gateway.now().saturating_sub(started_at);
-        let counted = placed
-            .as_ref()
-            .is_some_and(|placed| placed.counted_at.is_some());
+        let reply = match placed {
+            Ok(placed) => wire::PlaceReply {
+                counted: placed.counted_at.is_some(),
+                endpoint: placed.engine,
+                ..wire::PlaceReply::default()
+            },
+            Err(refused) => wire::PlaceReply {
+                room_in_ms: refused.room_in.map_or(0, millis),
+                ..wire::PlaceReply::default()
+            },
+        };
         Ok(Response::new(wire::PlaceReply {
-            endpoint: placed.map(|placed| placed.engine).unwrap_or_default(),
-            counted,
             waited_ms: millis(waited),
+            ..reply
         }))
     }
 
--- a/src/gateway/started_generation.rs
+++ b/src/gateway/started_generation.rs
@@ -1,6 +1,7 @@
 //! Generations that an engine has started to answer, and the record of their end.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use spdlog::info;
 use tokio::sync::mpsc;
@@ -82,6 +83,8 @@
     pub(crate) may_forward: bool,
     /// Whether no peer that was asked reaches an engine either.
     pub(crate) out_of_reach: bool,
+    /// Time until the engines have room, as their owner told when it refused the generation.
+    pub(crate) room_in: Option<Duration>,
 }
 
 impl EngineAttempts {
--- a/src/kernel/admission_queue.rs
+++ b/src/kernel/admission_queue.rs
@@ -6,21 +6,39 @@
 //! All generations then compete for a few placements, and a placement is best given to one that can
 //! still be served in time. At two and a half times the load that a dozen engines hold, replayed in
 //! the tests, those that cannot be served are refused after 0.2 s on average instead of 0.9 s.
+//!
+//! The order is: those that can still meet their latency objective, then by priority, then by the
+//! shares of the client accounts, then by arrival.
+
+mod forecast;
+mod order;
+mod report;
+mod waiting;
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::class_traffic::Traffic;
 use super::engine_ledger::{EngineLedger, RunDemand};
+use super::fair_shares::{AccountWeights, FairShares};
+use super::room_reserve::{HeldBackFor, ReservePolicy, RoomReserve};
+
+use forecast::{AheadByPriority, Throughput};
+use waiting::{PassState, Waiting};
 
-/// Window over which the queue's throughput is measured: about ten placements on a site with a
-/// dozen engines.
-const THROUGHPUT_WINDOW: Duration = Duration::from_secs(1);
-/// The throughput is unknown until the queue has been non-empty for this long.
-const THROUGHPUT_KNOWN_AFTER: Duration = Duration::from_millis(500);
-/// Share of its waiting time during which a generation that does not fit may be overtaken by others
-/// that do. After that, freed capacity is reserved for it; otherwise the largest tenth would starve
-/// as long as smaller ones arrive.
-const OVERTAKING_SHARE: f64 = 0.5;
+pub use report::{AccountSummary, Refusal, RefusalReason};
+
+/// How a queue decides beyond priority and arrival; everything is off by default.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct AdmissionPolicy {
+    /// Weights of the client accounts, if capacity is shared among them; `None` for the order of
+    /// arrival.
+    pub shares: Option<AccountWeights>,
+    /// Room that new generations leave free.
+    pub reserve: ReservePolicy,
+    /// Whether generations wait on after their latency objective. If not, `objective_at` and
+    /// `deadline` of each request are the same.
+    pub wait_past_objective: bool,
+}
 
 /// A generation that requests admission.
 #[derive(Debug, Clone, PartialEq)]
@@ -53,79 +71,45 @@
 }
 
 /// Outcome of a wait.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct WaitOutcome {
     /// The generation that waited.
     pub ticket: QueueTicket,
     /// Engine that it is placed on; `None` if it is refused.
     pub granted: Option<String>,
+    /// Details of a refusal.
+    pub refusal: Option<Refusal>,
 }
 
-#[derive(Debug)]
-struct Waiting {
-    ticket: QueueTicket,
-    request: AdmissionRequest,
-    arrived_at: Duration,
-}
-
-impl Waiting {
-    /// Returns whether others may overtake it. `deadline` is after `arrived_at`.
-    fn can_be_overtaken(&self, now: Duration) -> bool {
-        let total_wait = self.request.deadline.saturating_sub(self.arrived_at);
-        now.saturating_sub(self.arrived_at) < total_wait.mul_f64(OVERTAKING_SHARE)
-    }
-}
-
-/// Smallest demands that did not fit in one pass over the queue. A generation that needs at least
-/// as much is skipped, so that a queue of hundreds costs few searches through the engines. Short
-/// and long generations are tracked separately, since short ones may fill engines further.
-#[derive(Debug)]
-struct SmallestUnplaced {
-    /// Tokens of the smallest short generation that did not fit.
-    short_tokens: f64,
-    /// Tokens of the smallest long generation that did not fit.
-    long_tokens: f64,
+/// Why a generation was not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Unplaced {
+    /// No engine has room, or others come first.
+    NoRoom,
+    /// The room is kept for others.
+    HeldBack(HeldBackFor),
 }
 
-impl Default for SmallestUnplaced {
-    fn default() -> Self {
-        Self {
-            short_tokens: f64::INFINITY,
-            long_tokens: f64::INFINITY,
+impl Unplaced {
+    fn held_back_for(self) -> Option<HeldBackFor> {
+        match self {
+            Self::NoRoom => None,
+            Self::HeldBack(held_back_for) => Some(held_back_for),
         }
     }
 }
 
-impl SmallestUnplaced {
-    fn is_too_large(&self, demand: &RunDemand) -> bool {
-        let smallest = if demand.ends_within_horizon() {
-            self.short_tokens
-        } else {
-            self.long_tokens
-        };
-        demand.predicted_tokens_at_start() >= smallest
-    }
-
-    fn record(&mut self, demand: &RunDemand) {
-        let smallest = if demand.ends_within_horizon() {
-            &mut self.short_tokens
-        } else {
-            &mut self.long_tokens
-        };
-        *smallest = smallest.min(demand.predicted_tokens_at_start());
-    }
-}
-
 /// Generations of one service that wait for capacity.
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
-    /// Sorted by priority, then by arrival.
+    policy: AdmissionPolicy,
+    /// Sorted by their keys as of the last pass.
     waiting: Vec<Waiting>,
     next_ticket: u64,
-    /// Times at which waiting generations were placed, within the last [`THROUGHPUT_WINDOW`].
-    granted_at: VecDeque<Duration>,
-    /// Since when the queue has been non-empty.
-    nonempty_since: Option<Duration>,
+    throughput: Throughput,
+    traffic: Traffic,
+    reserve: RoomReserve,
+    shares: FairShares,
 }
 
 impl AdmissionQueue {
@@ -141,107 +125,230 @@
         self.waiting.is_empty()
     }
 
-    /// Requests admission. A generation is placed at once only if none of the same or a higher
-    /// priority is waiting. It is refused at once if the queue ahead of it moves too slowly to place
-    /// it by its deadline, since waiting would only delay its caller.
+    /// Sets how the queue decides from now on.
+    pub fn set_policy(&mut self, policy: AdmissionPolicy) {
+        self.reserve.policy = policy.reserve;
+        self.shares.weights = policy.shares.clone().unwrap_or_default();
+        self.policy = policy;
+    }
+
+    /// Requests admission. A generation is placed at once only if none that comes before it is
+    /// waiting. It is refused at once if the queue ahead of it moves too slowly to place it by its
+    /// deadline, since waiting would only delay its caller.
     pub fn request_admission(
         &mut self,
         ledger: &mut EngineLedger,
         request: AdmissionRequest,
         now: Duration,
     ) -> Admission {
-        let priority = request.demand.priority;
-        let ahead = self
-            .waiting
-            .partition_point(|waiting| waiting.request.demand.priority <= priority);
-        if ahead == 0 {
-            let granted = ledger.place(&request.demand, &request.entry, &request.excluded, now);
-            if let Some(engine) = granted {
-                return Admission::Granted(engine);
-            }
+        if request.excluded.is_empty() {
+            self.traffic.record_arrival(&request.demand, now);
+        }
+        if self.policy.shares.is_some() {
+            self.shares.begin(ledger, now);
         }
-        if now >= request.deadline || self.will_miss_deadline(ahead, request.deadline, now) {
+        let key = self.next_key(&request, now);
+        let ahead = self.count_ahead(&key);
+        if ahead == 0
+            && let Ok(engine) = self.try_place(ledger, &request, key.start_tag, now)
+        {
+            return Admission::Granted(engine);
+        }
+        if now >= request.deadline || self.will_miss(ledger, ahead, &request, now) {
             return Admission::Refused;
         }
-        let ticket = QueueTicket(self.next_ticket);
         self.next_ticket += 1;
         let waiting = Waiting {
-            ticket,
+            virtual_time: self.shares.virtual_time(request.demand.priority),
             request,
             arrived_at: now,
+            key,
         };
         self.waiting.insert(ahead, waiting);
-        self.nonempty_since.get_or_insert(now);
-        Admission::Queued(ticket)
+        self.throughput.nonempty_since.get_or_insert(now);
+        Admission::Queued(key.ticket)
     }
 
-    /// Returns whether a generation with `ahead` others before it would miss its deadline at the
-    /// recent throughput.
-    fn will_miss_deadline(&self, ahead: usize, deadline: Duration, now: Duration) -> bool {
-        let Some(since) = self.nonempty_since else {
-            return false;
+    /// Returns the details of the refusal of a request that [`Self::request_admission`] refused.
+    #[must_use]
+    pub fn explain_refusal(
+        &mut self,
+        ledger: &EngineLedger,
+        request: &AdmissionRequest,
+        now: Duration,
+    ) -> Refusal {
+        let ahead = self.count_ahead(&self.next_key(request, now));
+        let reason = if now >= request.deadline {
+            let held_back = self
+                .reserve
+                .held_back_for(ledger, &self.traffic, &request.demand, now);
+            RefusalReason::of_deadline(held_back)
+        } else {
+            RefusalReason::QueueTooSlow
         };
-        let observed_for = now.saturating_sub(since).min(THROUGHPUT_WINDOW);
-        if observed_for < THROUGHPUT_KNOWN_AFTER {
-            return false;
-        }
-        let window_start = now.saturating_sub(observed_for);
-        let granted_count = self
-            .granted_at
-            .iter()
-            .filter(|at| **at >= window_start)
-            .count();
-        let as_f64 = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-        let left_s = deadline.saturating_sub(now).as_secs_f64();
-        // One more than observed, so that a queue that has only begun to move is not given up.
-        let admitted_in_time = as_f64(granted_count + 1) / observed_for.as_secs_f64() * left_s;
-        as_f64(ahead) > admitted_in_time
+        self.refusal(ledger, request, reason, ahead, now)
     }
 
     /// Places waiting generations as far as there is capacity. Refuses those whose deadline has
     /// passed or cannot be met.
     pub fn admit_waiting(&mut self, ledger: &mut EngineLedger, now: Duration) -> Vec<WaitOutcome> {
-        let window_start = now.saturating_sub(THROUGHPUT_WINDOW);
-        self.granted_at.retain(|at| *at >= window_start);
-        let mut outcomes = Vec::new();
-        let mut remaining: Vec<Waiting> = Vec::new();
-        let mut is_blocked = false;
-        let mut unplaced = SmallestUnplaced::default();
+        self.throughput.prune(now);
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        if self.policy.shares.is_some() {
+            self.shares.begin(ledger, now);
+        }
+        self.sort_waiting(now);
+        let mut pass = Pass::default();
         for waiting in std::mem::take(&mut self.waiting) {
-            let request = &waiting.request;
-            let granted = if is_blocked || unplaced.is_too_large(&request.demand) {
-                None
-            } else {
-                ledger.place(&request.demand, &request.entry, &request.excluded, now)
-            };
-            if granted.is_none() && request.excluded.is_empty() {
-                unplaced.record(&request.demand);
-            }
-            let ticket = waiting.ticket;
-            if granted.is_some() {
-                self.granted_at.push_back(now);
-                outcomes.push(WaitOutcome { ticket, granted });
-            } else if now >= request.deadline
-                || self.will_miss_deadline(remaining.len(), request.deadline, now)
-            {
-                outcomes.push(WaitOutcome { ticket, granted });
-            } else {
-                is_blocked |= !waiting.can_be_overtaken(now);
-                remaining.push(waiting);
-            }
+            self.admit_or_keep(ledger, waiting, &mut pass, now);
         }
-        self.waiting = remaining;
+        self.waiting = pass.remaining;
         if self.waiting.is_empty() {
-            self.nonempty_since = None;
+            self.throughput.nonempty_since = None;
         }
-        outcomes
+        pass.outcomes
+    }
+
+    /// Places or refuses a waiting generation in its turn, or keeps it waiting.
+    fn admit_or_keep(
+        &mut self,
+        ledger: &mut EngineLedger,
+        waiting: Waiting,
+        pass: &mut Pass,
+        now: Duration,
+    ) {
+        let request = &waiting.request;
+        let placed = if pass.state.excludes(&request.demand) {
+            Err(Unplaced::NoRoom)
+        } else {
+            self.try_place(ledger, request, waiting.key.start_tag, now)
+        };
+        let unplaced = match placed {
+            Ok(engine) => {
+                self.throughput.record_grant(now);
+                pass.record_outcome(&waiting, Some(engine), None);
+                return;
+            }
+            Err(unplaced) => unplaced,
+        };
+        if unplaced == Unplaced::NoRoom {
+            pass.state.record_unplaced(request);
+        }
+        if let Some(reason) = self.refusal_reason(ledger, request, unplaced, pass, now) {
+            let refusal = Refusal {
+                waited: now.saturating_sub(waiting.arrived_at),
+                ..self.refusal(ledger, request, reason, pass.remaining.len(), now)
+            };
+            pass.record_outcome(&waiting, None, Some(refusal));
+            return;
+        }
+        if !waiting.can_be_overtaken(now) {
+            pass.state.block(unplaced != Unplaced::NoRoom);
+        }
+        pass.ahead.add(&waiting);
+        pass.remaining.push(waiting);
+    }
+
+    /// Returns why a generation that was not placed in a pass does not wait on, if so.
+    fn refusal_reason(
+        &self,
+        ledger: &EngineLedger,
+        request: &AdmissionRequest,
+        unplaced: Unplaced,
+        pass: &Pass,
+        now: Duration,
+    ) -> Option<RefusalReason> {
+        if now >= request.deadline {
+            return Some(RefusalReason::of_deadline(unplaced.held_back_for()));
+        }
+        let ahead = pass.remaining.len();
+        let of_priority = pass.ahead.of(request.demand.priority);
+        self.will_miss_with(ledger, ahead, of_priority, request, 1.0, now)
+            .then_some(RefusalReason::QueueTooSlow)
     }
 
     /// Removes a generation whose caller has gone.
     pub fn cancel(&mut self, ticket: QueueTicket) {
-        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        self.waiting.retain(|waiting| waiting.ticket() != ticket);
         if self.waiting.is_empty() {
-            self.nonempty_since = None;
+            self.throughput.nonempty_since = None;
         }
     }
+
+    /// Places a generation unless the room is kept for others.
+    fn try_place(
+        &mut self,
+        ledger: &mut EngineLedger,
+        request: &AdmissionRequest,
+        start_tag: f64,
+        now: Duration,
+    ) -> Result<String, Unplaced> {
+        let demand = &request.demand;
+        let held_back = self
+            .reserve
+            .held_back_for(ledger, &self.traffic, demand, now);
+        if let Some(held_back_for) = held_back {
+            return Err(Unplaced::HeldBack(held_back_for));
+        }
+        let engine = ledger
+            .place(demand, &request.entry, &request.excluded, now)
+            .ok_or(Unplaced::NoRoom)?;
+        self.reserve.record_placement(demand);
+        self.traffic.record_placement(demand.priority, now);
+        // A repeated placement of a generation was charged already.
+        if self.policy.shares.is_some() && request.excluded.is_empty() {
+            self.shares.record_placement(demand, start_tag);
+        }
+        Ok(engine)
+    }
+
+    fn refusal(
+        &self,
+        ledger: &EngineLedger,
+        request: &AdmissionRequest,
+        reason: RefusalReason,
+        ahead: usize,
+        now: Duration,
+    ) -> Refusal {
+        let flow = self.flow_of(ledger, request, now);
+        let flow = flow.filter(|_| self.policy.wait_past_objective);
+        let reserve_tokens =
+            self.reserve
+                .required_tokens(ledger, &self.traffic, &request.demand, now);
+        Refusal {
+            reason,
+            waited: Duration::ZERO,
+            ahead,
+            reserve_tokens,
+            room_in: flow.and_then(|flow| forecast::time_to_room(&flow, ahead)),
+        }
+    }
+}
+
+/// One pass over the queue.
+#[derive(Debug, Default)]
+struct Pass {
+    outcomes: Vec<WaitOutcome>,
+    /// Generations that wait on.
+    remaining: Vec<Waiting>,
+    /// Those of `remaining` by priority.
+    ahead: AheadByPriority,
+    state: PassState,
+}
+
+impl Pass {
+    fn record_outcome(
+        &mut self,
+        waiting: &Waiting,
+        granted: Option<String>,
+        refusal: Option<Refusal>,
+    ) {
+        self.outcomes.push(WaitOutcome {
+            ticket: waiting.ticket(),
+            granted,
+            refusal,
+        });
+    }
 }
--- /dev/null
+++ b/src/kernel/class_traffic.rs
@@ -0,0 +1,184 @@
+//! Arrivals and placements of generations by priority over the last seconds.
+//!
+//! It answers load that changes within seconds: how much of a higher priority is about to arrive,
+//! and whether the queue moves faster than others arrive.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::engine_run::RunDemand;
+
+/// Number of priorities that are told apart; the last one includes all beyond.
+pub(super) const PRIORITIES: usize = 10;
+/// Window of the recent rates: long enough for some tens of calls, short beside a burst.
+const RECENT_WINDOW: Duration = Duration::from_secs(2);
+/// Window of the usual rates: several bursts and the time between them.
+const USUAL_WINDOW: Duration = Duration::from_secs(30);
+/// Rates are unknown until traffic has been observed for this long.
+const KNOWN_AFTER: Duration = Duration::from_millis(500);
+/// Buckets of each window.
+const BUCKETS: u32 = 20;
+
+/// Sums of what was observed in some time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sums {
+    count: f64,
+    tokens: f64,
+    holding_s: f64,
+}
+
+/// Sums over a sliding window, in buckets.
+#[derive(Debug)]
+struct SlidingSums {
+    window: Duration,
+    /// Buckets with the index of their time, oldest first; at most one more than [`BUCKETS`].
+    buckets: VecDeque<(u128, Sums)>,
+}
+
+impl SlidingSums {
+    fn new(window: Duration) -> Self {
+        Self {
+            window,
+            buckets: VecDeque::new(),
+        }
+    }
+
+    fn index(&self, now: Duration) -> u128 {
+        let bucket = self.window / BUCKETS;
+        now.as_nanos() / bucket.as_nanos()
+    }
+
+    fn add(&mut self, tokens: f64, holding_s: f64, now: Duration) {
+        let index = self.index(now);
+        if self.buckets.back().is_none_or(|(last, _)| *last < index) {
+            self.buckets.push_back((index, Sums::default()));
+        }
+        while self
+            .buckets
+            .front()
+            .is_some_and(|(first, _)| first + u128::from(BUCKETS) < index)
+        {
+            self.buckets.pop_front();
+        }
+        if let Some((_, sums)) = self.buckets.back_mut() {
+            sums.count += 1.0;
+            sums.tokens += tokens;
+            sums.holding_s += holding_s;
+        }
+    }
+
+    fn sums(&self, now: Duration) -> Sums {
+        let oldest = self.index(now).saturating_sub(u128::from(BUCKETS));
+        let recent = self.buckets.iter().filter(|(index, _)| *index >= oldest);
+        recent.fold(Sums::default(), |total, (_, sums)| Sums {
+            count: total.count + sums.count,
+            tokens: total.tokens + sums.tokens,
+            holding_s: total.holding_s + sums.holding_s,
+        })
+    }
+}
+
+impl SlidingSums {
+    /// Returns the number of arrivals in a bucket that a quarter of the buckets since `since` do
+    /// not exceed. The bucket of `now` is left out, as it is not complete.
+    fn lower_quartile_count(&self, since: Duration, now: Duration) -> f64 {
+        let last = self.index(now);
+        let first = self
+            .index(since)
+            .max(last.saturating_sub(u128::from(BUCKETS)));
+        let complete = usize::try_from(last - first).unwrap_or(usize::MAX);
+        let in_window = self.buckets.iter();
+        let in_window = in_window.filter(|(index, _)| (first..last).contains(index));
+        let mut counts: Vec<f64> = in_window.map(|(_, sums)| sums.count).collect();
+        counts.resize(complete.max(counts.len()), 0.0);
+        counts.sort_by(f64::total_cmp);
+        counts.get(counts.len() / 4).copied().unwrap_or_default()
+    }
+}
+
+/// Rates and mean sizes of the generations of one priority.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct ClassRates {
+    /// Arrivals per second in the last two seconds.
+    pub(super) arrivals_per_s: f64,
+    /// Arrivals per second outside of bursts: the lower quartile of the last half minute.
+    pub(super) usual_arrivals_per_s: f64,
+    /// Placements per second in the last two seconds.
+    pub(super) placements_per_s: f64,
+    /// Mean memory of one, in tokens.
+    pub(super) mean_tokens: f64,
+    /// Mean time for which one holds its memory, in seconds.
+    pub(super) mean_holding_s: f64,
+}
+
+#[derive(Debug)]
+struct ClassTraffic {
+    recent: SlidingSums,
+    usual: SlidingSums,
+    placed: SlidingSums,
+}
+
+impl Default for ClassTraffic {
+    fn default() -> Self {
+        Self {
+            recent: SlidingSums::new(RECENT_WINDOW),
+            usual: SlidingSums::new(USUAL_WINDOW),
+            placed: SlidingSums::new(RECENT_WINDOW),
+        }
+    }
+}
+
+/// Traffic of one service by priority.
+#[derive(Debug, Default)]
+pub(super) struct Traffic {
+    classes: [ClassTraffic; PRIORITIES],
+    /// Time of the first arrival; `None` before it.
+    since: Option<Duration>,
+}
+
+/// Returns the index of a priority among those that are told apart.
+pub(super) fn class_of(priority: u32) -> usize {
+    usize::try_from(priority).map_or(PRIORITIES - 1, |index| index.min(PRIORITIES - 1))
+}
+
+impl Traffic {
+    /// Records a generation that asks for a placement for the first time.
+    pub(super) fn record_arrival(&mut self, demand: &RunDemand, now: Duration) {
+        self.since.get_or_insert(now);
+        let class = &mut self.classes[class_of(demand.priority)];
+        let tokens = demand.predicted_tokens_at_start();
+        let holding_s = demand.expected_holding().as_secs_f64();
+        class.recent.add(tokens, holding_s, now);
+        class.usual.add(tokens, holding_s, now);
+    }
+
+    /// Records a placement.
+    pub(super) fn record_placement(&mut self, priority: u32, now: Duration) {
+        self.classes[class_of(priority)].placed.add(0.0, 0.0, now);
+    }
+
+    /// Returns the rates of a class; `None` if they are not known yet or nothing of it arrived
+    /// lately.
+    pub(super) fn rates(&self, class: usize, now: Duration) -> Option<ClassRates> {
+        let since = self.since?;
+        let observed = now.saturating_sub(since);
+        if observed < KNOWN_AFTER {
+            return None;
+        }
+        let class = &self.classes[class];
+        let usual = class.usual.sums(now);
+        if usual.count <= 0.0 {
+            return None;
+        }
+        let bucket_s = (USUAL_WINDOW / BUCKETS).as_secs_f64();
+        let recent_s = observed.min(RECENT_WINDOW).as_secs_f64();
+        Some(ClassRates {
+            arrivals_per_s: class.recent.sums(now).count / recent_s,
+            usual_arrivals_per_s: class.usual.lower_quartile_count(since, now) / bucket_s,
+            // One more than observed, so that a queue that has only begun to move is not given up.
+            placements_per_s: (class.placed.sums(now).count + 1.0) / recent_s,
+            mean_tokens: usual.tokens / usual.count,
+            mean_holding_s: usual.holding_s / usual.count,
+        })
+    }
+}
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use super::class_traffic::{PRIORITIES, class_of};
 use super::cold_start::ColdRateLimiter;
 use super::membership::rendezvous_share;
 use super::permits::{LimitShare, PermitDecision, PermitIssuer};
@@ -64,6 +65,8 @@
     /// All generations. Each is in the `runs` of its engine and of its entry instance, and in the
     /// `incoming` of the target engine during a move.
     pub(super) runs: HashMap<String, Run>,
+    /// Number of `runs` by priority class.
+    run_counts: [u32; PRIORITIES],
     /// Entry instances by name.
     entries: BTreeMap<String, EntryInstance>,
     /// Generations that no report has confirmed.
@@ -151,6 +154,7 @@
         if !run.confirmed {
             self.unconfirmed.insert(name.to_owned());
         }
+        self.run_counts[class_of(run.reported.demand.priority)] += 1;
         self.runs.insert(name.to_owned(), run);
         self.recompute_usage(&endpoint);
         if let Some(target) = &target {
@@ -160,6 +164,7 @@
 
     fn remove(&mut self, name: &str) -> Option<Run> {
         let run = self.runs.remove(name)?;
+        self.run_counts[class_of(run.reported.demand.priority)] -= 1;
         if let Some(entry) = self.entries.get_mut(&run.entry) {
             entry.runs.remove(name);
         }
@@ -307,6 +312,11 @@
         running.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns the number of known generations of a priority class.
+    pub(super) fn run_count_of_class(&self, class: usize) -> u32 {
+        self.run_counts[class]
+    }
+
     /// Returns the number of known generations.
     #[must_use]
     pub fn run_count(&self) -> usize {
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -18,6 +18,8 @@
 const ENDS_SOON_WITHIN: Duration = Duration::from_millis(700);
 /// Expected output as a share of the maximum if the caller gives no hint.
 const OUTPUT_SHARE_DEFAULT: f64 = 0.35;
+/// Time from a grant to the first token on an engine shared with several others.
+const TIME_TO_FIRST_TOKEN: Duration = Duration::from_millis(400);
 /// Weight of the caller's hint against [`OUTPUT_SHARE_DEFAULT`], on a logarithmic scale: hints are
 /// right in the median, but single ones are far off.
 const HINT_WEIGHT: f64 = 0.5;
@@ -163,6 +165,12 @@
         blended.exp().min(max_tokens)
     }
 
+    /// Returns the time for which the generation is expected to hold its memory.
+    pub(super) fn expected_holding(&self) -> Duration {
+        let decoding_s = self.expected_output_tokens() / DECODE_TOKENS_PER_S;
+        TIME_TO_FIRST_TOKEN + Duration::from_secs_f64(decoding_s)
+    }
+
     /// Returns whether the generation is expected to end within the horizon.
     pub(super) fn ends_within_horizon(&self) -> bool {
         self.expected_output_tokens() <= growth_within_horizon()
--- a/src/kernel/route.rs
+++ b/src/kernel/route.rs
@@ -48,6 +48,10 @@
     pub latency_objective: Duration,
     /// Longest pause between events that clients accept without complaint.
     pub pause_max: Option<Duration>,
+    /// Time after its call at which a client that got no event leaves; `None` if it waits until its
+    /// deadline.
+    #[serde(default)]
+    pub caller_patience: Option<Duration>,
     /// 0 is served first.
     pub priority: u8,
     /// Whether it may be called without a key.
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -348,6 +348,9 @@
     /// Time that it took, without the way.
     #[prost(uint64, tag = "4")]
     pub waited_ms: u64,
+    /// Time until there is room for a new one, if this one was refused; 0 if it is not known.
+    #[prost(uint64, tag = "5")]
+    pub room_in_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Run {
--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -20,6 +20,12 @@
 /// Time for which an engine keeps an unused KV-cache copy if the configuration does not set it.
 const DEFAULT_COPY_RETENTION_S: f64 = 5.0;
 
+/// The caller of a stream leaves after silence of the longest of these: a fixed time, a multiple of
+/// the latency objective, and a multiple of the longest acceptable pause.
+const PATIENCE_MIN: Duration = Duration::from_secs(2);
+const PATIENCE_OBJECTIVES: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 /// Fields that are ignored on purpose. Health is derived from the results of calls, since health
 /// checks are charged for and may report false results. Every server speaks plain HTTP/1.1.
 /// Placement does not depend on `sticky`. Engines are not asked to pin prompts or to hold
@@ -181,6 +187,10 @@
         services.push(WeightedService { service, weight: 1 });
     }
     let ms = Duration::from_millis;
+    let latency_objective = ms(wire.goal_ms.unwrap_or(DEFAULT_LATENCY_OBJECTIVE_MS));
+    let pause_max = wire
+        .pause_max_ms
+        .map(|pause_ms| seconds(pause_ms / 1_000.0));
     Ok(Route {
         name: wire.name,
         host: wire.host.to_ascii_lowercase(),
@@ -189,10 +199,10 @@
         services,
         attempts_max: wire.max_attempts.unwrap_or(1).max(1),
         timeout: ms(wire.timeout_ms.unwrap_or(DEFAULT_ROUTE_TIMEOUT_MS)),
-        latency_objective: ms(wire.goal_ms.unwrap_or(DEFAULT_LATENCY_OBJECTIVE_MS)),
-        pause_max: wire
-            .pause_max_ms
-            .map(|pause_ms| seconds(pause_ms / 1_000.0)),
+        latency_objective,
+        pause_max,
+        caller_patience: (kind == CallKind::Generation)
+            .then(|| stream_patience(latency_objective, pause_max)),
         priority: wire.priority.unwrap_or(DEFAULT_PRIORITY),
         public: wire.public,
         resumable: wire.resumable,
@@ -200,6 +210,15 @@
     })
 }
 
+/// Returns the time without an event after which the caller of a stream leaves.
+fn stream_patience(latency_objective: Duration, pause_max: Option<Duration>) -> Duration {
+    let by_objective = latency_objective.saturating_mul(PATIENCE_OBJECTIVES);
+    let by_pause = pause_max
+        .unwrap_or_default()
+        .saturating_mul(PATIENCE_PAUSES);
+    by_objective.max(by_pause).max(PATIENCE_MIN)
+}
+
 /// Converts a weight, which may be a fraction on the wire, to an integer number of hundredths,
 /// which is precise enough.
 fn convert_weight(wire: WireWeightedService) -> Option<WeightedService> {
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -16,6 +16,8 @@
 mod crash_suspects;
 #[path = "kernel/crashing_segments.rs"]
 mod crashing_segments;
+#[path = "kernel/crowded_engines.rs"]
+mod crowded_engines;
 #[path = "kernel/engine_ledger.rs"]
 mod engine_ledger;
 #[path = "kernel/evacuation.rs"]
@@ -66,6 +68,8 @@
 mod rollout;
 #[path = "kernel/rollout_statuses.rs"]
 mod rollout_statuses;
+#[path = "kernel/room.rs"]
+mod room;
 #[path = "kernel/routes.rs"]
 mod routes;
 #[path = "kernel/rules.rs"]
--- a/tests/kernel/routes.rs
+++ b/tests/kernel/routes.rs
@@ -24,6 +24,7 @@
         timeout: Duration::from_secs(1),
         latency_objective: Duration::from_millis(100),
         pause_max: None,
+        caller_patience: None,
         priority: 3,
         public: false,
         resumable: false,
