--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -15,7 +15,7 @@
 
 use super::admission_policy::{record_refusal, sync_policy};
 use super::ledgers::{EngineListKey, ServiceShard, Waiter};
-use super::moves;
+use super::move_orders;
 use super::node::Gateway;
 use super::ownership::{acts_as_owner, owner_address, reachable_owner_address, record_owner_call};
 use super::reach_monitor::UnreachedVerdict;
@@ -25,9 +25,10 @@
 use crate::kernel::clock::millis;
 use crate::kernel::cold_start::Sender;
 use crate::kernel::engine_ledger::{
-    ColdLimit, EngineLedger, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
+    ColdLimit, EngineLedger, ListedEngine, PaceChange, PacePolicy, ReportedRun, RunDemand,
 };
 use crate::kernel::fleet::{Availability, EndpointEntry, Fleet};
+use crate::kernel::pause_counts::EnginePauses;
 use crate::kernel::permits::LimitShare;
 use crate::kernel::rollout::Phase;
 use crate::kernel::rollout_evidence::Version;
@@ -47,8 +48,6 @@
 const PLACEMENT_REPLY_MARGIN: Duration = Duration::from_millis(150);
 /// Interval at which a generation that waits checks that its owner is still the owner.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest time for copying a generation's memory; a copy of all of it takes half of this time.
-const MOVE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Returns the engines that this instance owns, that run generations, and that are not known to be
 /// leaving.
@@ -278,6 +277,10 @@
     let Some(capabilities) = capabilities else {
         return;
     };
+    shard.ledger.set_pace_policy(PacePolicy {
+        is_enabled: gateway.routing.read().load.engine_pace,
+        event_tokens: capabilities.event_tokens,
+    });
     let cold_start = table
         .service(service)
         .and_then(|service| service.cold_start);
@@ -311,7 +314,7 @@
             slots: capabilities.slots,
             memory_tokens: capabilities.memory_tokens,
             leaving: availability == Availability::Leaving || rollout.is_given_up(entry),
-            leaves_at: None,
+            leaves_at: fleet.expected_end(&entry.id),
             // Generations in an evacuated hall finish where they run. Moving them, as is done off
             // leaving engines, would overload the other halls.
             closed: !fleet.can_accept_work(&entry.id) || rollout.is_closed(entry),
@@ -398,8 +401,10 @@
     entry: &str,
     runs: Vec<ReportedRun>,
     unavailable: &UnavailableEngines,
+    pauses: &[EnginePauses],
 ) {
     let now = gateway.now();
+    let is_owner = acts_as_owner(gateway, service);
     let shard = gateway.ledgers.shard(service);
     let mut shard = shard.lock();
     for endpoint in &unavailable.refused {
@@ -418,6 +423,12 @@
         }
     }
     shard.ledger.apply_report(entry, runs, now);
+    let errors = shard.ledger.apply_pauses(pauses, now);
+    if is_owner {
+        for error in errors {
+            metrics::histogram!("larkwick_engine_pace_error_ratio").record(error);
+        }
+    }
     shard
         .ledger
         .set_cooling_down(entry, unavailable.cooling_down.clone());
@@ -478,7 +489,8 @@
 ) -> Duration {
     let now = gateway.now();
     let is_owner = acts_as_owner(gateway, service);
-    let (orders, is_busy) = {
+    let scheduling_link = move_orders::scheduling_link(gateway, service);
+    let (due_moves, pace_changes, is_busy) = {
         let mut shard = shard.lock();
         // The list may have thousands of engines, and other instances only need it once they place
         // generations themselves.
@@ -487,19 +499,19 @@
         }
         sync_policy(gateway, &mut shard);
         shard.ledger.expire(now);
+        shard.ledger.refresh_paces(now);
         notify_waiters(&mut shard, now);
-        let orders = if is_owner {
-            shard.ledger.plan_moves(now)
+        let due_moves = if is_owner {
+            move_orders::plan_due_moves(service, &mut shard, scheduling_link, now)
         } else {
             Vec::new()
         };
         let is_busy =
             !shard.waiters.is_empty() || (is_owner && shard.ledger.has_runs_on_leaving_engines());
-        (orders, is_busy)
+        (due_moves, shard.ledger.take_pace_changes(), is_busy)
     };
-    for order in orders {
-        tokio::spawn(execute_move(gateway.clone(), service.to_owned(), order));
-    }
+    log_pace_changes(service, &pace_changes);
+    move_orders::start_moves(gateway, service, due_moves);
     if is_busy {
         BUSY_INTERVAL
     } else if is_owner {
@@ -509,6 +521,19 @@
     }
 }
 
+fn log_pace_changes(service: &str, changes: &[PaceChange]) {
+    for change in changes {
+        if crate::log::should_log("engine pace changed") {
+            info!("engine pace changed", kv: {
+                service, endpoint = change.endpoint.as_str(), keeps_pace: = change.keeps_pace,
+                mean_pause_ms: = change.mean_pause_ms.round(),
+                predicted_pause_ms: = change.predicted_pause_ms.round(),
+                pause_max_ms: = change.pause_max_ms.round(),
+            });
+        }
+    }
+}
+
 fn notify_waiters(shard: &mut ServiceShard, now: Duration) {
     let ServiceShard {
         ledger,
@@ -536,57 +561,3 @@
         }
     }
 }
-
-/// Executes a planned move through the entry instance that serves the generation.
-async fn execute_move(gateway: Arc<Gateway>, service: String, order: MoveOrder) {
-    let started_at = gateway.now();
-    let request = wire::MoveRunRequest {
-        service: service.clone(),
-        run: order.run.clone(),
-        source: order.source.clone(),
-        target: order.target.clone(),
-        target_counted: order.target_counted,
-    };
-    let (result, reason) = if order.entry == gateway.incarnation.name {
-        moves::move_run(&gateway, &request).await
-    } else {
-        request_move(&gateway, &order.entry, request).await
-    };
-    let now = gateway.now();
-    let took_ms = millis(now.saturating_sub(started_at));
-    if crate::log::should_log("move ended") {
-        info!("move ended", kv: {
-            request_id = order.run.as_str(), source = order.source.as_str(), target = order.target.as_str(),
-            result:?, reason = reason.as_str(), took_ms:,
-        });
-    }
-    metrics::counter!("larkwick_moves_total", "result" => format!("{result:?}")).increment(1);
-    let shard = gateway.ledgers.shard(&service);
-    shard.lock().ledger.record_move_result(&order, result, now);
-    gateway.ledgers.wake_coordinator();
-}
-
-async fn request_move(
-    gateway: &Gateway,
-    entry: &str,
-    request: wire::MoveRunRequest,
-) -> (MoveResult, String) {
-    let address = {
-        let members = gateway.members.lock();
-        members
-            .get(entry)
-            .map(|peer| peer.status.peer_address.clone())
-    };
-    let Some(address) = address else {
-        return (MoveResult::RunGone, "entry unknown".to_owned());
-    };
-    let client = gateway.peers.site_client(&address);
-    let response = match client {
-        Ok(mut client) => call_with_timeout(MOVE_TIMEOUT, client.move_run(request)).await,
-        Err(status) => Err(status),
-    };
-    match response {
-        Ok(reply) => (convert::decode_move_result(reply.result), reply.reason),
-        Err(status) => (MoveResult::Failed, status.message().to_owned()),
-    }
-}
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -14,10 +14,7 @@
 use crate::kernel::fingerprint::{Fingerprint, FingerprintHead, HeadHash};
 use crate::kernel::fleet::{EndpointEntry, Fleet};
 use crate::kernel::region::AllowedRegions;
-use crate::kernel::route::{CallKind, Route, RouteTable};
-
-/// Least urgent priority that engines know.
-const ENGINE_PRIORITY_MAX: u8 = 9;
+use crate::kernel::route::{self, CallKind, Route, RouteTable};
 
 /// What was sent to endpoints for a call before this instance got it or passed it on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -165,7 +162,16 @@
     fn engine_priority(&self) -> Option<u8> {
         let is_told = self.route.kind == CallKind::Generation
             && self.gateway.routing.read().load.reserve_for_urgent;
-        is_told.then(|| self.priority.min(ENGINE_PRIORITY_MAX))
+        is_told.then(|| route::engine_priority(self.priority, self.route.priority))
+    }
+
+    /// Returns the rank by which the owner of the engines orders this call.
+    pub(super) fn rank(&self) -> u32 {
+        if self.gateway.routing.read().load.reserve_for_urgent {
+            route::rank(self.priority, self.route.priority)
+        } else {
+            u32::from(self.priority)
+        }
     }
 
     /// Records the first attempt of this call, unless the peer that passed it on has.
--- a/src/kernel/admission_queue/report.rs
+++ b/src/kernel/admission_queue/report.rs
@@ -95,7 +95,7 @@
             let summary = by_account
                 .entry(account_of(&run.reported.demand))
                 .or_default();
-            summary.running_tokens += run.reported.predicted_tokens();
+            summary.running_tokens += run.reported.usual_predicted_tokens();
         }
         let named = by_account
             .into_iter()
--- a/src/kernel/class_traffic.rs
+++ b/src/kernel/class_traffic.rs
@@ -3,13 +3,13 @@
 //! It answers load that changes within seconds: how much of a higher priority is about to arrive,
 //! and whether the queue moves faster than others arrive.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::engine_run::RunDemand;
 
-/// Number of priorities that are told apart; the last one includes all beyond.
-pub(super) const PRIORITIES: usize = 10;
+/// Number of ranks that are told apart; the last one includes all beyond.
+const RANKS: usize = 100;
 /// Window of the recent rates: long enough for some tens of calls, short beside a burst.
 const RECENT_WINDOW: Duration = Duration::from_secs(2);
 /// Window of the usual rates: several bursts and the time between them.
@@ -131,21 +131,22 @@
 /// Traffic of one service by priority.
 #[derive(Debug, Default)]
 pub(super) struct Traffic {
-    classes: [ClassTraffic; PRIORITIES],
+    /// By rank; at most [`RANKS`].
+    classes: BTreeMap<usize, ClassTraffic>,
     /// Time of the first arrival; `None` before it.
     since: Option<Duration>,
 }
 
 /// Returns the index of a priority among those that are told apart.
 pub(super) fn class_of(priority: u32) -> usize {
-    usize::try_from(priority).map_or(PRIORITIES - 1, |index| index.min(PRIORITIES - 1))
+    usize::try_from(priority).map_or(RANKS - 1, |index| index.min(RANKS - 1))
 }
 
 impl Traffic {
     /// Records a generation that asks for a placement for the first time.
     pub(super) fn record_arrival(&mut self, demand: &RunDemand, now: Duration) {
         self.since.get_or_insert(now);
-        let class = &mut self.classes[class_of(demand.priority)];
+        let class = self.classes.entry(class_of(demand.priority)).or_default();
         let tokens = demand.predicted_tokens_at_start();
         let holding_s = demand.expected_holding().as_secs_f64();
         class.recent.add(tokens, holding_s, now);
@@ -154,7 +155,8 @@
 
     /// Records a placement.
     pub(super) fn record_placement(&mut self, priority: u32, now: Duration) {
-        self.classes[class_of(priority)].placed.add(0.0, 0.0, now);
+        let class = self.classes.entry(class_of(priority)).or_default();
+        class.placed.add(0.0, 0.0, now);
     }
 
     /// Returns the rates of a class; `None` if they are not known yet or nothing of it arrived
@@ -165,7 +167,7 @@
         if observed < KNOWN_AFTER {
             return None;
         }
-        let class = &self.classes[class];
+        let class = self.classes.get(&class)?;
         let usual = class.usual.sums(now);
         if usual.count <= 0.0 {
             return None;
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -7,24 +7,29 @@
 //! it for every placement and every query took the owner a quarter of a core.
 
 mod engine;
+mod pace;
 mod reports;
 mod summary;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::class_traffic::{PRIORITIES, class_of};
+use super::class_traffic::class_of;
 use super::cold_start::ColdRateLimiter;
 use super::membership::rendezvous_share;
+use super::move_schedule::MoveRecords;
 use super::permits::{LimitShare, PermitDecision, PermitIssuer};
 
 pub use super::engine_run::{
     ColdLimit, EngineRequirements, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
 pub(super) use engine::{Engine, Run};
+pub(super) use pace::LongStream;
+pub use pace::{PaceChange, PacePolicy};
 pub use summary::EngineSummary;
 
 use engine::EngineUsage;
+use pace::LedgerPace;
 
 /// Share of an engine's memory that may be filled by a moved generation, or by one that is expected
 /// to end within the prediction horizon and so frees its memory before others need it.
@@ -66,19 +71,23 @@
     /// `incoming` of the target engine during a move.
     pub(super) runs: HashMap<String, Run>,
     /// Number of `runs` by priority class.
-    run_counts: [u32; PRIORITIES],
+    run_counts: BTreeMap<usize, u32>,
     /// Entry instances by name.
     entries: BTreeMap<String, EntryInstance>,
     /// Generations that no report has confirmed.
     unconfirmed: BTreeSet<String>,
     /// Generations that are being moved.
     pub(super) moving: BTreeSet<String>,
+    /// Past moves, if they are scheduled by the ends of the engines.
+    pub(super) move_records: MoveRecords,
     /// Requests recently sent to cold engines.
     pub(super) cold_rate_limiter: ColdRateLimiter,
     /// Permits granted for engines that announce a rate limit.
     permits: PermitIssuer,
     /// Engines in cooldown for any entry instance: the union of all `cooling_down` sets.
     pub(super) cooling_down_engines: BTreeSet<String>,
+    /// What is known of the pace of all engines.
+    pub(super) pace: LedgerPace,
 }
 
 impl EngineLedger {
@@ -128,10 +137,11 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
+        let decode_tokens_per_s = engine.decode_tokens_per_s();
         let mut usage = EngineUsage::default();
         for (names, runs_here) in [(&engine.runs, true), (&engine.incoming, false)] {
             for run in names.iter().filter_map(|name| self.runs.get(name)) {
-                usage.add(&run.reported, runs_here);
+                usage.add(&run.reported, runs_here, decode_tokens_per_s);
             }
         }
         engine.usage = usage;
@@ -154,7 +164,8 @@
         if !run.confirmed {
             self.unconfirmed.insert(name.to_owned());
         }
-        self.run_counts[class_of(run.reported.demand.priority)] += 1;
+        let class = class_of(run.reported.demand.priority);
+        *self.run_counts.entry(class).or_default() += 1;
         self.runs.insert(name.to_owned(), run);
         self.recompute_usage(&endpoint);
         if let Some(target) = &target {
@@ -164,7 +175,10 @@
 
     fn remove(&mut self, name: &str) -> Option<Run> {
         let run = self.runs.remove(name)?;
-        self.run_counts[class_of(run.reported.demand.priority)] -= 1;
+        let class = class_of(run.reported.demand.priority);
+        if let Some(count) = self.run_counts.get_mut(&class) {
+            *count = count.saturating_sub(1);
+        }
         if let Some(entry) = self.entries.get_mut(&run.entry) {
             entry.runs.remove(name);
         }
@@ -314,7 +328,7 @@
 
     /// Returns the number of known generations of a priority class.
     pub(super) fn run_count_of_class(&self, class: usize) -> u32 {
-        self.run_counts[class]
+        self.run_counts.get(&class).copied().unwrap_or_default()
     }
 
     /// Returns the number of known generations.
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -9,7 +9,7 @@
 use super::rollout_evidence::Version;
 
 /// Tokens that a generation decodes in a second on an engine shared with several others.
-const DECODE_TOKENS_PER_S: f64 = 64.0;
+pub(super) const DECODE_TOKENS_PER_S: f64 = 64.0;
 /// How far ahead memory use is predicted. It is longer than an owner takes to learn that a
 /// generation ended, and no longer than new generations wait for capacity: tokens generated later
 /// use memory that others have freed by then.
@@ -37,7 +37,7 @@
     /// The caller's estimate of the number of output tokens.
     #[serde(rename = "made_hint_tokens")]
     pub generated_hint_tokens: Option<f64>,
-    /// Priority; 0 is served first.
+    /// Rank among the generations that compete for engines; 0 is served first.
     pub priority: u32,
     /// Client account that asked for it; `None` if calls need no key.
     pub account: Option<String>,
@@ -148,8 +148,8 @@
 }
 
 /// Returns the number of tokens that a generation decodes within the horizon.
-fn growth_within_horizon() -> f64 {
-    DECODE_TOKENS_PER_S * PREDICTION_HORIZON.as_secs_f64()
+fn growth_within_horizon(tokens_per_s: f64) -> f64 {
+    tokens_per_s * PREDICTION_HORIZON.as_secs_f64()
 }
 
 impl RunDemand {
@@ -173,12 +173,13 @@
 
     /// Returns whether the generation is expected to end within the horizon.
     pub(super) fn ends_within_horizon(&self) -> bool {
-        self.expected_output_tokens() <= growth_within_horizon()
+        self.expected_output_tokens() <= growth_within_horizon(DECODE_TOKENS_PER_S)
     }
 
     /// Returns the predicted memory, in tokens, at the end of the horizon after the start.
     pub(super) fn predicted_tokens_at_start(&self) -> f64 {
-        f64::from(self.prompt_tokens) + self.expected_output_tokens().min(growth_within_horizon())
+        let growth_tokens = growth_within_horizon(DECODE_TOKENS_PER_S);
+        f64::from(self.prompt_tokens) + self.expected_output_tokens().min(growth_tokens)
     }
 }
 
@@ -190,7 +191,7 @@
 
     /// Returns the expected number of tokens still to be generated, at most up to the maximum. It is
     /// at least a quarter of those generated so far, because hints are often too short.
-    fn remaining_tokens(&self) -> f64 {
+    pub(super) fn remaining_tokens(&self) -> f64 {
         let generated = f64::from(self.generated_tokens);
         let max_tokens = f64::from(self.demand.generated_max_tokens);
         let expected = self.demand.expected_output_tokens() - generated;
@@ -200,9 +201,16 @@
             .max(0.0)
     }
 
-    /// Returns the predicted memory, in tokens, at the end of the horizon.
-    pub(super) fn predicted_tokens(&self) -> f64 {
-        self.current_tokens() + self.remaining_tokens().min(growth_within_horizon())
+    /// Returns the predicted memory, in tokens, at the end of the horizon on an engine that decodes
+    /// this many tokens of it in a second.
+    pub(super) fn predicted_tokens(&self, tokens_per_s: f64) -> f64 {
+        let growth_tokens = growth_within_horizon(tokens_per_s);
+        self.current_tokens() + self.remaining_tokens().min(growth_tokens)
+    }
+
+    /// Returns the predicted memory, in tokens, at the end of the horizon on an engine of usual rate.
+    pub(super) fn usual_predicted_tokens(&self) -> f64 {
+        self.predicted_tokens(DECODE_TOKENS_PER_S)
     }
 
     pub(super) fn is_ending_soon(&self) -> bool {
--- a/src/kernel/room_reserve.rs
+++ b/src/kernel/room_reserve.rs
@@ -224,7 +224,7 @@
     });
     waiting.fold(PendingMoves::default(), |total, run| PendingMoves {
         count: total.count + 1.0,
-        tokens: total.tokens + run.reported.predicted_tokens(),
+        tokens: total.tokens + run.reported.usual_predicted_tokens(),
     })
 }
 
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -62,6 +62,8 @@
     InternalError,
     /// Omits the response seal.
     Unsealed,
+    /// Copies the memory of its generations, and does not stop them for a move.
+    RefusesStops,
     /// Refuses to receive memory copies.
     RefusesCopies,
     /// Receives memory copies and refuses to continue from them.
@@ -152,6 +154,8 @@
     fault: Mutex<ServerFault>,
     /// Whether it survives the requests that crash other servers.
     crash_proof: AtomicBool,
+    /// Time at which it stops, as its reports tell; `None` if they tell none.
+    leaves_at: Mutex<Option<Instant>>,
     /// Endpoint signals that are added to all responses.
     signals: Mutex<ResponseSignals>,
     /// Arrival times of all requests, queries and orders included.
@@ -206,6 +210,7 @@
             kind,
             fault: Mutex::default(),
             crash_proof: AtomicBool::new(false),
+            leaves_at: Mutex::default(),
             signals: Mutex::default(),
             arrival_times: Mutex::default(),
             listener: Mutex::default(),
@@ -275,6 +280,10 @@
         let of_request = runs.iter().filter(|(_, run)| run == request);
         of_request.map(|(server, _)| server.clone()).collect()
     }
+
+    pub(super) fn copy_count(&self) -> usize {
+        self.copies.lock().len()
+    }
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
@@ -374,6 +383,11 @@
         self.signals.lock().draining = Some(value);
     }
 
+    /// Tells in its reports that it leaves after `notice`.
+    pub fn announce_leave(&self, notice: Duration) {
+        *self.leaves_at.lock() = Some(Instant::now() + notice);
+    }
+
     /// Sets the cooldown in seconds that each refusal asks for; `None` omits the header.
     pub fn set_cooldown(&self, seconds: Option<&'static str>) {
         self.signals.lock().cooldown = seconds;
@@ -453,6 +467,9 @@
             names::REPORT_PATH => return build_response(200, self.run_report().to_string()),
             _ => {}
         }
+        if let Some(copy) = path.strip_prefix(names::COPY_PATH) {
+            return self.free_copy(copy);
+        }
         let headers = request.headers().clone();
         let id = header_text(&headers, &names::REQUEST_ID)
             .unwrap_or_default()
@@ -586,7 +603,13 @@
         let runs: Vec<Value> = runs
             .map(|(id, run)| json!([id, 1_000, run.generated_events.load(Ordering::Relaxed), 5]))
             .collect();
-        json!({"state": "ready", "queued": 0, "runs": runs})
+        let mut report = json!({"state": "ready", "queued": 0, "runs": runs});
+        if let Some(leaves_at) = *self.leaves_at.lock() {
+            let left = leaves_at.saturating_duration_since(Instant::now());
+            report["state"] = json!("draining");
+            report["leaves_ms"] = json!(left.as_secs_f64() * 1_000.0);
+        }
+        report
     }
 
     fn plain_response(id: &str, fault: ServerFault, body: &Bytes) -> Response<StandinBody> {
@@ -665,6 +688,13 @@
         format!("id: {number}\ndata: event {number} of {}\n\n", self.id)
     }
 
+    fn free_copy(&self, copy: &str) -> Response<StandinBody> {
+        let key = (self.address(), copy.to_owned());
+        let servers = self.servers.upgrade();
+        let freed = servers.and_then(|servers| servers.copies.lock().remove(&key));
+        build_response(if freed.is_some() { 200 } else { 404 }, "")
+    }
+
     async fn copy_memory(&self, request: Request<Incoming>) -> Response<StandinBody> {
         let body = request.into_body().collect().await;
         let body = body
@@ -685,6 +715,9 @@
             return build_response(503, "no room");
         }
         let is_last = order["last"].as_bool().unwrap_or_default();
+        if is_last && *self.fault.lock() == ServerFault::RefusesStops {
+            return build_response(404, "no such run");
+        }
         if is_last {
             run.stop_requested.store(true, Ordering::Relaxed);
             run.stop_signal.notify_waiters();
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -20,6 +20,8 @@
 mod crowded_engines;
 #[path = "kernel/engine_ledger.rs"]
 mod engine_ledger;
+#[path = "kernel/engine_pace.rs"]
+mod engine_pace;
 #[path = "kernel/evacuation.rs"]
 mod evacuation;
 #[path = "kernel/fleet.rs"]
@@ -44,6 +46,8 @@
 mod member_states;
 #[path = "kernel/membership.rs"]
 mod membership;
+#[path = "kernel/move_schedule.rs"]
+mod move_schedule;
 #[path = "kernel/owner_contact.rs"]
 mod owner_contact;
 #[path = "kernel/parsers.rs"]
@@ -78,5 +82,7 @@
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
 mod store_sources;
+#[path = "kernel/stream_timing.rs"]
+mod stream_timing;
 #[path = "kernel/transfer_budget.rs"]
 mod transfer_budget;
