--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -14,7 +14,7 @@
 use crate::kernel::fingerprint::{Fingerprint, FingerprintHead, HeadHash};
 use crate::kernel::fleet::{EndpointEntry, Fleet};
 use crate::kernel::region::AllowedRegions;
-use crate::kernel::route::{Route, RouteTable};
+use crate::kernel::route::{self, CallKind, Route, RouteTable};
 
 /// What was sent to endpoints for a call before this instance got it or passed it on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -151,12 +151,29 @@
             endpoint_id: &endpoint.listed_id,
             time_left: self.time_left(),
             account: self.account.as_deref(),
-            priority: None,
+            priority: self.engine_priority(),
             continue_from: None,
             last_event_id,
         }
     }
 
+    /// Returns the priority that engines are told, so that they preempt what the queue would have
+    /// let wait. Without a reserve for urgent ones, all generations are alike to them.
+    fn engine_priority(&self) -> Option<u8> {
+        let is_told = self.route.kind == CallKind::Generation
+            && self.gateway.routing.read().load.reserve_for_urgent;
+        is_told.then(|| route::engine_priority(self.priority, self.route.priority))
+    }
+
+    /// Returns the rank by which the owner of the engines orders this call.
+    pub(super) fn rank(&self) -> u32 {
+        if self.gateway.routing.read().load.reserve_for_urgent {
+            route::rank(self.priority, self.route.priority)
+        } else {
+            u32::from(self.priority)
+        }
+    }
+
     /// Records the first attempt of this call, unless the peer that passed it on has.
     pub(super) fn record_first_attempt(&self) {
         if !self.origin.sends_before().is_counted {
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
+use super::class_traffic::class_of;
 use super::cold_start::ColdRateLimiter;
 use super::membership::rendezvous_share;
 use super::move_schedule::MoveRecords;
@@ -69,6 +70,8 @@
     /// All generations. Each is in the `runs` of its engine and of its entry instance, and in the
     /// `incoming` of the target engine during a move.
     pub(super) runs: HashMap<String, Run>,
+    /// Number of `runs` by priority class.
+    run_counts: BTreeMap<usize, u32>,
     /// Entry instances by name.
     entries: BTreeMap<String, EntryInstance>,
     /// Generations that no report has confirmed.
@@ -161,6 +164,8 @@
         if !run.confirmed {
             self.unconfirmed.insert(name.to_owned());
         }
+        let class = class_of(run.reported.demand.priority);
+        *self.run_counts.entry(class).or_default() += 1;
         self.runs.insert(name.to_owned(), run);
         self.recompute_usage(&endpoint);
         if let Some(target) = &target {
@@ -170,6 +175,10 @@
 
     fn remove(&mut self, name: &str) -> Option<Run> {
         let run = self.runs.remove(name)?;
+        let class = class_of(run.reported.demand.priority);
+        if let Some(count) = self.run_counts.get_mut(&class) {
+            *count = count.saturating_sub(1);
+        }
         if let Some(entry) = self.entries.get_mut(&run.entry) {
             entry.runs.remove(name);
         }
@@ -317,6 +326,11 @@
         running.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns the number of known generations of a priority class.
+    pub(super) fn run_count_of_class(&self, class: usize) -> u32 {
+        self.run_counts.get(&class).copied().unwrap_or_default()
+    }
+
     /// Returns the number of known generations.
     #[must_use]
     pub fn run_count(&self) -> usize {
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -18,6 +18,8 @@
 const ENDS_SOON_WITHIN: Duration = Duration::from_millis(700);
 /// Expected output as a share of the maximum if the caller gives no hint.
 const OUTPUT_SHARE_DEFAULT: f64 = 0.35;
+/// Time from a grant to the first token on an engine shared with several others.
+const TIME_TO_FIRST_TOKEN: Duration = Duration::from_millis(400);
 /// Weight of the caller's hint against [`OUTPUT_SHARE_DEFAULT`], on a logarithmic scale: hints are
 /// right in the median, but single ones are far off.
 const HINT_WEIGHT: f64 = 0.5;
@@ -35,7 +37,7 @@
     /// The caller's estimate of the number of output tokens.
     #[serde(rename = "made_hint_tokens")]
     pub generated_hint_tokens: Option<f64>,
-    /// Priority; 0 is served first.
+    /// Rank among the generations that compete for engines; 0 is served first.
     pub priority: u32,
     /// Client account that asked for it; `None` if calls need no key.
     pub account: Option<String>,
@@ -163,6 +165,12 @@
         blended.exp().min(max_tokens)
     }
 
+    /// Returns the time for which the generation is expected to hold its memory.
+    pub(super) fn expected_holding(&self) -> Duration {
+        let decoding_s = self.expected_output_tokens() / DECODE_TOKENS_PER_S;
+        TIME_TO_FIRST_TOKEN + Duration::from_secs_f64(decoding_s)
+    }
+
     /// Returns whether the generation is expected to end within the horizon.
     pub(super) fn ends_within_horizon(&self) -> bool {
         self.expected_output_tokens() <= growth_within_horizon(DECODE_TOKENS_PER_S)
@@ -200,6 +208,11 @@
         self.current_tokens() + self.remaining_tokens().min(growth_tokens)
     }
 
+    /// Returns the predicted memory, in tokens, at the end of the horizon on an engine of usual rate.
+    pub(super) fn usual_predicted_tokens(&self) -> f64 {
+        self.predicted_tokens(DECODE_TOKENS_PER_S)
+    }
+
     pub(super) fn is_ending_soon(&self) -> bool {
         self.remaining_tokens() < DECODE_TOKENS_PER_S * ENDS_SOON_WITHIN.as_secs_f64()
     }
--- a/src/kernel/route.rs
+++ b/src/kernel/route.rs
@@ -48,6 +48,10 @@
     pub latency_objective: Duration,
     /// Longest pause between events that clients accept without complaint.
     pub pause_max: Option<Duration>,
+    /// Time after its call at which a client that got no event leaves; `None` if it waits until its
+    /// deadline.
+    #[serde(default)]
+    pub caller_patience: Option<Duration>,
     /// 0 is served first.
     pub priority: u8,
     /// Whether it may be called without a key.
@@ -326,6 +330,30 @@
     }
 }
 
+/// Number of priorities of a route that are told apart within one priority of the account.
+const ROUTE_PRIORITIES: u32 = 10;
+/// The same for engines, which know fewer priorities.
+const ROUTE_PRIORITIES_AT_ENGINES: u8 = 3;
+/// Least urgent priority that engines know.
+const ENGINE_PRIORITY_MAX: u8 = 9;
+
+/// Returns the rank of a call among those that compete for engines, where 0 comes first: by the
+/// priority in force, which the account may set for all its calls, then by that of the route, which
+/// still tells the urgent ones of the account from the others.
+#[must_use]
+pub fn rank(priority: u8, route_priority: u8) -> u32 {
+    let within = u32::from(route_priority).min(ROUTE_PRIORITIES - 1);
+    u32::from(priority) * ROUTE_PRIORITIES + within
+}
+
+/// Returns the priority by which engines order a call of this [`rank`], as far as they can.
+#[must_use]
+pub fn engine_priority(priority: u8, route_priority: u8) -> u8 {
+    let within = route_priority.min(ROUTE_PRIORITIES_AT_ENGINES - 1);
+    let rank = priority.saturating_mul(ROUTE_PRIORITIES_AT_ENGINES);
+    rank.saturating_add(within).min(ENGINE_PRIORITY_MAX)
+}
+
 /// Returns the name in a `Host` header, in lower case and without the port.
 fn host_name(host: &str) -> String {
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
