--- a/src/gateway/coordinator.rs
+++ b/src/gateway/coordinator.rs
@@ -126,7 +126,7 @@
         None => "another owner".to_owned(),
     };
     if crate::log::should_log("owner not reached") {
-        warn!("owner not reached; placing alone", kv: {
+        warn!("owner not reached; placing anew", kv: {
             request_id = demand.run.as_str(), service, owner = address.as_str(), why = error.as_str(),
         });
     }
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -180,7 +180,10 @@
     };
     let freed = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
     let freed = freed.unwrap_or_else(|_| Err("no response in time".to_owned()));
-    metrics::counter!("larkwick_move_copies_freed_total").increment(u64::from(freed.is_ok()));
+    let is_freed = freed
+        .as_ref()
+        .is_ok_and(|status| (200..300).contains(status));
+    metrics::counter!("larkwick_move_copies_freed_total").increment(u64::from(is_freed));
     if crate::log::should_log("copy of a move freed") {
         let outcome = freed.map_or_else(|reason| reason, |status| status.to_string());
         info!("copy of a move freed", kv: {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -215,7 +215,14 @@
         request: Request<wire::MoveRunRequest>,
     ) -> Result<Response<wire::MoveRunReply>, Status> {
         self.gateway.work_counters.increment(WorkKind::Move);
-        let (result, reason) = moves::move_run(&self.gateway, &request.into_inner()).await;
+        let gateway = self.gateway.clone();
+        let order = request.into_inner();
+        // It goes on if the owner stops waiting for its result: a copy that is under way is used or
+        // freed.
+        let moving = tokio::spawn(async move { moves::move_run(&gateway, &order).await });
+        let (result, reason) = moving
+            .await
+            .map_err(|error| Status::internal(error.to_string()))?;
         Ok(Response::new(wire::MoveRunReply {
             result: convert::encode_move_result(result),
             reason,
--- a/src/kernel/admission_queue.rs
+++ b/src/kernel/admission_queue.rs
@@ -4,8 +4,7 @@
 //! It handles load that exceeds the engines' memory for seconds, such as a jump in the number of
 //! callers, the loss of a third of the engines at once, or all instances starting under full load.
 //! All generations then compete for a few placements, and a placement is best given to one that can
-//! still be served in time. At two and a half times the load that a dozen engines hold, replayed in
-//! the tests, those that cannot be served are refused after 0.2 s on average instead of 0.9 s.
+//! still be served in time. Those that cannot be served are refused early.
 //!
 //! The order is: those that can still meet their latency objective, then by priority, then by the
 //! shares of the client accounts, then by arrival.
@@ -141,9 +140,7 @@
         request: AdmissionRequest,
         now: Duration,
     ) -> Admission {
-        if request.excluded.is_empty() {
-            self.traffic.record_arrival(&request.demand, now);
-        }
+        self.traffic.record_request(&request.demand, now);
         if self.policy.shares.is_some() {
             self.shares.begin(ledger, now);
         }
@@ -220,10 +217,9 @@
         now: Duration,
     ) {
         let request = &waiting.request;
-        let placed = if pass.state.excludes(&request.demand) {
-            Err(Unplaced::NoRoom)
-        } else {
-            self.try_place(ledger, request, waiting.key.start_tag, now)
+        let placed = match pass.state.unplaced(&request.demand) {
+            Some(unplaced) => Err(unplaced),
+            None => self.try_place(ledger, request, waiting.key.start_tag, now),
         };
         let unplaced = match placed {
             Ok(engine) => {
@@ -245,7 +241,7 @@
             return;
         }
         if !waiting.can_be_overtaken(now) {
-            pass.state.block(unplaced != Unplaced::NoRoom);
+            pass.state.block(unplaced);
         }
         pass.ahead.add(&waiting);
         pass.remaining.push(waiting);
@@ -297,8 +293,7 @@
             .ok_or(Unplaced::NoRoom)?;
         self.reserve.record_placement(demand);
         self.traffic.record_placement(demand.priority, now);
-        // A repeated placement of a generation was charged already.
-        if self.policy.shares.is_some() && request.excluded.is_empty() {
+        if self.policy.shares.is_some() {
             self.shares.record_placement(demand, start_tag);
         }
         Ok(engine)
--- a/src/kernel/admission_queue/waiting.rs
+++ b/src/kernel/admission_queue/waiting.rs
@@ -3,8 +3,9 @@
 use std::cmp::Ordering;
 use std::time::Duration;
 
-use super::{AdmissionRequest, QueueTicket};
+use super::{AdmissionRequest, QueueTicket, Unplaced};
 use crate::kernel::engine_run::RunDemand;
+use crate::kernel::room_reserve::HeldBackFor;
 
 /// Share of its waiting time during which a generation that does not fit may be overtaken by others
 /// that do. After that, freed capacity is reserved for it; otherwise the largest tenth would starve
@@ -61,16 +62,19 @@
     is_blocked: bool,
     /// The same for long generations alone: one of them is held back by a reserve that short ones
     /// may use.
-    is_blocked_for_long: bool,
+    blocked_for_long: Option<HeldBackFor>,
     smallest: SmallestUnplaced,
 }
 
 impl PassState {
-    /// Returns whether a generation cannot be placed in this pass.
-    pub(super) fn excludes(&self, demand: &RunDemand) -> bool {
-        self.is_blocked
-            || (self.is_blocked_for_long && !demand.ends_within_horizon())
-            || self.smallest.is_too_large(demand)
+    /// Returns why a generation cannot be placed in this pass, if so.
+    pub(super) fn unplaced(&self, demand: &RunDemand) -> Option<Unplaced> {
+        if self.is_blocked || self.smallest.is_too_large(demand) {
+            return Some(Unplaced::NoRoom);
+        }
+        let held_back = self.blocked_for_long;
+        let held_back = held_back.filter(|_| !demand.ends_within_horizon());
+        held_back.map(Unplaced::HeldBack)
     }
 
     /// Records a generation that no engine had room for.
@@ -81,11 +85,10 @@
     }
 
     /// Keeps freed capacity for a generation that may no longer be overtaken.
-    pub(super) fn block(&mut self, is_held_back: bool) {
-        if is_held_back {
-            self.is_blocked_for_long = true;
-        } else {
-            self.is_blocked = true;
+    pub(super) fn block(&mut self, unplaced: Unplaced) {
+        match unplaced {
+            Unplaced::HeldBack(held_back_for) => self.blocked_for_long = Some(held_back_for),
+            Unplaced::NoRoom => self.is_blocked = true,
         }
     }
 }
--- a/src/kernel/class_traffic.rs
+++ b/src/kernel/class_traffic.rs
@@ -1,9 +1,9 @@
-//! Arrivals and placements of generations by priority over the last seconds.
+//! Arrivals and placements of generations by rank over the last half minute.
 //!
 //! It answers load that changes within seconds: how much of a higher priority is about to arrive,
 //! and whether the queue moves faster than others arrive.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use super::engine_run::RunDemand;
@@ -135,6 +135,33 @@
     classes: BTreeMap<usize, ClassTraffic>,
     /// Time of the first arrival; `None` before it.
     since: Option<Duration>,
+    recent_runs: RecentRuns,
+}
+
+/// Generations that asked for a placement within [`RECENT_WINDOW`]. One that an engine refused asks
+/// again, which is no further arrival.
+#[derive(Debug, Default)]
+struct RecentRuns {
+    /// In order of time; the same as in `known`.
+    by_time: VecDeque<(Duration, String)>,
+    known: HashSet<String>,
+}
+
+impl RecentRuns {
+    /// Records a request and returns whether it is the first one of its generation.
+    fn record(&mut self, run: &str, now: Duration) -> bool {
+        while let Some((at, _)) = self.by_time.front()
+            && now.saturating_sub(*at) > RECENT_WINDOW
+            && let Some((_, old)) = self.by_time.pop_front()
+        {
+            self.known.remove(&old);
+        }
+        let is_first = self.known.insert(run.to_owned());
+        if is_first {
+            self.by_time.push_back((now, run.to_owned()));
+        }
+        is_first
+    }
 }
 
 /// Returns the index of a priority among those that are told apart.
@@ -143,8 +170,11 @@
 }
 
 impl Traffic {
-    /// Records a generation that asks for a placement for the first time.
-    pub(super) fn record_arrival(&mut self, demand: &RunDemand, now: Duration) {
+    /// Records that a generation asks for a placement. Only its first request is an arrival.
+    pub(super) fn record_request(&mut self, demand: &RunDemand, now: Duration) {
+        if !self.recent_runs.record(&demand.run, now) {
+            return;
+        }
         self.since.get_or_insert(now);
         let class = self.classes.entry(class_of(demand.priority)).or_default();
         let tokens = demand.predicted_tokens_at_start();
--- a/src/kernel/engine_pace.rs
+++ b/src/kernel/engine_pace.rs
@@ -63,7 +63,7 @@
 }
 
 impl DecayingMean {
-    /// Ages by a time, but at most by up to `now`.
+    /// Ages by `elapsed`.
     fn age(&mut self, elapsed: Duration, memory_s: f64) {
         let left = decay(elapsed.as_secs_f64(), memory_s);
         self.weight *= left;
--- a/src/kernel/fair_shares.rs
+++ b/src/kernel/fair_shares.rs
@@ -11,7 +11,7 @@
 use super::engine_ledger::EngineLedger;
 use super::engine_run::RunDemand;
 
-/// Without an admission for this long, nobody competes, and the shares start anew.
+/// Without a request for this long, nobody competes, and the shares start anew.
 const FORGOTTEN_AFTER: Duration = Duration::from_millis(2_500);
 /// An owner that begins learns of running generations within this time.
 const ADOPTION_PERIOD: Duration = Duration::from_secs(1);
--- a/src/kernel/move_schedule.rs
+++ b/src/kernel/move_schedule.rs
@@ -109,7 +109,7 @@
 }
 
 impl Candidate<'_> {
-    /// Returns what the time left allows; `None` if the engine's end is unknown.
+    /// Returns what the time left allows; `time_left` is `None` if the engine's end is unknown.
     #[must_use]
     pub fn prospect(&self, time_left: Option<Duration>, link: CopyLink) -> Prospect {
         let left = time_left.unwrap_or(TIME_LEFT_UNKNOWN);
--- a/src/kernel/room_reserve.rs
+++ b/src/kernel/room_reserve.rs
@@ -115,6 +115,10 @@
             .free
             .entry(key)
             .or_insert_with(|| free_room(ledger, unit_tokens, now));
+        if free.units <= 0.0 {
+            // The engines are full: nothing is kept from it.
+            return None;
+        }
         let mut left = *free;
         left.take(demand.predicted_tokens_at_start());
         if left.tokens() >= required_tokens {
--- a/tests/kernel/routes.rs
+++ b/tests/kernel/routes.rs
@@ -7,7 +7,7 @@
 use larkwick::kernel::region::AllowedRegions;
 use larkwick::kernel::route::{
     CallKind, CallLimits, CallerAccount, KeyedAccount, Route, RouteConfig, RouteTable,
-    WeightedService,
+    WeightedService, engine_priority, rank,
 };
 
 fn route(name: &str, host: &str, path_prefix: &str) -> Route {
@@ -106,3 +106,14 @@
     assert_eq!(split.choose_service(0.901), "b");
     assert_eq!(split.choose_service(0.999_999), "b");
 }
+
+/// An account that sets one priority for all its calls: its urgent ones still come first.
+#[test]
+fn rank_priority_in_force_first_then_that_of_the_route() {
+    let mut calls = [(1, 2), (0, 2), (1, 0), (0, 0), (2, 0)];
+    calls.sort_by_key(|(priority, route_priority)| rank(*priority, *route_priority));
+    assert_eq!(calls, [(0, 0), (0, 2), (1, 0), (1, 2), (2, 0)]);
+    let at_engines = calls.map(|(priority, route)| engine_priority(priority, route));
+    assert!(at_engines.is_sorted_by(|left, right| left < right));
+    assert_eq!(engine_priority(u8::MAX, u8::MAX), 9);
+}
