Moves and the reserve share one rule for what is to be moved

Cause, found by reading the change again: which engine must be emptied and which generation can be moved stood twice, in the planning of moves and in the room kept for them; a result that nobody read; one type in two impl blocks.

Change: `ListedEngine::must_be_emptied` and `Run::can_be_moved` serve both. No behaviour changes.

--- a/src/kernel/class_traffic.rs
+++ b/src/kernel/class_traffic.rs
@@ -76,9 +76,7 @@
             holding_s: total.holding_s + sums.holding_s,
         })
     }
-}
 
-impl SlidingSums {
     /// Returns the number of arrivals in a bucket that a quarter of the buckets since `since` do
     /// not exceed. The bucket of `now` is left out, as it is not complete.
     fn lower_quartile_count(&self, since: Duration, now: Duration) -> f64 {
--- a/src/kernel/engine_ledger/engine.rs
+++ b/src/kernel/engine_ledger/engine.rs
@@ -35,6 +35,12 @@
 }
 
 impl Run {
+    /// Returns whether its memory can be copied to another engine: it has generated something, and no
+    /// move of it is in progress.
+    pub(in crate::kernel) fn can_be_moved(&self) -> bool {
+        self.confirmed && self.moving_to.is_none() && self.reported.generated_tokens > 0
+    }
+
     /// Returns a generation that was granted an engine just now.
     pub(in crate::kernel) fn granted(reported: ReportedRun, entry: &str, now: Duration) -> Self {
         Self {
--- a/src/kernel/engine_moves.rs
+++ b/src/kernel/engine_moves.rs
@@ -56,7 +56,7 @@
         let running = engines.filter(|engine| !engine.runs.is_empty());
         let listed = running.filter_map(|engine| engine.listed.as_ref());
         listed
-            .filter(|engine| engine.leaving && engine.supports_migration)
+            .filter(|engine| engine.must_be_emptied())
             .cloned()
             .collect()
     }
@@ -114,9 +114,7 @@
         let names = engine.into_iter().flat_map(|engine| &engine.runs);
         let on_source = names.filter_map(|name| self.runs.get(name));
         let movable = on_source.filter(|run| {
-            run.moving_to.is_none()
-                && run.confirmed
-                && run.reported.generated_tokens > 0
+            run.can_be_moved()
                 && now >= run.next_move_at
                 && self.can_accept_order(source, &run.entry, now)
         });
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -88,6 +88,11 @@
 }
 
 impl ListedEngine {
+    /// Returns whether its generations have to be moved off it, and can be.
+    pub(super) fn must_be_emptied(&self) -> bool {
+        self.leaving && self.supports_migration
+    }
+
     /// Returns whether the engine meets the requirements of a generation.
     #[must_use]
     pub fn meets(&self, requirements: &EngineRequirements) -> bool {
--- a/src/kernel/move_schedule.rs
+++ b/src/kernel/move_schedule.rs
@@ -296,9 +296,9 @@
         self.missed.remove(run);
     }
 
-    /// Records that a generation is missed; returns whether that is new.
-    pub(super) fn record_missed(&mut self, run: &str) -> bool {
-        self.missed.insert(run.to_owned())
+    /// Records that a generation is missed.
+    pub(super) fn record_missed(&mut self, run: &str) {
+        self.missed.insert(run.to_owned());
     }
 
     /// Returns whether a generation was told as missed.
--- a/src/kernel/room_reserve.rs
+++ b/src/kernel/room_reserve.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::class_traffic::{Traffic, class_of};
-use super::engine_ledger::{EngineLedger, Run};
+use super::engine_ledger::{EngineLedger, ListedEngine, Run};
 use super::engine_run::RunDemand;
 
 /// Standard deviations of the number of concurrent arrivals that find room: 98 in 100 do.
@@ -219,7 +219,7 @@
     let engines = ledger.engines.values();
     let leaving = engines.filter(|engine| {
         let listed = engine.listed.as_ref();
-        listed.is_some_and(|listed| listed.leaving && listed.supports_migration)
+        listed.is_some_and(ListedEngine::must_be_emptied)
     });
     let waiting = leaving.flat_map(|engine| {
         let runs = engine.runs.iter().filter_map(|name| ledger.runs.get(name));
@@ -233,10 +233,7 @@
 }
 
 fn waits_for_move(run: &Run) -> bool {
-    run.confirmed
-        && run.moving_to.is_none()
-        && run.reported.generated_tokens > 0
-        && !run.reported.is_ending_soon()
+    run.can_be_moved() && !run.reported.is_ending_soon()
 }
 
 /// Returns the room on open engines in whole units: a gap smaller than what is to be placed is of
