Settings: switches of three further parts of hard load

Shorter generations first, plain endpoints by the calls in flight of all instances, and copies of running generations at a second engine. Nothing reads them yet; they stand here so that the parts can be built side by side. Nothing was run on this commit but the build.

--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -35,6 +35,15 @@
     /// Whether generations are moved off leaving engines by a schedule that ends before they do, and
     /// keep room for that.
     pub scheduled_moves: bool,
+    /// Whether shorter generations may get freed capacity before longer ones of the same priority
+    /// that arrived up to a bounded time earlier.
+    pub shorter_first: bool,
+    /// Whether the calls that all instances have in flight at a plain endpoint decide how many more
+    /// it gets.
+    pub plain_load: bool,
+    /// Whether running generations keep a copy of their memory at a second engine, from which they
+    /// go on if their engine crashes, as long as there is memory to spare.
+    pub standby_copies: bool,
 }
 
 impl LoadSettings {
