--- a/src/gateway/capacity_wait.rs
+++ b/src/gateway/capacity_wait.rs
@@ -4,10 +4,10 @@
 
 use rand::RngExt;
 
-use super::coordinator::CapacityWait;
 use super::endpoint_cooldowns;
 use super::engine_attempt::INITIAL_FIRST_EVENT_TIME;
 use super::inbound_call::Call;
+use super::placement::CapacityWait;
 use super::started_generation::EngineAttempts;
 use crate::error::{Error, ErrorKind};
 use crate::kernel::cooldown::ServiceAvailability;
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -10,7 +10,6 @@
 use super::capacity_wait::{
     capacity_wait, no_allowed_engine_error, no_capacity_error, wait_for_available_engine,
 };
-use super::coordinator::{self, CapacityWait, Placement, PlacementRefused};
 use super::crash_suspects::{self, Admission};
 use super::engine_attempt::{
     AttemptFailure, AttemptParams, AttemptResponse, INITIAL_FIRST_EVENT_TIME, may_have_run_error,
@@ -18,6 +17,7 @@
 };
 use super::excluded_engines::excluded_engines;
 use super::inbound_call::Call;
+use super::placement::{self, CapacityWait, Placement, PlacementRefused};
 use super::relay;
 use super::response_body::{ResponseBody, full_body};
 use super::retry_budgets::RepeatCause;
@@ -250,13 +250,13 @@
     let gateway = &call.gateway;
     if demand.requirements.version == Version::Target {
         let no_wait = CapacityWait::default();
-        let placed = coordinator::place(gateway, &call.service, demand, excluded, no_wait).await;
+        let placed = placement::place(gateway, &call.service, demand, excluded, no_wait).await;
         demand.requirements.version = Version::Current;
         if placed.is_ok() {
             return placed;
         }
     }
-    coordinator::place(gateway, &call.service, demand, excluded, wait).await
+    placement::place(gateway, &call.service, demand, excluded, wait).await
 }
 
 /// The failures to report if no engine starts the generation. They cover every engine that may have
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,8 @@
 //! | `work_counters` | counters of the work that grows with the size of the site |
 //! | `engine_reports` | polls engines for whether they drain while the endpoint list is not updated |
 //! | `ownership` | which instance owns the engines of a service |
-//! | `ledgers`, `coordinator` | placement and moves of generations, by the owner, or by this instance alone if it cannot reach the owner |
+//! | `placement` | how a generation gets an engine from the owner, or from this instance alone if it cannot reach the owner |
+//! | `ledgers`, `engine_list`, `coordinator`, `move_orders` | the engines and generations of a service as the owner sees them, and the decisions on them |
 //! | `rollouts`, `rollout_reports`, `version_choice` | orders of roll-outs, the reports to the owner and its decisions, what the store has recorded, and which version a request goes to |
 //! | `run_reports` | reports the generations served here to the owners of their services |
 
@@ -58,6 +59,7 @@
 pub(crate) mod endpoint_selection;
 pub(crate) mod endpoint_signals;
 pub(crate) mod engine_attempt;
+mod engine_list;
 pub(crate) mod engine_reports;
 pub(crate) mod excluded_engines;
 pub(crate) mod forwarded_call;
@@ -77,6 +79,7 @@
 pub(crate) mod ownership;
 pub(crate) mod peers;
 pub(crate) mod permits;
+pub(crate) mod placement;
 pub(crate) mod plain_attempt;
 pub(crate) mod plain_call;
 pub(crate) mod presence_probe;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,12 +7,12 @@
 use tonic::{Request, Response, Status};
 
 use super::chunked_pages::EncodedPage;
-use super::coordinator::CapacityWait;
 use super::forwarded_call::PartStream;
 use super::node::Gateway;
+use super::placement::CapacityWait;
 use super::runs::UnavailableEngines;
 use super::work_counters::WorkKind;
-use super::{catch_up, coordinator, forwarded_call, heartbeat, moves};
+use super::{catch_up, coordinator, forwarded_call, heartbeat, moves, placement};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::ReportedRun;
 use crate::kernel::limit::LimitUpdate;
@@ -114,7 +114,7 @@
             within_objective: ms(request.objective_wait_ms.min(request.wait_ms)),
             total: ms(request.wait_ms),
         };
-        let placing = coordinator::place_locally(
+        let placing = placement::place_locally(
             &self.gateway,
             &request.service,
             &demand,
