What is in flight, and the addresses for callers, leave the gateway's state

Change: gateway/in_flight.rs counts calls and connections and knows the stage, without the gateway; gateway/caller_addresses.rs draws the addresses that the directory names. No behaviour changes.

--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use http::request::Parts;
 
+use super::in_flight::InFlightGuard;
 use super::message_heads::{CallHead, EndpointRequestHead};
-use super::node::{Gateway, InFlightGuard};
+use super::node::Gateway;
 use super::retry_budgets::{Repeat, RepeatCause};
 use super::version_choice::VersionChoice;
 use crate::kernel::byte_budget::HeldBytes;
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -15,7 +15,8 @@
 use spdlog::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::node::{Gateway, Stage};
+use super::in_flight::Stage;
+use super::node::Gateway;
 use super::request_handler;
 use super::response_body::{ResponseBody, full_body};
 use super::upstream::enable_dead_peer_detection;
@@ -64,7 +65,7 @@
 }
 
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream, kind: ListenerKind) {
-    let _guard = gateway.track_connection();
+    let _guard = gateway.in_flight.track_connection();
     if let Err(error) = enable_dead_peer_detection(&stream) {
         debug!("connection closed before its first request", kv: { why: = error });
         return;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! | file | subject |
 //! |---|---|
 //! | `app` | start-up and graceful shutdown of an instance |
-//! | `node` | shared state of an instance, in shards with a lock each |
+//! | `node`, `in_flight` | shared state of an instance, in shards with a lock each; calls and connections in flight, and the lifecycle stage |
+//! | `caller_addresses` | the addresses that the directory names to callers |
 //! | `site_store` | interface to the platform's store, implemented by plug-ins |
 //! | `shared_store`, `subject_cache` | cached access to the store, directly or through peers |
 //! | `store_follower` | synchronizes configuration, endpoints and members with the store |
@@ -49,6 +50,7 @@
 mod answer_ends;
 pub mod app;
 pub(crate) mod call_forwarding;
+mod caller_addresses;
 pub(crate) mod capacity_wait;
 pub(crate) mod catch_up;
 pub mod chunked_pages;
@@ -67,6 +69,7 @@
 pub(crate) mod hall_evacuation;
 pub(crate) mod heartbeat;
 pub(crate) mod held_calls;
+pub(crate) mod in_flight;
 pub(crate) mod inbound_call;
 pub(crate) mod ledgers;
 pub(crate) mod listener;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -8,20 +8,19 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use rand::RngExt;
-use serde::Serialize;
 use spdlog::info;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use uuid::Uuid;
 
 use super::call_forwarding::DecliningPeers;
 use super::endpoint_presence::PresenceProbes;
 use super::endpoint_signals::EndpointSignalHandler;
 use super::held_calls::HeldCalls;
+use super::in_flight::{InFlight, Stage};
 use super::ledgers::Ledgers;
 use super::live_members::LiveMembers;
 use super::reach_monitor::ReachMonitor;
@@ -43,7 +42,7 @@
 use crate::kernel::health::EndpointHealth;
 use crate::kernel::instance_count::InstanceCounter;
 use crate::kernel::membership::{Incarnation, Members, PeerStatus};
-use crate::kernel::region::{AllowedRegions, HallRegions};
+use crate::kernel::region::HallRegions;
 use crate::kernel::response_time::ResponseTimeEstimate;
 use crate::kernel::route::{RouteConfig, RouteTable};
 use crate::peer::client::PeerClients;
@@ -54,70 +53,6 @@
 /// callers in any hall may use the members in every hall.
 pub(crate) const MEMBER_RING: &str = "site";
 
-/// Lifecycle stage of an instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum Stage {
-    /// Accepts callers once the configuration and the endpoints are known.
-    Serving,
-    /// Shutting down: removed from the directory, but still answers incoming calls.
-    Leaving,
-}
-
-/// Numbers of calls and connections in flight, and the lifecycle stage.
-pub(crate) struct InFlight {
-    calls: AtomicUsize,
-    connections: AtomicUsize,
-    stage: watch::Sender<Stage>,
-}
-
-/// Guard that counts a call or connection as in flight until it is dropped.
-pub(crate) struct InFlightGuard {
-    gateway: Arc<Gateway>,
-    counter: fn(&InFlight) -> &AtomicUsize,
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let count = (self.counter)(&self.gateway.in_flight);
-        count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl InFlight {
-    fn new() -> Self {
-        Self {
-            calls: AtomicUsize::new(0),
-            connections: AtomicUsize::new(0),
-            stage: watch::Sender::new(Stage::Serving),
-        }
-    }
-
-    /// Returns the number of calls in flight.
-    pub(crate) fn calls(&self) -> usize {
-        self.calls.load(Ordering::Relaxed)
-    }
-
-    /// Returns the number of open caller connections.
-    pub(crate) fn connections(&self) -> usize {
-        self.connections.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn stage(&self) -> Stage {
-        *self.stage.borrow()
-    }
-
-    /// Subscribes to changes of the stage.
-    pub(crate) fn subscribe_stage(&self) -> watch::Receiver<Stage> {
-        self.stage.subscribe()
-    }
-
-    /// Marks the instance as leaving. This cannot be undone.
-    pub(crate) fn mark_leaving(&self) {
-        self.stage.send_replace(Stage::Leaving);
-    }
-}
-
 /// An instance that serves routes.
 pub(crate) struct Gateway {
     pub(crate) settings: Settings,
@@ -167,7 +102,7 @@
     pub(crate) peers: Arc<PeerClients>,
     /// Ensures that only one task fetches a configuration from a peer.
     pub(crate) catch_up: ExclusiveTask,
-    pub(crate) in_flight: InFlight,
+    pub(crate) in_flight: Arc<InFlight>,
     pub(crate) work_counters: Arc<WorkCounters>,
     pub(crate) held_calls: HeldCalls,
     /// Bytes of bodies that callers or endpoints have not read yet.
@@ -176,9 +111,6 @@
     pub(crate) exit_deadline: Mutex<Option<Duration>>,
 }
 
-/// Minimum weight of a member's address in the directory, in processor cores.
-const ADDRESS_WEIGHT_MIN: f64 = 0.1;
-
 impl Gateway {
     /// Creates an instance without configuration, endpoints or members.
     pub(crate) fn new(
@@ -261,7 +193,7 @@
             hall_regions,
             peers,
             catch_up: ExclusiveTask::default(),
-            in_flight: InFlight::new(),
+            in_flight: Arc::new(InFlight::new()),
             work_counters,
             held_calls: HeldCalls::default(),
             held_bytes,
@@ -334,24 +266,6 @@
         Some(exit_deadline?.saturating_sub(self.now()))
     }
 
-    /// Counts a call as in flight until the guard is dropped.
-    pub(crate) fn track_call(self: &Arc<Self>) -> InFlightGuard {
-        self.track(|in_flight| &in_flight.calls)
-    }
-
-    /// Counts a caller's connection as open until the guard is dropped.
-    pub(crate) fn track_connection(self: &Arc<Self>) -> InFlightGuard {
-        self.track(|in_flight| &in_flight.connections)
-    }
-
-    fn track(self: &Arc<Self>, counter: fn(&InFlight) -> &AtomicUsize) -> InFlightGuard {
-        counter(&self.in_flight).fetch_add(1, Ordering::Relaxed);
-        InFlightGuard {
-            gateway: self.clone(),
-            counter,
-        }
-    }
-
     /// Returns the number of instances that were reachable recently, including this one.
     pub(crate) fn reachable_instance_count(&self) -> usize {
         1 + self.members.lock().recently_reachable(self.now()).count()
@@ -461,61 +375,6 @@
         }
     }
 
-    /// Returns the regions whose instances a caller of a host may use: its own region and those in
-    /// which the host's calls may be served, or all if these are not restricted.
-    pub(crate) fn directory_regions(&self, host: &str, caller_region: &str) -> AllowedRegions {
-        let table = self.table();
-        let allowed = table.map(|table| table.regions_of_host(host));
-        let allowed = allowed.unwrap_or_default();
-        match allowed.names() {
-            Some(names) => {
-                AllowedRegions::only(names.iter().cloned().chain([caller_region.to_owned()]))
-            }
-            None => allowed,
-        }
-    }
-
-    /// Returns the caller addresses of up to `max` live members in some regions, or in any region if
-    /// there is none.
-    ///
-    /// If there are more, a random sample is drawn, weighted by processor cores.
-    pub(crate) fn caller_addresses(&self, max: usize, regions: &AllowedRegions) -> Vec<SocketAddr> {
-        let own = self.is_ready().then_some(self.settings.caller_address);
-        let live: Vec<(String, SocketAddr)> = {
-            let members = self.members.lock();
-            let live = members.live(MEMBER_RING, self.now());
-            let addresses = live.filter_map(|peer| {
-                let address = peer.status.caller_address.parse().ok()?;
-                Some((peer.status.incarnation.name.clone(), address))
-            });
-            addresses.collect()
-        };
-        let mut weighted: Vec<(f64, SocketAddr)> = {
-            let entries = self.member_entries.lock();
-            let own_cores = self.routing.read().processor_cores;
-            let own = own.map(|address| (own_cores, self.settings.hall.as_str(), address));
-            let others = live.into_iter().map(|(name, address)| {
-                let entry = entries.get(&name);
-                let cores = entry.map(|entry| entry.processor_cores);
-                let hall = entry.map_or("", |entry| entry.hall.as_str());
-                (cores.unwrap_or_default(), hall, address)
-            });
-            let all: Vec<(f64, &str, SocketAddr)> = others.chain(own).collect();
-            let is_allowed = |hall: &str| regions.contains(self.hall_regions.region_of(hall));
-            let has_allowed = all.iter().any(|(_, hall, _)| is_allowed(hall));
-            let allowed = all
-                .into_iter()
-                .filter(|(_, hall, _)| !has_allowed || is_allowed(hall));
-            allowed
-                .map(|(cores, _, address)| (cores, address))
-                .collect()
-        };
-        if weighted.len() > max {
-            weighted = sample_by_weight(weighted, max);
-        }
-        weighted.into_iter().map(|(_, address)| address).collect()
-    }
-
     /// Returns the error for a call that no endpoint can accept now.
     pub(crate) fn no_endpoint_error(service: &str) -> Error {
         Error::new(
@@ -529,19 +388,3 @@
 fn peer_address(settings: &Settings, routing: &RoutingSettings) -> SocketAddr {
     routing.peer_address_told.unwrap_or(settings.peer_address)
 }
-
-/// Draws a random sample without replacement, weighted by the first component: keeps the items with
-/// the highest keys `ln(u) / weight`, where `u` is uniform in (0, 1) (Efraimidis and Spirakis).
-fn sample_by_weight(weighted: Vec<(f64, SocketAddr)>, max: usize) -> Vec<(f64, SocketAddr)> {
-    let mut drawn: Vec<(f64, (f64, SocketAddr))> = weighted
-        .into_iter()
-        .map(|item| {
-            let weight = item.0.max(ADDRESS_WEIGHT_MIN);
-            let key = rand::rng().random_range(f64::EPSILON..1.0).ln() / weight;
-            (key, item)
-        })
-        .collect();
-    drawn.sort_by(|left, right| right.0.total_cmp(&left.0));
-    drawn.truncate(max);
-    drawn.into_iter().map(|(_, item)| item).collect()
-}
--- a/src/gateway/operator_api.rs
+++ b/src/gateway/operator_api.rs
@@ -10,7 +10,8 @@
 use rocket::{Build, Rocket, State, get, post, routes};
 use serde::Serialize;
 
-use super::node::{Gateway, Stage};
+use super::in_flight::Stage;
+use super::node::Gateway;
 use super::rollouts::RolloutDump;
 use crate::kernel::admission_queue::AccountSummary;
 use crate::kernel::clock::millis;
--- a/src/gateway/ownership.rs
+++ b/src/gateway/ownership.rs
@@ -3,7 +3,8 @@
 
 use spdlog::info;
 
-use super::node::{Gateway, Stage};
+use super::in_flight::Stage;
+use super::node::Gateway;
 
 /// Returns the peer address of the owner of a service's engines; `None` if this instance is the
 /// owner or no owner is known.
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -12,9 +12,10 @@
 use rand::RngExt;
 use spdlog::info;
 
+use super::in_flight::{InFlightGuard, Stage};
 use super::inbound_call::{Call, CallOrigin};
 use super::message_heads::CallHead;
-use super::node::{Gateway, InFlightGuard, Stage};
+use super::node::Gateway;
 use super::response_body::{ResponseBody, full_body};
 use super::site_store::Subject;
 use super::{generation, held_calls, plain_call};
@@ -119,7 +120,7 @@
     arrived: Duration,
 ) -> std::result::Result<Call, RefusedCall> {
     let (parts, body) = request.into_parts();
-    let in_flight_guard = gateway.track_call();
+    let in_flight_guard = gateway.in_flight.track_call();
     let head = ingress::decode_head(&parts).map_err(|error| RefusedCall {
         request_id: String::new(),
         error,
@@ -173,7 +174,7 @@
         body: request.body,
         held_body,
         arrived: gateway.now(),
-        in_flight_guard: gateway.track_call(),
+        in_flight_guard: gateway.in_flight.track_call(),
     };
     Ok(accepted.into_call(gateway, received))
 }
