Test of a freed copy waits for the log line

The stand-in counts a copy as freed when it handles the request; the instance writes its line after it has read the response, and the test reads that line from the instance's output. So the test judged too early.

--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -115,7 +115,9 @@
         let is_freed = async || site.standin.copy_count() == 0;
         if is_scheduled {
             wait_until("copy freed", is_freed).await;
-            assert!(instance.has_log_line("copy of a move freed"));
+            // The stand-in has freed the copy before the instance reads its response.
+            let is_logged = async || instance.has_log_line("copy of a move freed");
+            wait_until("logged", is_logged).await;
         } else {
             assert!(!is_freed().await, "a copy was made");
         }
