Late attempts of repeatable calls stay open beside the next one

Cause: a repeatable call whose response takes longer than most do is sent to another endpoint, and its first attempt was given up at that time. An endpoint that is slow for a moment would have answered it soon after.

Ruled out: connecting, permits, forwarding and waiting until ready, which show in none of the late calls; placement by what other instances saw, which 4 of 92 late sends could have known from calls that had ended in the second before.

Change: with routing.load.plain_load, off by default, the late attempt stays open and the first answer counts; where nothing can be sent any more, it is awaited until the deadline. Nothing is sent more often or earlier. The switch was read by nobody; its description follows.

Before and after: call_late_next_endpoint_hangs_late_response_delivered and call_late_retry_budget_spent_late_response_delivered fail with the switch off (504, "no answer in time" and "retry budget spent") and pass with it on; call_once_late_runs_once passes with both.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 //! | `crash_suspects` | requests that crash endpoints, and whether a request may be sent |
 //! | `held_calls` | calls held until the instance is ready |
 //! | `request_handler` | handles the requests of callers |
-//! | `plain_call`, `plain_attempt`, `endpoint_selection` | calls with a single response, one attempt of a call, and the selection of its endpoint |
+//! | `plain_call`, `plain_attempt`, `late_attempts`, `endpoint_selection` | calls with a single response, one attempt of a call, attempts that stay open beside the next, and the selection of an endpoint |
 //! | `generation`, `engine_attempt`, `started_generation`, `relay` | placement of generations, attempts at engines, and forwarding of their events, also after a move |
 //! | `capacity_wait`, `excluded_engines` | how long a generation waits for capacity, and the engines that it must not be placed on |
 //! | `read_ahead` | reads generations ahead of callers that read slowly |
@@ -68,6 +68,7 @@
 pub(crate) mod heartbeat;
 pub(crate) mod held_calls;
 pub(crate) mod inbound_call;
+mod late_attempts;
 pub(crate) mod ledgers;
 pub(crate) mod listener;
 pub(crate) mod live_members;
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::BoxFuture;
 use http::response::Parts;
 use http_body_util::{BodyExt, Limited};
 
@@ -12,6 +13,7 @@
 use super::crash_suspects::Survival;
 use super::endpoint_cooldowns;
 use super::inbound_call::{Call, SendsBefore};
+use super::late_attempts::SilenceGuard;
 use super::permits::Permit;
 use super::send_checks::{Withheld, check_before_send};
 use super::upstream::{
@@ -78,7 +80,7 @@
 
 /// State of a call over all its attempts.
 #[derive(Default)]
-pub(super) struct Attempts {
+pub(super) struct Attempts<'a> {
     /// Requests sent by this instance, including refused ones.
     pub(super) sends: u32,
     /// Number of sends that an endpoint may have run.
@@ -92,9 +94,13 @@
     pub(super) last_reason: String,
     /// Whether the request is a crash suspect that only endpoints with other software may run.
     pub(super) restricted: bool,
+    /// Whether the answer came from an attempt that was late.
+    pub(super) answered_late: bool,
+    /// The last attempt, if it timed out and its answer is still of use.
+    pub(super) left_open: Option<BoxFuture<'a, Attempt>>,
 }
 
-impl Attempts {
+impl Attempts<'_> {
     /// Returns the state of a call for which some requests were sent already.
     pub(super) fn after(before: SendsBefore) -> Self {
         Self {
@@ -145,7 +151,7 @@
 async fn connect(
     call: &Call,
     endpoint: &EndpointEntry,
-    attempts: &mut Attempts,
+    attempts: &mut Attempts<'_>,
 ) -> Result<Connection, String> {
     let gateway = &call.gateway;
     let max_open = gateway.connections_max(&call.table, &call.service);
@@ -167,11 +173,11 @@
 }
 
 /// Sends the request of a call to an endpoint and records what that says about the endpoint.
-pub(super) async fn send_attempt(
-    call: &Call,
+pub(super) async fn send_attempt<'a>(
+    call: &'a Call,
     endpoint: &EndpointEntry,
     permit: Permit,
-    attempts: &mut Attempts,
+    attempts: &mut Attempts<'a>,
 ) -> Attempt {
     let gateway = &call.gateway;
     let connection = match connect(call, endpoint, attempts).await {
@@ -195,14 +201,18 @@
         .response_time(&call.service, INITIAL_RESPONSE_TIME)
         .overdue()
         * OVERDUE_FACTOR;
-    let response = Box::pin(async {
+    let responder = endpoint.clone();
+    let response = async move {
         let response = connection.send(request, permit).await?;
-        read_response(call, endpoint, response).await
+        read_response(call, &responder, response).await
+    };
+    let watched_connections = idle_connections.clone();
+    let mut response: BoxFuture<'a, Result<Attempt, SendError>> = Box::pin(async move {
+        let response = Box::pin(response);
+        await_response(watched_connections.as_ref(), overdue_after, response).await
     });
-    let response = await_response(idle_connections.as_ref(), overdue_after, response);
-    let response = gateway.wait_for(timeout, response);
     let sent_at = gateway.now();
-    let attempt = match response.await {
+    let attempt = match gateway.wait_for(timeout, response.as_mut()).await {
         Some(Ok(attempt)) => {
             let took = gateway.now().saturating_sub(sent_at);
             gateway.record_response_time(&call.service, INITIAL_RESPONSE_TIME, took);
@@ -225,8 +235,10 @@
                     timeout * TIMEOUT_SAMPLE_FACTOR,
                 );
             }
-            if let Some(idle_connections) = &idle_connections {
-                idle_connections.restrict_reuse();
+            let silence = SilenceGuard::new(idle_connections);
+            if may_give_up && gateway.routing.read().load.plain_load {
+                let late = finish_late(call, endpoint.clone(), silence, response);
+                attempts.left_open = Some(Box::pin(late));
             }
             Attempt::TimedOut
         }
@@ -235,15 +247,7 @@
         let latency = gateway.now().saturating_sub(sent_at);
         gateway.record_rollout_outcome(call, endpoint, failed, latency);
     }
-    if let Attempt::Responded(response) = &attempt
-        && response.parts.status.is_success()
-    {
-        if response.ended_with_connection {
-            answer_ends::record_survival_if_still_running(call, endpoint);
-        } else {
-            Survival::of(call, endpoint).record();
-        }
-    }
+    record_survival(call, endpoint, &attempt);
     if !matches!(
         attempt,
         Attempt::NotRun(_) | Attempt::Misdirected | Attempt::RateLimited
@@ -253,6 +257,46 @@
     attempt
 }
 
+/// Waits for the response to an attempt that timed out. The timeout already counts against the
+/// endpoint and its version.
+async fn finish_late(
+    call: &Call,
+    endpoint: EndpointEntry,
+    silence: SilenceGuard,
+    response: impl Future<Output = Result<Attempt, SendError>>,
+) -> Attempt {
+    let response = response.await;
+    silence.record_response();
+    match response {
+        Ok(attempt) => {
+            record_survival(call, &endpoint, &attempt);
+            attempt
+        }
+        Err(SendError::MayHaveRun(reason)) => {
+            aborted_requests::report(call, endpoint, Duration::ZERO).await;
+            Attempt::MayHaveRun(reason)
+        }
+        Err(error @ (SendError::Unsent(_) | SendError::NoPermit)) => {
+            Attempt::NotRun(error.to_string())
+        }
+    }
+}
+
+/// Records that the endpoint survived the request, if the attempt shows it.
+fn record_survival(call: &Call, endpoint: &EndpointEntry, attempt: &Attempt) {
+    let Attempt::Responded(response) = attempt else {
+        return;
+    };
+    if !response.parts.status.is_success() {
+        return;
+    }
+    if response.ended_with_connection {
+        answer_ends::record_survival_if_still_running(call, endpoint);
+    } else {
+        Survival::of(call, endpoint).record();
+    }
+}
+
 /// Waits for a response. If it is overdue on a reused connection, restricts the reuse of the other
 /// idle connections of the service, which may have gone silent as well, and keeps waiting: a call
 /// that cannot be retried waits until its deadline.
@@ -274,7 +318,7 @@
 
 /// Returns the timeout of this attempt: the time left until the deadline, or less if another
 /// attempt can follow.
-fn attempt_timeout(call: &Call, attempts: &Attempts) -> Duration {
+fn attempt_timeout(call: &Call, attempts: &Attempts<'_>) -> Duration {
     let time_left = call.time_left();
     // Without another endpoint to try, a late response is better than none.
     let can_retry = call.route.kind == CallKind::Repeatable
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -13,6 +13,7 @@
 use super::endpoint_cooldowns;
 use super::endpoint_selection::select_endpoint;
 use super::inbound_call::Call;
+use super::late_attempts::{LateAttempts, Raced};
 use super::node::Gateway;
 use super::permits::Permit;
 use super::plain_attempt::{
@@ -88,6 +89,7 @@
             config_version: = call.table.version(),
             outcome = outcome.as_str(),
             sends: = attempts.sends,
+            answered_late: = attempts.answered_late,
             tried:? = attempts.tried,
             last_reason = attempts.last_reason.as_str(),
             took_ms:,
@@ -106,12 +108,11 @@
 
 /// Tries endpoints one after the other. Stops early if this instance reaches none of them and
 /// `failed_connects_max` connections of this call have failed.
-async fn run_attempts(
-    call: &Call,
-    attempts: &mut Attempts,
+async fn run_attempts<'a>(
+    call: &'a Call,
+    attempts: &mut Attempts<'a>,
     failed_connects_max: usize,
 ) -> Result<BufferedResponse, Error> {
-    let repeatable = call.route.kind == CallKind::Repeatable;
     // A request that crashes endpoints is not sent to endpoints with the same software again.
     match crash_suspects::admission(call, false) {
         Admission::Admitted => {}
@@ -128,81 +129,141 @@
             return Err(failure_error(call, attempts));
         }
     }
-    while let Some((endpoint, permit)) = next_endpoint(call, &attempts.tried).await {
-        if attempts.failed_connects >= failed_connects_max && call.needs_forwarding() {
-            "no endpoint reached from here".clone_into(&mut attempts.last_reason);
-            break;
-        }
-        let is_retry = attempts.sends > 0;
-        if is_retry
-            && !call
-                .gateway
-                .try_spend_retry(call.repeat(RepeatCause::Retry))
-        {
-            "retry budget spent".clone_into(&mut attempts.last_reason);
-            break;
+    let mut late_attempts = LateAttempts::default();
+    loop {
+        let next = attempt_next(call, attempts, failed_connects_max);
+        let attempt = match late_attempts.race(next).await {
+            Raced::Late(response) => {
+                attempts.answered_late = true;
+                return Ok(response);
+            }
+            Raced::Next(Some(attempt)) => attempt,
+            Raced::Next(None) => break,
+        };
+        if let Some(late) = attempts.left_open.take() {
+            late_attempts.keep(late);
         }
-        attempts.tried.insert(endpoint.id.clone());
-        let mut health = HealthGuard::begin(&call.gateway, &endpoint);
-        let attempt = send_attempt(call, &endpoint, permit, attempts).await;
-        health.failed = endpoint_failure(&attempt);
-        drop(health);
-        if matches!(attempt, Attempt::Misdirected) {
-            let now = call.gateway.now();
-            call.gateway.health.lock().record_absent(&endpoint.id, now);
+        match after_attempt(call, attempts, attempt) {
+            AfterAttempt::Done(result) => return *result,
+            AfterAttempt::TryNext if may_send_again(call, attempts) => {}
+            AfterAttempt::TryNext | AfterAttempt::Stop => break,
         }
-        match attempt {
-            Attempt::Responded(response) => {
-                let failed = response.parts.status.is_server_error();
-                if !(failed && repeatable && may_retry(call, attempts)) {
-                    return Ok(response);
-                }
-                attempts.last_reason = format!("endpoint answered {}", response.parts.status);
-                attempts.error_response = Some(response);
-            }
-            Attempt::NotRun(reason) => attempts.last_reason = reason,
-            Attempt::CrashSuspected => {
-                "endpoints end under it".clone_into(&mut attempts.last_reason);
-                if attempts.may_have_run == 0 && attempts.error_response.is_none() {
-                    return Err(crash_suspects::refusal_error(call));
-                }
-                break;
-            }
-            Attempt::CoolingDown => "the endpoint rests".clone_into(&mut attempts.last_reason),
-            Attempt::RateLimited => {
-                "the endpoint takes no more for now".clone_into(&mut attempts.last_reason);
-            }
-            Attempt::Misdirected => {
-                "another endpoint is at its address".clone_into(&mut attempts.last_reason);
-            }
-            Attempt::MayHaveRun(reason) => {
-                attempts.last_reason = reason;
-                if !repeatable {
-                    break;
-                }
+    }
+    if let Some(response) = attempts.error_response.take() {
+        return Ok(response);
+    }
+    if call.needs_forwarding() {
+        // A peer may serve it while there is time.
+        return Err(failure_error(call, attempts));
+    }
+    let late_answer = late_attempts.first_answer();
+    let late_answer = call.gateway.wait_for(call.time_left(), late_answer).await;
+    let late_answer = late_answer.flatten();
+    attempts.answered_late = late_answer.is_some();
+    late_answer
+        .or(late_attempts.server_error)
+        .ok_or_else(|| failure_error(call, attempts))
+}
+
+/// Selects the next endpoint and sends the call to it. Returns `None` if there is none to send it
+/// to.
+async fn attempt_next<'a>(
+    call: &'a Call,
+    attempts: &mut Attempts<'a>,
+    failed_connects_max: usize,
+) -> Option<Attempt> {
+    let (endpoint, permit) = next_endpoint(call, &attempts.tried).await?;
+    if attempts.failed_connects >= failed_connects_max && call.needs_forwarding() {
+        "no endpoint reached from here".clone_into(&mut attempts.last_reason);
+        return None;
+    }
+    let is_retry = attempts.sends > 0;
+    if is_retry
+        && !call
+            .gateway
+            .try_spend_retry(call.repeat(RepeatCause::Retry))
+    {
+        "retry budget spent".clone_into(&mut attempts.last_reason);
+        return None;
+    }
+    attempts.tried.insert(endpoint.id.clone());
+    let mut health = HealthGuard::begin(&call.gateway, &endpoint);
+    let attempt = send_attempt(call, &endpoint, permit, attempts).await;
+    health.failed = endpoint_failure(&attempt);
+    drop(health);
+    if matches!(attempt, Attempt::Misdirected) {
+        let now = call.gateway.now();
+        call.gateway.health.lock().record_absent(&endpoint.id, now);
+    }
+    Some(attempt)
+}
+
+/// What follows an attempt.
+enum AfterAttempt {
+    /// The call has its result.
+    Done(Box<Result<BufferedResponse, Error>>),
+    /// It may be sent to another endpoint.
+    TryNext,
+    /// It must not be sent again.
+    Stop,
+}
+
+/// Records the outcome of an attempt, and returns what follows it.
+fn after_attempt(call: &Call, attempts: &mut Attempts<'_>, attempt: Attempt) -> AfterAttempt {
+    let repeatable = call.route.kind == CallKind::Repeatable;
+    let after_run = if repeatable {
+        AfterAttempt::TryNext
+    } else {
+        AfterAttempt::Stop
+    };
+    match attempt {
+        Attempt::Responded(response) => {
+            let failed = response.parts.status.is_server_error();
+            if !(failed && repeatable && may_retry(call, attempts)) {
+                return AfterAttempt::Done(Box::new(Ok(response)));
             }
-            Attempt::TimedOut => {
-                "no answer in time".clone_into(&mut attempts.last_reason);
-                attempts.timed_out = true;
-                if !repeatable {
-                    break;
-                }
+            attempts.last_reason = format!("endpoint answered {}", response.parts.status);
+            attempts.error_response = Some(response);
+        }
+        Attempt::NotRun(reason) => attempts.last_reason = reason,
+        Attempt::CrashSuspected => {
+            "endpoints end under it".clone_into(&mut attempts.last_reason);
+            if attempts.may_have_run == 0 && attempts.error_response.is_none() {
+                let refusal = crash_suspects::refusal_error(call);
+                return AfterAttempt::Done(Box::new(Err(refusal)));
             }
+            return AfterAttempt::Stop;
         }
-        let max_runs = if attempts.restricted {
-            1
-        } else {
-            call.route.attempts_max
-        };
-        let has_spent_runs = attempts.may_have_run >= max_runs;
-        if has_spent_runs || attempts.sends >= SENDS_MAX || call.time_left() < TIME_LEFT_MIN {
-            break;
+        Attempt::CoolingDown => "the endpoint rests".clone_into(&mut attempts.last_reason),
+        Attempt::RateLimited => {
+            "the endpoint takes no more for now".clone_into(&mut attempts.last_reason);
+        }
+        Attempt::Misdirected => {
+            "another endpoint is at its address".clone_into(&mut attempts.last_reason);
+        }
+        Attempt::MayHaveRun(reason) => {
+            attempts.last_reason = reason;
+            return after_run;
+        }
+        Attempt::TimedOut => {
+            "no answer in time".clone_into(&mut attempts.last_reason);
+            attempts.timed_out = true;
+            return after_run;
         }
     }
-    match attempts.error_response.take() {
-        Some(response) => Ok(response),
-        None => Err(failure_error(call, attempts)),
-    }
+    AfterAttempt::TryNext
+}
+
+/// Returns whether a call without a result may be sent once more.
+fn may_send_again(call: &Call, attempts: &Attempts<'_>) -> bool {
+    let max_runs = if attempts.restricted {
+        1
+    } else {
+        call.route.attempts_max
+    };
+    attempts.may_have_run < max_runs
+        && attempts.sends < SENDS_MAX
+        && call.time_left() >= TIME_LEFT_MIN
 }
 
 /// Returns the next endpoint to try, together with its permit.
@@ -239,14 +300,14 @@
     }
 }
 
-fn may_retry(call: &Call, attempts: &Attempts) -> bool {
+fn may_retry(call: &Call, attempts: &Attempts<'_>) -> bool {
     attempts.may_have_run < call.route.attempts_max
         && attempts.sends < SENDS_MAX
         && call.age() < call.route.latency_objective
 }
 
 /// Returns the error that covers all attempts, including whether the request may have run.
-fn failure_error(call: &Call, attempts: &Attempts) -> Error {
+fn failure_error(call: &Call, attempts: &Attempts<'_>) -> Error {
     let reason = &attempts.last_reason;
     if attempts.may_have_run > 0 {
         let kind = if attempts.timed_out {
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -38,8 +38,8 @@
     /// Whether shorter generations may get freed capacity before longer ones of the same priority
     /// that arrived up to a bounded time earlier.
     pub shorter_first: bool,
-    /// Whether the calls that all instances have in flight at a plain endpoint decide how many more
-    /// it gets.
+    /// Whether the late attempt of a repeatable call with a single response stays open while the
+    /// call is sent to another endpoint; the first answer counts.
     pub plain_load: bool,
     /// Whether running generations keep a copy of their memory at a second engine, from which they
     /// go on if their engine crashes, as long as there is memory to spare.
