Copies of running generations at a second engine, on spare memory alone

Cause: an engine that crashes without notice takes all its long generations with it, since they may not run again.

Ruled out: copies wherever an engine has room, as they were before: they took the room of live generations in a crowd, and the wire has no call that gives one back. Moves: they need a notice. A second run: not allowed.

Change, behind `routing.load.standby_copies` and only where the configuration says `backups`: the owner chooses at placement whether a long generation gets a copy and where (kernel/standby_copies.rs): the service filled to at most half, copies included, the target to at most 0.6. The entry sets Kv-Backup, reports tell owners of copies, the ledger counts them until the run ends or goes on elsewhere. Once the engine is known to have ended, the entry goes on from the copy (relay/standby_copy.rs), once, within the retry budget, and not after a verdict on the content; a suspected content gets no copy. `ReportedRun` has a field more, which the tests and benches that build one by hand set to `None`. The stand-in keeps copies.

Tests: kernel/standby_copies (6) and standby_copies with real processes (4). generation_engine_crashes_goes_on_from_copy plays the crash without the switch, too, and the stream is cut there, as on the code before. The kernel tests call what did not exist, so they do not compile before; they were not run against a weakened decision. tests/kernel (318), site_generations (21), generated (1) and standby_copies (4, six times) pass; Clippy and the formatter are clean. generated failed once because its example was not built yet (it had been asked for alone); it passes with the example.

Conclusion: whole in code; what it gains is not measured in this commit.

--- a/benches/crashing.rs
+++ b/benches/crashing.rs
@@ -366,6 +366,7 @@
             ReportedRun {
                 demand: run.demand.clone(),
                 endpoint: run.engine.clone(),
+                copy_at: None,
                 generated_tokens,
             }
         });
--- a/benches/load_decisions.rs
+++ b/benches/load_decisions.rs
@@ -64,6 +64,7 @@
     let runs = (0..engines * RUNS_PER_ENGINE).map(|number| ReportedRun {
         demand: demand(format!("r{number}"), number % 24),
         endpoint: format!("e{}", number % engines),
+        copy_at: None,
         generated_tokens: 300,
     });
     ledger.apply_report("n", runs.collect(), NOW);
--- a/src/gateway/endpoint_presence.rs
+++ b/src/gateway/endpoint_presence.rs
@@ -215,6 +215,22 @@
         std::future::pending::<()>().await;
     }
 
+    /// Returns whether an endpoint that aborted a request just now is known to have ended.
+    pub(super) async fn has_ended(&self, endpoint: &EndpointEntry) -> bool {
+        if self.presence_probes.ended.lock().contains_key(&endpoint.id) {
+            return true;
+        }
+        let presence = match self.presence_probes.latest(endpoint) {
+            Some(probe) => {
+                let result = probe.result(self, endpoint).await;
+                self.weigh_probe(endpoint, result).await.presence
+            }
+            // Its end was expected and it was not probed.
+            None => self.presence_after_answer(endpoint).await,
+        };
+        presence == Presence::Ended
+    }
+
     /// Records that an endpoint has ended. It is avoided until it is no longer listed, or a later
     /// probe finds that it runs. No caller's request serves as that probe.
     pub(super) fn record_ended(self: &Arc<Self>, endpoint: &EndpointEntry, probed: ProbeResult) {
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -10,6 +10,7 @@
 
 use super::aborted_requests;
 use super::inbound_call::Call;
+use super::message_heads::EndpointRequestHead;
 use super::retry_budgets::RepeatCause;
 use super::runs::{RunCommand, RunHandle, Unavailability};
 use super::send_checks::{Withheld, check_before_send};
@@ -105,6 +106,8 @@
 /// Parameters of one attempt at an engine.
 pub(super) struct AttemptParams<'a> {
     pub(super) granted: &'a str,
+    /// Engine that is to keep a copy of the memory.
+    pub(super) copy_at: Option<&'a str>,
     /// When the placement was counted against the rate limit that the engine announces, if it was.
     pub(super) counted_at: Option<Duration>,
     /// ID of the last event that the caller received.
@@ -119,12 +122,14 @@
     call: &Arc<Call>,
     demand: &RunDemand,
     engine: &EndpointEntry,
+    copy_at: Option<EndpointEntry>,
 ) -> (RunGuard, mpsc::UnboundedReceiver<RunCommand>) {
     let (sender, commands) = mpsc::unbounded_channel();
     let run = Arc::new(RunHandle {
         service: call.service.clone(),
         demand: demand.clone(),
         endpoint: Mutex::new(engine.clone()),
+        copy_at: Mutex::new(copy_at),
         generated_tokens: AtomicU32::new(0),
         is_moving: AtomicBool::new(false),
         commands: sender,
@@ -144,19 +149,25 @@
 ) -> Result<AttemptResponse, AttemptFailure> {
     let AttemptParams {
         granted,
+        copy_at,
         counted_at,
         last_event_id,
         response_timeout,
         restricted,
     } = params;
     let gateway = &call.gateway;
-    let endpoint = gateway.fleet.lock().get(granted).cloned();
+    let (endpoint, keeper) = {
+        let fleet = gateway.fleet.lock();
+        let keeper = copy_at.and_then(|keeper| fleet.get(keeper));
+        (fleet.get(granted).cloned(), keeper.cloned())
+    };
+    let keeper_address = keeper.as_ref().map(|keeper| keeper.address);
     let unsent = |reason: &str| AttemptFailure::Unsent {
         reason: reason.to_owned(),
         unreached: false,
     };
     let endpoint = endpoint.ok_or_else(|| unsent("engine unknown here"))?;
-    let (run_guard, commands) = register_run(call, demand, &endpoint);
+    let (run_guard, commands) = register_run(call, demand, &endpoint, keeper);
     let max_open = gateway.connections_max(&call.table, &call.service);
     // A generation is sent once, so it would be lost on a pooled connection that is dead. A new
     // connection costs one round trip of the latency objective.
@@ -174,7 +185,10 @@
     };
     let permit = permit.ok_or(AttemptFailure::RateLimited)?;
     check_before_send(call, &endpoint, restricted, Duration::ZERO)?;
-    let send = call.endpoint_head(&endpoint, last_event_id);
+    let send = EndpointRequestHead {
+        copy_at: keeper_address,
+        ..call.endpoint_head(&endpoint, last_event_id)
+    };
     let request = engine::build_forwarded_request(&call.parts, call.body.clone(), &send).map_err(
         |error| AttemptFailure::Fatal(Error::new(ErrorKind::BadRequest, error.to_string())),
     )?;
@@ -292,7 +306,7 @@
     let response =
         takeover::resume(call, &mut continuation, RepeatCause::Move, last_event_id).await;
     let response = response.map_err(|error| may_have_run(error.to_string()))?;
-    *run.endpoint.lock() = continuation.target;
+    run.set_engine(continuation.target);
     call.gateway.ledgers.runs_changed.notify_one();
     Ok(response)
 }
--- a/src/gateway/engine_list.rs
+++ b/src/gateway/engine_list.rs
@@ -62,6 +62,7 @@
             // leaving engines, would overload the other halls.
             closed: !fleet.can_accept_work(&entry.id) || rollout.is_closed(entry),
             supports_migration: capabilities.supports_migration,
+            supports_copies: capabilities.supports_copies,
             cold: cold_start.map(|cold_start| ColdLimit {
                 until: fleet.cold_until(&entry.id),
                 share_per_s: cold_start.share_per_s(sender),
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -26,6 +26,7 @@
 };
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
+use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::engine_ledger::{EngineRequirements, RunDemand};
 use crate::kernel::rollout_evidence::Version;
 use crate::platform::ingress;
@@ -86,6 +87,7 @@
         priority: call.rank(),
         account: call.account.clone(),
         pause_max: call.route.pause_max,
+        wants_copy: wants_copy(call),
         requirements: EngineRequirements {
             version: call
                 .version_choice
@@ -96,6 +98,15 @@
     }
 }
 
+/// Returns whether the generation is lost if its engine crashes. One whose content endpoints have
+/// crashed under gets no second engine to crash.
+fn wants_copy(call: &Call) -> bool {
+    let may_run_again = call.route.resumable && call.route.attempts_max > 1;
+    call.gateway.routing.read().load.standby_copies
+        && !may_run_again
+        && crash_suspects::current_verdict(call) == Verdict::Allowed
+}
+
 impl EngineAttempts {
     /// Counts an attempt: a send if a request reached an engine, and a run if the generation may
     /// have run there.
@@ -196,20 +207,21 @@
         let wait = capacity_wait(call, attempts);
         let excluded = excluded_engines(call, attempts);
         let placement = Box::pin(place(call, &mut demand, &excluded, wait)).await;
-        let (granted, counted_at) = match placement {
-            Ok(placement) => (placement.engine, placement.counted_at),
+        let placed = match placement {
+            Ok(placement) => placement,
             Err(refused) => {
                 attempts.room_in = refused.room_in;
                 reason.push_str("; no room");
                 break;
             }
         };
-        log_placement(call, &demand, &granted);
+        log_placement(call, &demand, &placed);
         let response_timeout = response_timeout(call, attempts);
         let restricted = attempts.restricted;
         let params = AttemptParams {
-            granted: &granted,
-            counted_at,
+            granted: &placed.engine,
+            copy_at: placed.copy_at.as_deref(),
+            counted_at: placed.counted_at,
             last_event_id,
             response_timeout,
             restricted,
@@ -232,9 +244,9 @@
         }
         gateway
             .runs
-            .record_unavailable_engine(&call.service, &granted, unavailability);
+            .record_unavailable_engine(&call.service, &placed.engine, unavailability);
         gateway.ledgers.runs_changed.notify_one();
-        attempts.excluded.push(granted);
+        attempts.excluded.push(placed.engine);
     }
     failures.into_result(call, attempts, &reason)
 }
@@ -339,11 +351,19 @@
     !call.regions.is_restricted() || allowed.next().is_some()
 }
 
-fn log_placement(call: &Call, demand: &RunDemand, granted: &str) {
+fn log_placement(call: &Call, demand: &RunDemand, placed: &Placement) {
+    if demand.wants_copy {
+        let outcome = if placed.copy_at.is_some() {
+            "begun"
+        } else {
+            "no room"
+        };
+        metrics::counter!("larkwick_standby_copies_total", "outcome" => outcome).increment(1);
+    }
     if crate::log::should_log("generation placed") {
         info!("generation placed", kv: {
-            request_id = demand.run.as_str(), endpoint = granted,
-            prompt_tokens: = demand.prompt_tokens,
+            request_id = demand.run.as_str(), endpoint = placed.engine.as_str(),
+            copy_at:? = placed.copy_at, prompt_tokens: = demand.prompt_tokens,
             made_hint:? = demand.generated_hint_tokens, waited_ms: = millis(call.age()),
         });
     }
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -153,6 +153,7 @@
             account: self.account.as_deref(),
             priority: self.engine_priority(),
             continue_from: None,
+            copy_at: None,
             last_event_id,
         }
     }
--- a/src/gateway/message_heads.rs
+++ b/src/gateway/message_heads.rs
@@ -54,6 +54,8 @@
     pub priority: Option<u8>,
     /// KV-cache copy from which a moved generation continues.
     pub continue_from: Option<ContinueFrom<'a>>,
+    /// Address of the engine that is to keep a copy of the generation's memory.
+    pub copy_at: Option<SocketAddr>,
     /// Last event that the caller received, if the endpoint is to continue after it.
     pub last_event_id: Option<&'a str>,
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -128,6 +128,7 @@
             Ok(placed) => wire::PlaceReply {
                 counted: placed.counted_at.is_some(),
                 endpoint: placed.engine,
+                copy_at: placed.copy_at.unwrap_or_default(),
                 ..wire::PlaceReply::default()
             },
             Err(refused) => wire::PlaceReply {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -50,6 +50,8 @@
 /// A granted placement of a generation.
 pub(crate) struct Placement {
     pub(crate) engine: String,
+    /// Engine that is to keep a copy of the generation's memory.
+    pub(crate) copy_at: Option<String>,
     /// Earliest time at which the placement was counted against the rate limit that the engine
     /// announces; `None` if the placing instance knew of no limit.
     pub(crate) counted_at: Option<Duration>,
@@ -160,8 +162,12 @@
     let counted_at = requested_at + ms(reply.waited_ms);
     let counted_at = reply.counted.then_some(counted_at);
     let room_in = (reply.room_in_ms > 0).then(|| ms(reply.room_in_ms));
-    let engine = convert::granted_endpoint(reply).ok_or(PlacementRefused { room_in });
-    Ok(engine.map(|engine| Placement { engine, counted_at }))
+    let granted = convert::granted_endpoints(reply).ok_or(PlacementRefused { room_in });
+    Ok(granted.map(|(engine, copy_at)| Placement {
+        engine,
+        copy_at,
+        counted_at,
+    }))
 }
 
 /// Finds an engine from this instance's own ledger and waits for capacity if necessary.
@@ -199,7 +205,9 @@
             ..
         } = &mut *shard;
         match queue.request_admission(ledger, request.clone(), now) {
-            Admission::Granted(engine) => return Ok(placement(ledger, engine, now)),
+            Admission::Granted(engine) => {
+                return Ok(placement(gateway, ledger, &demand.run, engine, now));
+            }
             Admission::Refused => {
                 let refusal = queue.explain_refusal(ledger, &request, now);
                 record_refusal(service, demand, entry, &refusal);
@@ -224,13 +232,22 @@
         let room_in = outcome.refusal.and_then(|refusal| refusal.room_in);
         return Err(PlacementRefused { room_in });
     };
-    let shard = shard.lock();
-    Ok(placement(&shard.ledger, engine, gateway.now()))
+    let ledger = &mut shard.lock().ledger;
+    let now = gateway.now();
+    Ok(placement(gateway, ledger, &demand.run, engine, now))
 }
 
-fn placement(ledger: &EngineLedger, engine: String, now: Duration) -> Placement {
+fn placement(
+    gateway: &Gateway,
+    ledger: &mut EngineLedger,
+    run: &str,
+    engine: String,
+    now: Duration,
+) -> Placement {
+    let keeps_copies = gateway.routing.read().load.standby_copies;
     Placement {
         counted_at: ledger.is_limited(&engine).then_some(now),
+        copy_at: keeps_copies.then(|| ledger.place_copy(run, now)).flatten(),
         engine,
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 
 mod continuation;
 mod events;
+mod standby_copy;
 mod timing;
 
 use std::sync::Arc;
@@ -284,13 +285,16 @@
         None
     }
 
-    /// Determines how to proceed after the stream broke: wait for the continuation of a stop,
-    /// restart, take the generation over, or fail.
+    /// Determines how to proceed after the stream broke: wait for the continuation of a stop, go on
+    /// from the copy at another engine, restart, take the generation over, or fail.
     async fn recover_from_abort(&mut self, reason: String) -> Step {
         self.source = None;
         if let Some(continuation) = self.stop_result().await {
             return Step::Continue(continuation);
         }
+        if self.resume_from_copy(&reason).await {
+            return Step::Pending;
+        }
         if generation::can_restart(&self.call, &self.attempts) {
             return Step::Restart(reason);
         }
--- a/src/gateway/relay/continuation.rs
+++ b/src/gateway/relay/continuation.rs
@@ -11,6 +11,7 @@
 use crate::gateway::takeover::{self, ResumeError};
 use crate::gateway::upstream::EndpointResponse;
 use crate::kernel::clock::millis;
+use crate::kernel::fleet::EndpointEntry;
 
 impl Relay {
     /// Asks the engine of a broken stream to stop the generation and returns its continuation,
@@ -95,12 +96,17 @@
             Err(error) => return Err(error.to_string()),
         };
         self.moves += 1;
-        *self.run_guard.run.endpoint.lock() = continuation.target;
+        self.go_on_at(continuation.target, response);
+        Ok(())
+    }
+
+    /// Goes on with the stream of the engine that now runs the generation.
+    pub(super) fn go_on_at(&mut self, engine: EndpointEntry, response: EndpointResponse) {
+        self.run_guard.run.set_engine(engine);
         self.call.gateway.ledgers.runs_changed.notify_one();
         self.source = Some(ResponseStream::new(response));
         self.first_event_at = None;
         self.timing.record_move();
-        Ok(())
     }
 
     async fn try_resume(
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -21,6 +21,8 @@
     Retry,
     /// It continues at another engine from its memory there.
     Move,
+    /// It continues from its copy at another engine, because its engine crashed.
+    StandbyCopy,
     /// It returns to the engine that stopped it, because the target of its move refused it.
     Return,
 }
@@ -30,6 +32,7 @@
         match self {
             Self::Retry => "retry",
             Self::Move => "move",
+            Self::StandbyCopy => "standby copy",
             Self::Return => "return",
         }
     }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -49,6 +49,8 @@
     pub(crate) demand: RunDemand,
     /// Engine that runs the generation.
     pub(crate) endpoint: Mutex<EndpointEntry>,
+    /// Engine that keeps a copy of its memory, which is named after the request.
+    pub(crate) copy_at: Mutex<Option<EndpointEntry>>,
     pub(crate) generated_tokens: AtomicU32,
     /// Whether a move of it is in progress.
     pub(crate) is_moving: AtomicBool,
@@ -56,10 +58,17 @@
 }
 
 impl RunHandle {
+    /// Sets the engine on which it goes on, where no copy of its memory is kept elsewhere.
+    pub(crate) fn set_engine(&self, engine: EndpointEntry) {
+        *self.endpoint.lock() = engine;
+        *self.copy_at.lock() = None;
+    }
+
     fn to_report(&self) -> ReportedRun {
         ReportedRun {
             demand: self.demand.clone(),
             endpoint: self.endpoint.lock().id.clone(),
+            copy_at: self.copy_at.lock().as_ref().map(|keeper| keeper.id.clone()),
             generated_tokens: self.generated_tokens.load(Ordering::Relaxed),
         }
     }
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -67,8 +67,9 @@
     /// Name of the instance that keeps the ledger.
     own_name: String,
     pub(super) engines: BTreeMap<String, Engine>,
-    /// All generations. Each is in the `runs` of its engine and of its entry instance, and in the
-    /// `incoming` of the target engine during a move.
+    /// All generations. Each is in the `runs` of its engine and of its entry instance, in the
+    /// `incoming` of the target engine during a move, and in the `copies` of the engine that keeps
+    /// a copy of it.
     pub(super) runs: HashMap<String, Run>,
     /// Number of `runs` by priority class.
     run_counts: BTreeMap<usize, u32>,
@@ -144,6 +145,9 @@
                 usage.add(&run.reported, runs_here, decode_tokens_per_s);
             }
         }
+        for run in engine.copies.iter().filter_map(|name| self.runs.get(name)) {
+            usage.add_copy(&run.reported);
+        }
         engine.usage = usage;
         if engine.listed.is_none() && engine.is_empty() {
             self.engines.remove(id);
@@ -161,6 +165,10 @@
             self.engine_mut(target).incoming.insert(name.to_owned());
             self.moving.insert(name.to_owned());
         }
+        let copy_at = run.reported.copy_at.clone();
+        if let Some(keeper) = copy_at.as_ref().and_then(|id| self.engines.get_mut(id)) {
+            keeper.copies.insert(name.to_owned());
+        }
         if !run.confirmed {
             self.unconfirmed.insert(name.to_owned());
         }
@@ -168,8 +176,8 @@
         *self.run_counts.entry(class).or_default() += 1;
         self.runs.insert(name.to_owned(), run);
         self.recompute_usage(&endpoint);
-        if let Some(target) = &target {
-            self.recompute_usage(target);
+        for other in target.iter().chain(&copy_at) {
+            self.recompute_usage(other);
         }
     }
 
@@ -193,6 +201,12 @@
             }
             self.recompute_usage(target);
         }
+        if let Some(keeper) = &run.reported.copy_at {
+            if let Some(engine) = self.engines.get_mut(keeper) {
+                engine.copies.remove(name);
+            }
+            self.recompute_usage(keeper);
+        }
         self.recompute_usage(&run.reported.endpoint);
         Some(run)
     }
@@ -312,6 +326,7 @@
         self.update_run(&order.run, |run| {
             if result == MoveResult::Copied {
                 run.reported.endpoint.clone_from(&order.target);
+                run.reported.copy_at = None;
             }
             run.moving_to = None;
             run.schedule_next_move(result, now);
--- a/src/kernel/engine_ledger/engine.rs
+++ b/src/kernel/engine_ledger/engine.rs
@@ -81,7 +81,9 @@
     pub(in crate::kernel) runs: BTreeSet<String>,
     /// Generations that are being moved to it.
     pub(in crate::kernel) incoming: BTreeSet<String>,
-    /// Usage by `runs` and `incoming` together.
+    /// Generations that run elsewhere and of which it keeps a copy.
+    pub(in crate::kernel) copies: BTreeSet<String>,
+    /// Usage by `runs`, `incoming` and `copies` together.
     pub(in crate::kernel) usage: EngineUsage,
     /// What is known of its pace.
     pub(in crate::kernel) pace: ObservedPace,
@@ -90,7 +92,7 @@
 /// Memory and slots used on an engine.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub(in crate::kernel) struct EngineUsage {
-    /// Tokens, including those predicted to be generated within the horizon.
+    /// Tokens, including copies and those predicted to be generated within the horizon.
     pub(in crate::kernel) tokens: f64,
     /// Prompt tokens that have not been prefilled yet.
     #[serde(rename = "unread_tokens")]
@@ -157,4 +159,9 @@
             self.prefill_backlog_tokens += f64::from(run.demand.prompt_tokens);
         }
     }
+
+    /// Adds a copy of a generation that runs on another engine. It takes memory and no slot.
+    pub(super) fn add_copy(&mut self, run: &ReportedRun) {
+        self.tokens += run.usual_predicted_tokens();
+    }
 }
--- a/src/kernel/engine_placement.rs
+++ b/src/kernel/engine_placement.rs
@@ -93,6 +93,7 @@
         let new = ReportedRun {
             demand: demand.clone(),
             endpoint: String::new(),
+            copy_at: None,
             generated_tokens: 0,
         };
         let granted = self.best_engine(&new, entry, excluded, now)?;
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -43,6 +43,8 @@
     pub account: Option<String>,
     /// Longest pause between events at which the answer is still in time.
     pub pause_max: Option<Duration>,
+    /// Whether it is lost if its engine crashes, unless a copy of its memory is kept elsewhere.
+    pub wants_copy: bool,
     /// Requirements for the engine, apart from its capacity.
     pub requirements: EngineRequirements,
 }
@@ -58,6 +60,10 @@
 
 /// An engine as described by the endpoint list and the configuration.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct ListedEngine {
     /// Id of this incarnation of the engine.
     pub id: String,
@@ -80,6 +86,9 @@
     /// Whether generations can be moved off it.
     #[serde(rename = "moves")]
     pub supports_migration: bool,
+    /// Whether it sends copies of its generations to a second engine, and keeps those of others.
+    #[serde(rename = "backups")]
+    pub supports_copies: bool,
     /// Rate limit while it is cold; `None` if it is warm or no limit is configured.
     pub cold: Option<ColdLimit>,
     /// Rate limit that it announced for all instances together, and this instance's share of it;
@@ -119,6 +128,9 @@
     pub demand: RunDemand,
     /// Engine that runs it.
     pub endpoint: String,
+    /// Engine that keeps a copy of its memory.
+    #[serde(rename = "copy")]
+    pub copy_at: Option<String>,
     /// Tokens generated so far.
     #[serde(rename = "made_tokens")]
     pub generated_tokens: u32,
@@ -176,6 +188,11 @@
         TIME_TO_FIRST_TOKEN + Duration::from_secs_f64(decoding_s)
     }
 
+    /// Returns the predicted memory, in tokens, when the generation ends.
+    pub(super) fn predicted_tokens_at_end(&self) -> f64 {
+        f64::from(self.prompt_tokens) + self.expected_output_tokens()
+    }
+
     /// Returns whether the generation is expected to end within the horizon.
     pub(super) fn ends_within_horizon(&self) -> bool {
         self.expected_output_tokens() <= growth_within_horizon(DECODE_TOKENS_PER_S)
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -68,6 +68,7 @@
 pub mod rules;
 mod scheduled_moves;
 mod segment_survivals;
+pub mod standby_copies;
 pub mod store_contact;
 pub mod store_sources;
 pub mod stream;
--- a/src/kernel/route.rs
+++ b/src/kernel/route.rs
@@ -98,6 +98,9 @@
     /// Whether running generations can be migrated.
     #[serde(rename = "moves")]
     pub supports_migration: bool,
+    /// Whether a running generation's memory can be copied to a second engine as it grows.
+    #[serde(default, rename = "backups")]
+    pub supports_copies: bool,
     /// Tokens per event.
     pub event_tokens: u32,
     /// How long an unused copy is retained.
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -267,6 +267,7 @@
             regions: regions.cloned().collect(),
             account: demand.account.clone().unwrap_or_default(),
             pause_max_ms: demand.pause_max.map_or(0, millis_u32),
+            wants_copy: demand.wants_copy,
         }
     }
 }
@@ -283,6 +284,7 @@
             account: non_empty(message.account),
             pause_max: (message.pause_max_ms > 0)
                 .then(|| Duration::from_millis(u64::from(message.pause_max_ms))),
+            wants_copy: message.wants_copy,
             requirements: EngineRequirements {
                 version: version_from_wire(message.target_version),
                 regions: if message.restricts_regions {
@@ -359,6 +361,7 @@
             demand: Some((&run.demand).into()),
             endpoint: run.endpoint.clone(),
             made_tokens: run.generated_tokens,
+            copy_at: run.copy_at.clone().unwrap_or_default(),
         }
     }
 }
@@ -391,14 +394,17 @@
         Ok(Self {
             demand: message.demand.ok_or(InvalidMessageField("demand"))?.into(),
             endpoint: message.endpoint,
+            copy_at: non_empty(message.copy_at),
             generated_tokens: message.made_tokens,
         })
     }
 }
 
-/// Returns the endpoint that the owner granted, or `None` if there is no capacity.
-pub(crate) fn granted_endpoint(reply: wire::PlaceReply) -> Option<String> {
-    non_empty(reply.endpoint)
+/// Returns the endpoint that the owner granted and the one that is to keep a copy, or `None` if
+/// there is no capacity.
+pub(crate) fn granted_endpoints(reply: wire::PlaceReply) -> Option<(String, Option<String>)> {
+    let endpoint = non_empty(reply.endpoint)?;
+    Some((endpoint, non_empty(reply.copy_at)))
 }
 
 /// Decodes the result of a move.
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -319,6 +319,9 @@
     /// Longest pause between events at which the answer is still in time; 0 if the route sets none.
     #[prost(uint32, tag = "10")]
     pub pause_max_ms: u32,
+    /// Whether it is lost if its engine crashes, unless a copy of its memory is kept elsewhere.
+    #[prost(bool, tag = "11")]
+    pub wants_copy: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PlaceRequest {
@@ -351,6 +354,9 @@
     /// Time until there is room for a new one, if this one was refused; 0 if it is not known.
     #[prost(uint64, tag = "5")]
     pub room_in_ms: u64,
+    /// Engine that is to keep a copy of the memory as it grows; may be empty.
+    #[prost(string, tag = "6")]
+    pub copy_at: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Run {
@@ -360,6 +366,9 @@
     pub endpoint: ::prost::alloc::string::String,
     #[prost(uint32, tag = "4")]
     pub made_tokens: u32,
+    /// Engine that keeps a copy of the memory; may be empty.
+    #[prost(string, tag = "5")]
+    pub copy_at: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RunsReport {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -101,6 +101,9 @@
         let source = format!("{}/{}", from.copy_address, from.copy);
         headers.insert(names::CONTINUE_FROM, header_value(&source));
     }
+    if let Some(address) = head.copy_at {
+        headers.insert(names::KV_BACKUP_AT, header_value(&address.to_string()));
+    }
     if let Some(id) = head.last_event_id {
         headers.insert(names::LAST_EVENT_ID, header_value(id));
     }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -58,7 +58,7 @@
     KV_FETCH_FROM = "kv-fetch";
     /// KV-cache copy from which a moved generation continues.
     CONTINUE_FROM = "kv-from";
-    /// Engine that receives a copy of the KV memory as it grows. Larkwick never requests one.
+    /// Engine that receives a copy of the KV memory as it grows.
     KV_BACKUP_AT = "kv-backup";
 }
 
--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -30,12 +30,11 @@
 /// checks are charged for and may report false results. Every server speaks plain HTTP/1.1.
 /// Placement does not depend on `sticky`. Engines are not asked to pin prompts or to hold
 /// reservations, and which models they have is up to the operator.
-const IGNORED_FIELDS: [&str; 11] = [
+const IGNORED_FIELDS: [&str; 10] = [
     "health-path",
     "protocol",
     "tls",
     "sticky",
-    "backups",
     "most",
     "pin_ms",
     "hold-ms",
@@ -111,6 +110,8 @@
     link_mbps: f64,
     #[serde(default)]
     moves: bool,
+    #[serde(default)]
+    backups: bool,
     /// Number of tokens per event.
     #[serde(default = "default_stride")]
     stride: u32,
@@ -241,6 +242,7 @@
         token_bytes: engine.token_kv_bytes,
         link_mbps: engine.link_mbps,
         supports_migration: engine.moves,
+        supports_copies: engine.backups,
         event_tokens: engine.stride.max(1),
         copy_retention: seconds(engine.handle_s.unwrap_or(DEFAULT_COPY_RETENTION_S)),
     });
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -166,6 +166,8 @@
     listed_address: std::sync::OnceLock<SocketAddr>,
     servers: std::sync::Weak<ServerRegistry>,
     running: Mutex<HashMap<String, Arc<EngineRun>>>,
+    /// Copies of its generations at other engines, by request id.
+    backups: Mutex<HashMap<String, (SocketAddr, String)>>,
     /// Headers of the received requests, by request id.
     headers_by_request: Mutex<HashMap<String, HeaderMap>>,
 }
@@ -218,6 +220,7 @@
             listed_address: std::sync::OnceLock::new(),
             servers: Arc::downgrade(self),
             running: Mutex::default(),
+            backups: Mutex::default(),
             headers_by_request: Mutex::default(),
         });
         let handler_server = server.clone();
@@ -501,6 +504,7 @@
         if from.is_none() {
             servers.runs.lock().push((self.id.clone(), id.clone()));
         }
+        self.keep_backup(&id, &headers);
         if servers.crashes_on(&headers, &body) && !self.crash_proof.load(Ordering::Relaxed) {
             servers.crashed.lock().push(self.id.clone());
             let events = servers.events_before_crash.load(Ordering::Relaxed);
@@ -664,6 +668,26 @@
         Ok(Some(last_event(headers)))
     }
 
+    /// Keeps a copy of a generation at the engine that its request names, under the id of the
+    /// request.
+    fn keep_backup(&self, id: &str, headers: &HeaderMap) {
+        let keeper = header_text(headers, &names::KV_BACKUP_AT).and_then(|text| text.parse().ok());
+        let (Some(keeper), Some(servers)) = (keeper, self.servers.upgrade()) else {
+            return;
+        };
+        let key = (keeper, id.to_owned());
+        servers.copies.lock().insert(key.clone(), 0);
+        self.backups.lock().insert(id.to_owned(), key);
+    }
+
+    /// Frees the copy of a generation that has ended well.
+    fn free_backup(&self, id: &str) {
+        let key = self.backups.lock().remove(id);
+        if let (Some(key), Some(servers)) = (key, self.servers.upgrade()) {
+            servers.copies.lock().remove(&key);
+        }
+    }
+
     fn event_stream(self: &Arc<Self>, id: &str, path: &str, from: u32) -> Response<StandinBody> {
         let event_count = path.rsplit('/').next().and_then(|last| last.parse().ok());
         let event_count: u32 = event_count.unwrap_or(1);
@@ -752,6 +776,7 @@
 impl EventStream {
     async fn next_event(&mut self) -> Option<std::io::Result<Frame<Bytes>>> {
         if self.next > self.event_count {
+            self.server.free_backup(&self.id);
             return None;
         }
         let stopped = self.run.stop_signal.notified();
--- a/tests/kernel/admission_queue.rs
+++ b/tests/kernel/admission_queue.rs
@@ -57,6 +57,7 @@
         running.push(ReportedRun {
             demand,
             endpoint,
+            copy_at: None,
             generated_tokens: 40,
         });
     }
@@ -156,6 +157,7 @@
             let reported = ReportedRun {
                 demand,
                 endpoint,
+                copy_at: None,
                 generated_tokens: 40,
             };
             running.push((now + RUN_DURATION, reported));
@@ -359,6 +361,7 @@
             let reported = ReportedRun {
                 demand,
                 endpoint,
+                copy_at: None,
                 generated_tokens: 0,
             };
             running.push((now, reported));
--- a/tests/kernel/crowded_engines.rs
+++ b/tests/kernel/crowded_engines.rs
@@ -151,6 +151,7 @@
         ReportedRun {
             demand: self.call.demand.clone(),
             endpoint: self.endpoint.clone(),
+            copy_at: None,
             generated_tokens,
         }
     }
--- a/tests/kernel/engine_ledger.rs
+++ b/tests/kernel/engine_ledger.rs
@@ -41,6 +41,7 @@
     ReportedRun {
         demand: demand(run, 3_000),
         endpoint: endpoint.to_owned(),
+        copy_at: None,
         generated_tokens,
     }
 }
--- a/tests/kernel/engine_pace.rs
+++ b/tests/kernel/engine_pace.rs
@@ -175,6 +175,7 @@
                 own.map(|run| ReportedRun {
                     demand: run.demand.clone(),
                     endpoint: engine.id.clone(),
+                    copy_at: None,
                     generated_tokens: run.events * EVENT_TOKENS,
                 })
             });
@@ -340,6 +341,7 @@
     let run = |name: &str, endpoint: &str| ReportedRun {
         demand: demand(name, true, 186, LIMIT),
         endpoint: endpoint.to_owned(),
+        copy_at: None,
         generated_tokens: 100,
     };
     ledger.apply_report("n", vec![run("moved", "e0"), run("other", "e3")], now);
--- a/tests/kernel/move_schedule.rs
+++ b/tests/kernel/move_schedule.rs
@@ -61,6 +61,7 @@
             ..RunDemand::default()
         },
         endpoint: endpoint.to_owned(),
+        copy_at: None,
         generated_tokens: GENERATED_TOKENS,
     }
 }
