Shorter generations first in a crowd; the queue's order is derived once

Cause: in a crowd, waiting generations of one priority are served by arrival, so that few long ones delay many short ones. Found by reading on the way: start tags were derived in two places, the key of a refused arrival a second time to explain the refusal, waiting keys stayed as they were if all parts were switched off while the instance ran, and a generation that only asked for a new version's engines was logged and counted as a refusal. (That it was counted as a second arrival is ruled out: arrivals are counted once for each generation.)

Change: with `routing.load.shorter_first`, a generation counts as if it had arrived later, by its token-seconds relative to the mean of its rank's arrivals, at most by a quarter of its time until its objective. The forecast counts those ahead by the same order and those that may still overtake; with shares, the order holds within an account. `start_tags` serves arrivals and passes; `Admission::Refused` carries the refusal; keys are computed in each pass; a refused request for a new version has a reason of its own, which is neither logged nor counted.

Tests: the assertions on `Admission::Refused` match the variant with its refusal, as strict as before. tests/kernel/shorter_first.rs replays a burst and a crowd that lasts with and without the switch; without it, fewer are served in time (the comparison is the test). The bound is a property test. The test of the switch that is turned off and that of the new version's reason were not run on the code before: neither compiles there.

--- a/src/gateway/admission_policy.rs
+++ b/src/gateway/admission_policy.rs
@@ -4,7 +4,7 @@
 
 use super::ledgers::ServiceShard;
 use super::node::Gateway;
-use crate::kernel::admission_queue::{AdmissionPolicy, Refusal};
+use crate::kernel::admission_queue::{AdmissionPolicy, Refusal, RefusalReason};
 use crate::kernel::clock::millis;
 use crate::kernel::engine_ledger::RunDemand;
 use crate::kernel::fair_shares::AccountWeights;
@@ -31,11 +31,15 @@
             for_moves: load.scheduled_moves,
         },
         wait_past_objective: load.wait_past_objective,
+        shorter_first: load.shorter_first,
     }
 }
 
-/// Logs and counts a refusal.
+/// Logs and counts a refusal, unless the generation asks again for the current version.
 pub(super) fn record_refusal(service: &str, demand: &RunDemand, entry: &str, refusal: &Refusal) {
+    if refusal.reason == RefusalReason::NewVersionFull {
+        return;
+    }
     let reason = refusal.reason.label();
     metrics::counter!("larkwick_admissions_refused_total", "reason" => reason).increment(1);
     metrics::histogram!("larkwick_refused_wait_seconds").record(refusal.waited.as_secs_f64());
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -198,10 +198,9 @@
             waiters,
             ..
         } = &mut *shard;
-        match queue.request_admission(ledger, request.clone(), now) {
+        match queue.request_admission(ledger, request, now) {
             Admission::Granted(engine) => return Ok(placement(ledger, engine, now)),
-            Admission::Refused => {
-                let refusal = queue.explain_refusal(ledger, &request, now);
+            Admission::Refused(refusal) => {
                 record_refusal(service, demand, entry, &refusal);
                 let room_in = refusal.room_in;
                 return Err(PlacementRefused { room_in });
--- a/src/kernel/admission_queue.rs
+++ b/src/kernel/admission_queue.rs
@@ -7,7 +7,9 @@
 //! still be served in time. Those that cannot be served are refused early.
 //!
 //! The order is: those that can still meet their latency objective, then by priority, then by the
-//! shares of the client accounts, then by arrival.
+//! shares of the client accounts, then by arrival. With `shorter_first`, longer ones count as if they
+//! had arrived later, up to a bound, so that a crowd of many short ones does not wait for a few long
+//! ones.
 
 mod forecast;
 mod order;
@@ -19,6 +21,7 @@
 use super::class_traffic::Traffic;
 use super::engine_ledger::{EngineLedger, RunDemand};
 use super::fair_shares::{AccountWeights, FairShares};
+use super::rollout_evidence::Version;
 use super::room_reserve::{HeldBackFor, ReservePolicy, RoomReserve};
 
 use forecast::{AheadByPriority, Throughput};
@@ -37,6 +40,9 @@
     /// Whether generations wait on after their latency objective. If not, `objective_at` and
     /// `deadline` of each request are the same.
     pub wait_past_objective: bool,
+    /// Whether shorter generations may come before longer ones of the same priority that arrived up
+    /// to a bounded time earlier.
+    pub shorter_first: bool,
 }
 
 /// A generation that requests admission.
@@ -59,12 +65,12 @@
 pub struct QueueTicket(u64);
 
 /// Result of an admission request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Admission {
     /// Placed on this engine.
     Granted(String),
     /// There is no capacity, or there will be none in time.
-    Refused,
+    Refused(Refusal),
     /// Queued.
     Queued(QueueTicket),
 }
@@ -144,46 +150,46 @@
         if self.policy.shares.is_some() {
             self.shares.begin(ledger, now);
         }
-        let key = self.next_key(&request, now);
-        let ahead = self.count_ahead(&key);
+        let arriving = self.arriving(request, now);
+        let ahead = self.count_ahead(&arriving.key);
         if ahead == 0
-            && let Ok(engine) = self.try_place(ledger, &request, key.start_tag, now)
+            && let Ok(engine) = self.try_place(ledger, &arriving, now)
         {
             return Admission::Granted(engine);
         }
-        if now >= request.deadline || self.will_miss(ledger, ahead, &request, now) {
-            return Admission::Refused;
+        if let Some(refusal) = self.refusal_on_arrival(ledger, &arriving, ahead, now) {
+            return Admission::Refused(refusal);
         }
         self.next_ticket += 1;
-        let waiting = Waiting {
-            virtual_time: self.shares.virtual_time(request.demand.priority),
-            request,
-            arrived_at: now,
-            key,
-        };
-        self.waiting.insert(ahead, waiting);
+        let ticket = arriving.ticket();
+        self.waiting.insert(ahead, arriving);
         self.throughput.nonempty_since.get_or_insert(now);
-        Admission::Queued(key.ticket)
+        Admission::Queued(ticket)
     }
 
-    /// Returns the details of the refusal of a request that [`Self::request_admission`] refused.
-    #[must_use]
-    pub fn explain_refusal(
+    /// Returns the refusal of a generation that arrives and is not placed, unless it can wait.
+    fn refusal_on_arrival(
         &mut self,
         ledger: &EngineLedger,
-        request: &AdmissionRequest,
+        arriving: &Waiting,
+        ahead: usize,
         now: Duration,
-    ) -> Refusal {
-        let ahead = self.count_ahead(&self.next_key(request, now));
-        let reason = if now >= request.deadline {
+    ) -> Option<Refusal> {
+        let request = &arriving.request;
+        let is_for_new_version = request.demand.requirements.version == Version::Target;
+        let reason = if now >= request.deadline && is_for_new_version {
+            RefusalReason::NewVersionFull
+        } else if now >= request.deadline {
             let held_back = self
                 .reserve
                 .held_back_for(ledger, &self.traffic, &request.demand, now);
             RefusalReason::of_deadline(held_back)
-        } else {
+        } else if self.will_miss(ledger, ahead, arriving, now) {
             RefusalReason::QueueTooSlow
+        } else {
+            return None;
         };
-        self.refusal(ledger, request, reason, ahead, now)
+        Some(self.refusal(ledger, request, reason, ahead, now))
     }
 
     /// Places waiting generations as far as there is capacity. Refuses those whose deadline has
@@ -219,7 +225,7 @@
         let request = &waiting.request;
         let placed = match pass.state.unplaced(&request.demand) {
             Some(unplaced) => Err(unplaced),
-            None => self.try_place(ledger, request, waiting.key.start_tag, now),
+            None => self.try_place(ledger, &waiting, now),
         };
         let unplaced = match placed {
             Ok(engine) => {
@@ -232,7 +238,7 @@
         if unplaced == Unplaced::NoRoom {
             pass.state.record_unplaced(request);
         }
-        if let Some(reason) = self.refusal_reason(ledger, request, unplaced, pass, now) {
+        if let Some(reason) = self.refusal_reason(ledger, &waiting, unplaced, pass, now) {
             let refusal = Refusal {
                 waited: now.saturating_sub(waiting.arrived_at),
                 ..self.refusal(ledger, request, reason, pass.remaining.len(), now)
@@ -251,17 +257,18 @@
     fn refusal_reason(
         &self,
         ledger: &EngineLedger,
-        request: &AdmissionRequest,
+        waiting: &Waiting,
         unplaced: Unplaced,
         pass: &Pass,
         now: Duration,
     ) -> Option<RefusalReason> {
+        let request = &waiting.request;
         if now >= request.deadline {
             return Some(RefusalReason::of_deadline(unplaced.held_back_for()));
         }
         let ahead = pass.remaining.len();
         let of_priority = pass.ahead.of(request.demand.priority);
-        self.will_miss_with(ledger, ahead, of_priority, request, 1.0, now)
+        self.will_miss_with(ledger, ahead, of_priority, waiting, 1.0, now)
             .then_some(RefusalReason::QueueTooSlow)
     }
 
@@ -277,10 +284,10 @@
     fn try_place(
         &mut self,
         ledger: &mut EngineLedger,
-        request: &AdmissionRequest,
-        start_tag: f64,
+        waiting: &Waiting,
         now: Duration,
     ) -> Result<String, Unplaced> {
+        let request = &waiting.request;
         let demand = &request.demand;
         let held_back = self
             .reserve
@@ -294,7 +301,7 @@
         self.reserve.record_placement(demand);
         self.traffic.record_placement(demand.priority, now);
         if self.policy.shares.is_some() {
-            self.shares.record_placement(demand, start_tag);
+            self.shares.record_placement(demand, waiting.key.start_tag);
         }
         Ok(engine)
     }
--- a/src/kernel/admission_queue/forecast.rs
+++ b/src/kernel/admission_queue/forecast.rs
@@ -96,21 +96,18 @@
 /// Returns whether a generation will be placed neither by its objective nor, behind those that
 /// arrive meanwhile and can still meet theirs, by its deadline. It counts on `share` of the
 /// throughput.
-fn will_miss_both(
-    flow: &Flow,
-    ahead: Ahead,
-    request: &AdmissionRequest,
-    share: f64,
-    now: Duration,
-) -> bool {
+fn will_miss_both(flow: &Flow, ahead: Ahead, waiting: &Waiting, share: f64, now: Duration) -> bool {
     let Flow { rates, .. } = flow;
+    let request = &waiting.request;
+    // A burst ends: for the time of a wait, arrivals are rarely above their usual rate.
+    let overtaking_per_s = rates.arrivals_per_s.min(rates.usual_arrivals_per_s);
+    let overtaking = overtaking_per_s * waiting.overtaken_for(now).as_secs_f64();
     let objective_left_s = request.objective_at.saturating_sub(now).as_secs_f64();
     let in_time_per_s = rates.placements_per_s.max(flow.freed_per_s()) * share;
-    if objective_left_s > 0.0 && as_f64(ahead.in_time) <= in_time_per_s * objective_left_s {
+    let in_time = as_f64(ahead.in_time) + overtaking;
+    if objective_left_s > 0.0 && in_time <= in_time_per_s * objective_left_s {
         return false;
     }
-    // A burst ends: for the time of a wait, arrivals are rarely above their usual rate.
-    let overtaking_per_s = rates.arrivals_per_s.min(rates.usual_arrivals_per_s);
     let late_per_s = (flow.freed_per_s() - overtaking_per_s).max(0.0) * share;
     let left_s = request.deadline.saturating_sub(now).as_secs_f64();
     as_f64(ahead.in_time + ahead.late) > late_per_s * left_s
@@ -148,16 +145,16 @@
         &self,
         ledger: &EngineLedger,
         ahead: usize,
-        request: &AdmissionRequest,
+        arriving: &Waiting,
         now: Duration,
     ) -> bool {
         let mut of_priority = AheadByPriority::default();
         for waiting in &self.waiting[..ahead] {
             of_priority.add(waiting);
         }
-        let of_priority = of_priority.of(request.demand.priority);
+        let of_priority = of_priority.of(arriving.key.priority);
         let share = SHARE_ON_ARRIVAL;
-        self.will_miss_with(ledger, ahead, of_priority, request, share, now)
+        self.will_miss_with(ledger, ahead, of_priority, arriving, share, now)
     }
 
     pub(super) fn will_miss_with(
@@ -165,17 +162,17 @@
         ledger: &EngineLedger,
         ahead: usize,
         ahead_of_priority: Ahead,
-        request: &AdmissionRequest,
+        waiting: &Waiting,
         share: f64,
         now: Duration,
     ) -> bool {
         if self.policy == AdmissionPolicy::default() {
             return self
                 .throughput
-                .will_miss_deadline(ahead, request.deadline, now);
+                .will_miss_deadline(ahead, waiting.request.deadline, now);
         }
-        let flow = self.flow_of(ledger, request, now);
-        flow.is_some_and(|flow| will_miss_both(&flow, ahead_of_priority, request, share, now))
+        let flow = self.flow_of(ledger, &waiting.request, now);
+        flow.is_some_and(|flow| will_miss_both(&flow, ahead_of_priority, waiting, share, now))
     }
 
     pub(super) fn flow_of(
--- a/src/kernel/admission_queue/report.rs
+++ b/src/kernel/admission_queue/report.rs
@@ -25,6 +25,8 @@
     KeptForMoves,
     /// The queue ahead of it moves too slowly.
     QueueTooSlow,
+    /// It was drawn for a new version whose engines have no room, and asks for the current one next.
+    NewVersionFull,
 }
 
 impl RefusalReason {
@@ -36,6 +38,7 @@
             Self::KeptForUrgent => "kept_for_urgent",
             Self::KeptForMoves => "kept_for_moves",
             Self::QueueTooSlow => "queue_too_slow",
+            Self::NewVersionFull => "new_version_full",
         }
     }
 
--- a/src/kernel/admission_queue/waiting.rs
+++ b/src/kernel/admission_queue/waiting.rs
@@ -5,6 +5,7 @@
 
 use super::{AdmissionRequest, QueueTicket, Unplaced};
 use crate::kernel::engine_run::RunDemand;
+use crate::kernel::fair_shares::account_of;
 use crate::kernel::room_reserve::HeldBackFor;
 
 /// Share of its waiting time during which a generation that does not fit may be overtaken by others
@@ -20,6 +21,8 @@
     pub(super) priority: u32,
     /// Start tag of its account's share; zero if accounts are not told apart.
     pub(super) start_tag: f64,
+    /// Time of arrival, and with shorter ones first a delay by its size.
+    pub(super) turn_at: Duration,
     pub(super) ticket: QueueTicket,
 }
 
@@ -29,6 +32,7 @@
         by_lateness
             .then(self.priority.cmp(&other.priority))
             .then(self.start_tag.total_cmp(&other.start_tag))
+            .then(self.turn_at.cmp(&other.turn_at))
             .then(self.ticket.cmp(&other.ticket))
     }
 }
@@ -37,6 +41,8 @@
 pub(super) struct Waiting {
     pub(super) request: AdmissionRequest,
     pub(super) arrived_at: Duration,
+    /// How much later others may arrive and still come first, if they are shorter.
+    pub(super) size_delay: Duration,
     /// Virtual time of its priority when it arrived.
     pub(super) virtual_time: f64,
     pub(super) key: QueueKey,
@@ -47,6 +53,12 @@
         self.key.ticket
     }
 
+    /// Returns whether both are of the same account and priority.
+    pub(super) fn shares_with(&self, other: &Self) -> bool {
+        let (demand, other) = (&self.request.demand, &other.request.demand);
+        demand.priority == other.priority && account_of(demand) == account_of(other)
+    }
+
     /// Returns whether others may overtake it. `objective_at` is after `arrived_at`, unless it was
     /// late from the start.
     pub(super) fn can_be_overtaken(&self, now: Duration) -> bool {
--- a/src/kernel/class_traffic.rs
+++ b/src/kernel/class_traffic.rs
@@ -25,6 +25,27 @@
     count: f64,
     tokens: f64,
     holding_s: f64,
+    token_seconds: f64,
+}
+
+impl Sums {
+    fn of(demand: &RunDemand) -> Self {
+        Self {
+            count: 1.0,
+            tokens: demand.predicted_tokens_at_start(),
+            holding_s: demand.expected_holding().as_secs_f64(),
+            token_seconds: demand.expected_token_seconds(),
+        }
+    }
+
+    fn plus(self, other: &Self) -> Self {
+        Self {
+            count: self.count + other.count,
+            tokens: self.tokens + other.tokens,
+            holding_s: self.holding_s + other.holding_s,
+            token_seconds: self.token_seconds + other.token_seconds,
+        }
+    }
 }
 
 /// Sums over a sliding window, in buckets.
@@ -48,7 +69,7 @@
         now.as_nanos() / bucket.as_nanos()
     }
 
-    fn add(&mut self, tokens: f64, holding_s: f64, now: Duration) {
+    fn add(&mut self, added: &Sums, now: Duration) {
         let index = self.index(now);
         if self.buckets.back().is_none_or(|(last, _)| *last < index) {
             self.buckets.push_back((index, Sums::default()));
@@ -61,20 +82,14 @@
             self.buckets.pop_front();
         }
         if let Some((_, sums)) = self.buckets.back_mut() {
-            sums.count += 1.0;
-            sums.tokens += tokens;
-            sums.holding_s += holding_s;
+            *sums = sums.plus(added);
         }
     }
 
     fn sums(&self, now: Duration) -> Sums {
         let oldest = self.index(now).saturating_sub(u128::from(BUCKETS));
         let recent = self.buckets.iter().filter(|(index, _)| *index >= oldest);
-        recent.fold(Sums::default(), |total, (_, sums)| Sums {
-            count: total.count + sums.count,
-            tokens: total.tokens + sums.tokens,
-            holding_s: total.holding_s + sums.holding_s,
-        })
+        recent.fold(Sums::default(), |total, (_, sums)| total.plus(sums))
     }
 
     /// Returns the number of arrivals in a bucket that a quarter of the buckets since `since` do
@@ -175,16 +190,30 @@
         }
         self.since.get_or_insert(now);
         let class = self.classes.entry(class_of(demand.priority)).or_default();
-        let tokens = demand.predicted_tokens_at_start();
-        let holding_s = demand.expected_holding().as_secs_f64();
-        class.recent.add(tokens, holding_s, now);
-        class.usual.add(tokens, holding_s, now);
+        let arrival = Sums::of(demand);
+        class.recent.add(&arrival, now);
+        class.usual.add(&arrival, now);
     }
 
     /// Records a placement.
     pub(super) fn record_placement(&mut self, priority: u32, now: Duration) {
         let class = self.classes.entry(class_of(priority)).or_default();
-        class.placed.add(0.0, 0.0, now);
+        let placement = Sums {
+            count: 1.0,
+            ..Sums::default()
+        };
+        class.placed.add(&placement, now);
+    }
+
+    /// Returns how many times the mean token-seconds of its class's arrivals a generation is
+    /// expected to take. Its own arrival has been recorded.
+    pub(super) fn relative_size(&self, demand: &RunDemand, now: Duration) -> f64 {
+        let class = self.classes.get(&class_of(demand.priority));
+        let usual = class.map(|class| class.usual.sums(now));
+        let usual = usual.filter(|usual| usual.count > 0.0);
+        usual.map_or(1.0, |usual| {
+            demand.expected_token_seconds() * usual.count / usual.token_seconds
+        })
     }
 
     /// Returns the rates of a class; `None` if they are not known yet or nothing of it arrived
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -176,6 +176,13 @@
         TIME_TO_FIRST_TOKEN + Duration::from_secs_f64(decoding_s)
     }
 
+    /// Returns the memory that the generation is expected to take, multiplied by the time for which
+    /// it holds it.
+    pub(super) fn expected_token_seconds(&self) -> f64 {
+        let tokens = f64::from(self.prompt_tokens) + self.expected_output_tokens();
+        tokens * self.expected_holding().as_secs_f64()
+    }
+
     /// Returns whether the generation is expected to end within the horizon.
     pub(super) fn ends_within_horizon(&self) -> bool {
         self.expected_output_tokens() <= growth_within_horizon(DECODE_TOKENS_PER_S)
--- a/src/kernel/fair_shares.rs
+++ b/src/kernel/fair_shares.rs
@@ -36,9 +36,7 @@
 
     /// Returns what a generation is charged, in token-seconds by weight.
     pub(super) fn charge(&self, demand: &RunDemand) -> f64 {
-        let tokens = f64::from(demand.prompt_tokens) + demand.expected_output_tokens();
-        let token_seconds = tokens * demand.expected_holding().as_secs_f64();
-        token_seconds / self.weight(account_of(demand))
+        demand.expected_token_seconds() / self.weight(account_of(demand))
     }
 }
 
@@ -137,7 +135,7 @@
     }
 }
 
-/// Start tags of waiting generations, given in the order of their arrival.
+/// Start tags of waiting generations, given in the order in which each account's are served.
 #[derive(Debug, Default)]
 pub(super) struct StartTags<'a> {
     /// Finish tags of the accounts, all generations so far included.
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -78,6 +78,8 @@
 mod routes;
 #[path = "kernel/rules.rs"]
 mod rules;
+#[path = "kernel/shorter_first.rs"]
+mod shorter_first;
 #[path = "kernel/store_contact.rs"]
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
--- a/tests/kernel/admission_queue.rs
+++ b/tests/kernel/admission_queue.rs
@@ -76,7 +76,7 @@
     let (mut ledger, _) = full_engine();
     let mut queue = AdmissionQueue::default();
     let answer = queue.request_admission(&mut ledger, request("a", 2_900, 1, ms(5)), ms(5));
-    assert_eq!(answer, Admission::Refused);
+    assert!(matches!(answer, Admission::Refused(_)), "{answer:?}");
     assert!(queue.is_empty());
 }
 
@@ -185,7 +185,7 @@
                     outcome.served += 1;
                     start_run(&run, endpoint, now, &mut running);
                 }
-                Admission::Refused => outcome.refused += 1,
+                Admission::Refused(_) => outcome.refused += 1,
                 Admission::Queued(ticket) => {
                     waiting.insert(ticket, (run, now));
                 }
@@ -343,7 +343,7 @@
             let demand = admission.demand.clone();
             match queue.request_admission(&mut ledger, admission, now) {
                 Admission::Granted(engine) => granted.push((engine, demand)),
-                Admission::Refused => {}
+                Admission::Refused(_) => {}
                 Admission::Queued(ticket) => {
                     waiting.insert(ticket, demand);
                 }
--- a/tests/kernel/crowded_engines.rs
+++ b/tests/kernel/crowded_engines.rs
@@ -252,7 +252,7 @@
         let request = call.request(now);
         match self.queue.request_admission(&mut self.ledger, request, now) {
             Admission::Granted(engine) => self.settle(call, Some(engine), now),
-            Admission::Refused => self.settle(call, None, now),
+            Admission::Refused(_) => self.settle(call, None, now),
             Admission::Queued(ticket) => {
                 self.waiting.insert(ticket, call);
             }
