Benchmark of decisions under load names the new switch

Cause: benches/load_decisions.rs sets every field of the policy and did not build with `shorter_first`; the build of the tests alone doesn't show it.

The benchmark was not run.

--- a/benches/load_decisions.rs
+++ b/benches/load_decisions.rs
@@ -93,6 +93,7 @@
             for_moves: true,
         },
         wait_past_objective: true,
+        shorter_first: false,
     });
     queue
 }
