--- a/src/gateway/operator_api.rs
+++ b/src/gateway/operator_api.rs
@@ -10,6 +10,7 @@
 use rocket::{Build, Rocket, State, get, post, routes};
 use serde::Serialize;
 
+use super::account_metrics;
 use super::in_flight::Stage;
 use super::node::Gateway;
 use super::rollouts::RolloutDump;
@@ -135,8 +136,9 @@
 }
 
 #[get("/metrics")]
-fn metrics(handle: &State<PrometheusHandle>) -> String {
-    handle.render()
+fn metrics(handle: &State<PrometheusHandle>, gateway: &State<Arc<Gateway>>) -> String {
+    let by_account = account_metrics::render(&gateway.ledgers.account_counts());
+    handle.render() + &by_account
 }
 
 /// A request or prompt segment suspected of crashing endpoints.
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -193,6 +193,12 @@
         f64::from(self.prompt_tokens) + self.expected_output_tokens()
     }
 
+    /// Returns the memory that the generation is expected to take, multiplied by the time for which
+    /// it holds it.
+    pub(super) fn expected_token_seconds(&self) -> f64 {
+        self.predicted_tokens_at_end() * self.expected_holding().as_secs_f64()
+    }
+
     /// Returns whether the generation is expected to end within the horizon.
     pub(super) fn ends_within_horizon(&self) -> bool {
         self.expected_output_tokens() <= growth_within_horizon(DECODE_TOKENS_PER_S)
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -1,5 +1,7 @@
 //! Unit tests of the kernel's decisions, on a manual clock.
 
+#[path = "kernel/account_counts.rs"]
+mod account_counts;
 #[path = "kernel/admission_queue.rs"]
 mod admission_queue;
 #[path = "kernel/byte_budget.rs"]
@@ -78,6 +80,8 @@
 mod routes;
 #[path = "kernel/rules.rs"]
 mod rules;
+#[path = "kernel/shorter_first.rs"]
+mod shorter_first;
 #[path = "kernel/standby_copies.rs"]
 mod standby_copies;
 #[path = "kernel/store_contact.rs"]
--- a/tests/standby_copies.rs
+++ b/tests/standby_copies.rs
@@ -45,7 +45,7 @@
     find().expect("it was found").clone()
 }
 
-/// Returns the engine to which the request names as that of the copy.
+/// Returns the engine that the request named for the copy.
 fn keeper_of(engines: &[Arc<Server>], running: &Server, id: &str) -> Arc<Server> {
     let headers = running.request_headers(id).expect("it was asked");
     let address = headers.get("kv-backup").expect("a copy was asked for");
