Short generations go where their first event is predicted in time

Cause: placement sent short ones to the engines that break the limit of long ones first, by a score.

Change: the demand tells the time left until the latency objective (Demand.first_event_within_ms). The ledger learns the time to first events, in mean pauses for each prompt token, from its grants and the first report after each (kernel/first_event). With engine_pace on, a short one goes first to engines where its first event is predicted within half of its time and its longest pause within its own limit. Where all engines keep the limit, or none does, placement is as before.

Tests: the replay of engine_pace.rs has a file of its own; no assertion of it was changed. New: short ones with prompts at 1.2 times the load, 17 late where the ledger knows no objectives, which is the rule before but for the pauses of short ones, and 5 where it does, long ones 0 and 0; the test asserts both sides of its bound. New: an owner that is replaced midway knows the engines after two seconds; it passes on the code before, too, which had no such test.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -86,6 +86,7 @@
         priority: call.rank(),
         account: call.account.clone(),
         pause_max: call.route.pause_max,
+        first_event_within: Some(call.route.latency_objective.saturating_sub(call.age())),
         requirements: EngineRequirements {
             version: call
                 .version_choice
--- a/src/kernel/engine_ledger.rs
+++ b/src/kernel/engine_ledger.rs
@@ -23,7 +23,7 @@
 pub use super::engine_run::{
     ColdLimit, EngineRequirements, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
 };
-pub(super) use engine::{Engine, Run};
+pub(super) use engine::{Engine, Grant, Run};
 pub(super) use pace::LongStream;
 pub use pace::{PaceChange, PacePolicy};
 pub use summary::EngineSummary;
--- a/src/kernel/engine_ledger/engine.rs
+++ b/src/kernel/engine_ledger/engine.rs
@@ -15,6 +15,14 @@
 /// Number of times that the delay doubles at most.
 const MOVE_RETRY_DOUBLINGS_MAX: u32 = 4;
 
+/// The grant of a generation's engine.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(in crate::kernel) struct Grant {
+    pub(in crate::kernel) at: Duration,
+    /// Prompt tokens that the engine had to read until the first event: its own and those ahead.
+    pub(in crate::kernel) unread_tokens: f64,
+}
+
 /// A generation as recorded in the ledger.
 #[derive(Debug, Clone, Serialize)]
 pub(in crate::kernel) struct Run {
@@ -32,6 +40,8 @@
     pub(in crate::kernel) next_move_at: Duration,
     /// Moves that its engine has failed one after the other.
     pub(super) failed_moves: u32,
+    /// Its grant, if this ledger made it and no report has told a generated token yet.
+    pub(super) grant: Option<Grant>,
 }
 
 impl Run {
@@ -41,16 +51,22 @@
         self.confirmed && self.moving_to.is_none() && self.reported.generated_tokens > 0
     }
 
-    /// Returns a generation that was granted an engine just now.
-    pub(in crate::kernel) fn granted(reported: ReportedRun, entry: &str, now: Duration) -> Self {
+    /// Returns whether it was last known to run on this engine.
+    pub(super) fn runs_on(&self, endpoint: &str) -> bool {
+        self.reported.endpoint == endpoint
+    }
+
+    /// Returns a generation that was granted an engine.
+    pub(in crate::kernel) fn granted(reported: ReportedRun, entry: &str, grant: Grant) -> Self {
         Self {
             reported,
             entry: entry.to_owned(),
-            updated_at: now,
+            updated_at: grant.at,
             confirmed: false,
             moving_to: None,
             next_move_at: Duration::ZERO,
             failed_moves: 0,
+            grant: Some(grant),
         }
     }
 
@@ -131,6 +147,11 @@
         self.pace.decode_tokens_per_s.unwrap_or(DECODE_TOKENS_PER_S)
     }
 
+    /// Returns the prompt tokens that the engine reads before the first event of a new generation.
+    pub(in crate::kernel) fn tokens_before_first_event(&self, prompt_tokens: u32) -> f64 {
+        self.usage.prefill_backlog_tokens + f64::from(prompt_tokens)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.runs.is_empty() && self.incoming.is_empty()
     }
--- a/src/kernel/engine_ledger/pace.rs
+++ b/src/kernel/engine_ledger/pace.rs
@@ -6,9 +6,11 @@
 
 use std::time::Duration;
 
-use super::{EngineLedger, RunDemand};
+use super::engine::Grant;
+use super::{EngineLedger, ReportedRun, RunDemand};
 use crate::kernel::engine_pace::{PaceEstimates, TailFactor};
 use crate::kernel::engine_run::DECODE_TOKENS_PER_S;
+use crate::kernel::first_event::{FirstEvent, FirstEventEstimate};
 use crate::kernel::pause_counts::EnginePauses;
 
 /// Events from which a stream counts as long: shorter ones rarely meet the rare pauses.
@@ -21,6 +23,12 @@
 const REFERENCE_WEIGHT: f64 = 1.0 / 16.0;
 /// Interval at which the engines are judged.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// Share of the time until the latency objective that a predicted first event may take. The rest is
+/// for prompts that others read at the same time and for moments in which everything takes longer.
+const FIRST_EVENT_SHARE: f64 = 0.5;
+/// Events in a first report up to which the time of the first one is inferred: the further back it
+/// is, the less exact.
+const INFERRED_EVENTS_MAX: f64 = 32.0;
 /// Bounds of an engine's decode rate relative to the mean of all: no prediction of memory follows
 /// an estimate further.
 const RELATIVE_RATE_RANGE: std::ops::RangeInclusive<f64> = 0.25..=4.0;
@@ -91,6 +99,7 @@
     pub(in crate::kernel) estimates: PaceEstimates,
     /// The long streams placed recently, as one.
     reference: Option<LongStream>,
+    first_events: FirstEventEstimate,
     refreshed_at: Option<Duration>,
     /// Changes that were not taken yet; at most one per engine.
     changes: Vec<PaceChange>,
@@ -118,6 +127,67 @@
         })
     }
 
+    /// Learns from the first report of a generation's events how long the first one took.
+    pub(super) fn observe_first_event(
+        &mut self,
+        reported: &ReportedRun,
+        grant: Grant,
+        now: Duration,
+    ) {
+        let event_tokens = f64::from(self.policy.event_tokens.max(1));
+        let events = f64::from(reported.generated_tokens) / event_tokens;
+        if !self.policy.is_enabled || !(1.0..=INFERRED_EVENTS_MAX).contains(&events) {
+            return;
+        }
+        let Some(mean_s) = self.estimates.mean_pause_s(&reported.endpoint, now) else {
+            return;
+        };
+        let elapsed_pauses = now.saturating_sub(grant.at).as_secs_f64() / mean_s;
+        // The report came half a pause after the last event, on average.
+        let pauses = (elapsed_pauses - (events - 0.5)).max(0.0);
+        let event = FirstEvent {
+            tokens: grant.unread_tokens,
+            pauses,
+        };
+        self.first_events.observe(event, now);
+    }
+
+    /// Returns whether a short stream is predicted to be served in time on an engine that reads
+    /// these prompt tokens first: its first event and its own pauses. What is not known counts as
+    /// in time.
+    pub(in crate::kernel) fn serves_short_in_time(
+        &self,
+        endpoint: &str,
+        demand: &RunDemand,
+        unread_tokens: f64,
+        now: Duration,
+    ) -> bool {
+        let Some(mean_s) = self.estimates.mean_pause_s(endpoint, now) else {
+            return true;
+        };
+        let first_event_s = self.first_events.predict_s(unread_tokens, mean_s);
+        let limit_s = demand
+            .first_event_within
+            .map_or(f64::INFINITY, |within| within.as_secs_f64());
+        let starts_in_time =
+            first_event_s.is_none_or(|time_s| time_s <= limit_s * FIRST_EVENT_SHARE);
+        starts_in_time && self.keeps_own_pauses(endpoint, demand, now)
+    }
+
+    /// Returns whether the pauses of a generation of any length are predicted to be within its own
+    /// limit on an engine.
+    fn keeps_own_pauses(&self, endpoint: &str, demand: &RunDemand, now: Duration) -> bool {
+        let Some(pause_max) = demand.pause_max else {
+            return true;
+        };
+        let stream = LongStream {
+            pause_max_s: pause_max.as_secs_f64(),
+            events: self.expected_events(demand),
+        };
+        let factor = self.tail_factor(stream);
+        factor.is_none_or(|factor| self.keeps_limit(endpoint, stream, factor, now))
+    }
+
     /// Records a long stream that is placed.
     pub(in crate::kernel) fn record_long_stream(&mut self, stream: LongStream) {
         let before = self.reference.unwrap_or(stream);
--- a/src/kernel/engine_ledger/reports.rs
+++ b/src/kernel/engine_ledger/reports.rs
@@ -66,7 +66,13 @@
         // During a move, the report may still name the source engine.
         let moving_to = before.and_then(|run| run.moving_to.clone());
         let moving_to = moving_to.filter(|target| *target != reported.endpoint);
+        let grant = before.and_then(|run| run.grant);
+        let grant = grant.filter(|_| before.is_some_and(|run| run.runs_on(&reported.endpoint)));
+        if let Some(grant) = grant {
+            self.pace.observe_first_event(&reported, grant, now);
+        }
         let run = Run {
+            grant: grant.filter(|_| reported.generated_tokens == 0),
             reported,
             entry: entry.to_owned(),
             updated_at: now,
--- a/src/kernel/engine_pace.rs
+++ b/src/kernel/engine_pace.rs
@@ -45,7 +45,7 @@
 const ENGINES_MAX: usize = 4_096;
 
 /// Returns the share that is left of a weight after a time.
-fn decay(elapsed_s: f64, memory_s: f64) -> f64 {
+pub(super) fn decay(elapsed_s: f64, memory_s: f64) -> f64 {
     (-elapsed_s / memory_s).exp()
 }
 
--- a/src/kernel/engine_placement.rs
+++ b/src/kernel/engine_placement.rs
@@ -2,11 +2,12 @@
 //!
 //! Load: long streams with a limit for every pause beside short ones, on engines of unlike pace.
 //! Long ones go to engines that are predicted to keep within their limit, as long as one of these
-//! has room; short ones go to the others first and so leave that room.
+//! has room; short ones go to the others first and so leave that room, if their own first event and
+//! pauses are predicted to be in time there.
 
 use std::time::Duration;
 
-use super::engine_ledger::{Engine, EngineLedger, LongStream, MOVED_RUN_FILL_MAX, Run};
+use super::engine_ledger::{Engine, EngineLedger, Grant, LongStream, MOVED_RUN_FILL_MAX, Run};
 use super::engine_pace::TailFactor;
 use super::engine_run::{ListedEngine, ReportedRun, RunDemand};
 
@@ -45,7 +46,7 @@
     fn rank(&self) -> Rank {
         Rank {
             is_cooling_down: self.is_cooling_down,
-            breaks_limit: false,
+            predicted_late: false,
             score: self.fill + self.backlog_score(),
         }
     }
@@ -55,8 +56,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Rank {
     is_cooling_down: bool,
-    /// Whether a pause beyond the generation's limit is predicted.
-    breaks_limit: bool,
+    /// Whether it is predicted that the generation is late there.
+    predicted_late: bool,
     score: f64,
 }
 
@@ -64,7 +65,7 @@
     fn compare(&self, other: &Self) -> std::cmp::Ordering {
         let by_cooldown = self.is_cooling_down.cmp(&other.is_cooling_down);
         by_cooldown
-            .then(self.breaks_limit.cmp(&other.breaks_limit))
+            .then(self.predicted_late.cmp(&other.predicted_late))
             .then(self.score.total_cmp(&other.score))
     }
 }
@@ -103,7 +104,15 @@
             endpoint: granted.clone(),
             ..new
         };
-        let run = Run::granted(reported, entry, now);
+        let prompt_tokens = demand.prompt_tokens;
+        let unread_tokens = self.engines.get(&granted).map_or(0.0, |engine| {
+            engine.tokens_before_first_event(prompt_tokens)
+        });
+        let grant = Grant {
+            at: now,
+            unread_tokens,
+        };
+        let run = Run::granted(reported, entry, grant);
         self.insert(&demand.run, run);
         self.record_sent_request(&granted, entry, now);
         Some(granted)
@@ -192,7 +201,7 @@
         match preference {
             PacePreference::None => rank,
             PacePreference::KeepsLimit(stream, factor) => Rank {
-                breaks_limit: !self.pace.keeps_limit(id, stream, factor, now),
+                predicted_late: !self.pace.keeps_limit(id, stream, factor, now),
                 ..rank
             },
             PacePreference::SparesLongStreams => {
@@ -201,7 +210,13 @@
                 let prefill = candidate.backlog_score() + PREFILL_BACKLOG_WEIGHT * own_prompt;
                 let is_spared = candidate.engine.pace.keeps_pace == Some(true);
                 let penalty = if is_spared { SHORT_STREAM_PENALTY } else { 0.0 };
+                let prompt_tokens = demand.prompt_tokens;
+                let unread_tokens = candidate.engine.tokens_before_first_event(prompt_tokens);
+                let is_in_time = self
+                    .pace
+                    .serves_short_in_time(id, demand, unread_tokens, now);
                 Rank {
+                    predicted_late: !is_in_time,
                     score: candidate.fill + prefill * self.pace.relative_pause(id, now) + penalty,
                     ..rank
                 }
--- a/src/kernel/engine_run.rs
+++ b/src/kernel/engine_run.rs
@@ -43,6 +43,8 @@
     pub account: Option<String>,
     /// Longest pause between events at which the answer is still in time.
     pub pause_max: Option<Duration>,
+    /// Time from the request for a place within which its first event meets the latency objective.
+    pub first_event_within: Option<Duration>,
     /// Requirements for the engine, apart from its capacity.
     pub requirements: EngineRequirements,
 }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -27,6 +27,7 @@
 pub mod fair_shares;
 pub mod fairness;
 pub mod fingerprint;
+pub mod first_event;
 pub mod fleet;
 pub mod freshness;
 pub mod gossip;
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -267,6 +267,7 @@
             regions: regions.cloned().collect(),
             account: demand.account.clone().unwrap_or_default(),
             pause_max_ms: demand.pause_max.map_or(0, millis_u32),
+            first_event_within_ms: demand.first_event_within.map_or(0, millis_u32),
         }
     }
 }
@@ -281,8 +282,8 @@
             generated_hint_tokens: (hint > 0.0).then_some(hint),
             priority: message.priority,
             account: non_empty(message.account),
-            pause_max: (message.pause_max_ms > 0)
-                .then(|| Duration::from_millis(u64::from(message.pause_max_ms))),
+            pause_max: non_zero_ms(message.pause_max_ms),
+            first_event_within: non_zero_ms(message.first_event_within_ms),
             requirements: EngineRequirements {
                 version: version_from_wire(message.target_version),
                 regions: if message.restricts_regions {
@@ -295,6 +296,10 @@
     }
 }
 
+fn non_zero_ms(length_ms: u32) -> Option<Duration> {
+    (length_ms > 0).then(|| Duration::from_millis(u64::from(length_ms)))
+}
+
 fn version_from_wire(is_target: bool) -> Version {
     if is_target {
         Version::Target
--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -319,6 +319,9 @@
     /// Longest pause between events at which the answer is still in time; 0 if the route sets none.
     #[prost(uint32, tag = "10")]
     pub pause_max_ms: u32,
+    /// Time from now within which its first event meets the latency objective; 0 if it is not known.
+    #[prost(uint32, tag = "11")]
+    pub first_event_within_ms: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PlaceRequest {
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -50,6 +50,8 @@
 mod move_schedule;
 #[path = "kernel/owner_contact.rs"]
 mod owner_contact;
+#[path = "kernel/pace_replay.rs"]
+mod pace_replay;
 #[path = "kernel/parsers.rs"]
 mod parsers;
 #[path = "kernel/permits.rs"]
