--- a/src/peer/generated.rs
+++ b/src/peer/generated.rs
@@ -319,8 +319,11 @@
     /// Longest pause between events at which the answer is still in time; 0 if the route sets none.
     #[prost(uint32, tag = "10")]
     pub pause_max_ms: u32,
+    /// Time from now within which its first event meets the latency objective; 0 if it is not known.
+    #[prost(uint32, tag = "11")]
+    pub first_event_within_ms: u32,
     /// Whether it is lost if its engine crashes, unless a copy of its memory is kept elsewhere.
-    #[prost(bool, tag = "11")]
+    #[prost(bool, tag = "12")]
     pub wants_copy: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
