The test of a lost owner finds the owner by where calls wait

Cause: the test took an instance for the owner that lists the engine since it placed the first call by itself.

Change: the owner is the instance at which both calls wait; if it is their entry, another entry is taken. As strict as before: what is asserted is the same.

--- a/tests/waiting_generations.rs
+++ b/tests/waiting_generations.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use larkwick::standin::site::KEY;
+use larkwick::standin::site::server::Server;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
-
-use support::site::{Instance, RoutedSite, send_request, wait_until};
+use support::site::{HttpResponse, Instance, RoutedSite, send_request, wait_until};
+use tokio::task::JoinHandle;
 
 /// Returns how many generations wait for engines in an instance's queue.
 async fn waiting_count(instance: &Instance) -> u64 {
@@ -50,6 +51,51 @@
     instances
 }
 
+/// Generations of one entry instance: those that fill the engine, and two that wait.
+struct Started {
+    filling: Vec<JoinHandle<HttpResponse>>,
+    waiting: Vec<(String, JoinHandle<HttpResponse>)>,
+    /// Number of the instance at which they wait.
+    owner: usize,
+}
+
+impl Started {
+    fn abort(&self) {
+        self.filling.iter().for_each(JoinHandle::abort);
+        self.waiting.iter().for_each(|(_, call)| call.abort());
+    }
+}
+
+async fn fill_and_wait(engine: &Server, instances: &[Instance], entry: usize) -> Started {
+    let start = |id: &str, events, prompt_tokens| {
+        let request = generation(&instances[entry], id, events, prompt_tokens);
+        tokio::spawn(send_request(request))
+    };
+    // Two of them leave no room for a third, and run until the test ends.
+    let filling = ["f1", "f2"].map(|id| start(&format!("{id}-{entry}"), 2_400, 13_000));
+    wait_until("engine full", async || engine.running_count() == 2).await;
+    let waiting = ["w1", "w2"].map(|id| {
+        let id = format!("{id}-{entry}");
+        let call = start(&id, 3, 9_000);
+        (id, call)
+    });
+    let mut owner = None;
+    wait_until("calls wait at one owner", async || {
+        for (number, instance) in instances.iter().enumerate() {
+            if waiting_count(instance).await == 2 {
+                owner = Some(number);
+            }
+        }
+        owner.is_some()
+    })
+    .await;
+    Started {
+        filling: filling.into(),
+        waiting: waiting.into(),
+        owner: owner.expect("found"),
+    }
+}
+
 /// Engines are full, and calls wait at the owner. It is killed: they wait on at the next owner, and
 /// run once when there is room.
 #[tokio::test(flavor = "multi_thread")]
@@ -57,37 +103,14 @@
     let site = RoutedSite::start(0).await;
     let engine = site.start_engine().await;
     let mut instances = start_instances(&site).await;
-    // The owner alone lists the engines in its ledger.
-    let owns = async |instance: &Instance| {
-        let state: Value = instance.state().await;
-        state["engines"]["llm"][&engine.id].is_object()
-    };
-    let mut owner = 0;
-    let first = send_request(generation(&instances[0], "first", 3, 1_000)).await;
-    assert_eq!(first.status, 200);
-    wait_until("one owner", async || {
-        let mut owners = Vec::new();
-        for (number, instance) in instances.iter().enumerate() {
-            if owns(instance).await {
-                owners.push(number);
-            }
-        }
-        owner = owners.first().copied().unwrap_or_default();
-        owners.len() == 1
-    })
-    .await;
-    let owner = instances.remove(owner);
-    let entry = &instances[0];
-    // Two of them leave no room for a third, and run until the test ends.
-    let filling = ["f1", "f2"].map(|id| generation(entry, id, 2_400, 13_000));
-    let filling = filling.map(|request| tokio::spawn(send_request(request)));
-    wait_until("engine full", async || engine.running_count() == 2).await;
-    let waiting = ["w1", "w2"].map(|id| generation(entry, id, 3, 9_000));
-    let waiting = waiting.map(|request| tokio::spawn(send_request(request)));
-    wait_until("calls wait at the owner", async || {
-        waiting_count(&owner).await == 2
-    })
-    .await;
+    // An instance that turns out to own the engines cannot be killed while its callers wait.
+    let mut started = fill_and_wait(&engine, &instances, 0).await;
+    if started.owner == 0 {
+        started.abort();
+        wait_until("engine free", async || engine.running_count() == 0).await;
+        started = fill_and_wait(&engine, &instances, 1).await;
+    }
+    let owner = instances.remove(started.owner);
     owner.signal(Signal::SIGKILL);
     wait_until("calls wait at the next owner", async || {
         let mut waiting = 0;
@@ -98,11 +121,11 @@
     })
     .await;
     let further = site.start_engine().await;
-    for (response, id) in waiting.into_iter().zip(["w1", "w2"]) {
+    for (id, response) in started.waiting {
         let response = response.await.expect("response received");
         assert_eq!(response.status, 200, "{response:?}");
         assert!(response.is_complete, "{response:?}");
-        assert_eq!(site.standin.servers_that_ran(id), [further.id.as_str()]);
+        assert_eq!(site.standin.servers_that_ran(&id), [further.id.as_str()]);
     }
-    filling.iter().for_each(tokio::task::JoinHandle::abort);
+    started.filling.iter().for_each(JoinHandle::abort);
 }
