Scheduled moves: the next copy waits for the last step; copies at refusing targets freed

With routing.load.scheduled_moves a move's result told the owner that the copy was done while its engine was only being asked to stop the generation. The owner ordered the next copy off the same engine at once. That copy was on the link before the engine stopped the first generation, whose remainder, and whose caller, waited for all of it. Reports named the source meanwhile, so that orders were repeated in vain ("a move is in progress", "NotRunning", "retry budget spent").

Ruled out: the room kept for moves. It has a switch of its own all the same, reserve_for_moves.

If moves are scheduled, the result of an order is sent after the last step. An order that is given up does not interrupt its move. A move whose stop failed is reported as failed, not as copied.

Further: - A copy that its target refused to continue from is freed there once the source has resumed the generation. - A generation whose leaving engine is gone before its expected end is told as missed (engine_ended_early), if the owner hears that before the report. - What ends by itself is judged by the engine's pace where that counts.

Tests. generation_scheduled_move_refused_other_target_tried also demands that an engine makes one copy at a time; it failed on the code before, and passes now. New: generation_scheduled_move_refused_resume_copy_freed_at_target (its other half shows the copy that stays without the switch), plan_scheduled_moves_engine_gone_early_each_generation_told_once and plan_scheduled_moves_slow_engine_generation_close_to_its_end_moved; these three were not run on the code before. The stand-in keeps copies by the server that received them, so that freeing at one end can be told from freeing at both. tests/site_generations 22 passed, move_schedule and room 24 passed. Not run: the rest of tests/kernel, tests/generated, the soak.

--- a/src/gateway/admission_policy.rs
+++ b/src/gateway/admission_policy.rs
@@ -28,7 +28,7 @@
         shares,
         reserve: ReservePolicy {
             for_urgent: load.reserve_for_urgent,
-            for_moves: load.scheduled_moves,
+            for_moves: load.reserve_for_moves,
         },
         wait_past_objective: load.wait_past_objective,
     }
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -69,8 +69,8 @@
 
 /// Moves a generation that this instance serves.
 ///
-/// Returns once the memory has been copied and its engine is being asked to stop it, so that the
-/// link is free for the next move while this one continues.
+/// Returns once the memory has been copied and its engine is being asked to stop it; if moves are
+/// scheduled, once the engine has stopped it and the remainder was copied, too.
 pub(crate) async fn move_run(
     gateway: &Arc<Gateway>,
     order: &wire::MoveRunRequest,
@@ -114,18 +114,30 @@
         Ok(CopyOutcome::Done(copy)) => copy,
         other => return copy_failure(other),
     };
+    // In a task of its own: the order may be given up, and the generation must not be then.
     let gateway = gateway.clone();
-    tokio::spawn(async move {
+    let finishing = tokio::spawn(async move {
         let finished = finish_move(&gateway, &run, &source, &target, counted).await;
         drop(guard);
-        if is_scheduled
-            && let Err(error) = finished
-            && is_copy_unused(&gateway, &run, &error).await
-        {
-            free_copy(&gateway, &run, &source, &copy).await;
+        let Err(error) = finished else {
+            return (MoveResult::Copied, String::new());
+        };
+        let reason = error.to_string();
+        if is_scheduled {
+            tokio::spawn(async move {
+                if is_copy_unused(&gateway, &run, &error).await {
+                    free_copy(&gateway, &run, &source, &copy).await;
+                }
+            });
         }
+        (MoveResult::Failed, reason)
     });
-    (MoveResult::Copied, String::new())
+    if !is_scheduled {
+        return (MoveResult::Copied, String::new());
+    }
+    // The owner orders the next copy at once, which would be ahead of the last step on the link.
+    let finished = finishing.await;
+    finished.unwrap_or_else(|error| (MoveResult::Failed, error.to_string()))
 }
 
 async fn finish_move(
@@ -166,16 +178,33 @@
     }
 }
 
-/// Frees the copy of a move that was given up, which takes memory and a slot at its target. A copy
-/// that is not freed is dropped by the engines after a time that the configuration states.
-async fn free_copy(gateway: &Gateway, run: &RunHandle, source: &EndpointEntry, copy: &str) {
+/// Frees the copy that an engine received of a generation that has continued where it ran.
+pub(super) fn start_freeing_received(
+    gateway: &Arc<Gateway>,
+    run: &Arc<RunHandle>,
+    continuation: &Continuation,
+) {
+    if move_orders::scheduling_link(gateway, &run.service).is_none() {
+        return;
+    }
+    let (gateway, run) = (gateway.clone(), run.clone());
+    let receiver = continuation.copy_receiver.clone();
+    let copy = continuation.copy.clone();
+    tokio::spawn(async move { free_copy(&gateway, &run, &receiver, &copy).await });
+}
+
+/// Frees a copy that is not used, which takes memory and a slot at the engine that received it.
+/// Asked by the engine that it was made from, both free what they keep for it; asked by the
+/// receiver, only that one does. A copy that is not freed is dropped by the engines after a time that the
+/// configuration states.
+async fn free_copy(gateway: &Gateway, run: &RunHandle, holder: &EndpointEntry, copy: &str) {
     let freeing = async {
-        let request = engine::build_free_copy_request(source.address, copy);
+        let request = engine::build_free_copy_request(holder.address, copy);
         let request = request.map_err(|error| error.to_string())?;
-        let permit = gateway.request_permit(&source.service, &source.id).await;
+        let permit = gateway.request_permit(&holder.service, &holder.id).await;
         let permit = permit.ok_or("no permit for the engine")?;
         let upstream = &gateway.upstream;
-        let response = upstream.send_control_request(source, request, RESPONSE_MAX_BYTES, permit);
+        let response = upstream.send_control_request(holder, request, RESPONSE_MAX_BYTES, permit);
         response.await.map(|(status, _)| status)
     };
     let freed = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
@@ -187,7 +216,7 @@
     if crate::log::should_log("copy of a move freed") {
         let outcome = freed.map_or_else(|reason| reason, |status| status.to_string());
         info!("copy of a move freed", kv: {
-            request_id = run.demand.run.as_str(), source = source.id.as_str(), outcome = outcome.as_str(),
+            request_id = run.demand.run.as_str(), endpoint = holder.id.as_str(), outcome = outcome.as_str(),
         });
     }
 }
@@ -204,10 +233,12 @@
     // Reserved before the stop: a stopped generation that may not be sent again is lost.
     let reservation = gateway.reserve_continuation(move_of(run));
     let reservation = reservation.ok_or(StopError::RetriesSpent)?;
+    let receiver = target;
     let continue_at = |target: &EndpointEntry, copy, counted| Continuation {
         target: target.clone(),
         copy_address: source.address,
         copy,
+        copy_receiver: receiver.clone(),
         counted,
         reservation,
     };
--- a/src/gateway/relay/continuation.rs
+++ b/src/gateway/relay/continuation.rs
@@ -5,6 +5,7 @@
 
 use super::{Relay, TAKEOVERS_MAX};
 use crate::gateway::generation;
+use crate::gateway::moves;
 use crate::gateway::retry_budgets::RepeatCause;
 use crate::gateway::runs::{Continuation, Unavailability};
 use crate::gateway::started_generation::ResponseStream;
@@ -95,6 +96,10 @@
             Err(error) => return Err(error.to_string()),
         };
         self.moves += 1;
+        if continuation.copy_receiver.id != continuation.target.id {
+            let run = &self.run_guard.run;
+            moves::start_freeing_received(&self.call.gateway, run, &continuation);
+        }
         *self.run_guard.run.endpoint.lock() = continuation.target;
         self.call.gateway.ledgers.runs_changed.notify_one();
         self.source = Some(ResponseStream::new(response));
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -24,6 +24,8 @@
     pub(crate) copy_address: std::net::SocketAddr,
     /// Name of the KV-cache copy.
     pub(crate) copy: String,
+    /// Engine that received the copy; not the target if the generation continues where it ran.
+    pub(crate) copy_receiver: EndpointEntry,
     /// Whether the continuation was counted against the rate limit that the engine announces.
     pub(crate) counted: bool,
     /// Covers the sends of the continuation.
--- a/src/kernel/engine_ledger/engine.rs
+++ b/src/kernel/engine_ledger/engine.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns the tokens of one generation that the engine decodes in a second.
-    pub(super) fn decode_tokens_per_s(&self) -> f64 {
+    pub(in crate::kernel) fn decode_tokens_per_s(&self) -> f64 {
         self.pace.decode_tokens_per_s.unwrap_or(DECODE_TOKENS_PER_S)
     }
 
--- a/src/kernel/move_schedule.rs
+++ b/src/kernel/move_schedule.rs
@@ -4,8 +4,8 @@
 //! link about as long, or twice as long if it goes to another hall. The link must not idle, must
 //! not copy what is not finished in time, and must not copy what ends by itself.
 //!
-//! One copy at a time leaves an engine. A second one would delay the last step of the first, for
-//! which the stopped generation and its caller wait.
+//! One copy at a time leaves an engine, and the next one begins after the last step of the move. It
+//! would be ahead of that step on the link, for which the stopped generation's caller waits.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
@@ -202,6 +202,8 @@
     CopyUnfinished,
     /// It was expected to end by itself before.
     ExpectedToEnd,
+    /// Its engine ended before it was expected to.
+    EndedEarly,
 }
 
 impl MissReason {
@@ -216,6 +218,7 @@
             Self::NoOutput => "no_output",
             Self::CopyUnfinished => "copy_unfinished",
             Self::ExpectedToEnd => "expected_to_end",
+            Self::EndedEarly => "engine_ended_early",
         }
     }
 }
@@ -272,6 +275,11 @@
         self.missed.retain(|run| is_running(run));
     }
 
+    /// Returns the engines that were leaving when the records were last synced.
+    pub(super) fn leaving_engines(&self) -> impl Iterator<Item = &str> {
+        self.first_planned_at.keys().map(String::as_str)
+    }
+
     /// Returns for how long it has been known that an engine leaves.
     pub(super) fn known_for(&self, engine: &str, now: Duration) -> Duration {
         let first = self.first_planned_at.get(engine).copied();
--- a/src/kernel/scheduled_moves.rs
+++ b/src/kernel/scheduled_moves.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::engine_ledger::{EngineLedger, Run};
+use super::engine_ledger::{Engine, EngineLedger, Run};
 use super::engine_moves::lost_work_tokens;
 use super::engine_run::{DECODE_TOKENS_PER_S, ListedEngine, MoveOrder, MoveResult};
 use super::move_schedule::{
@@ -27,13 +27,16 @@
     pub fn plan_scheduled_moves(&mut self, link: CopyLink, now: Duration) -> MovePlan {
         let mut sources = self.leaving_engines();
         sources.sort_by_key(|source| source.leaves_at.unwrap_or(Duration::MAX));
+        let mut plan = MovePlan {
+            missed: self.take_ended_early(),
+            ..MovePlan::default()
+        };
         let runs = &self.runs;
         self.move_records.sync(
             sources.iter().map(|source| source.id.as_str()),
             |run| runs.contains_key(run),
             now,
         );
-        let mut plan = MovePlan::default();
         for source in &sources {
             if !self.is_copying_from(&source.id)
                 && let Some((order, wait)) = self.next_scheduled_move(source, link, now)
@@ -69,7 +72,7 @@
         }
     }
 
-    /// Returns whether memory is being copied off an engine, apart from the last step of a move.
+    /// Returns whether memory is being copied off an engine.
     fn is_copying_from(&self, source: &str) -> bool {
         let mut moving = self.moving.iter().filter_map(|name| self.runs.get(name));
         moving.any(|run| run.reported.endpoint == source)
@@ -77,11 +80,12 @@
 
     fn candidate<'a>(&self, run: &'a Run) -> Candidate<'a> {
         let name = run.reported.demand.run.as_str();
+        let engine = self.engines.get(&run.reported.endpoint);
         Candidate {
             run: name,
             tokens: run.reported.current_tokens(),
             remaining_tokens: run.reported.remaining_tokens(),
-            tokens_per_s: DECODE_TOKENS_PER_S,
+            tokens_per_s: engine.map_or(DECODE_TOKENS_PER_S, Engine::decode_tokens_per_s),
             lost_work_tokens: lost_work_tokens(run),
             failed_moves: self.move_records.failed_moves(name),
         }
@@ -191,6 +195,33 @@
         full.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns the generations on leaving engines that are gone since the last plan, each once. Those
+    /// on an engine that lasted as long as expected were told before.
+    fn take_ended_early(&mut self) -> Vec<MissedMove> {
+        let mut missed = Vec::new();
+        for source in self.move_records.leaving_engines() {
+            let engine = self.engines.get(source);
+            let ended = engine.filter(|engine| engine.listed.is_none());
+            let names = ended.into_iter().flat_map(|engine| &engine.runs);
+            let untold = names
+                .filter_map(|name| self.runs.get(name))
+                .filter(|run| !self.move_records.is_missed(&run.reported.demand.run));
+            missed.extend(untold.map(|run| MissedMove {
+                run: run.reported.demand.run.clone(),
+                source: source.to_owned(),
+                reason: if run.moving_to.is_some() {
+                    MissReason::CopyUnfinished
+                } else {
+                    MissReason::EndedEarly
+                },
+            }));
+        }
+        for missed in &missed {
+            self.move_records.record_missed(&missed.run);
+        }
+        missed
+    }
+
     /// Returns the generations on an engine that have become impossible to move before its expected
     /// end, or that are still there then, each once.
     fn take_missed_moves(
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -32,9 +32,10 @@
     pub wait_past_objective: bool,
     /// Whether the observed pace of each engine decides which generations are placed on it.
     pub engine_pace: bool,
-    /// Whether generations are moved off leaving engines by a schedule that ends before they do, and
-    /// keep room for that.
+    /// Whether generations are moved off leaving engines by a schedule that ends before they do.
     pub scheduled_moves: bool,
+    /// Whether new generations leave room for those that have to be moved off leaving engines.
+    pub reserve_for_moves: bool,
     /// Whether shorter generations may get freed capacity before longer ones of the same priority
     /// that arrived up to a bounded time earlier.
     pub shorter_first: bool,
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! They speak the protocols of the platform adapter.
 
+mod copies;
 pub mod server;
 pub mod store;
 
@@ -373,6 +374,12 @@
         self.servers.servers_that_ran(request)
     }
 
+    /// Returns the largest number of memory copies that one server made at once.
+    #[must_use]
+    pub fn copies_at_once_max(&self) -> usize {
+        self.servers.copies_at_once_max()
+    }
+
     /// Returns the number of memory copies that are neither used nor freed.
     #[must_use]
     pub fn copy_count(&self) -> usize {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -17,6 +17,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
+use super::copies::MemoryCopies;
 use super::{Listener, StandinBody, add_unknown_header, build_response, serve};
 use crate::platform::names;
 
@@ -176,9 +177,7 @@
     by_address: Mutex<HashMap<SocketAddr, Arc<Server>>>,
     /// Server id and request id of each run, in order.
     runs: Mutex<Vec<(String, String)>>,
-    /// Memory copies by source address and handle; the value is the number of events generated at
-    /// the copy.
-    copies: Mutex<HashMap<(SocketAddr, String), u32>>,
+    copies: Mutex<MemoryCopies>,
     started_count: AtomicU32,
     /// Requests, in the order in which they were answered.
     arrivals: Mutex<Vec<Arrival>>,
@@ -281,8 +280,12 @@
         of_request.map(|(server, _)| server.clone()).collect()
     }
 
+    pub(super) fn copies_at_once_max(&self) -> usize {
+        self.copies.lock().most_at_once()
+    }
+
     pub(super) fn copy_count(&self) -> usize {
-        self.copies.lock().len()
+        self.copies.lock().received_count()
     }
 }
 
@@ -644,21 +647,22 @@
         let Some(from) = header_text(headers, &names::CONTINUE_FROM) else {
             return Ok(None);
         };
-        let copy = from.split_once('/').and_then(|(address, name)| {
-            let key = (address.parse().ok()?, name.to_owned());
+        let is_found = from.split_once('/').and_then(|(address, handle)| {
+            let source = address.parse().ok()?;
             let servers = self.servers.upgrade()?;
             let mut copies = servers.copies.lock();
             let fault = *self.fault.lock();
-            if matches!(
+            let is_kept = matches!(
                 fault,
                 ServerFault::DropsCopies | ServerFault::EncodesResumed
-            ) {
-                copies.get(&key).copied()
+            );
+            Some(if is_kept {
+                copies.contains(source, handle)
             } else {
-                copies.remove(&key)
-            }
+                copies.use_at(self.address(), source, handle)
+            })
         });
-        if copy.is_none() {
+        if is_found != Some(true) {
             return Err(CopyNotFound);
         }
         Ok(Some(last_event(headers)))
@@ -689,10 +693,10 @@
     }
 
     fn free_copy(&self, copy: &str) -> Response<StandinBody> {
-        let key = (self.address(), copy.to_owned());
         let servers = self.servers.upgrade();
-        let freed = servers.and_then(|servers| servers.copies.lock().remove(&key));
-        build_response(if freed.is_some() { 200 } else { 404 }, "")
+        let is_freed =
+            servers.is_some_and(|servers| servers.copies.lock().free_at(self.address(), copy));
+        build_response(if is_freed { 200 } else { 404 }, "")
     }
 
     async fn copy_memory(&self, request: Request<Incoming>) -> Response<StandinBody> {
@@ -711,9 +715,10 @@
             .and_then(|text| text.parse().ok());
         let target: Option<Arc<Server>> =
             target.and_then(|address: SocketAddr| servers.by_address.lock().get(&address).cloned());
-        if target.is_none_or(|target| *target.fault.lock() == ServerFault::RefusesCopies) {
+        let target = target.filter(|target| *target.fault.lock() != ServerFault::RefusesCopies);
+        let Some(target) = target else {
             return build_response(503, "no room");
-        }
+        };
         let is_last = order["last"].as_bool().unwrap_or_default();
         if is_last && *self.fault.lock() == ServerFault::RefusesStops {
             return build_response(404, "no such run");
@@ -722,11 +727,12 @@
             run.stop_requested.store(true, Ordering::Relaxed);
             run.stop_signal.notify_waiters();
         }
+        servers.copies.lock().begin(self.address());
         tokio::time::sleep(COPY_DURATION).await;
         let generated_events = run.generated_events.load(Ordering::Relaxed);
         let handle = format!("h-{id}");
         let mut copies = servers.copies.lock();
-        copies.insert((self.address(), handle.clone()), generated_events);
+        copies.insert(self.address(), target.address(), &handle);
         build_response(
             200,
             json!({"handle": handle, "made": generated_events}).to_string(),
--- a/tests/kernel/move_schedule.rs
+++ b/tests/kernel/move_schedule.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use larkwick::kernel::engine_ledger::{
-    EngineLedger, ListedEngine, MoveOrder, MoveResult, ReportedRun, RunDemand,
+    EngineLedger, ListedEngine, MoveOrder, MoveResult, PacePolicy, ReportedRun, RunDemand,
 };
 use larkwick::kernel::move_schedule::{
     Candidate, CopyDistance, CopyLink, MissReason, MovePlan, order_candidates,
 };
 use larkwick::kernel::notice_times::NoticeTimes;
+use larkwick::kernel::pause_counts::{EnginePauses, PauseCounts};
 use larkwick::platform::engine::decode_report;
 
 const MEMORY_TOKENS: u32 = 26_918;
@@ -332,6 +333,75 @@
     assert!(!outcome.ordered.contains("ending"));
 }
 
+/// A crash, or an announcement that was wrong. One of the generations is being copied then.
+#[test]
+fn plan_scheduled_moves_engine_gone_early_each_generation_told_once() {
+    let mut site = Site::with_targets(1);
+    let mut ledger = EngineLedger::default();
+    ledger.set_engines(site.engines.values().cloned().collect());
+    ledger.apply_report("n", site.report(ms(0)), ms(0));
+    let plan = ledger.plan_scheduled_moves(LINK, ms(0));
+    assert_eq!(plan.missed, []);
+    site.engines.remove("a");
+    ledger.set_engines(site.engines.values().cloned().collect());
+    let missed = ledger.plan_scheduled_moves(LINK, ms(100)).missed;
+    let with_reason = |reason| {
+        let of_reason = missed.iter().filter(move |missed| missed.reason == reason);
+        of_reason.map(|missed| missed.run.as_str())
+    };
+    let unfinished: Vec<&str> = with_reason(MissReason::CopyUnfinished).collect();
+    assert_eq!(unfinished, [plan.orders[0].0.run.as_str()]);
+    assert_eq!(with_reason(MissReason::EndedEarly).count(), 7);
+    assert_eq!(ledger.plan_scheduled_moves(LINK, ms(120)).missed, []);
+}
+
+/// Reports that an engine takes six times as long for an event as the others.
+fn apply_slow_pace(ledger: &mut EngineLedger, slow: &str, ids: &[&str]) {
+    for report in 0..5 {
+        for id in ids {
+            let usual_ms = if *id == slow { 240 } else { 40 };
+            let mut pauses = PauseCounts::default();
+            pauses.add(ms(usual_ms), 60);
+            let observed = EnginePauses {
+                endpoint: (*id).to_owned(),
+                pauses,
+            };
+            ledger.apply_pauses(&[observed], ms(report * 10));
+        }
+    }
+}
+
+/// At the usual rate it would end in time by itself.
+#[test]
+fn plan_scheduled_moves_slow_engine_generation_close_to_its_end_moved() {
+    for counts_pace in [false, true] {
+        let mut ending = run("ending", "a", 500);
+        ending.demand.generated_max_tokens = GENERATED_TOKENS + 30;
+        let mut site = Site::with_targets(4).run(ending);
+        site.runs.retain(|name, _| name == "ending");
+        let ids: Vec<&str> = site.engines.keys().map(String::as_str).collect();
+        let mut ledger = EngineLedger::default();
+        ledger.set_pace_policy(PacePolicy {
+            is_enabled: counts_pace,
+            event_tokens: 4,
+        });
+        ledger.set_engines(site.engines.values().cloned().collect());
+        apply_slow_pace(&mut ledger, "a", &ids);
+        let now = ms(100);
+        // The engines are judged by the limit of the long streams that are placed.
+        let long = RunDemand {
+            pause_max: Some(ms(180)),
+            ..run("long", "", PROMPT_TOKENS).demand
+        };
+        assert!(ledger.place(&long, "n", &[], now).is_some());
+        let now = ms(250);
+        ledger.refresh_paces(now);
+        ledger.apply_report("n", site.runs.values().cloned().collect(), now);
+        let orders = ledger.plan_scheduled_moves(LINK, now).orders;
+        assert_eq!(orders.len(), usize::from(counts_pace), "{orders:?}");
+    }
+}
+
 #[test]
 fn order_candidates_copy_that_takes_too_long_last() {
     let candidate = |run, tokens, lost_work_tokens| Candidate {
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -62,7 +62,7 @@
 }
 
 /// An engine that seems to have room refuses every copy; the other one gets all of them before their
-/// engine ends.
+/// engine ends. None is made while the caller of another generation waits for its last step.
 #[tokio::test(flavor = "multi_thread")]
 async fn generation_scheduled_move_refused_other_target_tried() {
     let site = RoutedSite::start(0).await;
@@ -85,6 +85,7 @@
     .await;
     site.standin.list_server(&leaving, "draining");
     wait_until("generations moved", async || staying.running_count() == 3).await;
+    assert_eq!(site.standin.copies_at_once_max(), 1);
     leaving.kill().await;
     for (number, generation) in running.into_iter().enumerate() {
         assert_complete(&generation.await.expect("response received"), 80);
@@ -161,6 +162,35 @@
     assert_eq!(site.standin.servers_that_ran("t2"), [leaving.id.as_str()]);
 }
 
+/// Guards against copies at targets that refused to resume: each takes memory and a slot there.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_scheduled_move_refused_resume_copy_freed_at_target() {
+    for is_scheduled in [false, true] {
+        let site = RoutedSite::start(0).await;
+        let leaving = site.start_engine().await;
+        let settings = json!({"load": {"scheduled_moves": is_scheduled}});
+        let instance = site.start_instance_with_settings("n1", settings);
+        instance.wait_until_ready().await;
+        let running = tokio::spawn(send_request(instance.generation(24, "r1")));
+        wait_until("generation running", async || leaving.running_count() == 1).await;
+        let refusing = site.start_engine().await;
+        refusing.set_fault(ServerFault::DropsCopies);
+        wait_until("both engines known", async || {
+            instance.state().await["endpoints"][&refusing.id].is_object()
+        })
+        .await;
+        site.standin.list_server(&leaving, "draining");
+        assert_complete(&running.await.expect("response received"), 24);
+        assert_eq!(site.standin.servers_that_ran("r1"), [leaving.id.as_str()]);
+        let is_freed = async || site.standin.copy_count() == 0;
+        if is_scheduled {
+            wait_until("copy freed", is_freed).await;
+        } else {
+            assert!(!is_freed().await, "a copy was received");
+        }
+    }
+}
+
 /// Guards against a moved generation that continues with encoded bytes, although its caller was
 /// told of no encoding.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -155,7 +155,7 @@
     pub fn turn_on_load_decisions(&mut self) {
         self.load = json!({
             "fair_accounts": true, "reserve_for_urgent": true, "wait_past_objective": true,
-            "engine_pace": true, "scheduled_moves": true,
+            "engine_pace": true, "scheduled_moves": true, "reserve_for_moves": true,
         });
     }
 
