--- a/src/gateway/relay/standby_copy.rs
+++ b/src/gateway/relay/standby_copy.rs
@@ -65,6 +65,7 @@
             target: keeper.clone(),
             copy_address: keeper.address,
             copy: request_id.clone(),
+            copy_receiver: keeper.clone(),
             counted: false,
             reservation: reservation.ok_or("retry budget spent")?,
         };
