--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -25,10 +26,19 @@
     """The case could not be set up."""
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def free_port(taken):
+    """Returns a free port below those that outgoing connections get, and adds it to `taken`."""
+    while True:
+        port = random.randrange(18000, 30000)
+        if port in taken:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken.add(port)
+        return port
 
 
 class Instance:
@@ -127,7 +137,8 @@
         self.store.put("keyed.op", "config", self.config())
         for server in self.engines:
             server.list()
-        ports = [[free_port() for _ in range(5)] for _ in range(self.instance_count)]
+        taken = set()
+        ports = [[free_port(taken) for _ in range(5)] for _ in range(self.instance_count)]
         seeds = [f"127.0.0.1:{own[1]}" for own in ports][:3]
         for number, own in enumerate(ports):
             self.instances.append(Instance(self, f"front-{number}", own, seeds))
