--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin"))
 
-from deployment import run_case  # noqa: E402
+from deployment import CannotRun, run_case  # noqa: E402
 
 # A stream of the sheet's mean length, at a pace that is in time: 38 s.
 LONG_EVENTS = 235
@@ -18,8 +18,8 @@
 LONG_PROMPT_TOKENS = 3000
 SHORT_PROMPT_TOKENS = 2200
 SHORT_DEADLINE_MS = 6000
-# When the short streams are sent, after SIGTERM: their client holds the directory's answer for three times
-# its 2 s.
+# When the short streams are sent, after SIGTERM. Their client asked the directory just before and holds the
+# answer for three times its time to live.
 SENT_AT_S = (3.2, 3.6, 4.0)
 # RULES.md, bounds of the site.
 LOSS_SLACK_S = 0.2
@@ -44,6 +44,9 @@
         time.sleep(0.9)
     log("running: " + ", ".join(f"{engine.id} {len(engine.runs)}" for engine in site.engines))
 
+    addresses, ttl_s = site.resolve(site.instances[1])
+    if leaving.front not in addresses or 3 * ttl_s < max(SENT_AT_S):
+        raise CannotRun("no client would use the address")
     if site.trouble:
         log(f"SIGTERM to {leaving.name}")
         leaving.process.send_signal(signal.SIGTERM)
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -124,7 +124,7 @@
             "version": version,
             "routes": [route("chat", "stream", "llm", 39000, 1800, gap_aim_ms=180),
                        route("digest", "stream", "llm", 6000, 1500, gap_aim_ms=180, priority=0),
-                       route("check", "stream", "llm", 39000, 1800, gap_aim_ms=180,
+                       route("check", "stream", "llm", 6000, 1500, gap_aim_ms=180, priority=0,
                              **{"resumable": True, "max-attempts": 2})],
             "services": [{"name": "llm", "health-path": "/healthz", "max-conns": 242,
                           "protocol": "h1", "tls": False, "engine": engine}],
@@ -157,6 +157,15 @@
                    ("Larkwick-Deadline-Ms", str(deadline_ms)), ("Api-Key", KEY)]
         return call(instance.front, "POST", f"/{route}/{events}", headers, b"prompt", deadline_ms / 1000.0)
 
+    def resolve(self, instance):
+        """Asks the directory of an instance for the addresses to use; returns them and their time to live."""
+        answer = call(instance.directory, "GET", f"/larkwick/resolve?name={HOST}&region=r1&zone=z1", [("Host", "x")], timeout=1.0)
+        if answer.status != 200:
+            raise CannotRun("the directory does not answer")
+        told = json.loads(answer.body)
+        self.record.line(f"the directory of {instance.name} tells {told}")
+        return told["addrs"], told["ttl-s"]
+
     def record_log_lines(self, text):
         """Records what the instances wrote about `text`."""
         for instance in self.instances:
--- a/review/standin/servers.py
+++ b/review/standin/servers.py
@@ -36,10 +36,12 @@
     def __init__(self, site, service, name, slots):
         self.site, self.service, self.id, self.slots = site, service, name, slots
         self.seq = 0
+        self.state = "ready"
         super().__init__()
 
     def list(self, state="ready"):
         self.seq += 1
+        self.state = state
         entry = {
             "service": self.service, "addr": self.address, "zone": "z1", "version": "v1",
             "slots": self.slots, "state": state, "cold-left-ms": 0, "seq": self.seq,
@@ -57,8 +59,11 @@
 
 
 class Run:
-    def __init__(self, made):
+    def __init__(self, made, prompt_tokens):
         self.made = made
+        self.prompt_tokens = prompt_tokens
+        # Whether its memory is being copied.
+        self.copying = False
         self.began = time.monotonic()
         self.ended = None
         # Whether the answer was lost on its way.
@@ -104,10 +109,10 @@
 
     def report(self, sock):
         with self.guard:
-            runs = [[run_id, 1000, run.made, 5] for run_id, run in self.runs.items()]
+            runs = [[run_id, run.prompt_tokens + 4 * run.made, run.made, 5] for run_id, run in self.runs.items()]
         body = {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
-                "busy": False, "seq": 0, "queued": 0, "running": len(runs), "kv-used": 0,
-                "kv-total": 34322, "handles": len(self.copies), "state": "ready", "runs": runs}
+                "busy": False, "seq": 0, "queued": 0, "running": len(runs), "kv-used": sum(run[1] for run in runs),
+                "kv-total": 34322, "handles": len(self.copies), "state": self.state, "runs": runs}
         answer(sock, 200, json.dumps(body).encode(), [("Content-Type", "application/json")])
 
     def move(self, sock, order):
@@ -115,9 +120,12 @@
         log = self.site.record.line
         with self.guard:
             run = self.runs.get(run_id)
-        if run is None:
-            answer(sock, 404)
-            log(f"{self.id} kv-move {run_id} last={last}: 404, no such run")
+            busy = run is not None and run.copying
+            if run is not None:
+                run.copying = True
+        if run is None or busy:
+            answer(sock, 409 if busy else 404)
+            log(f"{self.id} kv-move {run_id} last={last}: " + ("409, a call is under way" if busy else "404, no such run"))
             return None
         if last:
             run.stopped.set()
@@ -129,6 +137,7 @@
         self.copies[handle] = run.made
         if target:
             target.copies[f"{self.address}/{handle}"] = run.made
+        run.copying = False
         if last and run_id in self.lose_stop_answer and self.site.trouble:
             log(f"{self.id} kv-move {run_id} last=True: done, its answer is lost (reset)")
             reset(sock)
@@ -148,15 +157,21 @@
         source = request.headers.get("kv-from")
         made = int(request.headers.get("last-event-id", "0") or 0)
         if source is not None:
-            kept = self.copies.pop(source, None)
-            if kept is None and source.startswith(self.address + "/"):
-                kept = self.copies.pop(source.split("/", 1)[1], None)
+            # The copy is here, or this is the server that stopped the run. It serves once.
+            address, handle = source.split("/", 1)
+            origin = self.site.by_address(address)
+            if origin is self:
+                kept = self.copies.pop(handle, None)
+            else:
+                kept = self.copies.pop(source, None)
+                if origin:
+                    origin.copies.pop(handle, None)
             if kept is None:
                 answer(sock, 503, b"", [("Larkwick-Not-Executed", "1"), ("Larkwick-Request-Id", run_id)])
                 log(f"{self.id} refuses {run_id} from {source}: no copy")
                 return None
         events = int(request.path.rstrip("/").rsplit("/", 1)[1])
-        run = Run(made)
+        run = Run(made, int(request.headers.get("larkwick-token-count", "0,0").split(",")[0]))
         with self.guard:
             self.runs[run_id] = run
             self.history.append((run_id, run))
