Calls in flight are counted by how far they have come, and a planned stop logs which it cut

`instance stopped` told the number of calls cut (8) and not what they were doing, so that a wait for room, a wait for a connection and an answer that was on its way looked the same.

Each call now counts by its phase: receiving, waiting (no endpoint may have run it), forwarded to a peer, sent. `instance stopped` has one field for each beside `calls_cut`.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use super::in_flight::CallCounts;
 use super::listener::{self, ListenerKind};
 use super::node::{Gateway, MEMBER_RING};
 use super::peers::SiteService;
@@ -226,7 +227,7 @@
             tokio::time::sleep(STOP_CHECK_INTERVAL).await;
         }
         let took_ms = millis(gateway.now().saturating_sub(started_at));
-        info!("instance stopped", kv: { calls_cut: = gateway.in_flight.calls(), took_ms: });
+        log_stopped(gateway.in_flight.call_counts(), took_ms);
         self.abort().await;
     }
 
@@ -239,6 +240,19 @@
     }
 }
 
+/// Logs the end of a planned stop, with the calls that it cut by how far they had come.
+fn log_stopped(cut: CallCounts, took_ms: u64) {
+    let CallCounts {
+        receiving,
+        waiting,
+        forwarded,
+        sent,
+    } = cut;
+    info!("instance stopped", kv: {
+        calls_cut: = cut.total(), receiving:, waiting:, forwarded:, sent:, took_ms:,
+    });
+}
+
 /// The listeners of an instance. They are bound first so that ports assigned by the operating
 /// system are known.
 struct Listeners {
--- a/src/gateway/call_forwarding.rs
+++ b/src/gateway/call_forwarding.rs
@@ -13,6 +13,7 @@
 use rand::seq::SliceRandom;
 use spdlog::info;
 
+use super::in_flight::CallPhase;
 use super::inbound_call::{Call, CallOrigin, SendsBefore};
 use super::node::{Gateway, MEMBER_RING};
 use super::read_ahead::read_ahead;
@@ -98,11 +99,15 @@
             break;
         }
         let started_at = call.gateway.now();
+        call.set_phase(CallPhase::Forwarded);
         let reply = ask_peer(call, &address, before).await;
         log_reply(call, &peer, &reply, started_at);
         match reply {
             Reply::Served(response) => return Forwarding::Answered(response),
             Reply::Declined(_) => {
+                if before.runs == 0 {
+                    call.set_phase(CallPhase::Waiting);
+                }
                 let declining = &call.gateway.declining_peers;
                 declining.record(&call.service, &peer, call.gateway.now());
             }
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::aborted_requests;
+use super::in_flight::CallPhase;
 use super::inbound_call::Call;
 use super::message_heads::EndpointRequestHead;
 use super::retry_budgets::RepeatCause;
@@ -193,6 +194,7 @@
         |error| AttemptFailure::Fatal(Error::new(ErrorKind::BadRequest, error.to_string())),
     )?;
     let sent_at = gateway.now();
+    call.set_phase(CallPhase::Sent);
     gateway.record_rollout_send(call, &endpoint);
     let sending = connection.send(request, permit);
     let response_future = await_response_head(call, &run_guard.run, last_event_id, sending);
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -16,6 +16,7 @@
     try_engine,
 };
 use super::excluded_engines::excluded_engines;
+use super::in_flight::CallPhase;
 use super::inbound_call::Call;
 use super::placement::{self, CapacityWait, Placement, PlacementRefused};
 use super::relay;
@@ -175,6 +176,9 @@
     let mut reason = String::new();
     let mut failures = FailedAttempts::default();
     for _ in 0..ENGINE_ATTEMPTS_MAX {
+        if attempts.runs == 0 {
+            call.set_phase(CallPhase::Waiting);
+        }
         if call.time_left().is_zero() {
             reason.push_str("; no time left");
             break;
--- a/src/gateway/inbound_call.rs
+++ b/src/gateway/inbound_call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 
-use super::in_flight::InFlightGuard;
+use super::in_flight::{CallGuard, CallPhase};
 use super::message_heads::{CallHead, EndpointRequestHead};
 use super::node::Gateway;
 use super::retry_budgets::{Repeat, RepeatCause};
@@ -78,7 +78,7 @@
     /// Fingerprints of the segments of its prompt, computed on first use.
     pub(crate) segment_fingerprints: OnceLock<Vec<Fingerprint>>,
     /// Delays the shutdown of the instance until the call ends.
-    pub(crate) _in_flight_guard: InFlightGuard,
+    pub(crate) in_flight_guard: CallGuard,
 }
 
 impl Call {
@@ -120,6 +120,11 @@
         fingerprints
     }
 
+    /// Records how far the call has come.
+    pub(super) fn set_phase(&self, phase: CallPhase) {
+        self.in_flight_guard.set_phase(phase);
+    }
+
     /// Returns the time left until the deadline; zero if it has passed.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.gateway.now())
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -12,6 +12,7 @@
 use super::answer_ends;
 use super::crash_suspects::Survival;
 use super::endpoint_cooldowns;
+use super::in_flight::CallPhase;
 use super::inbound_call::{Call, SendsBefore};
 use super::late_attempts::SilenceGuard;
 use super::permits::Permit;
@@ -193,6 +194,7 @@
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
     attempts.sends += 1;
+    call.set_phase(CallPhase::Sent);
     gateway.record_rollout_send(call, endpoint);
     let timeout = attempt_timeout(call, attempts);
     let may_give_up = timeout < call.time_left();
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -12,6 +12,7 @@
 use super::crash_suspects::{self, Admission};
 use super::endpoint_cooldowns;
 use super::endpoint_selection::select_endpoint;
+use super::in_flight::CallPhase;
 use super::inbound_call::Call;
 use super::late_attempts::{LateAttempts, Raced};
 use super::node::Gateway;
@@ -172,6 +173,9 @@
     attempts: &mut Attempts<'a>,
     failed_connects_max: usize,
 ) -> Option<Attempt> {
+    if attempts.may_have_run == 0 {
+        call.set_phase(CallPhase::Waiting);
+    }
     let (endpoint, permit) = next_endpoint(call, &attempts.tried).await?;
     if attempts.failed_connects >= failed_connects_max && call.needs_forwarding() {
         "no endpoint reached from here".clone_into(&mut attempts.last_reason);
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 use spdlog::info;
 
-use super::in_flight::{InFlightGuard, Stage};
+use super::in_flight::{CallGuard, CallPhase, Stage};
 use super::inbound_call::{Call, CallOrigin};
 use super::message_heads::CallHead;
 use super::node::Gateway;
@@ -187,7 +187,7 @@
     body: Bytes,
     held_body: HeldBytes,
     arrived: Duration,
-    in_flight_guard: InFlightGuard,
+    in_flight_guard: CallGuard,
 }
 
 /// The configuration under which a request was accepted, and its route.
@@ -201,6 +201,7 @@
         let Self { table, routed } = self;
         let timeout = routed.route.timeout;
         let time_left = request.head.deadline.unwrap_or(timeout).min(timeout);
+        request.in_flight_guard.set_phase(CallPhase::Waiting);
         Call {
             origin: request.origin,
             gateway: gateway.clone(),
@@ -219,7 +220,7 @@
             deadline: request.arrived + time_left,
             fingerprint: OnceLock::new(),
             segment_fingerprints: OnceLock::new(),
-            _in_flight_guard: request.in_flight_guard,
+            in_flight_guard: request.in_flight_guard,
         }
     }
 }
