The state dump has the calls in flight by phase

`calls_by_phase` beside `calls` at /debug/state: receiving, waiting, forwarded, sent. Tests of planned stops wait for a phase by it, and an operator sees what an instance that stops is still waiting for. No other change; `calls` is their sum, as before.

--- a/src/gateway/operator_api.rs
+++ b/src/gateway/operator_api.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 
 use super::account_metrics;
-use super::in_flight::Stage;
+use super::in_flight::{CallCounts, Stage};
 use super::node::Gateway;
 use super::rollouts::RolloutDump;
 use crate::kernel::admission_queue::AccountSummary;
@@ -39,6 +39,7 @@
     /// Era of the store: the number of times it was restored from an older copy, as it counts them.
     store_era: u64,
     calls: usize,
+    calls_by_phase: CallCounts,
     /// Calls held until this instance is ready.
     calls_held: usize,
     calls_held_so_far: u64,
@@ -123,6 +124,7 @@
         config_version: gateway.config_version(),
         store_era: gateway.store.era(),
         calls: gateway.in_flight.calls(),
+        calls_by_phase: gateway.in_flight.call_counts(),
         calls_held,
         calls_held_so_far,
         connections: gateway.in_flight.connections(),
