LOST: calls that wait when their instance stops are answered before it exits

Cause: a call was accepted if its own length fitted before the exit. The time for which it waits for room was not counted, and no wait knew of the stop. Ruled out: a call that an engine had; a wait for a connection or a permit, which end by themselves within 0.6 s; the refusal in the queue (the queue lets a stream wait as long as its caller does, as its settings say).

Change: kernel/stop_deadlines.rs says until when a call may be sent and until when it is answered; gateway/shutdown.rs runs every wait against that, whether the stop was requested before the wait or comes during it. It works since the wait itself ends: for a call that no endpoint can have run with 503 as soon as it could not end before the exit (at once, if that is known at SIGTERM), for one that may run with 502, 200 ms before the exit.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -215,8 +215,8 @@
                 routing.stop_within().saturating_sub(STOP_MARGIN),
             )
         };
-        *gateway.exit_deadline.lock() = Some(started_at + timeout);
         gateway.in_flight.mark_leaving();
+        gateway.shutdown.begin(started_at + timeout);
         heartbeat::send_heartbeats(gateway);
         loop {
             let elapsed = gateway.now().saturating_sub(started_at);
--- a/src/gateway/call_forwarding.rs
+++ b/src/gateway/call_forwarding.rs
@@ -18,6 +18,7 @@
 use super::node::{Gateway, MEMBER_RING};
 use super::read_ahead::read_ahead;
 use super::response_body::{ResponseAborted, ResponseBody, full_body, held_body};
+use super::shutdown::STOPPING;
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::membership::Peer;
@@ -95,7 +96,7 @@
         return Forwarding::NoPeer;
     };
     for (peer, address) in peers {
-        if call.time_left().is_zero() {
+        if call.time_left().is_zero() || call.gateway.is_past_last_answer() {
             break;
         }
         let started_at = call.gateway.now();
@@ -233,14 +234,16 @@
         Ok::<_, tonic::Status>((first, parts))
     };
     let asked = gateway.wait_for(call.time_left() + REPLY_MARGIN, asking);
-    let (first, parts) = match asked.await {
-        Some(Ok((Some(first), parts))) => (first, parts),
-        Some(Ok((None, _))) => return Reply::Lost("the peer gave no response".to_owned()),
-        Some(Err(status)) if is_never_handled(&status) => {
+    let asked = gateway.run_until_last_answer(asked).await;
+    let (first, parts) = match asked {
+        None => return Reply::Lost(STOPPING.to_owned()),
+        Some(Some(Ok((Some(first), parts)))) => (first, parts),
+        Some(Some(Ok((None, _)))) => return Reply::Lost("the peer gave no response".to_owned()),
+        Some(Some(Err(status))) if is_never_handled(&status) => {
             return Reply::Declined(status.message().to_owned());
         }
-        Some(Err(status)) => return Reply::Lost(status.message().to_owned()),
-        None => return Reply::Lost("no response of the peer in time".to_owned()),
+        Some(Some(Err(status))) => return Reply::Lost(status.message().to_owned()),
+        Some(None) => return Reply::Lost("no response of the peer in time".to_owned()),
     };
     match first.head {
         Some(head) => match receive_response(call, &head, first.is_last, parts).await {
@@ -312,8 +315,9 @@
                 let read = call
                     .gateway
                     .wait_for(call.time_left() + REPLY_MARGIN, reading);
-                read.await
-                    .unwrap_or_else(|| Err("no body in time".to_owned()))?
+                let read = call.gateway.run_until_last_answer(read).await;
+                let read = read.ok_or(STOPPING)?;
+                read.unwrap_or_else(|| Err("no body in time".to_owned()))?
             };
             let held_bytes = call.gateway.held_bytes.hold(body.len());
             held_body(body, held_bytes)
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -15,6 +15,7 @@
 use super::retry_budgets::RepeatCause;
 use super::runs::{RunCommand, RunHandle, Unavailability};
 use super::send_checks::{Withheld, check_before_send};
+use super::shutdown::STOPPING;
 use super::started_generation::{EngineAttempts, ResponseStream, RunGuard, StartedGeneration};
 use super::takeover::{self, StallDetector};
 use super::upstream::{ConnectionReuse, EndpointResponse, SendError};
@@ -54,6 +55,8 @@
     /// The generation may have run. Another engine may be tried if the route's generations are
     /// resumable.
     Lost(Error),
+    /// This instance stops before the generation could be served. Nothing was sent.
+    Stopping,
     /// The request cannot be forwarded to any engine; the caller gets this error.
     Fatal(Error),
 }
@@ -63,6 +66,7 @@
         match self {
             Self::Refused { reason, .. } | Self::Unsent { reason, .. } => reason.clone(),
             Self::CrashSuspected => "endpoints end under it".to_owned(),
+            Self::Stopping => STOPPING.to_owned(),
             Self::CoolingDown => "the engine rests".to_owned(),
             Self::RateLimited => "the engine takes no more for now".to_owned(),
             Self::ErrorResponse(attempt_response) => format!(
@@ -116,6 +120,8 @@
     pub(super) response_timeout: Duration,
     /// Whether the request is a crash suspect that may be sent only to some endpoints.
     pub(super) restricted: bool,
+    /// Whether an engine may have run the generation before.
+    pub(super) may_have_run: bool,
 }
 
 /// Registers a generation as running at an engine.
@@ -155,6 +161,7 @@
         last_event_id,
         response_timeout,
         restricted,
+        may_have_run,
     } = params;
     let gateway = &call.gateway;
     let (endpoint, keeper) = {
@@ -172,10 +179,12 @@
     let max_open = gateway.connections_max(&call.table, &call.service);
     // A generation is sent once, so it would be lost on a pooled connection that is dead. A new
     // connection costs one round trip of the latency objective.
-    let connection = gateway
-        .upstream
-        .acquire_connection(&endpoint, max_open, ConnectionReuse::Never)
-        .await;
+    let connecting =
+        gateway
+            .upstream
+            .acquire_connection(&endpoint, max_open, ConnectionReuse::Never);
+    let connection = call.run_before_send(may_have_run, connecting).await;
+    let connection = connection.ok_or(AttemptFailure::Stopping)?;
     let connection = connection.map_err(|error| AttemptFailure::Unsent {
         reason: error.to_string(),
         unreached: error.is_unreached(),
@@ -198,16 +207,18 @@
     gateway.record_rollout_send(call, &endpoint);
     let sending = connection.send(request, permit);
     let response_future = await_response_head(call, &run_guard.run, last_event_id, sending);
-    let response = match gateway.wait_for(response_timeout, response_future).await {
-        Some(Ok(response)) => response,
-        Some(Err(SendError::Unsent(reason))) => return Err(unsent(&reason)),
-        Some(Err(SendError::NoPermit)) => return Err(AttemptFailure::RateLimited),
-        Some(Err(SendError::MayHaveRun(reason))) => {
+    let response = gateway.wait_for(response_timeout, response_future);
+    let response = match gateway.run_until_last_answer(response).await {
+        None => return Err(lost_run(call, ErrorKind::EndpointLost, STOPPING)),
+        Some(Some(Ok(response))) => response,
+        Some(Some(Err(SendError::Unsent(reason)))) => return Err(unsent(&reason)),
+        Some(Some(Err(SendError::NoPermit))) => return Err(AttemptFailure::RateLimited),
+        Some(Some(Err(SendError::MayHaveRun(reason)))) => {
             aborted_requests::report(call, endpoint.clone(), Duration::ZERO).await;
             record_outcome(call, &endpoint, true, sent_at);
             return Err(lost_run(call, ErrorKind::EndpointLost, &reason));
         }
-        None => {
+        Some(None) => {
             record_outcome(call, &endpoint, true, sent_at);
             return Err(lost_run(call, ErrorKind::AnswerTimeout, "no event in time"));
         }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -22,6 +22,7 @@
 use super::relay;
 use super::response_body::{ResponseBody, full_body};
 use super::retry_budgets::RepeatCause;
+use super::shutdown;
 use super::started_generation::{
     EngineAttempts, StartedGeneration, StreamSummary, record_generation_end,
 };
@@ -126,6 +127,7 @@
                 | AttemptFailure::CrashSuspected
                 | AttemptFailure::CoolingDown
                 | AttemptFailure::RateLimited
+                | AttemptFailure::Stopping
                 | AttemptFailure::Fatal(_),
             ) => (0, 0),
         };
@@ -210,17 +212,30 @@
             break;
         }
         let wait = capacity_wait(call, attempts);
-        if !wait_for_available_engine(call, attempts, wait.total).await {
-            reason.push_str("; all engines rest, leave or have ended");
-            break;
+        let may_have_run = attempts.runs > 0;
+        let waiting = wait_for_available_engine(call, attempts, wait.total);
+        match call.run_before_send(may_have_run, waiting).await {
+            Some(true) => {}
+            Some(false) => {
+                reason.push_str("; all engines rest, leave or have ended");
+                break;
+            }
+            None => {
+                attempts.is_stopping = true;
+                break;
+            }
         }
         let wait = capacity_wait(call, attempts);
         let excluded = excluded_engines(call, attempts);
         demand.first_event_within = Some(objective_left(call));
-        let placement = Box::pin(place(call, &mut demand, &excluded, wait)).await;
-        let placed = match placement {
-            Ok(placement) => placement,
-            Err(refused) => {
+        let placing = Box::pin(place(call, &mut demand, &excluded, wait));
+        let placed = match call.run_before_send(may_have_run, placing).await {
+            Some(Ok(placement)) => placement,
+            None => {
+                attempts.is_stopping = true;
+                break;
+            }
+            Some(Err(refused)) => {
                 attempts.room_in = refused.room_in;
                 reason.push_str("; no room");
                 break;
@@ -236,11 +251,16 @@
             last_event_id,
             response_timeout,
             restricted,
+            may_have_run,
         };
         let result = try_engine(call, &demand, params).await;
         attempts.record(&result);
         let failure = match result {
             Ok(attempt_response) => return Ok(attempt_response),
+            Err(AttemptFailure::Stopping) => {
+                attempts.is_stopping = true;
+                break;
+            }
             Err(
                 AttemptFailure::CrashSuspected
                 | AttemptFailure::CoolingDown
@@ -301,7 +321,8 @@
             | AttemptFailure::Unsent { .. }
             | AttemptFailure::CrashSuspected
             | AttemptFailure::CoolingDown
-            | AttemptFailure::RateLimited => false,
+            | AttemptFailure::RateLimited
+            | AttemptFailure::Stopping => false,
             AttemptFailure::ErrorResponse(attempt_response) => {
                 self.error_response = Some(attempt_response);
                 !can_restart(call, attempts)
@@ -329,7 +350,9 @@
         // Once an engine may have run the generation, a later refusal must not report it as not
         // run.
         Err(self.error.unwrap_or_else(|| {
-            if attempts.runs == 0 {
+            if attempts.runs == 0 && attempts.is_stopping {
+                shutdown::stopping_error()
+            } else if attempts.runs == 0 {
                 no_capacity_error(call, attempts, reason)
             } else {
                 may_have_run_error(call, ErrorKind::EndpointLost, reason)
--- a/src/gateway/held_calls.rs
+++ b/src/gateway/held_calls.rs
@@ -76,7 +76,7 @@
         let mut is_ready = self.is_ready.subscribe();
         let wait = gateway.wait_for(max_wait, is_ready.wait_for(|is_ready| *is_ready));
         // Whether the instance became ready is checked afterwards, when the call is routed.
-        let _ = wait.await;
+        let _ = gateway.run_until_last_answer(wait).await;
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 //! | `endpoint_signals` | handles the signals in the response headers of endpoints |
 //! | `endpoint_cooldowns` | effect of endpoint cooldowns on calls |
 //! | `retry_budgets` | the budget for sends beyond the first of a request |
+//! | `shutdown` | ends the waits of calls in time at an instance that stops |
 //! | `send_checks` | checks right before a request is sent |
 //! | `permits` | rate-limit permits for endpoints that announce a limit |
 //! | `runs`, `moves` | the generations served here, and how they move to another engine |
@@ -100,6 +101,7 @@
 pub(crate) mod runs;
 pub(crate) mod send_checks;
 pub(crate) mod shared_store;
+pub(crate) mod shutdown;
 pub mod site_store;
 pub(crate) mod started_generation;
 pub(crate) mod store_follower;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -28,6 +28,7 @@
 use super::rollouts::Rollouts;
 use super::runs::RunRegistry;
 use super::shared_store::SharedStore;
+use super::shutdown::Shutdown;
 use super::site_store::{MemberEntry, SiteStore, Subject};
 use super::suspend_aware_waits::Suspensions;
 use super::upstream::{Upstream, connections_per_instance};
@@ -107,8 +108,7 @@
     pub(crate) held_calls: HeldCalls,
     /// Bytes of bodies that callers or endpoints have not read yet.
     pub(crate) held_bytes: ByteBudget,
-    /// Latest time at which this instance exits; set when shutdown is requested.
-    pub(crate) exit_deadline: Mutex<Option<Duration>>,
+    pub(crate) shutdown: Shutdown,
 }
 
 impl Gateway {
@@ -197,7 +197,7 @@
             work_counters,
             held_calls: HeldCalls::default(),
             held_bytes,
-            exit_deadline: Mutex::default(),
+            shutdown: Shutdown::default(),
         }
     }
 
@@ -260,12 +260,6 @@
         }
     }
 
-    /// Returns the time until this instance exits, or `None` if no shutdown was requested.
-    pub(crate) fn time_until_stop(&self) -> Option<Duration> {
-        let exit_deadline = *self.exit_deadline.lock();
-        Some(exit_deadline?.saturating_sub(self.now()))
-    }
-
     /// Returns the number of instances that were reachable recently, including this one.
     pub(crate) fn reachable_instance_count(&self) -> usize {
         1 + self.members.lock().recently_reachable(self.now()).count()
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -17,6 +17,7 @@
 use super::late_attempts::SilenceGuard;
 use super::permits::Permit;
 use super::send_checks::{Withheld, check_before_send};
+use super::shutdown::STOPPING;
 use super::upstream::{
     Connection, ConnectionReuse, EndpointResponse, SendError, ServiceIdleConnections,
 };
@@ -67,6 +68,8 @@
     MayHaveRun(String),
     /// Sent, without a response before the timeout.
     TimedOut,
+    /// Sent, without a response before this instance stops.
+    Stopping,
 }
 
 impl From<Withheld> for Attempt {
@@ -92,6 +95,8 @@
     /// Last error response of an endpoint; returned if no other attempt succeeds.
     pub(super) error_response: Option<BufferedResponse>,
     pub(super) timed_out: bool,
+    /// Whether this instance stops before the call could be served.
+    pub(super) is_stopping: bool,
     pub(super) last_reason: String,
     /// Whether the request is a crash suspect that only endpoints with other software may run.
     pub(super) restricted: bool,
@@ -127,7 +132,10 @@
         // Server errors say little about the health of an endpoint: some calls fail everywhere.
         Attempt::Responded(response) if response.parts.status.is_server_error() => None,
         Attempt::Responded(_) => Some(false),
-        Attempt::CrashSuspected | Attempt::CoolingDown | Attempt::RateLimited => None,
+        Attempt::CrashSuspected
+        | Attempt::CoolingDown
+        | Attempt::RateLimited
+        | Attempt::Stopping => None,
         Attempt::NotRun(_) | Attempt::Misdirected | Attempt::MayHaveRun(_) | Attempt::TimedOut => {
             Some(true)
         }
@@ -144,6 +152,7 @@
         | Attempt::CrashSuspected
         | Attempt::CoolingDown
         | Attempt::RateLimited
+        | Attempt::Stopping
         | Attempt::Misdirected => None,
     }
 }
@@ -181,9 +190,12 @@
     attempts: &mut Attempts<'a>,
 ) -> Attempt {
     let gateway = &call.gateway;
-    let connection = match connect(call, endpoint, attempts).await {
-        Ok(connection) => connection,
-        Err(reason) => return Attempt::NotRun(reason),
+    let may_have_run = attempts.may_have_run > 0;
+    let connecting = connect(call, endpoint, attempts);
+    let connection = match call.run_before_send(may_have_run, connecting).await {
+        Some(Ok(connection)) => connection,
+        Some(Err(reason)) => return Attempt::NotRun(reason),
+        None => return Attempt::NotRun(STOPPING.to_owned()),
     };
     if let Err(withheld) = check_before_send(call, endpoint, attempts.restricted, TIME_LEFT_MIN) {
         return withheld.into();
@@ -214,22 +226,24 @@
         await_response(watched_connections.as_ref(), overdue_after, response).await
     });
     let sent_at = gateway.now();
-    let attempt = match gateway.wait_for(timeout, response.as_mut()).await {
-        Some(Ok(attempt)) => {
+    let answer = gateway.wait_for(timeout, response.as_mut());
+    let attempt = match gateway.run_until_last_answer(answer).await {
+        None => Attempt::Stopping,
+        Some(Some(Ok(attempt))) => {
             let took = gateway.now().saturating_sub(sent_at);
             gateway.record_response_time(&call.service, INITIAL_RESPONSE_TIME, took);
             attempt
         }
-        Some(Err(SendError::Unsent(reason))) => Attempt::NotRun(reason),
-        Some(Err(SendError::NoPermit)) => {
+        Some(Some(Err(SendError::Unsent(reason)))) => Attempt::NotRun(reason),
+        Some(Some(Err(SendError::NoPermit))) => {
             attempts.sends -= 1;
             Attempt::RateLimited
         }
-        Some(Err(SendError::MayHaveRun(reason))) => {
+        Some(Some(Err(SendError::MayHaveRun(reason)))) => {
             aborted_requests::report(call, endpoint.clone(), Duration::ZERO).await;
             Attempt::MayHaveRun(reason)
         }
-        None => {
+        Some(None) => {
             if may_give_up {
                 gateway.record_response_time(
                     &call.service,
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -23,6 +23,7 @@
 };
 use super::response_body::{ResponseBody, full_body, held_body};
 use super::retry_budgets::RepeatCause;
+use super::shutdown::{STOPPING, stopping_error};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::clock::millis;
 use crate::kernel::cooldown::ServiceAvailability;
@@ -158,8 +159,9 @@
         return Err(failure_error(call, attempts));
     }
     let late_answer = late_attempts.first_answer();
-    let late_answer = call.gateway.wait_for(call.time_left(), late_answer).await;
-    let late_answer = late_answer.flatten();
+    let late_answer = call.gateway.wait_for(call.time_left(), late_answer);
+    let late_answer = call.gateway.run_until_last_answer(late_answer).await;
+    let late_answer = late_answer.flatten().flatten();
     attempts.answered_late = late_answer.is_some();
     late_answer
         .or(late_attempts.server_error)
@@ -176,7 +178,14 @@
     if attempts.may_have_run == 0 {
         call.set_phase(CallPhase::Waiting);
     }
-    let (endpoint, permit) = next_endpoint(call, &attempts.tried).await?;
+    let may_have_run = attempts.may_have_run > 0;
+    let waiting = next_endpoint(call, &attempts.tried);
+    let Some(next) = call.run_before_send(may_have_run, waiting).await else {
+        attempts.is_stopping = true;
+        STOPPING.clone_into(&mut attempts.last_reason);
+        return None;
+    };
+    let (endpoint, permit) = next?;
     if attempts.failed_connects >= failed_connects_max && call.needs_forwarding() {
         "no endpoint reached from here".clone_into(&mut attempts.last_reason);
         return None;
@@ -254,6 +263,10 @@
             attempts.timed_out = true;
             return after_run;
         }
+        Attempt::Stopping => {
+            STOPPING.clone_into(&mut attempts.last_reason);
+            return AfterAttempt::Stop;
+        }
     }
     AfterAttempt::TryNext
 }
@@ -324,6 +337,9 @@
             format!("service {}: {reason}; it may have run", call.service),
         );
     }
+    if attempts.is_stopping {
+        return stopping_error();
+    }
     let retry_after = endpoint_cooldowns::retry_after_cooldown(call);
     if attempts.tried.is_empty() && retry_after.is_none() {
         return Gateway::no_endpoint_error(&call.service).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -18,12 +18,13 @@
 use super::node::Gateway;
 use super::response_body::{ResponseBody, full_body};
 use super::site_store::Subject;
-use super::{generation, held_calls, plain_call};
+use super::{generation, held_calls, plain_call, shutdown};
 use crate::error::{Error, ErrorKind, Result};
 use crate::kernel::byte_budget::HeldBytes;
 use crate::kernel::clock::millis;
 use crate::kernel::region::AllowedRegions;
 use crate::kernel::route::{CallKind, Route, RouteTable};
+use crate::kernel::stop_deadlines::StopDeadlines;
 use crate::platform::ingress;
 
 /// Slow callers read or give up within about this time.
@@ -130,10 +131,17 @@
         error,
     };
     held_calls::hold_until_ready(gateway, &head).await;
-    let accepted = accept_head(gateway, &head, None).map_err(refused)?;
+    let accepted = accept_head(gateway, &head, None, arrived).map_err(refused)?;
     let body_max_bytes = accepted.table.config().limits.body_max_bytes;
-    let (body, held_body) = read_body(gateway, body, body_max_bytes)
-        .await
+    let route = &accepted.routed.route;
+    let last_send_at = |deadlines| last_send_at(deadlines, route, &head, arrived);
+    let reading = read_body(gateway, body, body_max_bytes);
+    let read = gateway.run_until_stop(last_send_at, reading).await;
+    let read = read.unwrap_or_else(|| Err(shutdown::stopping_error()));
+    let (body, held_body) = read.map_err(refused)?;
+    // The body may have taken long, and the stop may have been requested meanwhile.
+    accepted
+        .check_fits_before_shutdown(gateway, &head, arrived)
         .map_err(refused)?;
     let received = ReceivedRequest {
         origin: CallOrigin::Caller,
@@ -166,14 +174,15 @@
 ) -> Result<Call> {
     let mut head = ingress::decode_head(&request.parts)?;
     head.deadline = Some(request.time_left);
-    let accepted = accept_head(gateway, &head, Some(&request.service))?;
+    let arrived = gateway.now();
+    let accepted = accept_head(gateway, &head, Some(&request.service), arrived)?;
     let received = ReceivedRequest {
         origin: request.origin,
         head,
         parts: request.parts,
         body: request.body,
         held_body,
-        arrived: gateway.now(),
+        arrived,
         in_flight_guard: gateway.in_flight.track_call(),
     };
     Ok(accepted.into_call(gateway, received))
@@ -197,10 +206,26 @@
 }
 
 impl AcceptedHead {
+    /// Checks that the call will surely complete before this instance stops.
+    fn check_fits_before_shutdown(
+        &self,
+        gateway: &Gateway,
+        head: &CallHead,
+        arrived: Duration,
+    ) -> Result<()> {
+        let fits = gateway.shutdown.deadlines().is_none_or(|deadlines| {
+            gateway.now() < last_send_at(deadlines, &self.routed.route, head, arrived)
+        });
+        if fits {
+            Ok(())
+        } else {
+            Err(shutdown::stopping_error())
+        }
+    }
+
     fn into_call(self, gateway: &Arc<Gateway>, request: ReceivedRequest) -> Call {
         let Self { table, routed } = self;
-        let timeout = routed.route.timeout;
-        let time_left = request.head.deadline.unwrap_or(timeout).min(timeout);
+        let time_left = time_allowed(&routed.route, &request.head);
         request.in_flight_guard.set_phase(CallPhase::Waiting);
         Call {
             origin: request.origin,
@@ -227,7 +252,12 @@
 
 /// Resolves the route of a call and checks that this instance can serve it. `service` is the choice
 /// of a peer, which counts if the route leads there.
-fn accept_head(gateway: &Gateway, head: &CallHead, service: Option<&str>) -> Result<AcceptedHead> {
+fn accept_head(
+    gateway: &Gateway,
+    head: &CallHead,
+    service: Option<&str>,
+    arrived: Duration,
+) -> Result<AcceptedHead> {
     let table = gateway.table().ok_or_else(|| gateway.not_ready_error())?;
     let mut routed = resolve_route(&table, head)?;
     if let Some(service) = service.filter(|service| routed.route.leads_to(service)) {
@@ -237,45 +267,28 @@
     if !gateway.can_serve() {
         return Err(gateway.not_ready_error());
     }
-    if !fits_before_shutdown(gateway, &routed.route, head) {
-        return Err(stopping_error());
-    }
-    Ok(AcceptedHead { table, routed })
+    let accepted = AcceptedHead { table, routed };
+    accepted.check_fits_before_shutdown(gateway, head, arrived)?;
+    Ok(accepted)
 }
 
-/// Returns whether a call will surely complete before this instance stops; always true if no stop
-/// was requested.
-fn fits_before_shutdown(gateway: &Gateway, route: &Route, head: &CallHead) -> bool {
-    let Some(time_left) = gateway.time_until_stop() else {
-        return true;
-    };
-    let max_duration = match (&head.tokens, route.kind) {
-        (Some(tokens), CallKind::Generation) => {
-            let generation_s = f64::from(tokens.generated_max_tokens) / GENERATED_TOKENS_PER_S_MIN;
-            FIRST_EVENT_MAX + Duration::from_secs_f64(generation_s)
-        }
-        _ => route.timeout,
-    };
-    max_duration.min(route.timeout) < time_left
+/// Returns the latest time at which a call may be sent by an instance that stops, so that it surely
+/// completes before the exit.
+fn last_send_at(
+    deadlines: StopDeadlines,
+    route: &Route,
+    head: &CallHead,
+    arrived: Duration,
+) -> Duration {
+    let deadline = arrived + time_allowed(route, head);
+    deadlines.last_send_at(shutdown::max_duration(route, head), deadline)
 }
 
-/// Returns the error for a call that a planned stop would cut short; another instance accepts it at
-/// once.
-fn stopping_error() -> Error {
-    Error::new(
-        ErrorKind::StandingDown,
-        "this instance is stopping; use another address",
-    )
-    .with_retry_after(STOPPING_RETRY_AFTER)
+/// Returns the time from its arrival within which a call is to be answered.
+fn time_allowed(route: &Route, head: &CallHead) -> Duration {
+    head.deadline.unwrap_or(route.timeout).min(route.timeout)
 }
 
-/// Maximum time to the first event on engines under load.
-const FIRST_EVENT_MAX: Duration = Duration::from_secs(2);
-/// Minimum generation rate in tokens per second: half of the rate on overloaded engines.
-const GENERATED_TOKENS_PER_S_MIN: f64 = 32.0;
-/// Other instances are ready, so the caller may retry almost at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// Routing decision: where a call goes and for which client account.
 struct Routed {
     route: Route,
--- a/src/gateway/send_checks.rs
+++ b/src/gateway/send_checks.rs
@@ -5,6 +5,7 @@
 
 use super::crash_suspects;
 use super::inbound_call::Call;
+use super::shutdown::STOPPING;
 use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::fleet::EndpointEntry;
 
@@ -40,6 +41,9 @@
     if !restricted && crash_suspects::current_verdict(call) == Verdict::Refused {
         return Err(Withheld::CrashSuspected);
     }
+    if gateway.is_past_last_answer() {
+        return Err(Withheld::Unsent(STOPPING));
+    }
     let time_left = call.time_left();
     if time_left.is_zero() || time_left < time_left_min {
         return Err(Withheld::Unsent("no time left"));
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -71,6 +71,7 @@
 mod scheduled_moves;
 mod segment_survivals;
 pub mod standby_copies;
+pub mod stop_deadlines;
 pub mod store_contact;
 pub mod store_sources;
 pub mod stream;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -86,6 +86,8 @@
 mod shorter_first;
 #[path = "kernel/standby_copies.rs"]
 mod standby_copies;
+#[path = "kernel/stop_deadlines.rs"]
+mod stop_deadlines;
 #[path = "kernel/store_contact.rs"]
 mod store_contact;
 #[path = "kernel/store_sources.rs"]
