TWICE: an engine is asked to stop a generation before it goes on at another

Cause: when a stream was lost, a resumable generation was sent to a second engine at once; the end of the connection was taken for the end of the run. Ruled out: that the engine was taken for ended (it answered the probe), that an order to stop it failed (none was sent).

Change: gateway/former_run.rs asks the engine to stop the generation and says what became of it: stopped, gone, unreached, or it may still run. All ways on to another engine pass it: restart after events and before the first, stalls, a target that gives no valid answer, a failed continuation. It works since only what is known not to run any more is started again; a stopped one goes on from its memory, which reads no prompt anew.

--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -9,15 +9,15 @@
 use tokio::sync::mpsc;
 
 use super::aborted_requests;
+use super::former_run::{self, FormerRun};
 use super::in_flight::CallPhase;
 use super::inbound_call::Call;
 use super::message_heads::EndpointRequestHead;
-use super::retry_budgets::RepeatCause;
 use super::runs::{RunCommand, RunHandle, Unavailability};
 use super::send_checks::{Withheld, check_before_send};
 use super::shutdown::STOPPING;
 use super::started_generation::{EngineAttempts, ResponseStream, RunGuard, StartedGeneration};
-use super::takeover::{self, StallDetector};
+use super::takeover::{self, Resumed, StallDetector};
 use super::upstream::{ConnectionReuse, EndpointResponse, SendError};
 use crate::error::{Error, ErrorKind};
 use crate::kernel::engine_ledger::RunDemand;
@@ -55,6 +55,8 @@
     /// The generation may have run. Another engine may be tried if the route's generations are
     /// resumable.
     Lost(Error),
+    /// The generation may have run, and its engine may still run it: no other may be tried.
+    MayRun(Error),
     /// This instance stops before the generation could be served. Nothing was sent.
     Stopping,
     /// The request cannot be forwarded to any engine; the caller gets this error.
@@ -73,7 +75,7 @@
                 "engine answered {}",
                 attempt_response.source.response.head.status
             ),
-            Self::Lost(error) | Self::Fatal(error) => error.message.clone(),
+            Self::Lost(error) | Self::MayRun(error) | Self::Fatal(error) => error.message.clone(),
         }
     }
 
@@ -122,6 +124,8 @@
     pub(super) restricted: bool,
     /// Whether an engine may have run the generation before.
     pub(super) may_have_run: bool,
+    /// Whether another engine may be tried if this one loses the generation.
+    pub(super) may_try_another: bool,
 }
 
 /// Registers a generation as running at an engine.
@@ -162,6 +166,7 @@
         response_timeout,
         restricted,
         may_have_run,
+        may_try_another,
     } = params;
     let gateway = &call.gateway;
     let (endpoint, keeper) = {
@@ -206,24 +211,33 @@
     call.set_phase(CallPhase::Sent);
     gateway.record_rollout_send(call, &endpoint);
     let sending = connection.send(request, permit);
-    let response_future = await_response_head(call, &run_guard.run, last_event_id, sending);
+    let sent = Sent {
+        call,
+        demand,
+        engine: &endpoint,
+        sent_at,
+    };
+    let response_future = await_response_head(call, &endpoint, last_event_id, sending);
     let response = gateway.wait_for(response_timeout, response_future);
-    let response = match gateway.run_until_last_answer(response).await {
-        None => return Err(lost_run(call, ErrorKind::EndpointLost, STOPPING)),
-        Some(Some(Ok(response))) => response,
-        Some(Some(Err(SendError::Unsent(reason)))) => return Err(unsent(&reason)),
-        Some(Some(Err(SendError::NoPermit))) => return Err(AttemptFailure::RateLimited),
-        Some(Some(Err(SendError::MayHaveRun(reason)))) => {
-            aborted_requests::report(call, endpoint.clone(), Duration::ZERO).await;
-            record_outcome(call, &endpoint, true, sent_at);
-            return Err(lost_run(call, ErrorKind::EndpointLost, &reason));
+    let awaited = gateway.run_until_last_answer(response).await;
+    let is_stalled = matches!(awaited, Some(Some(Ok(Awaited::Stalled(_)))));
+    let may_take_over =
+        may_try_another || (is_stalled && !takeover::has_left_too_long_ago(call, &endpoint));
+    let response = match sent.check(awaited).await {
+        Err(AttemptFailure::Lost(error)) if may_take_over => {
+            let leaving = take_over_or_leave(call, &run_guard.run, last_event_id, error.clone());
+            let left = gateway.run_until_last_answer(leaving).await;
+            left.unwrap_or_else(|| Err(AttemptFailure::Lost(error)))
         }
-        Some(None) => {
-            record_outcome(call, &endpoint, true, sent_at);
-            return Err(lost_run(call, ErrorKind::AnswerTimeout, "no event in time"));
+        checked => checked,
+    };
+    let response = match response {
+        Err(failure) if is_stalled => {
+            sent.report_abort().await;
+            return Err(failure);
         }
+        response => response?,
     };
-    check_response(call, demand, &response)?;
     let is_server_error_response = response.parts.status.is_server_error();
     record_outcome(call, &endpoint, is_server_error_response, sent_at);
     let attempt_response = AttemptResponse {
@@ -239,6 +253,93 @@
     Ok(attempt_response)
 }
 
+/// A generation that was sent to an engine.
+struct Sent<'a> {
+    call: &'a Call,
+    demand: &'a RunDemand,
+    engine: &'a EndpointEntry,
+    sent_at: Duration,
+}
+
+impl Sent<'_> {
+    /// Reports that the engine aborted it.
+    async fn report_abort(&self) {
+        aborted_requests::report(self.call, self.engine.clone(), Duration::ZERO).await;
+        record_outcome(self.call, self.engine, true, self.sent_at);
+    }
+
+    /// Records and checks what came of it: `None` if this instance stops, and `Some(None)` if there
+    /// was no response in time.
+    async fn check(
+        &self,
+        result: Option<Option<Result<Awaited, SendError>>>,
+    ) -> Result<EndpointResponse, AttemptFailure> {
+        let call = self.call;
+        match result {
+            None => Err(lost_run(call, ErrorKind::EndpointLost, STOPPING)),
+            Some(None) => {
+                record_outcome(call, self.engine, true, self.sent_at);
+                let kind = ErrorKind::AnswerTimeout;
+                Err(lost_run(call, kind, "no event in time"))
+            }
+            Some(Some(Ok(Awaited::Stalled(reason)))) => {
+                Err(lost_run(call, ErrorKind::EndpointLost, reason))
+            }
+            Some(Some(Ok(Awaited::Response(response)))) => {
+                check_response(call, self.demand, &response)?;
+                Ok(*response)
+            }
+            Some(Some(Err(SendError::Unsent(reason)))) => Err(AttemptFailure::Unsent {
+                reason,
+                unreached: false,
+            }),
+            Some(Some(Err(SendError::NoPermit))) => Err(AttemptFailure::RateLimited),
+            Some(Some(Err(SendError::MayHaveRun(reason)))) => {
+                self.report_abort().await;
+                Err(lost_run(call, ErrorKind::EndpointLost, &reason))
+            }
+        }
+    }
+}
+
+/// What came of a generation that was sent.
+enum Awaited {
+    /// The head of a response.
+    Response(Box<EndpointResponse>),
+    /// The connection is dead, for this reason; the engine may run the generation.
+    Stalled(&'static str),
+}
+
+/// Asks the engine of a generation that was lost before its first event to stop it, before another
+/// engine may be tried. If the engine still ran it, returns the response with which it goes on.
+async fn take_over_or_leave(
+    call: &Arc<Call>,
+    run: &RunHandle,
+    last_event_id: Option<&str>,
+    error: Error,
+) -> Result<EndpointResponse, AttemptFailure> {
+    let engine = run.endpoint.lock().clone();
+    let former = former_run::stop_former_run(call, run, &engine, &error.message).await;
+    let continuation = match former {
+        FormerRun::Stopped(continuation) => continuation,
+        former if former.allows_restart() => return Err(AttemptFailure::Lost(error)),
+        _ => return Err(AttemptFailure::MayRun(error)),
+    };
+    let resumed = takeover::resume_or_return(call, run, continuation, last_event_id).await;
+    match resumed {
+        Ok(resumed) => Ok(go_on_at(call, run, resumed)),
+        Err(not_resumed) if not_resumed.may_run => Err(AttemptFailure::MayRun(error)),
+        Err(_) => Err(AttemptFailure::Lost(error)),
+    }
+}
+
+/// Records the engine at which a generation goes on, and returns its response.
+fn go_on_at(call: &Call, run: &RunHandle, resumed: Resumed) -> EndpointResponse {
+    run.set_engine(resumed.continuation.target);
+    call.gateway.ledgers.runs_changed.notify_one();
+    resumed.response
+}
+
 /// Checks that a response is the engine's own answer to this generation.
 fn check_response(
     call: &Call,
@@ -283,45 +384,35 @@
     gateway.record_rollout_outcome(call, endpoint, failed, latency);
 }
 
-/// Waits for the head of an engine's response. If the stream stalls although the engine has
-/// generated events, the generation is resumed on a new connection.
+/// Waits for the head of an engine's response, or until the engine has generated events that did
+/// not arrive.
 async fn await_response_head(
     call: &Arc<Call>,
-    run: &RunHandle,
+    engine: &EndpointEntry,
     last_event_id: Option<&str>,
     sending: impl Future<Output = Result<EndpointResponse, SendError>>,
-) -> Result<EndpointResponse, SendError> {
+) -> Result<Awaited, SendError> {
     tokio::pin!(sending);
     let mut stall_detector = StallDetector::start();
     let received_events = last_event_id.and_then(|id| id.parse().ok());
-    let reason = loop {
+    loop {
         let sent = call
             .gateway
             .wait_for(stall_detector.query_after, &mut sending);
         if let Some(result) = sent.await {
-            return result;
+            return result.map(|response| Awaited::Response(Box::new(response)));
         }
-        let engine = run.endpoint.lock().clone();
         // It was sent while the engine was being probed, and will not be answered.
         if call.gateway.presence_probes.is_unanswered(&engine.id) {
             return Err(SendError::MayHaveRun("the engine has ended".to_owned()));
         }
         if let Some(reason) = stall_detector
-            .query_engine(call, &engine, received_events.unwrap_or_default())
+            .query_engine(call, engine, received_events.unwrap_or_default())
             .await
         {
-            break reason;
+            return Ok(Awaited::Stalled(reason));
         }
-    };
-    let may_have_run = |reason: String| SendError::MayHaveRun(reason);
-    let taken_over = takeover::take_over(call, run, reason).await;
-    let mut continuation = taken_over.ok_or_else(|| may_have_run(reason.to_owned()))?;
-    let response =
-        takeover::resume(call, &mut continuation, RepeatCause::Move, last_event_id).await;
-    let response = response.map_err(|error| may_have_run(error.to_string()))?;
-    run.set_engine(continuation.target);
-    call.gateway.ledgers.runs_changed.notify_one();
-    Ok(response)
+    }
 }
 
 /// An engine's response, not yet joined with the attempts before it.
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -88,6 +88,6 @@
     let permit = permit.ok_or("no permit for the engine")?;
     let upstream = &gateway.upstream;
     let response = upstream.send_control_request(engine, request, REPORT_MAX_BYTES, permit);
-    let (_, body) = response.await?;
+    let (_, body) = response.await.map_err(|error| error.to_string())?;
     engine::decode_report(&body)
 }
--- /dev/null
+++ b/src/gateway/former_run.rs
@@ -0,0 +1,131 @@
+//! What becomes of a generation at the engine that ran it, before it goes on elsewhere.
+//!
+//! The end of a connection does not end the generation: some engines go on with it. It is started
+//! again only once the engine was asked and does not run it any more, or cannot be reached.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use spdlog::info;
+
+use super::engine_reports;
+use super::inbound_call::Call;
+use super::moves::{self, StopError};
+use super::runs::{Continuation, RunHandle};
+use crate::kernel::fleet::EndpointEntry;
+
+/// Longest wait until the outcome of a stop is known; copying all of a generation's memory inside a
+/// hall takes a small part of it.
+const STOP_WAIT_MAX: Duration = Duration::from_millis(1_500);
+/// Reports describe the engine as it was up to this long before.
+const REPORT_DELAY: Duration = Duration::from_millis(600);
+/// Longest wait for an engine's report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What is known of a generation at an engine whose stream is lost.
+#[derive(Debug)]
+pub(super) enum FormerRun {
+    /// The engine stopped it and keeps its memory.
+    Stopped(Continuation),
+    /// The engine does not run it any more.
+    Gone,
+    /// The engine cannot be reached.
+    Unreached,
+    /// It may still run: the engine runs it after the order to stop, or was not asked.
+    MayRun,
+}
+
+impl FormerRun {
+    /// Returns whether the generation may be started again at another engine.
+    pub(super) const fn allows_restart(&self) -> bool {
+        !matches!(self, Self::MayRun)
+    }
+
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Stopped(_) => "stopped",
+            Self::Gone => "gone",
+            Self::Unreached => "unreached",
+            Self::MayRun => "may run",
+        }
+    }
+}
+
+/// Asks an engine to stop a generation whose stream from it is lost, and returns what became of it.
+pub(super) async fn stop_former_run(
+    call: &Arc<Call>,
+    run: &RunHandle,
+    source: &EndpointEntry,
+    reason: &str,
+) -> FormerRun {
+    let (former, outcome) = match choose_target(call, source) {
+        Some(target) => stop_at(call, run, source, &target).await,
+        None => (FormerRun::MayRun, "no engine to go on at".to_owned()),
+    };
+    if crate::log::should_log("generation taken over") {
+        info!("generation taken over", kv: {
+            request_id = call.head.request_id.as_str(), source = source.id.as_str(), why = reason,
+            former = former.name(), outcome = outcome.as_str(),
+        });
+    }
+    former
+}
+
+async fn stop_at(
+    call: &Call,
+    run: &RunHandle,
+    source: &EndpointEntry,
+    target: &EndpointEntry,
+) -> (FormerRun, String) {
+    let gateway = &call.gateway;
+    let stopping = moves::stop_run(gateway, run, source, target, false);
+    let stopping = gateway.wait_for(STOP_WAIT_MAX, stopping);
+    // An engine that has ended stops nothing, and would be waited for in vain.
+    let stopped = tokio::select! {
+        stopped = stopping => stopped,
+        () = gateway.endpoint_ended(source) => {
+            return (FormerRun::Gone, "the engine has ended".to_owned());
+        }
+    };
+    let error = match stopped {
+        Some(Ok(continuation)) => {
+            return (FormerRun::Stopped(continuation), "stopped".to_owned());
+        }
+        Some(Err(error)) => error,
+        None => StopError::Unknown("no outcome in time".to_owned()),
+    };
+    let former = match &error {
+        StopError::NotRunning | StopError::OutcomeLost(_) => FormerRun::Gone,
+        StopError::Unreached(_) => FormerRun::Unreached,
+        StopError::RetriesSpent | StopError::NotAsked(_) => FormerRun::MayRun,
+        StopError::Unknown(_) => state_by_report(call, source).await,
+    };
+    (former, error.to_string())
+}
+
+/// Returns what an engine tells of a generation that it was asked to stop, without a clear outcome.
+async fn state_by_report(call: &Call, engine: &EndpointEntry) -> FormerRun {
+    let gateway = &call.gateway;
+    gateway.sleep_for(REPORT_DELAY).await;
+    let report = engine_reports::read_report(gateway, engine, REPORT_TIMEOUT).await;
+    match report {
+        Some(report) if report.is_done_with(&call.head.request_id) => FormerRun::Gone,
+        Some(_) => FormerRun::MayRun,
+        None => FormerRun::Unreached,
+    }
+}
+
+/// Returns an engine to which the memory of a stopped generation can be copied.
+fn choose_target(call: &Call, source: &EndpointEntry) -> Option<EndpointEntry> {
+    let gateway = &call.gateway;
+    let cooling_down = gateway.cooling_down_endpoints();
+    let fleet = gateway.fleet.lock();
+    let is_excluded =
+        |engine: &EndpointEntry| engine.id == source.id || cooling_down.contains(&engine.id);
+    let others: Vec<&EndpointEntry> = call.eligible_endpoints(&fleet, is_excluded).collect();
+    let avoided = gateway.avoided_endpoints(others.iter().copied());
+    let others = others.iter().filter(|engine| !avoided.contains(&engine.id));
+    let chosen = others.choose(&mut rand::rng());
+    chosen.map(|engine| (*engine).clone())
+}
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -120,7 +120,12 @@
     /// have run there.
     fn record(&mut self, result: &Result<AttemptResponse, AttemptFailure>) {
         let (sent, may_have_run) = match result {
-            Ok(_) | Err(AttemptFailure::ErrorResponse(_) | AttemptFailure::Lost(_)) => (1, 1),
+            Ok(_)
+            | Err(
+                AttemptFailure::ErrorResponse(_)
+                | AttemptFailure::Lost(_)
+                | AttemptFailure::MayRun(_),
+            ) => (1, 1),
             Err(AttemptFailure::Refused { .. }) => (1, 0),
             Err(
                 AttemptFailure::Unsent { .. }
@@ -252,6 +257,7 @@
             response_timeout,
             restricted,
             may_have_run,
+            may_try_another: can_try_another(call, attempts),
         };
         let result = try_engine(call, &demand, params).await;
         attempts.record(&result);
@@ -331,7 +337,7 @@
                 self.error = Some(error);
                 !can_restart(call, attempts)
             }
-            AttemptFailure::Fatal(error) => {
+            AttemptFailure::MayRun(error) | AttemptFailure::Fatal(error) => {
                 self.error = Some(error);
                 true
             }
@@ -367,8 +373,7 @@
 /// A shorter timeout would throw away the part of the prompt that was already read.
 fn response_timeout(call: &Call, attempts: &EngineAttempts) -> Duration {
     let left = call.time_left();
-    let can_try_another = call.route.resumable && attempts.runs + 1 < call.route.attempts_max;
-    if can_try_another {
+    if can_try_another(call, attempts) {
         let first_event_time = call
             .gateway
             .response_time(&call.service, INITIAL_FIRST_EVENT_TIME);
@@ -378,6 +383,11 @@
     }
 }
 
+/// Returns whether another engine may be tried if the next one loses the generation.
+fn can_try_another(call: &Call, attempts: &EngineAttempts) -> bool {
+    call.route.resumable && !attempts.restricted && attempts.runs + 1 < call.route.attempts_max
+}
+
 /// Returns whether the call's regions have an engine that accepts work, or no engine is known.
 fn has_allowed_engine(call: &Call) -> bool {
     let fleet = call.gateway.fleet.lock();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,8 @@
 //! | `generation`, `engine_attempt`, `started_generation`, `relay` | placement of generations, attempts at engines, and forwarding of their events, also after a move |
 //! | `capacity_wait`, `excluded_engines` | how long a generation waits for capacity, and the engines that it must not be placed on |
 //! | `read_ahead` | reads generations ahead of callers that read slowly |
-//! | `takeover` | takes over generations whose connection to their engine stalled |
+//! | `former_run` | what becomes of a generation at its engine before it goes on elsewhere |
+//! | `takeover` | detects generations whose connection to their engine stalled, and resumes stopped ones |
 //! | `upstream` | connection pools of the endpoints |
 //! | `reach_monitor` | which endpoints this instance reaches, and whether one that it does not reach is down |
 //! | `call_forwarding`, `forwarded_call` | calls passed on to a peer that reaches the endpoints, and those that peers pass on |
@@ -66,6 +67,7 @@
 mod engine_list;
 pub(crate) mod engine_reports;
 pub(crate) mod excluded_engines;
+pub(crate) mod former_run;
 pub(crate) mod forwarded_call;
 pub(crate) mod generation;
 pub(crate) mod hall_evacuation;
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -11,6 +11,7 @@
 use super::node::Gateway;
 use super::retry_budgets::{Repeat, RepeatCause};
 use super::runs::{Continuation, RunCommand, RunHandle};
+use super::upstream::ControlError;
 use crate::kernel::engine_ledger::MoveResult;
 use crate::kernel::fleet::EndpointEntry;
 use crate::peer::generated as wire;
@@ -18,6 +19,10 @@
 
 /// Longest wait for a copy; copying all of a generation's memory between halls takes half of it.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Orders to stop a generation that are sent while their outcome is not clear.
+const STOP_ORDERS_MAX: u32 = 2;
+/// Pause before the next of them.
+const STOP_ORDER_PAUSE: Duration = Duration::from_millis(50);
 /// Largest response to a copy request.
 const RESPONSE_MAX_BYTES: usize = 64 << 10;
 /// Time after which a generation that its engine no longer runs has continued elsewhere or ended.
@@ -50,10 +55,20 @@
     /// Its engine was not asked, since no retry is left for the continuation.
     #[error("{RETRIES_SPENT}")]
     RetriesSpent,
+    /// Its engine was not asked, for this reason.
+    #[error("{0}")]
+    NotAsked(String),
+    /// Its engine cannot be reached.
+    #[error("{0}")]
+    Unreached(String),
     /// It has ended, or its stream broke and it was taken over meanwhile.
     #[error("the generation no longer runs there")]
     NotRunning,
-    /// It may have been stopped; the outcome did not arrive.
+    /// It no longer runs there. An order to stop it had no clear outcome, for this reason, and may
+    /// have stopped it.
+    #[error("it no longer runs there, and may have been stopped: {0}")]
+    OutcomeLost(String),
+    /// It may have been stopped, and may run: no order had a clear outcome, for this reason.
     #[error("{0}")]
     Unknown(String),
 }
@@ -175,12 +190,12 @@
 /// Returns whether the copy of a move that failed with this error is certainly not used any more.
 async fn is_copy_unused(gateway: &Gateway, run: &RunHandle, error: &StopError) -> bool {
     match error {
-        StopError::RetriesSpent => true,
+        StopError::RetriesSpent | StopError::NotAsked(_) | StopError::Unreached(_) => true,
         StopError::NotRunning => {
             tokio::time::sleep(TAKEOVER_MAX).await;
             gateway.runs.get(&run.demand.run).is_none()
         }
-        StopError::Unknown(_) => false,
+        StopError::OutcomeLost(_) | StopError::Unknown(_) => false,
     }
 }
 
@@ -211,7 +226,8 @@
         let permit = permit.ok_or("no permit for the engine")?;
         let upstream = &gateway.upstream;
         let response = upstream.send_control_request(holder, request, RESPONSE_MAX_BYTES, permit);
-        response.await.map(|(status, _)| status)
+        let response = response.await.map_err(|error| error.to_string())?;
+        Ok(response.0)
     };
     let freed = tokio::time::timeout(FREE_TIMEOUT, freeing).await;
     let freed = freed.unwrap_or_else(|_| Err("no response in time".to_owned()));
@@ -247,21 +263,61 @@
         counted,
         reservation,
     };
-    let outcome = copy_memory(gateway, run, source, target, true).await;
-    match outcome.map_err(StopError::Unknown)? {
-        CopyOutcome::Done(copy) => Ok(continue_at(target, copy, counted)),
-        // The generation was stopped and its engine still has its memory, so it continues there.
-        CopyOutcome::NoRoom(Some(kept)) => Ok(continue_at(source, kept, false)),
-        CopyOutcome::NotRunning => Err(StopError::NotRunning),
-        other => Err(StopError::Unknown(format!("{other:?}"))),
+    let mut unclear: Option<String> = None;
+    for _ in 0..STOP_ORDERS_MAX {
+        if unclear.is_some() {
+            gateway.sleep_for(STOP_ORDER_PAUSE).await;
+        }
+        let reason = match copy_memory(gateway, run, source, target, true).await {
+            Ok(CopyOutcome::Done(copy)) => return Ok(continue_at(target, copy, counted)),
+            // The generation was stopped and its engine still has its memory, so it continues there.
+            Ok(CopyOutcome::NoRoom(Some(kept))) => return Ok(continue_at(source, kept, false)),
+            Ok(CopyOutcome::NotRunning) => {
+                return Err(unclear.map_or(StopError::NotRunning, StopError::OutcomeLost));
+            }
+            Ok(other) => format!("{other:?}"),
+            Err(CopyError::NotAsked(reason)) => {
+                return Err(unclear.map_or(StopError::NotAsked(reason), StopError::Unknown));
+            }
+            Err(CopyError::Unreached(reason)) => {
+                return Err(unclear.map_or(StopError::Unreached(reason), StopError::Unknown));
+            }
+            Err(CopyError::NoAnswer(reason)) => reason,
+        };
+        unclear.get_or_insert(reason);
+    }
+    Err(StopError::Unknown(unclear.unwrap_or_default()))
+}
+
+/// Why an order to copy the memory of a generation has no outcome.
+#[derive(Debug, thiserror::Error)]
+enum CopyError {
+    /// The engine was not asked.
+    #[error("{0}")]
+    NotAsked(String),
+    /// The engine cannot be reached.
+    #[error("{0}")]
+    Unreached(String),
+    /// The order was sent, and its answer did not arrive.
+    #[error("{0}")]
+    NoAnswer(String),
+}
+
+impl From<ControlError> for CopyError {
+    fn from(error: ControlError) -> Self {
+        match error {
+            ControlError::Unreached(reason) => Self::Unreached(reason),
+            ControlError::NotSent(reason) => Self::NotAsked(reason),
+            ControlError::NoAnswer(reason) => Self::NoAnswer(reason),
+        }
     }
 }
 
-fn copy_failure(outcome: Result<CopyOutcome, String>) -> (MoveResult, String) {
+fn copy_failure(outcome: Result<CopyOutcome, CopyError>) -> (MoveResult, String) {
     match outcome {
         Ok(CopyOutcome::NoRoom(_)) => (MoveResult::NoRoom, "no memory at the target".to_owned()),
         Ok(other) => (MoveResult::Failed, format!("{other:?}")),
-        Err(reason) => (MoveResult::Failed, reason),
+        Err(error) => (MoveResult::Failed, error.to_string()),
     }
 }
 
@@ -277,15 +333,16 @@
     source: &EndpointEntry,
     target: &EndpointEntry,
     stop: bool,
-) -> Result<CopyOutcome, String> {
+) -> Result<CopyOutcome, CopyError> {
+    let not_asked = |reason: &str| CopyError::NotAsked(reason.to_owned());
     if !gateway.try_admit_exempt(&source.id) {
-        return Err("the engine is cooling down".to_owned());
+        return Err(not_asked("the engine is cooling down"));
     }
     let request = engine::build_move_request(source.address, &run.demand.run, target.address, stop)
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| not_asked(&error.to_string()))?;
     let call = async {
         let permit = gateway.wait_for_permit(&source.service, &source.id).await;
-        let permit = permit.ok_or("no permit for the engine")?;
+        let permit = permit.ok_or_else(|| not_asked("no permit for the engine"))?;
         let upstream = &gateway.upstream;
         let response = upstream.send_control_request(source, request, RESPONSE_MAX_BYTES, permit);
         let (status, body) = response.await?;
@@ -293,5 +350,5 @@
     };
     tokio::time::timeout(COPY_TIMEOUT, call)
         .await
-        .map_err(|_| "no response to the copy request in time".to_owned())?
+        .map_err(|_| CopyError::NoAnswer("no response to the copy request in time".to_owned()))?
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -286,7 +286,7 @@
     }
 
     /// Determines how to proceed after the stream broke: wait for the continuation of a stop, go on
-    /// from the copy at another engine, restart, take the generation over, or fail.
+    /// from the copy at another engine, or leave the engine.
     async fn recover_from_abort(&mut self, reason: String) -> Step {
         self.source = None;
         if let Some(continuation) = self.stop_result().await {
@@ -295,13 +295,7 @@
         if self.resume_from_copy(&reason).await {
             return Step::Pending;
         }
-        if generation::can_restart(&self.call, &self.attempts) {
-            return Step::Restart(reason);
-        }
-        let continuation = self.take_over(&reason).await;
-        continuation.map_or(Step::Aborted(reason), |continuation| {
-            Step::Continue(Box::new(continuation))
-        })
+        self.leave_engine(reason).await
     }
 
     /// Asks the engine of a stalled stream for the state of the generation.
--- a/src/gateway/relay/continuation.rs
+++ b/src/gateway/relay/continuation.rs
@@ -3,37 +3,59 @@
 
 use spdlog::info;
 
-use super::{Relay, TAKEOVERS_MAX};
+use super::{Relay, Step, TAKEOVERS_MAX};
+use crate::gateway::former_run::{self, FormerRun};
 use crate::gateway::generation;
 use crate::gateway::moves;
-use crate::gateway::retry_budgets::RepeatCause;
-use crate::gateway::runs::{Continuation, Unavailability};
+use crate::gateway::runs::Continuation;
 use crate::gateway::started_generation::ResponseStream;
-use crate::gateway::takeover::{self, ResumeError};
+use crate::gateway::takeover::{self, NotResumed, Resumed};
 use crate::gateway::upstream::EndpointResponse;
-use crate::kernel::clock::millis;
 use crate::kernel::fleet::EndpointEntry;
 
 impl Relay {
-    /// Asks the engine of a broken stream to stop the generation and returns its continuation,
-    /// unless it has been taken over too often.
-    pub(super) async fn take_over(&mut self, reason: &str) -> Option<Continuation> {
-        if self.takeovers >= TAKEOVERS_MAX {
-            return None;
+    /// Determines how a generation goes on whose stream is lost: its engine is asked to stop it, so
+    /// that it never runs at two engines, and it goes on from its memory or is restarted.
+    pub(super) async fn leave_engine(&mut self, reason: String) -> Step {
+        let may_restart = generation::can_restart(&self.call, &self.attempts);
+        let may_take_over = self.takeovers < TAKEOVERS_MAX;
+        let engine = self.run_guard.run.endpoint.lock().clone();
+        let has_left = takeover::has_left_too_long_ago(&self.call, &engine);
+        if !may_restart && (!may_take_over || has_left) {
+            return Step::Aborted(reason);
         }
         self.takeovers += 1;
-        takeover::take_over(&self.call, &self.run_guard.run, reason).await
+        let run = &self.run_guard.run;
+        let former = former_run::stop_former_run(&self.call, run, &engine, &reason).await;
+        match former {
+            FormerRun::Stopped(continuation) if may_take_over => {
+                Step::Continue(Box::new(continuation))
+            }
+            former if may_restart && former.allows_restart() => Step::Restart(reason),
+            _ => Step::Aborted(reason),
+        }
     }
 
     pub(super) async fn resume_or_restart(
         &mut self,
         continuation: Continuation,
     ) -> Result<(), String> {
-        match self.resume_at_target(continuation).await {
-            Err(reason) if generation::can_restart(&self.call, &self.attempts) => {
+        self.is_stopping = false;
+        self.source = None;
+        let after = self.last_event_id.clone();
+        let run = &self.run_guard.run;
+        let resumed = takeover::resume_or_return(&self.call, run, continuation, after.as_deref());
+        match resumed.await {
+            Ok(resumed) => {
+                self.go_on_after_stop(resumed);
+                Ok(())
+            }
+            Err(NotResumed { reason, may_run })
+                if !may_run && generation::can_restart(&self.call, &self.attempts) =>
+            {
                 self.restart(reason).await
             }
-            other => other,
+            Err(not_resumed) => Err(not_resumed.reason),
         }
     }
 
@@ -70,39 +92,17 @@
         Ok(())
     }
 
-    /// Resumes the generation at the target. If the target refuses, resumes it at the engine that
-    /// stopped it, which still holds its memory.
-    async fn resume_at_target(&mut self, mut continuation: Continuation) -> Result<(), String> {
-        self.is_stopping = false;
-        self.source = None;
-        let previous = self.run_guard.run.endpoint.lock().clone();
-        let resumed = self.try_resume(&mut continuation, RepeatCause::Move).await;
-        let response = match resumed {
-            Ok(response) => response,
-            Err(error) if continuation.target.id != previous.id => {
-                if let ResumeError::NotAccepted(_) = error {
-                    let call = &self.call;
-                    let refused = &continuation.target.id;
-                    call.gateway.runs.record_unavailable_engine(
-                        &call.service,
-                        refused,
-                        Unavailability::Refused,
-                    );
-                }
-                continuation.target = previous;
-                continuation.counted = false;
-                let returned = self.try_resume(&mut continuation, RepeatCause::Return);
-                returned.await.map_err(|error| error.to_string())?
-            }
-            Err(error) => return Err(error.to_string()),
-        };
+    fn go_on_after_stop(&mut self, resumed: Resumed) {
+        let Resumed {
+            continuation,
+            response,
+        } = resumed;
         self.moves += 1;
         if continuation.copy_receiver.id != continuation.target.id {
             let run = &self.run_guard.run;
             moves::start_freeing_received(&self.call.gateway, run, &continuation);
         }
         self.go_on_at(continuation.target, response);
-        Ok(())
     }
 
     /// Goes on with the stream of the engine that now runs the generation.
@@ -113,24 +113,4 @@
         self.first_event_at = None;
         self.timing.record_move();
     }
-
-    async fn try_resume(
-        &self,
-        continuation: &mut Continuation,
-        cause: RepeatCause,
-    ) -> Result<EndpointResponse, ResumeError> {
-        let started_at = self.call.gateway.now();
-        let after = self.last_event_id.as_deref();
-        let resumed = takeover::resume(&self.call, continuation, cause, after).await;
-        let pause_ms = millis(self.call.gateway.now().saturating_sub(started_at));
-        if crate::log::should_log("generation moved") {
-            let error = resumed.as_ref().err().map(ToString::to_string);
-            info!("generation moved", kv: {
-                request_id = self.call.head.request_id.as_str(),
-                target = continuation.target.id.as_str(), outcome = error.as_deref().unwrap_or("gone on"), pause_ms:,
-                last_event_id:? = self.last_event_id,
-            });
-        }
-        resumed
-    }
 }
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -1,20 +1,20 @@
-//! Takes over generations that still run at an engine although their connection is dead: an open
-//! connection may stop delivering data without an error. The engine is asked to stop the
-//! generation, which is resumed from its KV-cache memory on a new connection. Without this, the
-//! generation was cut off at its caller's deadline or when the caller left.
+//! Detects generations that still run at an engine although their connection is dead, since an open
+//! connection may stop delivering data without an error, and resumes stopped generations from their
+//! KV-cache memory on a new connection.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use spdlog::info;
 
+use super::former_run::{self, FormerRun};
 use super::inbound_call::Call;
 use super::message_heads::{ContinueFrom, EndpointRequestHead};
 use super::retry_budgets::RepeatCause;
-use super::runs::{Continuation, RunHandle};
-use super::upstream::{ConnectionReuse, EndpointResponse};
-use super::{crash_suspects, engine_reports, moves};
+use super::runs::{Continuation, RunHandle, Unavailability};
+use super::upstream::{ConnectionReuse, EndpointResponse, SendError};
+use super::{crash_suspects, engine_reports};
+use crate::kernel::clock::millis;
 use crate::kernel::crash_suspects::Verdict;
 use crate::kernel::fleet::EndpointEntry;
 use crate::platform::engine;
@@ -104,48 +104,9 @@
     }
 }
 
-/// Asks the engine of a generation to stop it, if it still runs, and returns its continuation.
-pub(super) async fn take_over(
-    call: &Arc<Call>,
-    run: &RunHandle,
-    reason: &str,
-) -> Option<Continuation> {
-    let source = run.endpoint.lock().clone();
-    if has_left_too_long_ago(call, &source) {
-        return None;
-    }
-    let gateway = &call.gateway;
-    let cooling_down = gateway.cooling_down_endpoints();
-    let target = {
-        let fleet = gateway.fleet.lock();
-        let is_excluded =
-            |engine: &EndpointEntry| engine.id == source.id || cooling_down.contains(&engine.id);
-        let others: Vec<&EndpointEntry> = call.eligible_endpoints(&fleet, is_excluded).collect();
-        let avoided = gateway.avoided_endpoints(others.iter().copied());
-        let others = others.iter().filter(|engine| !avoided.contains(&engine.id));
-        others
-            .choose(&mut rand::rng())
-            .map(|engine| (*engine).clone())
-    }?;
-    // An engine that has ended stops nothing, and would be waited for in vain.
-    let stopped = tokio::select! {
-        stopped = moves::stop_run(gateway, run, &source, &target, false) => {
-            stopped.map_err(|error| error.to_string())
-        }
-        () = gateway.endpoint_ended(&source) => Err("the engine has ended".to_owned()),
-    };
-    if crate::log::should_log("generation taken over") {
-        let outcome = stopped.as_ref().err().map_or("stopped", String::as_str);
-        info!("generation taken over", kv: {
-            request_id = call.head.request_id.as_str(), source = source.id.as_str(), why = reason, outcome,
-        });
-    }
-    stopped.ok()
-}
-
 /// Returns whether an engine has been leaving, or its hall evacuated, for so long that nothing may
 /// be sent to it any more.
-fn has_left_too_long_ago(call: &Call, endpoint: &EndpointEntry) -> bool {
+pub(super) fn has_left_too_long_ago(call: &Call, endpoint: &EndpointEntry) -> bool {
     let gateway = &call.gateway;
     let closed_for = gateway.fleet.lock().closed_for(&endpoint.id, gateway.now());
     closed_for.is_some_and(|closed_for| closed_for > RESUME_AFTER_LEAVING_MAX)
@@ -157,19 +118,18 @@
     /// Nothing was sent.
     #[error("{0}")]
     Unsent(String),
-    /// It was sent and not accepted.
+    /// The engine refused it.
+    #[error("{0}")]
+    Refused(String),
+    /// It was sent without a valid answer. The engine may run it.
     #[error("{0}")]
-    NotAccepted(String),
+    Lost(String),
 }
 
 fn unsent(reason: &str) -> ResumeError {
     ResumeError::Unsent(reason.to_owned())
 }
 
-fn not_accepted(reason: &str) -> ResumeError {
-    ResumeError::NotAccepted(reason.to_owned())
-}
-
 /// Resumes a generation at the engine that has its memory, after the last received event. Spends a
 /// retry if the engine does not accept it.
 pub(super) async fn resume(
@@ -178,18 +138,98 @@
     cause: RepeatCause,
     last_event_id: Option<&str>,
 ) -> Result<EndpointResponse, ResumeError> {
+    let started_at = call.gateway.now();
     let sending = send_continuation(call, continuation, last_event_id);
     let sent = tokio::time::timeout(RESUME_TIMEOUT, sending).await;
-    let resumed = sent.unwrap_or_else(|_| Err(not_accepted("no event in time")));
-    if let Err(ResumeError::NotAccepted(_)) = resumed {
+    let resumed = sent.unwrap_or_else(|_| Err(ResumeError::Lost("no event in time".to_owned())));
+    if let Err(ResumeError::Refused(_) | ResumeError::Lost(_)) = resumed {
         continuation.reservation.spend();
     }
     if !matches!(resumed, Err(ResumeError::Unsent(_))) {
         call.gateway.log_repeat(call.repeat(cause), "true");
     }
+    let pause_ms = millis(call.gateway.now().saturating_sub(started_at));
+    if crate::log::should_log("generation moved") {
+        let error = resumed.as_ref().err().map(ToString::to_string);
+        info!("generation moved", kv: {
+            request_id = call.head.request_id.as_str(), target = continuation.target.id.as_str(),
+            outcome = error.as_deref().unwrap_or("gone on"), pause_ms:, last_event_id:?,
+        });
+    }
     resumed
 }
 
+/// A generation that goes on at an engine.
+pub(super) struct Resumed {
+    pub(super) continuation: Continuation,
+    pub(super) response: EndpointResponse,
+}
+
+/// Why a stopped generation goes on nowhere.
+#[derive(Debug)]
+pub(super) struct NotResumed {
+    pub(super) reason: String,
+    /// Whether an engine may run it, so that it must not be started again.
+    pub(super) may_run: bool,
+}
+
+/// Resumes a stopped generation at the target of its continuation. If the target refuses, resumes it
+/// at the engine that stopped it, which still holds its memory.
+///
+/// A target that gives no valid answer may run it, and is asked to stop it before it goes on
+/// elsewhere.
+pub(super) async fn resume_or_return(
+    call: &Arc<Call>,
+    run: &RunHandle,
+    mut continuation: Continuation,
+    last_event_id: Option<&str>,
+) -> Result<Resumed, NotResumed> {
+    let previous = run.endpoint.lock().clone();
+    let mut cause = RepeatCause::Move;
+    let mut may_stop_target = true;
+    loop {
+        let error = match resume(call, &mut continuation, cause, last_event_id).await {
+            Ok(response) => {
+                return Ok(Resumed {
+                    continuation,
+                    response,
+                });
+            }
+            Err(error) => error,
+        };
+        let target = continuation.target.clone();
+        if target.id != previous.id && !matches!(error, ResumeError::Unsent(_)) {
+            let runs = &call.gateway.runs;
+            runs.record_unavailable_engine(&call.service, &target.id, Unavailability::Refused);
+        }
+        if let ResumeError::Lost(reason) = &error {
+            match former_run::stop_former_run(call, run, &target, reason).await {
+                FormerRun::Stopped(next) if may_stop_target => {
+                    may_stop_target = false;
+                    continuation = next;
+                    continue;
+                }
+                former if !former.allows_restart() => {
+                    return Err(NotResumed {
+                        reason: error.to_string(),
+                        may_run: true,
+                    });
+                }
+                _ => {}
+            }
+        }
+        if target.id == previous.id {
+            return Err(NotResumed {
+                reason: error.to_string(),
+                may_run: false,
+            });
+        }
+        continuation.target = previous.clone();
+        continuation.counted = false;
+        cause = RepeatCause::Return;
+    }
+}
+
 async fn send_continuation(
     call: &Call,
     continuation: &Continuation,
@@ -230,22 +270,37 @@
     let request = engine::build_forwarded_request(&call.parts, call.body.clone(), &send);
     let request = request.map_err(|error| unsent(&error.to_string()))?;
     let response = connection.send(request, permit).await;
-    let response = response.map_err(|failure| not_accepted(&failure.to_string()))?;
-    check_resumed(call, &response).map_err(|reason| not_accepted(&reason))?;
+    let response = response.map_err(|failure| match failure {
+        SendError::MayHaveRun(_) => ResumeError::Lost(failure.to_string()),
+        SendError::Unsent(_) | SendError::NoPermit => ResumeError::Unsent(failure.to_string()),
+    })?;
+    check_resumed(call, &response)?;
     Ok(response)
 }
 
 /// Checks that a response continues the generation.
-fn check_resumed(call: &Call, response: &EndpointResponse) -> Result<(), String> {
-    if response.parts.status != http::StatusCode::OK || !response.head.sealed {
-        return Err(format!("engine answered {}", response.head.status));
+fn check_resumed(call: &Call, response: &EndpointResponse) -> Result<(), ResumeError> {
+    let head = &response.head;
+    let lost = |reason: &str| Err(ResumeError::Lost(reason.to_owned()));
+    if head
+        .request_id
+        .as_deref()
+        .is_some_and(|id| id != call.head.request_id)
+    {
+        return lost("the answer belongs to another request");
     }
-    // The caller has the head of the first response, which announced no encoding.
-    if response.head.encoded {
-        return Err("the engine encodes its answer".to_owned());
+    if response.parts.status != http::StatusCode::OK {
+        return Err(ResumeError::Refused(format!(
+            "engine answered {}",
+            head.status
+        )));
     }
-    if response.head.request_id.as_deref() != Some(call.head.request_id.as_str()) {
-        return Err("the answer belongs to another request".to_owned());
+    if !head.sealed || head.request_id.is_none() {
+        return lost("the answer is not the engine's own");
+    }
+    // The caller has the head of the first response, which announced no encoding.
+    if head.encoded {
+        return lost("the engine encodes its answer");
     }
     Ok(())
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -52,6 +52,20 @@
     Never,
 }
 
+/// Why a request of the instance itself has no answer.
+#[derive(Debug, Clone, thiserror::Error)]
+pub(crate) enum ControlError {
+    /// No connection could be made.
+    #[error("{0}")]
+    Unreached(String),
+    /// The request was not sent.
+    #[error("{0}")]
+    NotSent(String),
+    /// The request was sent, and its answer did not arrive whole.
+    #[error("{0}")]
+    NoAnswer(String),
+}
+
 /// Connection pools of all endpoints.
 pub(crate) struct Upstream {
     pools: Arc<Pools>,
@@ -159,16 +173,21 @@
         request: Request<Bytes>,
         body_max_bytes: usize,
         permit: Permit,
-    ) -> Result<(u16, Bytes), String> {
+    ) -> Result<(u16, Bytes), ControlError> {
         let connection = self
             .acquire_connection(endpoint, usize::MAX, ConnectionReuse::Never)
             .await;
-        let connection = connection.map_err(|error| error.to_string())?;
+        let connection = connection.map_err(|error| ControlError::Unreached(error.to_string()))?;
         let response = connection.send(request, permit).await;
-        let response = response.map_err(|failure| failure.to_string())?;
+        let response = response.map_err(|failure| match failure {
+            SendError::MayHaveRun(_) => ControlError::NoAnswer(failure.to_string()),
+            SendError::Unsent(_) | SendError::NoPermit => {
+                ControlError::NotSent(failure.to_string())
+            }
+        })?;
         let body = Limited::new(response.body, body_max_bytes).collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
-        Ok((response.head.status, body))
+        let body = body.map_err(|error| ControlError::NoAnswer(error.to_string()))?;
+        Ok((response.head.status, body.to_bytes()))
     }
 }
 
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -374,6 +374,12 @@
         self.servers.servers_that_ran(request)
     }
 
+    /// Returns the requests that began at a server while another ran them, in order.
+    #[must_use]
+    pub fn ran_twice_at_once(&self) -> Vec<String> {
+        self.servers.ran_twice_at_once()
+    }
+
     /// Returns the largest number of memory copies that one server made at once.
     #[must_use]
     pub fn copies_at_once_max(&self) -> usize {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -34,6 +34,9 @@
 /// Delay of [`ServerFault::RespondsLate`]: many times the usual response time.
 pub const LATE_RESPONSE_DELAY: Duration = Duration::from_millis(700);
 
+/// Delay of [`ServerFault::AnswersStopsLate`]: longer than callers go without an event.
+pub const LATE_STOP_DELAY: Duration = Duration::from_millis(2_000);
+
 /// Kind of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerKind {
@@ -75,6 +78,15 @@
     SkipsEvent,
     /// Responds with status 421, as if another server had taken over its address.
     Misdirects,
+    /// Cuts the stream of each generation's first run after this number of events, and goes on with
+    /// the run.
+    LosesStreamsAfter(u32),
+    /// As [`ServerFault::LosesStreamsAfter`] three events; it does not get the orders to stop either.
+    LosesStreamsAndStopOrders,
+    /// Stops generations as ordered, and its answers to these orders are lost.
+    LosesStopAnswers,
+    /// Stops generations as ordered, and answers these orders after [`LATE_STOP_DELAY`].
+    AnswersStopsLate,
 }
 
 /// What becomes of the listening socket of a server that crashes.
@@ -195,6 +207,8 @@
     closes_connections_first: AtomicBool,
     /// Ids of the crashed servers, in order.
     crashed: Mutex<Vec<String>>,
+    /// Requests that began at a server while another ran them, in order.
+    ran_twice_at_once: Mutex<Vec<String>>,
     socket_after_crash: Mutex<SocketAfterCrash>,
 }
 
@@ -283,6 +297,21 @@
         of_request.map(|(server, _)| server.clone()).collect()
     }
 
+    /// Records a request that begins at a server, if another runs it.
+    fn record_begin(&self, server: &Server, request: &str) {
+        let others: Vec<Arc<Server>> = self.by_address.lock().values().cloned().collect();
+        let runs_elsewhere = others
+            .iter()
+            .any(|other| other.id != server.id && other.is_running(request));
+        if runs_elsewhere {
+            self.ran_twice_at_once.lock().push(request.to_owned());
+        }
+    }
+
+    pub(super) fn ran_twice_at_once(&self) -> Vec<String> {
+        self.ran_twice_at_once.lock().clone()
+    }
+
     pub(super) fn copies_at_once_max(&self) -> usize {
         self.copies.lock().most_at_once()
     }
@@ -304,6 +333,12 @@
     response
 }
 
+/// Returns a response whose connection is cut.
+fn lost_response() -> Response<StandinBody> {
+    let cut = stream::iter([Err(std::io::Error::other("connection cut"))]);
+    Response::new(BodyExt::boxed_unsync(StreamBody::new(cut)))
+}
+
 /// Returns a refusal with the header that says that the request did not run.
 fn not_run_response(status: u16) -> Response<StandinBody> {
     let mut refusal = build_response(status, "not run");
@@ -426,6 +461,13 @@
         self.running.lock().len()
     }
 
+    /// Returns whether it works on a generation that it was not told to stop.
+    fn is_running(&self, request: &str) -> bool {
+        let running = self.running.lock();
+        let run = running.get(request);
+        run.is_some_and(|run| !run.stop_requested.load(Ordering::Relaxed))
+    }
+
     /// Returns the number of events that it has made of a generation that it runs.
     #[must_use]
     pub fn generated_events(&self, request: &str) -> u32 {
@@ -525,9 +567,7 @@
             ServerFault::RunsAndHangs => std::future::pending().await,
             ServerFault::RespondsLate => tokio::time::sleep(LATE_RESPONSE_DELAY).await,
             ServerFault::RunsAndCloses => {
-                let error = futures::future::ready(Err(std::io::Error::other("connection cut")));
-                let frames = stream::once(error);
-                return Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+                return lost_response();
             }
             _ => {}
         }
@@ -704,6 +744,9 @@
         let event_count: u32 = event_count.unwrap_or(1);
         let run = Arc::new(EngineRun::default());
         run.generated_events.store(from, Ordering::Relaxed);
+        if let Some(servers) = self.servers.upgrade() {
+            servers.record_begin(self, id);
+        }
         self.running.lock().insert(id.to_owned(), run.clone());
         let event_stream = EventStream {
             server: self.clone(),
@@ -712,6 +755,15 @@
             next: from + 1,
             event_count,
         };
+        if let Some(events) = self.lost_after(id) {
+            let response = Response::new(event_stream.lose_after(events));
+            // Without any event, the head of the response is lost, too.
+            return if events == 0 {
+                response
+            } else {
+                with_seal(response, id)
+            };
+        }
         let frames = stream::unfold(event_stream, |mut events| async {
             events.next_event().await.map(|frame| (frame, events))
         });
@@ -719,6 +771,19 @@
         with_seal(Response::new(body), id)
     }
 
+    /// Returns after how many events the stream of a generation is to be lost; `None` if it is not,
+    /// or has run before.
+    fn lost_after(&self, id: &str) -> Option<u32> {
+        let servers = self.servers.upgrade()?;
+        let is_first_run = servers.servers_that_ran(id) == [self.id.as_str()];
+        match *self.fault.lock() {
+            ServerFault::LosesStreamsAfter(events) => Some(events),
+            ServerFault::LosesStreamsAndStopOrders => Some(3),
+            _ => None,
+        }
+        .filter(|_| is_first_run)
+    }
+
     fn event(&self, number: u32) -> String {
         format!("id: {number}\ndata: event {number} of {}\n\n", self.id)
     }
@@ -754,16 +819,27 @@
         if is_last && *self.fault.lock() == ServerFault::RefusesStops {
             return build_response(404, "no such run");
         }
+        if is_last && *self.fault.lock() == ServerFault::LosesStreamsAndStopOrders {
+            return lost_response();
+        }
         if is_last {
             run.stop_requested.store(true, Ordering::Relaxed);
             run.stop_signal.notify_waiters();
         }
         servers.copies.lock().begin(self.address());
         tokio::time::sleep(COPY_DURATION).await;
+        if is_last && *self.fault.lock() == ServerFault::AnswersStopsLate {
+            tokio::time::sleep(LATE_STOP_DELAY).await;
+        }
         let generated_events = run.generated_events.load(Ordering::Relaxed);
         let handle = format!("h-{id}");
         let mut copies = servers.copies.lock();
         copies.insert(self.address(), target.address(), &handle);
+        drop(copies);
+        match *self.fault.lock() {
+            ServerFault::LosesStopAnswers if is_last => return lost_response(),
+            _ => {}
+        }
         build_response(
             200,
             json!({"handle": handle, "made": generated_events}).to_string(),
@@ -812,6 +888,35 @@
     }
 }
 
+impl EventStream {
+    /// Returns a body that breaks off after some events, while the run goes on to its end or until it
+    /// is stopped.
+    fn lose_after(mut self, events: u32) -> StandinBody {
+        let (sender, receiver) = tokio::sync::mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            let mut sender = Some(sender);
+            while let Some(frame) = self.next_event().await {
+                let is_last = frame.is_err();
+                if let Some(sender) = sender.as_ref().filter(|_| self.next <= events + 1) {
+                    // The reader may be gone.
+                    let _ = sender.send(frame);
+                }
+                if is_last {
+                    break;
+                }
+                if self.next > events {
+                    sender = None;
+                }
+            }
+        });
+        let events = stream::unfold(receiver, |mut receiver| async {
+            receiver.recv().await.map(|frame| (frame, receiver))
+        });
+        let cut = stream::iter([Err(std::io::Error::other("connection cut"))]);
+        BodyExt::boxed_unsync(StreamBody::new(StreamExt::chain(events, cut)))
+    }
+}
+
 impl Drop for EventStream {
     fn drop(&mut self) {
         self.server.running.lock().remove(&self.id);
