--- a/src/gateway/former_run.rs
+++ b/src/gateway/former_run.rs
@@ -12,6 +12,7 @@
 use super::engine_reports;
 use super::inbound_call::Call;
 use super::moves::{self, StopError};
+use super::node::Gateway;
 use super::runs::{Continuation, RunHandle};
 use crate::kernel::fleet::EndpointEntry;
 
@@ -99,21 +100,27 @@
         StopError::NotRunning | StopError::OutcomeLost(_) => FormerRun::Gone,
         StopError::Unreached(_) => FormerRun::Unreached,
         StopError::RetriesSpent | StopError::NotAsked(_) => FormerRun::MayRun,
-        StopError::Unknown(_) => state_by_report(call, source).await,
+        StopError::Unknown(_) => {
+            match is_still_running(gateway, source, &call.head.request_id).await {
+                Some(true) => FormerRun::MayRun,
+                Some(false) => FormerRun::Gone,
+                None => FormerRun::Unreached,
+            }
+        }
     };
     (former, error.to_string())
 }
 
-/// Returns what an engine tells of a generation that it was asked to stop, without a clear outcome.
-async fn state_by_report(call: &Call, engine: &EndpointEntry) -> FormerRun {
-    let gateway = &call.gateway;
+/// Returns whether an engine still runs a generation, or has it in its queue, after an order to stop
+/// it that had no clear outcome; `None` if the engine does not tell.
+pub(super) async fn is_still_running(
+    gateway: &Gateway,
+    engine: &EndpointEntry,
+    request_id: &str,
+) -> Option<bool> {
     gateway.sleep_for(REPORT_DELAY).await;
-    let report = engine_reports::read_report(gateway, engine, REPORT_TIMEOUT).await;
-    match report {
-        Some(report) if report.is_done_with(&call.head.request_id) => FormerRun::Gone,
-        Some(_) => FormerRun::MayRun,
-        None => FormerRun::Unreached,
-    }
+    let report = engine_reports::read_report(gateway, engine, REPORT_TIMEOUT).await?;
+    Some(!report.is_done_with(request_id))
 }
 
 /// Returns an engine to which the memory of a stopped generation can be copied.
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -7,6 +7,7 @@
 
 use spdlog::{info, warn};
 
+use super::former_run;
 use super::move_orders;
 use super::node::Gateway;
 use super::retry_budgets::{Repeat, RepeatCause};
@@ -73,6 +74,13 @@
     Unknown(String),
 }
 
+impl StopError {
+    /// Returns whether an order may have stopped the generation although nothing is known of it.
+    const fn is_unclear(&self) -> bool {
+        matches!(self, Self::OutcomeLost(_) | Self::Unknown(_))
+    }
+}
+
 /// Returns the send by which a generation continues at another engine.
 fn move_of(run: &RunHandle) -> Repeat<'_> {
     Repeat {
@@ -175,13 +183,25 @@
             Ok(result)
         }
         Err(error) => {
-            send_command(run, RunCommand::StopFailed);
+            let command = if error.is_unclear() {
+                RunCommand::StopUnclear
+            } else {
+                RunCommand::NotStopped
+            };
+            send_command(run, command);
             if crate::log::should_log("generation not stopped") {
                 let reason = error.to_string();
                 warn!("generation not stopped", kv: {
                     request_id = run.demand.run.as_str(), source = source.id.as_str(), why = reason.as_str(),
+                    unclear: = error.is_unclear(),
                 });
             }
+            if let StopError::Unknown(_) = error
+                && former_run::is_still_running(gateway, source, &run.demand.run).await
+                    == Some(true)
+            {
+                send_command(run, RunCommand::RunsOn);
+            }
             Err(error)
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -27,12 +27,10 @@
 };
 use super::takeover::StallDetector;
 use crate::kernel::presence::Presence;
+use crate::kernel::run_state::RunState;
 use crate::kernel::stream_timing::StreamTiming;
 use crate::platform::engine;
 
-/// Longest time from the request to stop a generation until its stream is closed and its
-/// continuation is known.
-const STOP_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest wait for the stream of a stopped generation to close.
 const STREAM_CLOSE_TIMEOUT: Duration = Duration::from_millis(120);
 /// Maximum number of times that a generation is taken over from an engine whose stream broke.
@@ -44,8 +42,8 @@
     commands: mpsc::UnboundedReceiver<RunCommand>,
     /// The current stream; `None` between two engines.
     source: Option<ResponseStream>,
-    /// Whether an engine was asked to stop the generation and its continuation is not known yet.
-    is_stopping: bool,
+    /// Whether the engine of the current stream may have stopped the generation by order.
+    run_state: RunState,
     /// Where the generation continues once the stopped engine has closed its stream: the events
     /// generated before the stop must be read first.
     pending_continuation: Option<Continuation>,
@@ -108,7 +106,7 @@
         run_guard: started.run_guard,
         commands: started.commands,
         source: Some(started.source),
-        is_stopping: false,
+        run_state: RunState::default(),
         pending_continuation: None,
         event_tokens,
         events: 0,
@@ -186,7 +184,7 @@
         let left = self.call.time_left();
         let (timeout, on_timeout) = if self.pending_continuation.is_some() {
             (STREAM_CLOSE_TIMEOUT, None)
-        } else if self.stall_detector.query_after < left && !self.is_stopping {
+        } else if self.stall_detector.query_after < left && !self.run_state.is_stopping() {
             (self.stall_detector.query_after, Some(Step::Stalled))
         } else {
             (left, None)
@@ -206,7 +204,10 @@
                 None if source.ends_with_connection() => Step::ConnectionEnded,
                 None => Step::End { engine_survived: source.is_success() },
             },
-            Some(command) = self.commands.recv() => self.handle_command(command),
+            Some(command) = self.commands.recv() => {
+                self.handle_command(command);
+                Step::Pending
+            }
             () = gateway.sleep_for(timeout) => {
                 on_timeout.unwrap_or_else(|| {
                     Step::Aborted("no event from the engine before the timeout".to_owned())
@@ -215,26 +216,22 @@
         }
     }
 
-    fn handle_command(&mut self, command: RunCommand) -> Step {
+    fn handle_command(&mut self, command: RunCommand) {
         match command {
-            RunCommand::Stopping => {
-                self.is_stopping = true;
-                Step::Pending
-            }
-            RunCommand::StopFailed => {
-                self.is_stopping = false;
-                Step::Pending
-            }
+            RunCommand::Stopping => self.run_state.record_order(),
+            RunCommand::NotStopped => self.run_state.record_no_effect(),
+            RunCommand::StopUnclear => self.run_state.record_unclear(),
+            RunCommand::RunsOn => self.run_state.record_running(),
             RunCommand::Continue(continuation) => {
                 self.pending_continuation = Some(*continuation);
-                Step::Pending
             }
         }
     }
 
     /// Reports that the engine aborted the request, unless it was asked to stop it.
     async fn report_abort(&self) {
-        if self.is_stopping || self.pending_continuation.is_some() {
+        let was_ordered = self.run_state.is_stopping() || self.run_state.may_be_stopped();
+        if was_ordered || self.pending_continuation.is_some() {
             return;
         }
         let endpoint = self.run_guard.run.endpoint.lock().clone();
@@ -253,6 +250,10 @@
         if let Some(continuation) = self.stop_result().await {
             return Step::Continue(continuation);
         }
+        if self.run_state.may_be_stopped() {
+            let reason = "the engine may have stopped it; the outcome of the order is not known";
+            return Step::Aborted(reason.to_owned());
+        }
         let is_success = self.source.as_ref().is_some_and(ResponseStream::is_success);
         if is_success && self.events == 0 {
             return Step::Aborted("engine stream ended before its first event".to_owned());
@@ -268,21 +269,17 @@
     }
 
     /// Waits for the result of the stop that was requested, if any, and returns where the generation
-    /// continues.
+    /// continues. The order itself gives up in time, so that nothing but the call ends this wait.
     async fn stop_result(&mut self) -> Option<Box<Continuation>> {
-        if let Some(continuation) = self.pending_continuation.take() {
-            return Some(Box::new(continuation));
-        }
-        while self.is_stopping {
-            let commands = &mut self.commands;
-            let command = self.call.gateway.wait_for(STOP_TIMEOUT, commands.recv());
+        while self.run_state.is_stopping() && self.pending_continuation.is_none() {
+            let left = self.call.time_left();
+            let command = self.call.gateway.wait_for(left, self.commands.recv());
             match command.await {
-                Some(Some(RunCommand::Continue(continuation))) => return Some(continuation),
-                Some(Some(RunCommand::Stopping)) => {}
-                Some(Some(RunCommand::StopFailed) | None) | None => self.is_stopping = false,
+                Some(Some(command)) => self.handle_command(command),
+                Some(None) | None => self.run_state.record_unclear(),
             }
         }
-        None
+        self.pending_continuation.take().map(Box::new)
     }
 
     /// Determines how to proceed after the stream broke: wait for the continuation of a stop, go on
--- a/src/gateway/relay/continuation.rs
+++ b/src/gateway/relay/continuation.rs
@@ -40,7 +40,6 @@
         &mut self,
         continuation: Continuation,
     ) -> Result<(), String> {
-        self.is_stopping = false;
         self.source = None;
         let after = self.last_event_id.clone();
         let run = &self.run_guard.run;
@@ -85,6 +84,8 @@
         }
         self.run_guard = started.run_guard;
         self.commands = started.commands;
+        self.run_state.record_running();
+        self.pending_continuation = None;
         self.attempts = started.attempts;
         self.source = Some(started.source);
         self.first_event_at = None;
@@ -110,6 +111,7 @@
         self.run_guard.run.set_engine(engine);
         self.call.gateway.ledgers.runs_changed.notify_one();
         self.source = Some(ResponseStream::new(response));
+        self.run_state.record_running();
         self.first_event_at = None;
         self.timing.record_move();
     }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -40,8 +40,12 @@
     Stopping,
     /// The generation continues at this engine.
     Continue(Box<Continuation>),
-    /// The engine did not stop the generation.
-    StopFailed,
+    /// The order to stop the generation had no effect.
+    NotStopped,
+    /// The order may have stopped the generation: its outcome is not known.
+    StopUnclear,
+    /// The engine was seen to run the generation after the order to stop it.
+    RunsOn,
 }
 
 /// A generation that this instance serves.
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -68,6 +68,7 @@
 pub mod room_reserve;
 pub mod route;
 pub mod rules;
+pub mod run_state;
 mod scheduled_moves;
 mod segment_survivals;
 pub mod standby_copies;
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -83,6 +83,8 @@
     LosesStreamsAfter(u32),
     /// As [`ServerFault::LosesStreamsAfter`] three events; it does not get the orders to stop either.
     LosesStreamsAndStopOrders,
+    /// Copies the memory of its generations, and does not get the orders to stop them.
+    LosesStopOrders,
     /// Stops generations as ordered, and its answers to these orders are lost.
     LosesStopAnswers,
     /// Stops generations as ordered, and answers these orders after [`LATE_STOP_DELAY`].
@@ -819,7 +821,12 @@
         if is_last && *self.fault.lock() == ServerFault::RefusesStops {
             return build_response(404, "no such run");
         }
-        if is_last && *self.fault.lock() == ServerFault::LosesStreamsAndStopOrders {
+        let fault = *self.fault.lock();
+        let loses_stop_orders = matches!(
+            fault,
+            ServerFault::LosesStopOrders | ServerFault::LosesStreamsAndStopOrders
+        );
+        if is_last && loses_stop_orders {
             return lost_response();
         }
         if is_last {
--- a/tests/connection_ended_answers.rs
+++ b/tests/connection_ended_answers.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use larkwick::standin::site::server::ServerFault;
 use support::site::{HttpResponse, Instance, RoutedSite, event_numbers, send_request, wait_until};
 
 const CRASHING_BODY: &[u8] = b"a body that no endpoint survives";
@@ -96,12 +97,15 @@
     }
 }
 
-/// An engine that was asked to stop a generation ends its stream like one that is whole.
-#[tokio::test(flavor = "multi_thread")]
-async fn generation_moved_to_another_engine_whole() {
+const MOVED_EVENTS: u32 = 60;
+
+/// Runs a generation at an engine with a fault, which leaves while it runs, and returns what its
+/// caller got.
+async fn move_generation(fault: ServerFault) -> (RoutedSite, String, HttpResponse) {
     let (site, instances) = start(0, 0, 1).await;
     let leaving = site.start_engine().await;
-    let request = instances[0].generation(60, "moved");
+    leaving.set_fault(fault);
+    let request = instances[0].generation(MOVED_EVENTS, "moved");
     let running = tokio::spawn(send_request(request));
     wait_until("it runs", async || {
         !site.standin.servers_that_ran("moved").is_empty()
@@ -114,11 +118,43 @@
     .await;
     site.standin.list_server(&leaving, "draining");
     let response = running.await.expect("response received");
+    (site, leaving.id.clone(), response)
+}
+
+fn assert_moved_whole(response: &HttpResponse) {
     assert!(response.is_complete, "{response:?}");
-    let expected: Vec<u32> = (1..=60).collect();
+    let expected: Vec<u32> = (1..=MOVED_EVENTS).collect();
     assert_eq!(event_numbers(&response.body), expected);
-    assert_eq!(
-        site.standin.servers_that_ran("moved"),
-        [leaving.id.as_str()]
-    );
+}
+
+/// An engine that was asked to stop a generation ends its stream like one that is whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_moved_to_another_engine_whole() {
+    let (site, leaving, response) = move_generation(ServerFault::None).await;
+    assert_moved_whole(&response);
+    assert_eq!(site.standin.servers_that_ran("moved"), [leaving]);
+}
+
+/// Guards against review/1 (ORDER): the order to stop a generation had an unknown outcome, and the
+/// end of its stream passed for the end of the generation.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_stop_outcome_lost_part_of_it_not_whole_for_its_caller() {
+    for fault in [ServerFault::LosesStopAnswers, ServerFault::LosesStopOrders] {
+        let (_site, _, response) = move_generation(fault).await;
+        let received = event_numbers(&response.body);
+        let expected: Vec<u32> = (1..=MOVED_EVENTS).collect();
+        assert_eq!(received[..], expected[..received.len()], "{fault:?}");
+        assert!(
+            !response.is_complete || received.len() == expected.len(),
+            "{fault:?}: {} of {MOVED_EVENTS} events passed for all",
+            received.len()
+        );
+    }
+}
+
+/// The same for an outcome that is late: it is waited for.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_stop_outcome_late_whole() {
+    let (_site, _, response) = move_generation(ServerFault::AnswersStopsLate).await;
+    assert_moved_whole(&response);
 }
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -82,6 +82,8 @@
 mod routes;
 #[path = "kernel/rules.rs"]
 mod rules;
+#[path = "kernel/run_state.rs"]
+mod run_state;
 #[path = "kernel/shorter_first.rs"]
 mod shorter_first;
 #[path = "kernel/standby_copies.rs"]
--- /dev/null
+++ b/tests/kernel/run_state.rs
@@ -0,0 +1,34 @@
+//! What is known of a generation while its engine is asked to stop it.
+
+use larkwick::kernel::run_state::RunState;
+
+#[test]
+fn record_no_effect_runs_as_before() {
+    let mut state = RunState::default();
+    state.record_order();
+    assert!(state.is_stopping());
+    state.record_no_effect();
+    assert_eq!(state, RunState::Running);
+}
+
+/// An order without an effect says nothing of an earlier one whose outcome was lost.
+#[test]
+fn record_no_effect_after_unclear_order_stays_unclear() {
+    let mut state = RunState::default();
+    state.record_order();
+    state.record_unclear();
+    state.record_order();
+    assert!(state.is_stopping() && state.may_be_stopped());
+    state.record_no_effect();
+    assert_eq!(state, RunState::Unclear);
+}
+
+#[test]
+fn record_running_ends_doubt() {
+    let mut state = RunState::default();
+    state.record_order();
+    state.record_unclear();
+    assert!(state.may_be_stopped());
+    state.record_running();
+    assert!(!state.may_be_stopped());
+}
--- a/tests/kernel/stop_deadlines.rs
+++ b/tests/kernel/stop_deadlines.rs
@@ -25,10 +25,7 @@
     let deadlines = StopDeadlines::new(EXIT_AT);
     let long = Duration::from_secs(30);
     let last_answer_at = deadlines.last_answer_at();
-    assert_eq!(
-        deadlines.last_send_at(long, last_answer_at),
-        last_answer_at
-    );
+    assert_eq!(deadlines.last_send_at(long, last_answer_at), last_answer_at);
 }
 
 #[test]
