A call whose time is up ends for want of time, not as a fault of its endpoint

What callers saw: nothing; engines paid.

Cause: one timeout stood for "no event for too long" and for "no time left". Change: the wait of a relay knows what it ends with (stream close, stall, deadline); at the deadline, and where a stream breaks in its last 50 ms, the generation ends with "no time left": no report, no move, no restart. Before the first event, and for plain calls, an attempt that had less time than responses usually take gets no mark.

Test: generation_time_up_ends_without_move_or_report failed on the code before and passes.

--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -262,6 +262,18 @@
 }
 
 impl Sent<'_> {
+    /// Records that no response came in time, unless the call had less time left than engines usually
+    /// take.
+    fn record_timeout(&self) {
+        let gateway = &self.call.gateway;
+        let usual_max = gateway
+            .response_time(&self.call.service, INITIAL_FIRST_EVENT_TIME)
+            .overdue();
+        if gateway.now().saturating_sub(self.sent_at) >= usual_max {
+            record_outcome(self.call, self.engine, true, self.sent_at);
+        }
+    }
+
     /// Reports that the engine aborted it.
     async fn report_abort(&self) {
         aborted_requests::report(self.call, self.engine.clone(), Duration::ZERO).await;
@@ -278,7 +290,7 @@
         match result {
             None => Err(lost_run(call, ErrorKind::EndpointLost, STOPPING)),
             Some(None) => {
-                record_outcome(call, self.engine, true, self.sent_at);
+                self.record_timeout();
                 let kind = ErrorKind::AnswerTimeout;
                 Err(lost_run(call, kind, "no event in time"))
             }
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -68,6 +68,9 @@
     MayHaveRun(String),
     /// Sent, without a response before the timeout.
     TimedOut,
+    /// Sent in the last moments of the call, without a response before its deadline: most endpoints
+    /// would not have responded by then.
+    TimeUp,
     /// Sent, without a response before this instance stops.
     Stopping,
 }
@@ -135,6 +138,7 @@
         Attempt::CrashSuspected
         | Attempt::CoolingDown
         | Attempt::RateLimited
+        | Attempt::TimeUp
         | Attempt::Stopping => None,
         Attempt::NotRun(_) | Attempt::Misdirected | Attempt::MayHaveRun(_) | Attempt::TimedOut => {
             Some(true)
@@ -152,6 +156,7 @@
         | Attempt::CrashSuspected
         | Attempt::CoolingDown
         | Attempt::RateLimited
+        | Attempt::TimeUp
         | Attempt::Stopping
         | Attempt::Misdirected => None,
     }
@@ -211,10 +216,10 @@
     let timeout = attempt_timeout(call, attempts);
     let may_give_up = timeout < call.time_left();
     let idle_connections = connection.service_idle_connections();
-    let overdue_after = gateway
+    let usual_max = gateway
         .response_time(&call.service, INITIAL_RESPONSE_TIME)
-        .overdue()
-        * OVERDUE_FACTOR;
+        .overdue();
+    let overdue_after = usual_max * OVERDUE_FACTOR;
     let responder = endpoint.clone();
     let response = async move {
         let response = connection.send(request, permit).await?;
@@ -243,6 +248,7 @@
             aborted_requests::report(call, endpoint.clone(), Duration::ZERO).await;
             Attempt::MayHaveRun(reason)
         }
+        Some(None) if !may_give_up && timeout < usual_max => Attempt::TimeUp,
         Some(None) => {
             if may_give_up {
                 gateway.record_response_time(
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -263,6 +263,11 @@
             attempts.timed_out = true;
             return after_run;
         }
+        Attempt::TimeUp => {
+            "no time left".clone_into(&mut attempts.last_reason);
+            attempts.timed_out = true;
+            return AfterAttempt::Stop;
+        }
         Attempt::Stopping => {
             STOPPING.clone_into(&mut attempts.last_reason);
             return AfterAttempt::Stop;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -33,6 +33,9 @@
 
 /// Longest wait for the stream of a stopped generation to close.
 const STREAM_CLOSE_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time before its deadline in which a stream that breaks ends for want of time: engines stop at the
+/// deadline that they are told, and nothing more could be made elsewhere.
+const TIME_UP_MARGIN: Duration = Duration::from_millis(50);
 /// Maximum number of times that a generation is taken over from an engine whose stream broke.
 const TAKEOVERS_MAX: u32 = 2;
 
@@ -80,6 +83,8 @@
     Stalled,
     /// The stream broke.
     Aborted(String),
+    /// The call's own time is up, which is no fault of its engine.
+    TimeUp,
     /// The generation continues from its KV-cache memory at an engine.
     Continue(Box<Continuation>),
     /// The generation is restarted from the prompt; forwarding continues after the last forwarded
@@ -89,6 +94,17 @@
     Pending,
 }
 
+/// What a wait for the stream ends with if nothing arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Timeout {
+    /// The engine stopped the generation and has not closed its stream.
+    StreamClose,
+    /// The engine is to be asked for the state of the generation.
+    Stall,
+    /// The caller or the route waits no longer.
+    Deadline,
+}
+
 /// Returns the response to the caller; its body is forwarded as it arrives.
 pub(crate) fn forward_response(
     call: Arc<Call>,
@@ -147,6 +163,9 @@
             if let Step::ConnectionEnded = step {
                 step = self.judge_connection_end().await;
             }
+            if matches!(step, Step::Aborted(_)) && self.call.time_left() < TIME_UP_MARGIN {
+                step = Step::TimeUp;
+            }
             if let Step::Aborted(reason) = step {
                 self.report_abort().await;
                 step = self.recover_from_abort(reason).await;
@@ -169,6 +188,7 @@
                     return None;
                 }
                 Step::Aborted(reason) => return Some(Err(self.fail(&reason))),
+                Step::TimeUp => return Some(Err(self.fail("no time left"))),
             }
         }
     }
@@ -183,11 +203,11 @@
         }
         let left = self.call.time_left();
         let (timeout, on_timeout) = if self.pending_continuation.is_some() {
-            (STREAM_CLOSE_TIMEOUT, None)
+            (STREAM_CLOSE_TIMEOUT, Timeout::StreamClose)
         } else if self.stall_detector.query_after < left && !self.run_state.is_stopping() {
-            (self.stall_detector.query_after, Some(Step::Stalled))
+            (self.stall_detector.query_after, Timeout::Stall)
         } else {
-            (left, None)
+            (left, Timeout::Deadline)
         };
         let gateway = self.call.gateway.clone();
         tokio::select! {
@@ -208,10 +228,10 @@
                 self.handle_command(command);
                 Step::Pending
             }
-            () = gateway.sleep_for(timeout) => {
-                on_timeout.unwrap_or_else(|| {
-                    Step::Aborted("no event from the engine before the timeout".to_owned())
-                })
+            () = gateway.sleep_for(timeout) => match on_timeout {
+                Timeout::StreamClose => Step::Aborted("the stopped stream did not close".to_owned()),
+                Timeout::Stall => Step::Stalled,
+                Timeout::Deadline => Step::TimeUp,
             }
         }
     }
--- a/tests/site_generations.rs
+++ b/tests/site_generations.rs
@@ -504,3 +504,44 @@
     })
     .await;
 }
+
+/// Guards against taking the end of a call's time for a fault of its engine: a sound engine was reported
+/// to have broken off, and the generation was moved to two others for one more event.
+#[tokio::test(flavor = "multi_thread")]
+async fn generation_time_up_ends_without_move_or_report() {
+    let site = RoutedSite::start(0).await;
+    for _ in 0..3 {
+        site.start_engine().await;
+    }
+    let instance = site.start_instance("n1").await;
+    wait_until("engines known", async || {
+        let state = instance.state().await;
+        state["endpoints"]
+            .as_object()
+            .is_some_and(|all| all.len() == 3)
+    })
+    .await;
+    let caller = instance.caller();
+    for (route, id) in [("chat", "t1"), ("check", "t2")] {
+        let request = caller.request_with_deadline(&format!("/{route}/200"), id, "1000");
+        let request = request.header("larkwick-model", "m");
+        let response = send_request(request.header("larkwick-token-count", "1000,800")).await;
+        assert!(!response.is_complete, "{response:?}");
+        wait_until("end logged", async || {
+            let ended = instance.logged("generation ended");
+            ended.iter().any(|line| line["request_id"] == id)
+        })
+        .await;
+        let ended = instance.logged("generation ended");
+        let line = ended.iter().find(|line| line["request_id"] == id);
+        assert_eq!(line.expect("logged")["why"], "no time left");
+        assert_eq!(site.standin.servers_that_ran(id).len(), 1, "{route}");
+    }
+    for line in [
+        "endpoint broke off",
+        "generation taken over",
+        "request sent again",
+    ] {
+        assert!(!instance.has_log_line(line), "{line}");
+    }
+}
