A target that answers wrongly is asked to stop where no other engine takes work; lints

Cause: since the target of a continuation that gives no valid answer is asked to stop the generation first, and the order names another engine for its memory.

--- a/src/gateway/call_forwarding.rs
+++ b/src/gateway/call_forwarding.rs
@@ -233,7 +233,7 @@
         let first = parts.message().await?;
         Ok::<_, tonic::Status>((first, parts))
     };
-    let asked = gateway.wait_for(call.time_left() + REPLY_MARGIN, asking);
+    let asked = Box::pin(gateway.wait_for(call.time_left() + REPLY_MARGIN, asking));
     let asked = gateway.run_until_last_answer(asked).await;
     let (first, parts) = match asked {
         None => return Reply::Lost(STOPPING.to_owned()),
@@ -311,7 +311,7 @@
             let body = if is_last {
                 Bytes::new()
             } else {
-                let reading = read_body(parts);
+                let reading = Box::pin(read_body(parts));
                 let read = call
                     .gateway
                     .wait_for(call.time_left() + REPLY_MARGIN, reading);
--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -211,21 +211,27 @@
     call.set_phase(CallPhase::Sent);
     gateway.record_rollout_send(call, &endpoint);
     let sending = connection.send(request, permit);
-    let sent = Sent {
+    let attempt = SentGeneration {
         call,
         demand,
         engine: &endpoint,
         sent_at,
     };
-    let response_future = await_response_head(call, &endpoint, last_event_id, sending);
-    let response = gateway.wait_for(response_timeout, response_future);
-    let awaited = gateway.run_until_last_answer(response).await;
-    let is_stalled = matches!(awaited, Some(Some(Ok(Awaited::Stalled(_)))));
+    // Boxed, as what follows a failure, to keep the future of every generation small.
+    let awaiting = Box::pin(await_response_head(call, &endpoint, last_event_id, sending));
+    let awaiting = gateway.wait_for(response_timeout, awaiting);
+    let awaited = match gateway.run_until_last_answer(awaiting).await {
+        None => Ok(Awaited::InstanceStops),
+        Some(None) => Ok(Awaited::TimedOut),
+        Some(Some(awaited)) => awaited,
+    };
+    let is_stalled = matches!(awaited, Ok(Awaited::Stalled(_)));
     let may_take_over =
         may_try_another || (is_stalled && !takeover::has_left_too_long_ago(call, &endpoint));
-    let response = match sent.check(awaited).await {
+    let response = match attempt.check(awaited).await {
         Err(AttemptFailure::Lost(error)) if may_take_over => {
             let leaving = take_over_or_leave(call, &run_guard.run, last_event_id, error.clone());
+            let leaving = Box::pin(leaving);
             let left = gateway.run_until_last_answer(leaving).await;
             left.unwrap_or_else(|| Err(AttemptFailure::Lost(error)))
         }
@@ -233,7 +239,7 @@
     };
     let response = match response {
         Err(failure) if is_stalled => {
-            sent.report_abort().await;
+            attempt.report_abort().await;
             return Err(failure);
         }
         response => response?,
@@ -254,14 +260,14 @@
 }
 
 /// A generation that was sent to an engine.
-struct Sent<'a> {
+struct SentGeneration<'a> {
     call: &'a Call,
     demand: &'a RunDemand,
     engine: &'a EndpointEntry,
     sent_at: Duration,
 }
 
-impl Sent<'_> {
+impl SentGeneration<'_> {
     /// Records that no response came in time, unless the call had less time left than engines usually
     /// take.
     fn record_timeout(&self) {
@@ -280,33 +286,30 @@
         record_outcome(self.call, self.engine, true, self.sent_at);
     }
 
-    /// Records and checks what came of it: `None` if this instance stops, and `Some(None)` if there
-    /// was no response in time.
+    /// Records and checks what came of it.
     async fn check(
         &self,
-        result: Option<Option<Result<Awaited, SendError>>>,
+        result: Result<Awaited, SendError>,
     ) -> Result<EndpointResponse, AttemptFailure> {
         let call = self.call;
         match result {
-            None => Err(lost_run(call, ErrorKind::EndpointLost, STOPPING)),
-            Some(None) => {
+            Ok(Awaited::InstanceStops) => Err(lost_run(call, ErrorKind::EndpointLost, STOPPING)),
+            Ok(Awaited::TimedOut) => {
                 self.record_timeout();
                 let kind = ErrorKind::AnswerTimeout;
                 Err(lost_run(call, kind, "no event in time"))
             }
-            Some(Some(Ok(Awaited::Stalled(reason)))) => {
-                Err(lost_run(call, ErrorKind::EndpointLost, reason))
-            }
-            Some(Some(Ok(Awaited::Response(response)))) => {
+            Ok(Awaited::Stalled(reason)) => Err(lost_run(call, ErrorKind::EndpointLost, reason)),
+            Ok(Awaited::Response(response)) => {
                 check_response(call, self.demand, &response)?;
                 Ok(*response)
             }
-            Some(Some(Err(SendError::Unsent(reason)))) => Err(AttemptFailure::Unsent {
+            Err(SendError::Unsent(reason)) => Err(AttemptFailure::Unsent {
                 reason,
                 unreached: false,
             }),
-            Some(Some(Err(SendError::NoPermit))) => Err(AttemptFailure::RateLimited),
-            Some(Some(Err(SendError::MayHaveRun(reason)))) => {
+            Err(SendError::NoPermit) => Err(AttemptFailure::RateLimited),
+            Err(SendError::MayHaveRun(reason)) => {
                 self.report_abort().await;
                 Err(lost_run(call, ErrorKind::EndpointLost, &reason))
             }
@@ -320,6 +323,10 @@
     Response(Box<EndpointResponse>),
     /// The connection is dead, for this reason; the engine may run the generation.
     Stalled(&'static str),
+    /// There was no response in time.
+    TimedOut,
+    /// This instance stops before there could be a response.
+    InstanceStops,
 }
 
 /// Asks the engine of a generation that was lost before its first event to stop it, before another
@@ -331,13 +338,13 @@
     error: Error,
 ) -> Result<EndpointResponse, AttemptFailure> {
     let engine = run.endpoint.lock().clone();
-    let former = former_run::stop_former_run(call, run, &engine, &error.message).await;
+    let former = former_run::stop_former_run(call, run, &engine, &error.message, None).await;
     let continuation = match former {
         FormerRun::Stopped(continuation) => continuation,
         former if former.allows_restart() => return Err(AttemptFailure::Lost(error)),
         _ => return Err(AttemptFailure::MayRun(error)),
     };
-    let resumed = takeover::resume_or_return(call, run, continuation, last_event_id).await;
+    let resumed = takeover::resume_or_return(call, run, *continuation, last_event_id).await;
     match resumed {
         Ok(resumed) => Ok(go_on_at(call, run, resumed)),
         Err(not_resumed) if not_resumed.may_run => Err(AttemptFailure::MayRun(error)),
--- a/src/gateway/former_run.rs
+++ b/src/gateway/former_run.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub(super) enum FormerRun {
     /// The engine stopped it and keeps its memory.
-    Stopped(Continuation),
+    Stopped(Box<Continuation>),
     /// The engine does not run it any more.
     Gone,
     /// The engine cannot be reached.
@@ -54,13 +54,16 @@
 }
 
 /// Asks an engine to stop a generation whose stream from it is lost, and returns what became of it.
+/// Its memory goes to `last_choice` if no other engine takes work.
 pub(super) async fn stop_former_run(
     call: &Arc<Call>,
     run: &RunHandle,
     source: &EndpointEntry,
     reason: &str,
+    last_choice: Option<&EndpointEntry>,
 ) -> FormerRun {
-    let (former, outcome) = match choose_target(call, source) {
+    let target = choose_target(call, source).or_else(|| last_choice.cloned());
+    let (former, outcome) = match target {
         Some(target) => stop_at(call, run, source, &target).await,
         None => (FormerRun::MayRun, "no engine to go on at".to_owned()),
     };
@@ -91,7 +94,10 @@
     };
     let error = match stopped {
         Some(Ok(continuation)) => {
-            return (FormerRun::Stopped(continuation), "stopped".to_owned());
+            return (
+                FormerRun::Stopped(Box::new(continuation)),
+                "stopped".to_owned(),
+            );
         }
         Some(Err(error)) => error,
         None => StopError::Unknown("no outcome in time".to_owned()),
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -22,7 +22,7 @@
 use super::relay;
 use super::response_body::{ResponseBody, full_body};
 use super::retry_budgets::RepeatCause;
-use super::shutdown;
+use super::shutdown::{STOPPING, stopping_error};
 use super::started_generation::{
     EngineAttempts, StartedGeneration, StreamSummary, record_generation_end,
 };
@@ -216,33 +216,11 @@
             reason.push_str("; retry budget spent");
             break;
         }
-        let wait = capacity_wait(call, attempts);
-        let may_have_run = attempts.runs > 0;
-        let waiting = wait_for_available_engine(call, attempts, wait.total);
-        match call.run_before_send(may_have_run, waiting).await {
-            Some(true) => {}
-            Some(false) => {
-                reason.push_str("; all engines rest, leave or have ended");
-                break;
-            }
-            None => {
-                attempts.is_stopping = true;
-                break;
-            }
-        }
-        let wait = capacity_wait(call, attempts);
-        let excluded = excluded_engines(call, attempts);
-        demand.first_event_within = Some(objective_left(call));
-        let placing = Box::pin(place(call, &mut demand, &excluded, wait));
-        let placed = match call.run_before_send(may_have_run, placing).await {
-            Some(Ok(placement)) => placement,
-            None => {
-                attempts.is_stopping = true;
-                break;
-            }
-            Some(Err(refused)) => {
-                attempts.room_in = refused.room_in;
-                reason.push_str("; no room");
+        let placed = match find_engine(call, attempts, &mut demand).await {
+            Ok(placement) => placement,
+            Err(why) => {
+                reason.push_str("; ");
+                reason.push_str(why);
                 break;
             }
         };
@@ -256,17 +234,14 @@
             last_event_id,
             response_timeout,
             restricted,
-            may_have_run,
+            may_have_run: attempts.runs > 0,
             may_try_another: can_try_another(call, attempts),
         };
         let result = try_engine(call, &demand, params).await;
         attempts.record(&result);
         let failure = match result {
             Ok(attempt_response) => return Ok(attempt_response),
-            Err(AttemptFailure::Stopping) => {
-                attempts.is_stopping = true;
-                break;
-            }
+            Err(AttemptFailure::Stopping) => break,
             Err(
                 AttemptFailure::CrashSuspected
                 | AttemptFailure::CoolingDown
@@ -288,6 +263,35 @@
     failures.into_result(call, attempts, &reason)
 }
 
+/// Waits for an engine that takes work and for capacity there, and returns the placement or why there
+/// is none.
+async fn find_engine(
+    call: &Call,
+    attempts: &mut EngineAttempts,
+    demand: &mut RunDemand,
+) -> Result<Placement, &'static str> {
+    let may_have_run = attempts.runs > 0;
+    let wait = capacity_wait(call, attempts);
+    let waiting = wait_for_available_engine(call, attempts, wait.total);
+    match call.run_before_send(may_have_run, waiting).await {
+        Some(true) => {}
+        Some(false) => return Err("all engines rest, leave or have ended"),
+        None => return Err(STOPPING),
+    }
+    let wait = capacity_wait(call, attempts);
+    let excluded = excluded_engines(call, attempts);
+    demand.first_event_within = Some(objective_left(call));
+    let placing = Box::pin(place(call, demand, &excluded, wait));
+    match call.run_before_send(may_have_run, placing).await {
+        Some(Ok(placement)) => Ok(placement),
+        Some(Err(refused)) => {
+            attempts.room_in = refused.room_in;
+            Err("no room")
+        }
+        None => Err(STOPPING),
+    }
+}
+
 /// Places a generation. One that is drawn for the few engines of a new version does not wait for
 /// them, and does not return to them.
 async fn place(
@@ -356,8 +360,8 @@
         // Once an engine may have run the generation, a later refusal must not report it as not
         // run.
         Err(self.error.unwrap_or_else(|| {
-            if attempts.runs == 0 && attempts.is_stopping {
-                shutdown::stopping_error()
+            if attempts.runs == 0 && call.is_too_late_to_send() {
+                stopping_error()
             } else if attempts.runs == 0 {
                 no_capacity_error(call, attempts, reason)
             } else {
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -179,9 +179,8 @@
         call.set_phase(CallPhase::Waiting);
     }
     let may_have_run = attempts.may_have_run > 0;
-    let waiting = next_endpoint(call, &attempts.tried);
+    let waiting = Box::pin(next_endpoint(call, &attempts.tried));
     let Some(next) = call.run_before_send(may_have_run, waiting).await else {
-        attempts.is_stopping = true;
         STOPPING.clone_into(&mut attempts.last_reason);
         return None;
     };
@@ -342,7 +341,7 @@
             format!("service {}: {reason}; it may have run", call.service),
         );
     }
-    if attempts.is_stopping {
+    if call.is_too_late_to_send() {
         return stopping_error();
     }
     let retry_after = endpoint_cooldowns::retry_after_cooldown(call);
--- a/src/gateway/relay/continuation.rs
+++ b/src/gateway/relay/continuation.rs
@@ -26,11 +26,9 @@
         }
         self.takeovers += 1;
         let run = &self.run_guard.run;
-        let former = former_run::stop_former_run(&self.call, run, &engine, &reason).await;
+        let former = former_run::stop_former_run(&self.call, run, &engine, &reason, None).await;
         match former {
-            FormerRun::Stopped(continuation) if may_take_over => {
-                Step::Continue(Box::new(continuation))
-            }
+            FormerRun::Stopped(continuation) if may_take_over => Step::Continue(continuation),
             former if may_restart && former.allows_restart() => Step::Restart(reason),
             _ => Step::Aborted(reason),
         }
--- a/src/gateway/request_handler.rs
+++ b/src/gateway/request_handler.rs
@@ -135,7 +135,7 @@
     let body_max_bytes = accepted.table.config().limits.body_max_bytes;
     let route = &accepted.routed.route;
     let last_send_at = |deadlines| last_send_at(deadlines, route, &head, arrived);
-    let reading = read_body(gateway, body, body_max_bytes);
+    let reading = Box::pin(read_body(gateway, body, body_max_bytes));
     let read = gateway.run_until_stop(last_send_at, reading).await;
     let read = read.unwrap_or_else(|| Err(shutdown::stopping_error()));
     let (body, held_body) = read.map_err(refused)?;
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -112,12 +112,22 @@
             if may_have_run {
                 deadlines.last_answer_at()
             } else {
-                deadlines.last_send_at(self.expected_duration(), self.deadline)
+                self.last_send_at(deadlines)
             }
         };
         self.gateway.run_until_stop(last_at, future).await
     }
 
+    /// Returns whether the call could not be served any more before this instance exits.
+    pub(super) fn is_too_late_to_send(&self) -> bool {
+        let deadlines = self.gateway.shutdown.deadlines();
+        deadlines.is_some_and(|deadlines| self.last_send_at(deadlines) <= self.gateway.now())
+    }
+
+    fn last_send_at(&self, deadlines: StopDeadlines) -> Duration {
+        deadlines.last_send_at(self.expected_duration(), self.deadline)
+    }
+
     /// Returns the time within which the call nearly always ends once it is sent.
     fn expected_duration(&self) -> Duration {
         match self.route.kind {
--- a/src/gateway/started_generation.rs
+++ b/src/gateway/started_generation.rs
@@ -104,8 +104,6 @@
     pub(crate) may_forward: bool,
     /// Whether no peer that was asked reaches an engine either.
     pub(crate) out_of_reach: bool,
-    /// Whether this instance stops before the generation could be served.
-    pub(crate) is_stopping: bool,
     /// Time until the engines have room, as their owner told when it refused the generation.
     pub(crate) room_in: Option<Duration>,
 }
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -203,10 +203,11 @@
             runs.record_unavailable_engine(&call.service, &target.id, Unavailability::Refused);
         }
         if let ResumeError::Lost(reason) = &error {
-            match former_run::stop_former_run(call, run, &target, reason).await {
+            let other = Some(&previous).filter(|previous| previous.id != target.id);
+            match former_run::stop_former_run(call, run, &target, reason, other).await {
                 FormerRun::Stopped(next) if may_stop_target => {
                     may_stop_target = false;
-                    continuation = next;
+                    continuation = *next;
                     continue;
                 }
                 former if !former.allows_restart() => {
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -32,7 +32,7 @@
     site
 }
 
-async fn start_instance(site: &RoutedSite, name: &str) -> Instance {
+fn start_instance(site: &RoutedSite, name: &str) -> Instance {
     let routing = json!({
         "load": {"wait_past_objective": true}, "stop_within_s": STOP_WITHIN_S, "hold_max_ms": 20_000,
     });
@@ -40,7 +40,7 @@
 }
 
 async fn start_ready_instance(site: &RoutedSite, name: &str) -> Instance {
-    let instance = start_instance(site, name).await;
+    let instance = start_instance(site, name);
     instance.wait_until_ready().await;
     instance
 }
@@ -268,7 +268,7 @@
     site.standin
         .store
         .set_fault(larkwick::standin::site::store::StoreFault::Busy);
-    let mut instance = start_instance(&site, "n1").await;
+    let mut instance = start_instance(&site, "n1");
     let waiting = tokio::spawn(send_request(instance.request("/once/1", "held")));
     wait_until("held", async || {
         instance.state().await["calls_held"].as_u64() == Some(1)
