--- a/src/gateway/answer_ends.rs
+++ b/src/gateway/answer_ends.rs
@@ -6,10 +6,10 @@
 use super::crash_suspects::Survival;
 use super::inbound_call::Call;
 use super::node::Gateway;
-use super::presence_probe::run_probe;
+use super::presence_probe::{ask_identity, run_probe};
 use super::upstream::ConnectError;
 use crate::kernel::fleet::EndpointEntry;
-use crate::kernel::presence::Presence;
+use crate::kernel::presence::{Presence, ProbeStep};
 
 /// Time from the end of an answer until its endpoint is probed: a process that exits closes its
 /// connections some milliseconds before it refuses others.
@@ -25,12 +25,31 @@
         self.weigh_probe(endpoint, result).await.presence
     }
 
-    /// Returns whether an endpoint has ended with its answer, as far as one more connection shows:
-    /// the caller of a plain call waits for it.
-    pub(super) async fn has_ended_with_answer(&self, endpoint: &EndpointEntry) -> bool {
+    /// Returns whether an endpoint has ended with its answer, as far as one more connection and a
+    /// question on it show: the caller of a plain call waits for it.
+    ///
+    /// A connection alone does not show it: the endpoint may be back at its address, as another
+    /// incarnation.
+    pub(super) async fn has_ended_with_answer(
+        &self,
+        call: &Call,
+        endpoint: &EndpointEntry,
+    ) -> bool {
         self.sleep_for(SETTLE_TIME).await;
-        let connection = self.upstream.open_probe_connection(endpoint).await;
-        matches!(connection, Err(ConnectError::Refused(_))) && self.is_down_for_all(endpoint).await
+        let service = call.table.service(&endpoint.service);
+        let step = match service.and_then(|service| service.health_path.as_deref()) {
+            // Boxed because it is rare, and would otherwise enlarge the future of every call.
+            Some(health_path) => Box::pin(ask_identity(self, endpoint, health_path)).await,
+            None => match self.upstream.open_probe_connection(endpoint).await {
+                Err(ConnectError::Refused(_)) => ProbeStep::Refused,
+                _ => ProbeStep::StillOpen,
+            },
+        };
+        match step {
+            ProbeStep::OtherAnswered => true,
+            ProbeStep::Refused => self.is_down_for_all(endpoint).await,
+            _ => false,
+        }
     }
 }
 
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -98,8 +98,6 @@
     /// Last error response of an endpoint; returned if no other attempt succeeds.
     pub(super) error_response: Option<BufferedResponse>,
     pub(super) timed_out: bool,
-    /// Whether this instance stops before the call could be served.
-    pub(super) is_stopping: bool,
     pub(super) last_reason: String,
     /// Whether the request is a crash suspect that only endpoints with other software may run.
     pub(super) restricted: bool,
@@ -196,7 +194,7 @@
 ) -> Attempt {
     let gateway = &call.gateway;
     let may_have_run = attempts.may_have_run > 0;
-    let connecting = connect(call, endpoint, attempts);
+    let connecting = Box::pin(connect(call, endpoint, attempts));
     let connection = match call.run_before_send(may_have_run, connecting).await {
         Some(Ok(connection)) => connection,
         Some(Err(reason)) => return Attempt::NotRun(reason),
@@ -392,7 +390,7 @@
             head.status
         )));
     }
-    if head.ends_with_connection && gateway.has_ended_with_answer(endpoint).await {
+    if head.ends_with_connection && gateway.has_ended_with_answer(call, endpoint).await {
         let reason = "the endpoint ended with its answer".to_owned();
         return Err(SendError::MayHaveRun(reason));
     }
--- a/src/gateway/presence_probe.rs
+++ b/src/gateway/presence_probe.rs
@@ -1,8 +1,9 @@
 //! Probes whether an endpoint still runs: connects to it, watches what becomes of the connection,
 //! and asks engines for their report.
 //!
-//! Plain endpoints are not asked: a question would take one of their slots, and one that is full
-//! would not answer either.
+//! Plain endpoints that abort a request are not asked: a question would take one of their slots, and
+//! one that is full would not answer either. Another incarnation at their address refuses a question
+//! at once, which is asked where the end of a connection alone tells that an answer is whole.
 
 use std::time::Duration;
 
@@ -148,6 +149,44 @@
     }
 }
 
+/// Time that a plain endpoint has for the answer to a question. One that waits for a slot does not
+/// answer by then, and another incarnation at its address refuses at once.
+const IDENTITY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Asks whoever listens at the address of a plain endpoint whether it is that endpoint.
+pub(super) async fn ask_identity(
+    gateway: &Gateway,
+    endpoint: &EndpointEntry,
+    health_path: &str,
+) -> ProbeStep {
+    let request =
+        engine::build_identity_request(endpoint.address, health_path, &endpoint.listed_id);
+    let permit = if gateway.is_cooling_down(&endpoint.id) {
+        None
+    } else {
+        let permit = gateway.request_permit(&endpoint.service, &endpoint.id);
+        permit.await
+    };
+    let (Ok(request), Some(permit)) = (request, permit) else {
+        return watch(gateway, endpoint).await.0;
+    };
+    let connection =
+        gateway
+            .upstream
+            .acquire_connection(endpoint, usize::MAX, ConnectionReuse::Never);
+    let connection = match connection.await {
+        Ok(connection) => connection,
+        Err(error) => return connect_step(&error),
+    };
+    let asked = gateway.wait_for(IDENTITY_TIMEOUT, connection.send(request, permit));
+    match asked.await {
+        Some(Ok(response)) if response.head.misdirected => ProbeStep::OtherAnswered,
+        Some(Ok(_)) => ProbeStep::Answered,
+        Some(Err(_)) => ProbeStep::Closed,
+        None => ProbeStep::Unanswered,
+    }
+}
+
 /// Asks an engine for its report.
 async fn ask(gateway: &Gateway, endpoint: &EndpointEntry, permit: Permit) -> ProbeStep {
     let connecting_at = gateway.now();
--- a/src/kernel/route.rs
+++ b/src/kernel/route.rs
@@ -80,6 +80,9 @@
     /// The request rate that its endpoints sustain after a start; `None` if it is not configured.
     #[serde(default)]
     pub cold_start: Option<ColdStart>,
+    /// Path of the health checks of its endpoints.
+    #[serde(default)]
+    pub health_path: Option<String>,
     /// Set if its endpoints are model engines.
     pub engine: Option<EngineCapabilities>,
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -421,6 +421,23 @@
     Ok(request)
 }
 
+/// Builds a health check of an endpoint that every other endpoint refuses as misdirected.
+///
+/// # Errors
+/// Returns an error if the request cannot be built.
+pub fn build_identity_request(
+    endpoint: SocketAddr,
+    health_path: &str,
+    listed_id: &str,
+) -> http::Result<Request<Bytes>> {
+    Request::builder()
+        .method(Method::GET)
+        .uri(health_path)
+        .header(HOST, endpoint.to_string())
+        .header(names::EXPECTED_ENDPOINT, header_value(listed_id))
+        .body(Bytes::new())
+}
+
 /// Decodes an engine's report.
 ///
 /// # Errors
--- a/src/platform/operator_config.rs
+++ b/src/platform/operator_config.rs
@@ -26,12 +26,10 @@
 const PATIENCE_OBJECTIVES: u32 = 4;
 const PATIENCE_PAUSES: u32 = 8;
 
-/// Fields that are ignored on purpose. Health is derived from the results of calls, since health
-/// checks are charged for and may report false results. Every server speaks plain HTTP/1.1.
+/// Fields that are ignored on purpose. Every server speaks plain HTTP/1.1.
 /// Placement does not depend on `sticky`. Engines are not asked to pin prompts or to hold
 /// reservations, and which models they have is up to the operator.
-const IGNORED_FIELDS: [&str; 10] = [
-    "health-path",
+const IGNORED_FIELDS: [&str; 9] = [
     "protocol",
     "tls",
     "sticky",
@@ -97,6 +95,9 @@
     cold_start_s: Option<f64>,
     /// Sustainable rate during that time, in requests per second; 0 if not specified.
     cold_per_s: Option<f64>,
+    /// Path of its servers' health checks. Health itself is derived from the results of calls, since
+    /// health checks are charged for and may report false results.
+    health_path: Option<String>,
     engine: Option<WireEngine>,
 }
 
@@ -254,6 +255,7 @@
     let service = Service {
         connections_max: wire.max_conns.unwrap_or(u32::MAX),
         cold_start,
+        health_path: wire.health_path,
         engine,
     };
     (wire.name, service)
--- a/src/standin/site/mod.rs
+++ b/src/standin/site/mod.rs
@@ -65,6 +65,9 @@
     }
 }
 
+/// A free loopback port.
+const ANY_ADDRESS: &str = "127.0.0.1:0";
+
 /// Serves a handler on a free loopback port.
 ///
 /// # Errors
@@ -74,7 +77,16 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<StandinBody>> + Send + 'static,
 {
-    let socket = Arc::new(TcpListener::bind("127.0.0.1:0").await?);
+    serve_at(ANY_ADDRESS, handler).await
+}
+
+/// Serves a handler at an address.
+async fn serve_at<H, F>(address: &str, handler: H) -> std::io::Result<Listener>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<StandinBody>> + Send + 'static,
+{
+    let socket = Arc::new(TcpListener::bind(address).await?);
     let address = socket.local_addr()?;
     let accepting_socket = socket.clone();
     let connections = Arc::new(parking_lot::Mutex::new(Vec::new()));
@@ -301,7 +313,8 @@
             "version": version,
             "routes": routes,
             "services": [
-                {"name": "app", "max-conns": 100}, {"name": "llm", "max-conns": 100, "engine": engine},
+                {"name": "app", "max-conns": 100, "health-path": server::HEALTH_PATH},
+                {"name": "llm", "max-conns": 100, "health-path": server::HEALTH_PATH, "engine": engine},
             ],
             "tenants": [{"name": "account-1", "api-keys": keys}],
         })
@@ -345,6 +358,11 @@
         self.servers.end_responses_with_connection();
     }
 
+    /// Makes servers that crash start again at their address at once, under another id, from now on.
+    pub fn restart_at_once(&self) {
+        self.servers.restart_at_once();
+    }
+
     /// Makes servers that crash close their connections some milliseconds before they cease to
     /// listen, from now on.
     pub fn close_connections_first(&self) {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 
 use super::copies::MemoryCopies;
-use super::{Listener, StandinBody, add_unknown_header, build_response, serve};
+use super::{Listener, StandinBody, add_unknown_header, build_response, serve_at};
 use crate::platform::names;
 
 /// Interval between two events of an engine; short, so that tests run quickly.
@@ -29,13 +29,16 @@
 /// Duration of a memory copy.
 const COPY_DURATION: Duration = Duration::from_millis(40);
 
+/// Path of the health checks.
+pub(super) const HEALTH_PATH: &str = "/healthz";
+
 /// Event that [`ServerFault::SkipsEvent`] omits.
 const SKIPPED_EVENT: u32 = 5;
 /// Delay of [`ServerFault::RespondsLate`]: many times the usual response time.
 pub const LATE_RESPONSE_DELAY: Duration = Duration::from_millis(700);
 
 /// Delay of [`ServerFault::AnswersStopsLate`]: longer than callers go without an event.
-pub const LATE_STOP_DELAY: Duration = Duration::from_millis(2_000);
+pub const LATE_STOP_DELAY: Duration = Duration::from_secs(2);
 
 /// Kind of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -205,6 +208,8 @@
     events_before_crash: AtomicU32,
     /// Whether responses have neither a length nor chunks, and end with their connection.
     ends_with_connection: AtomicBool,
+    /// Whether a server that crashes starts again at its address at once, under another id.
+    restarts_at_once: AtomicBool,
     /// Whether a server that crashes closes its connections before its listening socket.
     closes_connections_first: AtomicBool,
     /// Ids of the crashed servers, in order.
@@ -219,6 +224,15 @@
         self: &Arc<Self>,
         service: &str,
         kind: ServerKind,
+    ) -> std::io::Result<Arc<Server>> {
+        self.start_at(service, kind, super::ANY_ADDRESS).await
+    }
+
+    async fn start_at(
+        self: &Arc<Self>,
+        service: &str,
+        kind: ServerKind,
+        address: &str,
     ) -> std::io::Result<Arc<Server>> {
         let number = self.started_count.fetch_add(1, Ordering::Relaxed);
         let server = Arc::new(Server {
@@ -239,7 +253,7 @@
             headers_by_request: Mutex::default(),
         });
         let handler_server = server.clone();
-        let listener = serve(move |request| {
+        let listener = serve_at(address, move |request| {
             let server = handler_server.clone();
             async move { server.handle_with_signals(request).await }
         })
@@ -267,6 +281,10 @@
         self.ends_with_connection.store(true, Ordering::Relaxed);
     }
 
+    pub(super) fn restart_at_once(&self) {
+        self.restarts_at_once.store(true, Ordering::Relaxed);
+    }
+
     pub(super) fn close_connections_first(&self) {
         self.closes_connections_first.store(true, Ordering::Relaxed);
     }
@@ -522,6 +540,7 @@
         let path = request.uri().path().to_owned();
         match path.as_str() {
             names::MOVE_PATH => return self.copy_memory(request).await,
+            HEALTH_PATH => return self.health(request.headers()),
             names::REPORT_PATH => return build_response(200, self.run_report().to_string()),
             _ => {}
         }
@@ -607,6 +626,11 @@
         // The crash belongs to no single frame, and ends the body without one of its own.
         let crashing = stream::once(async move {
             tokio::time::sleep(EVENT_INTERVAL).await;
+            if self.restarts_at_once() {
+                // In a task of its own: the crash ends the task of this connection.
+                tokio::spawn(self.restart());
+                return std::future::pending().await;
+            }
             if self.closes_connections_first() {
                 tokio::spawn(async move {
                     tokio::time::sleep(LISTENING_AFTER_CLOSE).await;
@@ -622,6 +646,24 @@
         with_seal(Response::new(body), id)
     }
 
+    fn restarts_at_once(&self) -> bool {
+        let servers = self.servers.upgrade();
+        servers.is_some_and(|servers| servers.restarts_at_once.load(Ordering::Relaxed))
+    }
+
+    /// Crashes, and starts again at the same address as another incarnation.
+    fn restart(self: Arc<Self>) -> futures::future::BoxFuture<'static, ()> {
+        Box::pin(async move {
+            self.crash_listener().await;
+            let address = self.listen_address().to_string();
+            if let Some(servers) = self.servers.upgrade() {
+                let started = servers.start_at(&self.service, self.kind, &address);
+                // The test finds out if the address was taken meanwhile.
+                let _ = started.await;
+            }
+        })
+    }
+
     fn closes_connections_first(&self) -> bool {
         let servers = self.servers.upgrade();
         servers.is_some_and(|servers| servers.closes_connections_first.load(Ordering::Relaxed))
@@ -654,6 +696,14 @@
         }
     }
 
+    fn health(&self, headers: &HeaderMap) -> Response<StandinBody> {
+        let expected = header_text(headers, &names::EXPECTED_ENDPOINT);
+        if expected.is_some_and(|expected| expected != self.id) {
+            return build_response(421, "another server");
+        }
+        build_response(200, "")
+    }
+
     fn run_report(&self) -> Value {
         let running = self.running.lock();
         let runs = running.iter();
--- a/tests/connection_ended_answers.rs
+++ b/tests/connection_ended_answers.rs
@@ -69,6 +69,19 @@
     }
 }
 
+/// Guards against half an answer that passed for all: its endpoint crashed and was back at its address,
+/// as another incarnation, before it was looked for there.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_endpoint_crashed_and_back_not_whole_for_its_caller() {
+    for path in ["/once/1", "/calls/1"] {
+        let (site, instances) = start(3, 0, 1).await;
+        site.standin.restart_at_once();
+        let response = crash(&instances[0], path, "back").await;
+        assert_ne!(response.status, 200, "{path}: {response:?}");
+        assert!(!site.standin.crashed_servers().is_empty());
+    }
+}
+
 /// A crash that looks like a proper end does not clear the request that caused it.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_crashes_each_endpoint_refused_by_all_instances() {
