LOST: an instance that stops does not exit before whole answers are written

What callers saw: an answer of a plain call that its caller reads slowly was cut when the instance stopped with nothing else in flight: a call ceased to count when its answer was known, not when it was written.

Change: the body of a plain answer, also of one that a peer served, keeps its call in flight, in the phase `answering`.

Test: stop_answer_read_slowly_whole waits for the phase, which the code before does not have, so that it fails there by timing out; that the answer itself was cut before was not shown by a run.

--- a/src/gateway/app.rs
+++ b/src/gateway/app.rs
@@ -247,9 +247,10 @@
         waiting,
         forwarded,
         sent,
+        answering,
     } = cut;
     info!("instance stopped", kv: {
-        calls_cut: = cut.total(), receiving:, waiting:, forwarded:, sent:, took_ms:,
+        calls_cut: = cut.total(), receiving:, waiting:, forwarded:, sent:, answering:, took_ms:,
     });
 }
 
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -28,6 +28,8 @@
     Forwarded,
     /// An endpoint may run it, or answers it.
     Sent,
+    /// Its whole answer is known and is being written to the caller.
+    Answering,
 }
 
 /// Numbers of calls in flight by phase.
@@ -37,6 +39,7 @@
     pub(crate) waiting: usize,
     pub(crate) forwarded: usize,
     pub(crate) sent: usize,
+    pub(crate) answering: usize,
 }
 
 impl CallCounts {
@@ -46,11 +49,12 @@
             CallPhase::Waiting => &mut self.waiting,
             CallPhase::Forwarded => &mut self.forwarded,
             CallPhase::Sent => &mut self.sent,
+            CallPhase::Answering => &mut self.answering,
         }
     }
 
     pub(crate) const fn total(&self) -> usize {
-        self.receiving + self.waiting + self.forwarded + self.sent
+        self.receiving + self.waiting + self.forwarded + self.sent + self.answering
     }
 }
 
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -21,7 +21,7 @@
     Attempt, Attempts, BufferedResponse, INITIAL_RESPONSE_TIME, TIME_LEFT_MIN, endpoint_failure,
     send_attempt,
 };
-use super::response_body::{ResponseBody, full_body, held_body};
+use super::response_body::{ResponseBody, full_body, held_body, keeping_body};
 use super::retry_budgets::RepeatCause;
 use super::shutdown::{STOPPING, stopping_error};
 use crate::error::{Error, ErrorKind};
@@ -50,7 +50,7 @@
     let mut out_of_reach = false;
     if is_cut_off {
         match call_forwarding::forward(&call, before).await {
-            Forwarding::Answered(response) => return response,
+            Forwarding::Answered(response) => return keep_until_written(call, response),
             Forwarding::Declined => out_of_reach = true,
             Forwarding::NoPeer => {}
         }
@@ -68,7 +68,8 @@
         && let Some(response) =
             call_forwarding::forward_failed(&call, error, attempts.sends_so_far()).await
     {
-        return response;
+        drop(attempts);
+        return keep_until_written(call, response);
     }
     let took_ms = millis(call.age());
     let (response, outcome) = match result {
@@ -97,7 +98,14 @@
             took_ms:,
         });
     }
-    response
+    drop(attempts);
+    keep_until_written(call, response)
+}
+
+/// Keeps a call in flight until its caller has the answer, so that the instance does not exit before.
+fn keep_until_written(call: Arc<Call>, response: Response<ResponseBody>) -> Response<ResponseBody> {
+    call.set_phase(CallPhase::Answering);
+    response.map(|body| keeping_body(body, call))
 }
 
 fn into_response(gateway: &Gateway, buffered: BufferedResponse) -> Response<ResponseBody> {
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -4,6 +4,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use larkwick::standin::site::server::{Server, ServerFault};
 use larkwick::standin::site::{HOST, KEY};
 use nix::sys::signal::Signal;
@@ -278,3 +280,32 @@
     assert_refused(&site, &waiting.await.expect("answered"), "held");
     assert_eq!(exit_fields(&mut instance).await["calls_cut"], "0");
 }
+
+/// An answer that its caller reads slowly: the process does not exit before it is written.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_answer_read_slowly_whole() {
+    const BODY_BYTES: usize = 3_900_000;
+    /// Longer than the time for which an instance without calls still answers.
+    const PAUSE: Duration = Duration::from_secs(2);
+    let site = start_site(1).await;
+    let instance = start_ready_instance(&site, "n1").await;
+    let head = format!(
+        "POST /once/1 HTTP/1.1\r\nLarkwick-Request-Id: large\r\nContent-Length: {BODY_BYTES}"
+    );
+    let body = "x".repeat(BODY_BYTES);
+    let mut stream = send_raw(&instance, &head, &body).await;
+    wait_until("answering", async || {
+        let phases = instance.state().await["calls_by_phase"].clone();
+        phases["answering"].as_u64() == Some(1)
+    })
+    .await;
+    stop(&instance).await;
+    tokio::time::sleep(PAUSE).await;
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.expect("read");
+    assert!(
+        response.len() > BODY_BYTES,
+        "{} of {BODY_BYTES} bytes",
+        response.len()
+    );
+}
