REFUSED: an endpoint's 503 without its word that nothing ran is no promise to callers who may not repeat

What callers learned: a 503, 429 or 408 of an endpoint was passed on as it came. Callers take these for the promise that the request has not run (PROTOCOL.md, Answers), while only `Larkwick-Not-Executed` states it (Servers). For calls that may not be repeated that breaks REFUSED where the endpoint ran it.

Decision: such an answer becomes our own 502, "may have run", without the seal, so that MIXED (a seal with another status) is kept; calls that may be repeated get the status unchanged, for which REFUSED does not bind. The adapter tells it as `unproved_refusal`.

Test: endpoint_refuses_without_its_word_caller_not_promised_that_nothing_ran.

--- a/src/gateway/engine_attempt.rs
+++ b/src/gateway/engine_attempt.rs
@@ -384,6 +384,11 @@
             misdirected: response.head.misdirected,
         });
     }
+    // Its caller would send it again.
+    if response.head.unproved_refusal {
+        let reason = format!("engine answered {}", response.head.status);
+        return Err(lost_run(call, ErrorKind::EndpointLost, &reason));
+    }
     let is_valid =
         response.head.sealed && !response.head.encoded && response.head.request_id.is_some();
     if response.parts.status.is_success() && !is_valid {
--- a/src/gateway/message_heads.rs
+++ b/src/gateway/message_heads.rs
@@ -84,6 +84,9 @@
     pub sealed: bool,
     /// Whether the endpoint declares that it did not run the request.
     pub not_run: bool,
+    /// Whether callers take its status for the promise that the request did not run, although the
+    /// endpoint does not declare it.
+    pub unproved_refusal: bool,
     /// Whether a different endpoint than the expected one runs at the address.
     pub misdirected: bool,
     /// Whether the body has a content encoding, which callers never request.
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -390,6 +390,11 @@
             head.status
         )));
     }
+    // Its caller would send it again.
+    if head.unproved_refusal && call.route.kind == CallKind::Once {
+        let reason = format!("endpoint answered {} and may have run it", head.status);
+        return Err(SendError::MayHaveRun(reason));
+    }
     if head.ends_with_connection && gateway.has_ended_with_answer(call, endpoint).await {
         let reason = "the endpoint ended with its answer".to_owned();
         return Err(SendError::MayHaveRun(reason));
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -134,6 +134,7 @@
         request_id: text(&names::REQUEST_ID).map(str::to_owned),
         sealed: headers.contains_key(names::RESPONSE_SEAL),
         not_run,
+        unproved_refusal: !not_run && PROMISING_STATUSES.contains(&parts.status),
         misdirected,
         encoded: headers.contains_key(CONTENT_ENCODING),
         closes: has_connection_close(headers),
@@ -143,6 +144,13 @@
     }
 }
 
+/// Statuses that promise callers that the request did not run and will not run.
+const PROMISING_STATUSES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Decodes the endpoint signals, which do not depend on the request that the response is for.
 fn decode_signals(status: StatusCode, headers: &HeaderMap) -> EndpointSignals {
     EndpointSignals {
--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -67,6 +67,8 @@
     WrongRequestId,
     /// Responds with status 500.
     InternalError,
+    /// Runs each request and responds with status 503, without saying that it did not run.
+    RunsAndRefuses,
     /// Omits the response seal.
     Unsealed,
     /// Copies the memory of its generations, and does not stop them for a move.
@@ -593,7 +595,12 @@
             _ => {}
         }
         match self.kind {
-            ServerKind::Engine if fault == ServerFault::InternalError => {
+            ServerKind::Engine
+                if matches!(
+                    fault,
+                    ServerFault::InternalError | ServerFault::RunsAndRefuses
+                ) =>
+            {
                 Self::plain_response(&id, fault, &body)
             }
             ServerKind::Plain => Self::plain_response(&id, fault, &body),
@@ -720,10 +727,10 @@
     }
 
     fn plain_response(id: &str, fault: ServerFault, body: &Bytes) -> Response<StandinBody> {
-        let status = if fault == ServerFault::InternalError {
-            500
-        } else {
-            200
+        let status = match fault {
+            ServerFault::InternalError => 500,
+            ServerFault::RunsAndRefuses => 503,
+            _ => 200,
         };
         let mut response = build_response(status, body.clone());
         let echoed_id = if fault == ServerFault::WrongRequestId {
--- a/tests/site_calls.rs
+++ b/tests/site_calls.rs
@@ -717,3 +717,26 @@
     let allowed = 0.2 * f64::from(u32::try_from(calls).expect("few")) + 60.0;
     assert!(retries <= allowed, "{retries} of {allowed}");
 }
+
+/// Guards against a promise that nobody made: an endpoint's 503 without its word that nothing ran tells
+/// callers that they may send the request again.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_refuses_without_its_word_caller_not_promised_that_nothing_ran() {
+    let site = RoutedSite::start(1).await;
+    let engine = site.start_engine().await;
+    site.apps[0].set_fault(ServerFault::RunsAndRefuses);
+    engine.set_fault(ServerFault::RunsAndRefuses);
+    let instance = site.start_instance("n1").await;
+    wait_until("engine known", async || {
+        instance.state().await["endpoints"][&engine.id].is_object()
+    })
+    .await;
+    for (path, status) in [("/once/1", 502), ("/chat/2", 502), ("/calls/1", 503)] {
+        let id = format!("refused-{}", path.len());
+        let request = instance.request(path, &id);
+        let request = request.header("larkwick-model", "m");
+        let response = send_request(request.header("larkwick-token-count", "1000,8")).await;
+        assert_eq!(response.status, status, "{path}: {response:?}");
+        assert!(!site.standin.servers_that_ran(&id).is_empty(), "{path}");
+    }
+}
