--- a/src/standin/site/server.rs
+++ b/src/standin/site/server.rs
@@ -485,6 +485,10 @@
 
     /// Returns whether it works on a generation that it was not told to stop.
     fn is_running(&self, request: &str) -> bool {
+        // What a killed server ran ends with it, though its tasks may take a moment.
+        if self.listener.lock().is_none() {
+            return false;
+        }
         let running = self.running.lock();
         let run = running.get(request);
         run.is_some_and(|run| !run.stop_requested.load(Ordering::Relaxed))
