Answers keep their call in flight by their bytes, not by their body; a generation without another engine ends with its engine

Now the bytes keep the call, as they keep what counts as held.

With it: where no other engine can take a lost generation, its engine is asked nothing, and the generation may be started again only if that engine has ended; `former` of `generation taken over` tells "runs on" and "not asked" apart.

--- a/src/gateway/call_forwarding.rs
+++ b/src/gateway/call_forwarding.rs
@@ -320,7 +320,8 @@
                 read.unwrap_or_else(|| Err("no body in time".to_owned()))?
             };
             let held_bytes = call.gateway.held_bytes.hold(body.len());
-            held_body(body, held_bytes)
+            call.set_phase(CallPhase::Answering);
+            held_body(body, held_bytes, call.clone())
         }
         _ => stream_body(call, parts),
     };
--- a/src/gateway/former_run.rs
+++ b/src/gateway/former_run.rs
@@ -33,14 +33,16 @@
     Gone,
     /// The engine cannot be reached.
     Unreached,
-    /// It may still run: the engine runs it after the order to stop, or was not asked.
-    MayRun,
+    /// The engine runs it after the order to stop.
+    RunsOn,
+    /// The engine was not asked, and may run it.
+    NotAsked,
 }
 
 impl FormerRun {
     /// Returns whether the generation may be started again at another engine.
     pub(super) const fn allows_restart(&self) -> bool {
-        !matches!(self, Self::MayRun)
+        !matches!(self, Self::RunsOn | Self::NotAsked)
     }
 
     const fn name(&self) -> &'static str {
@@ -48,7 +50,8 @@
             Self::Stopped(_) => "stopped",
             Self::Gone => "gone",
             Self::Unreached => "unreached",
-            Self::MayRun => "may run",
+            Self::RunsOn => "runs on",
+            Self::NotAsked => "not asked",
         }
     }
 }
@@ -65,7 +68,7 @@
     let target = choose_target(call, source).or_else(|| last_choice.cloned());
     let (former, outcome) = match target {
         Some(target) => stop_at(call, run, source, &target).await,
-        None => (FormerRun::MayRun, "no engine to go on at".to_owned()),
+        None => without_target(call, source).await,
     };
     if crate::log::should_log("generation taken over") {
         info!("generation taken over", kv: {
@@ -76,6 +79,19 @@
     former
 }
 
+/// Returns what is known of a generation that no other engine can take, so that its engine cannot be
+/// asked to stop it.
+async fn without_target(call: &Call, source: &EndpointEntry) -> (FormerRun, String) {
+    let gateway = &call.gateway;
+    let ended = gateway.wait_for(STOP_WAIT_MAX, gateway.has_ended(source));
+    let former = if ended.await == Some(true) {
+        FormerRun::Gone
+    } else {
+        FormerRun::NotAsked
+    };
+    (former, "no engine to go on at".to_owned())
+}
+
 async fn stop_at(
     call: &Call,
     run: &RunHandle,
@@ -105,10 +121,10 @@
     let former = match &error {
         StopError::NotRunning | StopError::OutcomeLost(_) => FormerRun::Gone,
         StopError::Unreached(_) => FormerRun::Unreached,
-        StopError::RetriesSpent | StopError::NotAsked(_) => FormerRun::MayRun,
+        StopError::RetriesSpent | StopError::NotAsked(_) => FormerRun::NotAsked,
         StopError::Unknown(_) => {
             match is_still_running(gateway, source, &call.head.request_id).await {
-                Some(true) => FormerRun::MayRun,
+                Some(true) => FormerRun::RunsOn,
                 Some(false) => FormerRun::Gone,
                 None => FormerRun::Unreached,
             }
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -21,7 +21,7 @@
     Attempt, Attempts, BufferedResponse, INITIAL_RESPONSE_TIME, TIME_LEFT_MIN, endpoint_failure,
     send_attempt,
 };
-use super::response_body::{ResponseBody, full_body, held_body, keeping_body};
+use super::response_body::{ResponseBody, full_body, held_body};
 use super::retry_budgets::RepeatCause;
 use super::shutdown::{STOPPING, stopping_error};
 use crate::error::{Error, ErrorKind};
@@ -50,7 +50,7 @@
     let mut out_of_reach = false;
     if is_cut_off {
         match call_forwarding::forward(&call, before).await {
-            Forwarding::Answered(response) => return keep_until_written(call, response),
+            Forwarding::Answered(response) => return response,
             Forwarding::Declined => out_of_reach = true,
             Forwarding::NoPeer => {}
         }
@@ -68,14 +68,13 @@
         && let Some(response) =
             call_forwarding::forward_failed(&call, error, attempts.sends_so_far()).await
     {
-        drop(attempts);
-        return keep_until_written(call, response);
+        return response;
     }
     let took_ms = millis(call.age());
     let (response, outcome) = match result {
         Ok(buffered) => {
             let status = buffered.parts.status.as_u16();
-            let response = into_response(&call.gateway, buffered);
+            let response = into_response(&call, buffered);
             (response, format!("answered {status}"))
         }
         Err(error) => {
@@ -98,19 +97,14 @@
             took_ms:,
         });
     }
-    drop(attempts);
-    keep_until_written(call, response)
+    response
 }
 
-/// Keeps a call in flight until its caller has the answer, so that the instance does not exit before.
-fn keep_until_written(call: Arc<Call>, response: Response<ResponseBody>) -> Response<ResponseBody> {
+/// Returns the response for the caller, who has it before this instance exits.
+fn into_response(call: &Arc<Call>, buffered: BufferedResponse) -> Response<ResponseBody> {
     call.set_phase(CallPhase::Answering);
-    response.map(|body| keeping_body(body, call))
-}
-
-fn into_response(gateway: &Gateway, buffered: BufferedResponse) -> Response<ResponseBody> {
-    let held = gateway.held_bytes.hold(buffered.body.len());
-    let mut response = Response::new(held_body(buffered.body, held));
+    let held = call.gateway.held_bytes.hold(buffered.body.len());
+    let mut response = Response::new(held_body(buffered.body, held, call.clone()));
     *response.status_mut() = buffered.parts.status;
     *response.headers_mut() = engine::caller_response_headers(&buffered.parts);
     response
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -1,13 +1,12 @@
 //! Body of a response to a caller.
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, SizeHint};
 
+use super::inbound_call::Call;
 use crate::kernel::byte_budget::HeldBytes;
 
 /// Body of a response. An error closes the connection, so that the caller does not take a truncated
@@ -19,52 +18,25 @@
 #[error("response aborted: {0}")]
 pub(crate) struct ResponseAborted(pub(crate) String);
 
-/// A body that keeps something alive until it was written to the caller.
-struct KeepingBody<T> {
-    body: ResponseBody,
-    _kept: T,
-}
-
-impl<T: Unpin> Body for KeepingBody<T> {
-    type Data = Bytes;
-    type Error = ResponseAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// Returns a body that keeps `kept` alive until it is dropped, once it was written to the caller.
-pub(crate) fn keeping_body<T: Send + Unpin + 'static>(body: ResponseBody, kept: T) -> ResponseBody {
-    KeepingBody { body, _kept: kept }.boxed_unsync()
-}
-
-/// A buffer that counts as held until it is dropped.
-struct HeldBuffer {
+/// A buffer that keeps something alive until it is dropped.
+struct KeepingBuffer<T> {
     bytes: Bytes,
-    _held: HeldBytes,
+    _kept: T,
 }
 
-impl AsRef<[u8]> for HeldBuffer {
+impl<T> AsRef<[u8]> for KeepingBuffer<T> {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
-/// Returns a body whose bytes count as held until they are written to the caller.
-pub(crate) fn held_body(bytes: Bytes, held: HeldBytes) -> ResponseBody {
-    full_body(Bytes::from_owner(HeldBuffer { bytes, _held: held }))
+/// Returns a body whose bytes count as held, and keep their call in flight, until they are written to
+/// the caller.
+pub(crate) fn held_body(bytes: Bytes, held: HeldBytes, call: Arc<Call>) -> ResponseBody {
+    full_body(Bytes::from_owner(KeepingBuffer {
+        bytes,
+        _kept: (held, call),
+    }))
 }
 
 /// Returns a body whose bytes are all available.
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use support::site::{HttpResponse, Instance, RoutedSite, send_request, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// Time from the signal to the exit; too short for long generations, and long enough for short ones.
@@ -228,8 +228,11 @@
 
 /// Sends a request on a connection of its own and returns the connection.
 async fn send_raw(instance: &Instance, head: &str, body: &str) -> TcpStream {
-    let address = instance.caller_address();
-    let mut stream = TcpStream::connect(address).await.expect("connected");
+    let address = instance.caller_address().parse().expect("an address");
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // What the caller does not read stays with the instance.
+    socket.set_recv_buffer_size(4_096).expect("size set");
+    let mut stream = socket.connect(address).await.expect("connected");
     let head = format!("{head}\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n\r\n{body}");
     stream.write_all(head.as_bytes()).await.expect("sent");
     stream
