A generation that may wait in its engine's queue is neither known to run nor known to be gone

Found by reading the change again: after an order to stop with no clear outcome, a report that did not list the generation while the engine's queue was not empty counted as "it runs on" and cleared the doubt, so that the end of its connection could have passed for its end. What a report tells is typed now (listed, maybe queued, absent, no report): only "listed" clears the doubt, and "maybe queued" forbids a restart as "listed" does. No test of its own: the stand-in's engines report an empty queue.

--- a/src/gateway/former_run.rs
+++ b/src/gateway/former_run.rs
@@ -33,7 +33,7 @@
     Gone,
     /// The engine cannot be reached.
     Unreached,
-    /// The engine runs it after the order to stop.
+    /// The engine runs it after the order to stop, or may have it in its queue.
     RunsOn,
     /// The engine was not asked, and may run it.
     NotAsked,
@@ -123,26 +123,47 @@
         StopError::Unreached(_) => FormerRun::Unreached,
         StopError::RetriesSpent | StopError::NotAsked(_) => FormerRun::NotAsked,
         StopError::Unknown(_) => {
-            match is_still_running(gateway, source, &call.head.request_id).await {
-                Some(true) => FormerRun::RunsOn,
-                Some(false) => FormerRun::Gone,
-                None => FormerRun::Unreached,
+            match read_reported_run(gateway, source, &call.head.request_id).await {
+                ReportedRun::Listed | ReportedRun::MaybeQueued => FormerRun::RunsOn,
+                ReportedRun::Absent => FormerRun::Gone,
+                ReportedRun::NoReport => FormerRun::Unreached,
             }
         }
     };
     (former, error.to_string())
 }
 
-/// Returns whether an engine still runs a generation, or has it in its queue, after an order to stop
-/// it that had no clear outcome; `None` if the engine does not tell.
-pub(super) async fn is_still_running(
+/// What an engine's report tells of a generation after an order to stop it that had no clear outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReportedRun {
+    /// The engine runs it.
+    Listed,
+    /// The engine does not run it, and may have it in its queue.
+    MaybeQueued,
+    /// The engine does not have it.
+    Absent,
+    /// There is no report.
+    NoReport,
+}
+
+/// Reads what an engine tells of a generation, once its report must show an order to stop it.
+pub(super) async fn read_reported_run(
     gateway: &Gateway,
     engine: &EndpointEntry,
     request_id: &str,
-) -> Option<bool> {
+) -> ReportedRun {
     gateway.sleep_for(REPORT_DELAY).await;
-    let report = engine_reports::read_report(gateway, engine, REPORT_TIMEOUT).await?;
-    Some(!report.is_done_with(request_id))
+    let report = engine_reports::read_report(gateway, engine, REPORT_TIMEOUT).await;
+    let Some(report) = report else {
+        return ReportedRun::NoReport;
+    };
+    if report.generated_events(request_id).is_some() {
+        ReportedRun::Listed
+    } else if report.is_done_with(request_id) {
+        ReportedRun::Absent
+    } else {
+        ReportedRun::MaybeQueued
+    }
 }
 
 /// Returns an engine to which the memory of a stopped generation can be copied.
--- a/src/gateway/moves.rs
+++ b/src/gateway/moves.rs
@@ -7,7 +7,7 @@
 
 use spdlog::{info, warn};
 
-use super::former_run;
+use super::former_run::{self, ReportedRun};
 use super::move_orders;
 use super::node::Gateway;
 use super::retry_budgets::{Repeat, RepeatCause};
@@ -196,11 +196,11 @@
                     unclear: = error.is_unclear(),
                 });
             }
-            if let StopError::Unknown(_) = error
-                && former_run::is_still_running(gateway, source, &run.demand.run).await
-                    == Some(true)
-            {
-                send_command(run, RunCommand::RunsOn);
+            if let StopError::Unknown(_) = error {
+                let reported = former_run::read_reported_run(gateway, source, &run.demand.run);
+                if reported.await == ReportedRun::Listed {
+                    send_command(run, RunCommand::RunsOn);
+                }
             }
             Err(error)
         }
