Orders to stop are taken notice of before the end of a stream is judged

Found by reading the change again: the task that forwards a stream reads its frames first. Where the end of a stream and the notice of the order that caused it are both there, as on an instance that was held up, the end was judged without the notice, and a stopped generation whose stream ends with its connection passed for whole. The notice is sent before the order, so that reading all notices first is enough. No test of its own: the order of two wake-ups cannot be set from outside; half_failures_soak draws it by chance.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -160,6 +160,12 @@
             if let Step::Stalled = step {
                 step = self.query_stalled_engine().await;
             }
+            if matches!(step, Step::ConnectionEnded | Step::Aborted(_)) {
+                // An order to stop precedes what it causes, but may not have been read yet.
+                while let Ok(command) = self.commands.try_recv() {
+                    self.handle_command(command);
+                }
+            }
             if let Step::ConnectionEnded = step {
                 step = self.judge_connection_end().await;
             }
